--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# The two commands of a newcomer are `make demo` and `make test`.
+PYTHON ?= python3
+DEPLOYMENT ?= ezo-lumen
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/ready
+
+.PHONY: demo test lint types format clean
+
+$(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+	  -e packages/bergamotferry -e packages/bergamotferry_host \
+	  -e packages/bergamotferry_ctl -e packages/bergamotferry_testkit
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m bergamotferry_testkit.demo --deployment $(DEPLOYMENT)
+
+test: $(READY)
+	$(BIN)/python -m pytest -q
+
+lint: $(READY)
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+types: $(READY)
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+clean:
+	rm -rf build .mypy_cache .ruff_cache
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -0,0 +1,306 @@
+"""Tables of a data centre's group: sessions, grants, dispatchers and outcomes.
+
+`apply_data_centre_command` is the only writer and is deterministic. Epochs come from
+one counter of the group, so they only rise. What depends on time, such as leases, is
+held by the leader alone (see ``leases``); the log holds only decisions.
+"""
+
+from dataclasses import dataclass, field
+
+from .commands import (
+    AssignDispatcher,
+    CloseSession,
+    Command,
+    ConfirmRelease,
+    DrainSession,
+    ForgetIntent,
+    GrantShards,
+    ImportOutcomes,
+    OpenSession,
+    RecordCrash,
+    RecordIntent,
+    RecordOutcome,
+    ReleaseHomes,
+    ReleaseQuarantine,
+    RetireDispatcher,
+    RevokeShards,
+)
+from .outcomes import Accepted, Refused
+from .records import (
+    Dispatcher,
+    Grant,
+    OutcomeRecord,
+    QuarantineRecord,
+    ShardId,
+    UpstreamSession,
+)
+from .result_codes import ResultCode
+
+N_OUTCOMES_MAX = 100_000
+OUTCOME_BODY_MAX_BYTES = 4096
+OUTCOME_KEPT_S = 24 * 3600
+N_QUARANTINE_MAX = 10_000
+QUARANTINE_CRASHES = 2
+HOME_EPOCH_SHIFT = 40
+
+
+@dataclass(slots=True)
+class DataCentreTables:
+    """State of one data centre's group."""
+
+    last_epoch: int = 0
+    sessions: dict[str, UpstreamSession] = field(default_factory=dict)
+    incarnations: dict[str, int] = field(default_factory=dict)
+    grants: dict[ShardId, Grant] = field(default_factory=dict)
+    dispatchers: dict[str, Dispatcher] = field(default_factory=dict)
+    outcomes: dict[tuple[str, str], OutcomeRecord] = field(default_factory=dict)
+    released_homes: dict[ShardId, int] = field(default_factory=dict)
+    quarantine: dict[str, QuarantineRecord] = field(default_factory=dict)
+
+
+def apply_data_centre_command(
+    tables: DataCentreTables, command: Command
+) -> Accepted | Refused:
+    """Apply a committed command to the tables.
+
+    Returns
+    -------
+    Accepted or Refused
+        Refused if the command's condition no longer holds; nothing has changed then.
+    """
+    match command:
+        case OpenSession():
+            return _open_session(tables, command)
+        case DrainSession():
+            return _drain_session(tables, command)
+        case CloseSession():
+            return _close_session(tables, command)
+        case GrantShards():
+            return _grant_shards(tables, command)
+        case RevokeShards():
+            return _revoke_shards(tables, command)
+        case ConfirmRelease():
+            return _confirm_release(tables, command)
+        case ReleaseHomes():
+            return _release_homes(tables, command)
+        case RetireDispatcher():
+            return _retire_dispatcher(tables, command)
+        case AssignDispatcher():
+            return _assign_dispatcher(tables, command)
+        case RecordIntent():
+            return _record_intent(tables, command)
+        case RecordOutcome():
+            return _record_outcome(tables, command)
+        case ForgetIntent():
+            return _forget_intent(tables, command)
+        case ImportOutcomes():
+            return _import_outcomes(tables, command)
+        case RecordCrash():
+            return _record_crash(tables, command)
+        case ReleaseQuarantine():
+            tables.quarantine.pop(command.fingerprint, None)
+    return Accepted(tables.last_epoch)
+
+
+def _open_session(tables: DataCentreTables, command: OpenSession) -> Accepted | Refused:
+    newest = tables.incarnations.get(command.name, -1)
+    if command.incarnation < newest:
+        return Refused(
+            ResultCode.SESSION_STALE_INCARNATION, f"incarnation {newest} is known"
+        )
+    known = tables.sessions.get(command.name)
+    if known is not None and known.service != command.service:
+        return Refused(
+            ResultCode.SESSION_WRONG_SERVICE,
+            f"the name belongs to an upstream of {known.service}",
+        )
+    if known is not None and known.address != command.address:
+        return Refused(
+            ResultCode.SESSION_NAME_TAKEN, f"the name is held at {known.address}"
+        )
+    if known is not None and known.incarnation == command.incarnation:
+        return Accepted(known.incarnation)
+    # A new incarnation at the same address proves that the old process has ended.
+    _drop_session(tables, command.name)
+    tables.incarnations[command.name] = command.incarnation
+    tables.sessions[command.name] = UpstreamSession(*command, "serving")
+    return Accepted(command.incarnation)
+
+
+def _drain_session(
+    tables: DataCentreTables, command: DrainSession
+) -> Accepted | Refused:
+    known = tables.sessions.get(command.name)
+    if known is None or known.incarnation != command.incarnation:
+        return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
+    tables.sessions[command.name] = known._replace(
+        state="expired" if command.is_expired else "draining"
+    )
+    return Accepted(known.incarnation)
+
+
+def _close_session(tables: DataCentreTables, command: CloseSession) -> Accepted:
+    known = tables.sessions.get(command.name)
+    if known is not None and known.incarnation == command.incarnation:
+        _drop_session(tables, command.name)
+    return Accepted(command.incarnation)
+
+
+def _drop_session(tables: DataCentreTables, name: str) -> None:
+    tables.sessions.pop(name, None)
+    tables.dispatchers.pop(name, None)
+    for shard in [s for s, grant in tables.grants.items() if grant.upstream == name]:
+        del tables.grants[shard]
+
+
+def _grant_shards(tables: DataCentreTables, command: GrantShards) -> Accepted | Refused:
+    session = tables.sessions.get(command.upstream)
+    if session is None or session.incarnation != command.incarnation:
+        return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
+    if session.state != "serving":
+        return Refused(ResultCode.SESSION_UNKNOWN, "the session is draining")
+    for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
+        is_free = shard not in tables.grants and shard.service == session.service
+        # A leader whose global tables lag must not grant what was released for good.
+        if is_free and home_epoch > tables.released_homes.get(shard, 0):
+            tables.last_epoch += 1
+            epoch = (home_epoch << HOME_EPOCH_SHIFT) | tables.last_epoch
+            tables.grants[shard] = Grant(
+                shard, session.name, session.incarnation, epoch, "held"
+            )
+    return Accepted(tables.last_epoch)
+
+
+def _revoke_shards(tables: DataCentreTables, command: RevokeShards) -> Accepted:
+    for shard, epoch in zip(command.shards, command.epochs, strict=True):
+        grant = tables.grants.get(shard)
+        if grant is not None and grant.epoch == epoch:
+            tables.grants[shard] = grant._replace(state="revoking")
+    return Accepted(tables.last_epoch)
+
+
+def _confirm_release(tables: DataCentreTables, command: ConfirmRelease) -> Accepted:
+    for shard, epoch in zip(command.shards, command.epochs, strict=True):
+        grant = tables.grants.get(shard)
+        if grant is not None and grant.epoch == epoch and grant.state == "revoking":
+            del tables.grants[shard]
+    return Accepted(tables.last_epoch)
+
+
+def _release_homes(tables: DataCentreTables, command: ReleaseHomes) -> Accepted:
+    for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
+        if shard not in tables.grants:
+            known = tables.released_homes.get(shard, 0)
+            tables.released_homes[shard] = max(known, home_epoch)
+    return Accepted(tables.last_epoch)
+
+
+def _retire_dispatcher(tables: DataCentreTables, command: RetireDispatcher) -> Accepted:
+    known = tables.dispatchers.get(command.upstream)
+    if known is not None and known.epoch == command.epoch:
+        tables.dispatchers[command.upstream] = known._replace(state="retiring")
+    return Accepted(tables.last_epoch)
+
+
+def _assign_dispatcher(
+    tables: DataCentreTables, command: AssignDispatcher
+) -> Accepted | Refused:
+    if command.upstream not in tables.sessions:
+        return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
+    known = tables.dispatchers.get(command.upstream)
+    epoch = known.epoch if known else 0
+    if epoch != command.replaces_epoch:
+        return Refused(ResultCode.STALE_EPOCH, "another dispatcher was assigned since")
+    tables.last_epoch += 1
+    tables.dispatchers[command.upstream] = Dispatcher(
+        command.upstream, command.host, tables.last_epoch, "serving"
+    )
+    return Accepted(tables.last_epoch)
+
+
+def _record_intent(
+    tables: DataCentreTables, command: RecordIntent
+) -> Accepted | Refused:
+    key = (command.account, command.idempotency_key)
+    known = tables.outcomes.get(key)
+    if known is not None:
+        if known.request_sha256 != command.request_sha256:
+            return Refused(
+                ResultCode.IDEMPOTENCY_KEY_REUSED, "the key names another request"
+            )
+        return Refused(ResultCode.OUTCOME_PENDING, "the request was sent before")
+    _expire_outcomes(tables, command.recorded_at_s)
+    if len(tables.outcomes) >= N_OUTCOMES_MAX:
+        return Refused(ResultCode.OUTCOME_STORE_FULL, "no room for another outcome")
+    tables.outcomes[key] = OutcomeRecord(
+        command.account,
+        command.idempotency_key,
+        command.shard,
+        command.request_sha256,
+        "intent",
+        0,
+        "",
+        b"",
+        command.recorded_at_s,
+    )
+    return Accepted(tables.last_epoch)
+
+
+def _expire_outcomes(tables: DataCentreTables, now_s: int) -> None:
+    # Records stand in the order of their time, so the oldest come first.
+    while tables.outcomes:
+        key, record = next(iter(tables.outcomes.items()))
+        if record.recorded_at_s + OUTCOME_KEPT_S > now_s:
+            return
+        del tables.outcomes[key]
+
+
+def _record_outcome(
+    tables: DataCentreTables, command: RecordOutcome
+) -> Accepted | Refused:
+    key = (command.account, command.idempotency_key)
+    known = tables.outcomes.get(key)
+    if known is None:
+        return Refused(ResultCode.BAD_REQUEST, "no intent was recorded")
+    if known.state != "done":
+        tables.outcomes[key] = known._replace(
+            state=command.state,
+            status=command.status,
+            content_type=command.content_type,
+            body=command.body[:OUTCOME_BODY_MAX_BYTES],
+        )
+    return Accepted(tables.last_epoch)
+
+
+def _forget_intent(tables: DataCentreTables, command: ForgetIntent) -> Accepted:
+    key = (command.account, command.idempotency_key)
+    known = tables.outcomes.get(key)
+    if (
+        known is not None
+        and known.state == "intent"
+        and known.request_sha256 == command.request_sha256
+    ):
+        del tables.outcomes[key]
+    return Accepted(tables.last_epoch)
+
+
+def _import_outcomes(tables: DataCentreTables, command: ImportOutcomes) -> Accepted:
+    for record in command.outcomes:
+        tables.outcomes.setdefault((record.account, record.idempotency_key), record)
+    return Accepted(tables.last_epoch)
+
+
+def _record_crash(tables: DataCentreTables, command: RecordCrash) -> Accepted | Refused:
+    known = tables.quarantine.get(command.fingerprint)
+    if known is None and len(tables.quarantine) >= N_QUARANTINE_MAX:
+        oldest = min(tables.quarantine.values(), key=lambda row: row.recorded_at_s)
+        del tables.quarantine[oldest.fingerprint]
+    n_crashes = (known.n_crashes if known else 0) + 1
+    tables.quarantine[command.fingerprint] = QuarantineRecord(
+        command.fingerprint,
+        command.service,
+        n_crashes,
+        n_crashes >= QUARANTINE_CRASHES,
+        command.recorded_at_s,
+    )
+    return Accepted(n_crashes)
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/placement.py
@@ -0,0 +1,95 @@
+"""Where shards go: rendezvous hashing with bounded load.
+
+Each shard ranks the targets by a hash of the pair, and takes the best one that is not
+full. A target that leaves gives up its own shards only, and a target that joins takes
+little more than its share, so that few keys move.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import xxhash
+
+from .records import ShardId
+
+LOAD_SLACK = 1.1
+
+
+def choose_targets(
+    free_shards: Iterable[ShardId],
+    owned: Mapping[ShardId, str],
+    weights: Mapping[str, int],
+) -> dict[ShardId, str]:
+    """Choose a target for each free shard.
+
+    Parameters
+    ----------
+    free_shards : iterable of ShardId
+        Shards without a target.
+    owned : mapping of ShardId to str
+        Shards that have one already; they count as its load.
+    weights : mapping of str to int
+        Capacity of each target, such as its number of slots.
+
+    Returns
+    -------
+    dict of ShardId to str
+        Empty if there is no target with capacity.
+    """
+    free = sorted(free_shards)
+    usable = {name: weight for name, weight in weights.items() if weight > 0}
+    if not usable:
+        return {}
+    limits = load_limits(len(free) + len(owned), usable)
+    loads = Counter(owned.values())
+    chosen: dict[ShardId, str] = {}
+    for shard in free:
+        for target in ranked_targets(shard, usable):
+            if loads[target] < limits[target]:
+                chosen[shard] = target
+                loads[target] += 1
+                break
+    return chosen
+
+
+def shards_over_share(
+    owned: Mapping[ShardId, str], weights: Mapping[str, int], n_moves_max: int
+) -> list[ShardId]:
+    """Return shards to move away from targets that hold more than their limit.
+
+    Of a target's shards, those that rank it lowest go first, since they are the ones
+    that belong elsewhere.
+    """
+    limits = load_limits(len(owned), weights)
+    loads = Counter(owned.values())
+    moves: list[ShardId] = []
+    for target in sorted(loads, key=lambda name: -loads[name]):
+        n_over = loads[target] - limits.get(target, 0)
+        if n_over <= 0:
+            continue
+        mine = [shard for shard, name in owned.items() if name == target]
+        mine.sort(key=lambda shard: -_score(shard, target))
+        moves.extend(mine[:n_over])
+    return moves[:n_moves_max]
+
+
+def load_limits(n_shards: int, weights: Mapping[str, int]) -> dict[str, int]:
+    """Return how many shards each target may hold, with some slack over its share."""
+    total = sum(weights.values()) or 1
+    return {
+        name: math.ceil(n_shards * weight / total * LOAD_SLACK)
+        for name, weight in weights.items()
+    }
+
+
+def ranked_targets(shard: ShardId, weights: Mapping[str, int]) -> list[str]:
+    """Return the targets in the order in which a shard prefers them."""
+    return sorted(weights, key=lambda name: _score(shard, name) / weights[name])
+
+
+def _score(shard: ShardId, target: str) -> float:
+    text = f"{shard.service}\x00{shard.domain}\x00{shard.number}\x00{target}"
+    uniform = (xxhash.xxh3_64_intdigest(text.encode()) + 1) / (1 << 64)
+    # With -log(u) / weight, the least wins with a chance in proportion to the weight.
+    return -math.log(min(uniform, 1.0 - 2**-53))
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/routing.py
@@ -0,0 +1,120 @@
+"""The decision about one request, made per request over the replicated tables.
+
+`route_request` is what an entry host asks first: may this request be served, and which
+data centre's group knows its owner? `find_owner` is the second half, asked in that data
+centre: which upstream owns the shard, and which host sends to it?
+"""
+
+import hashlib
+from typing import NamedTuple
+
+from .data_centre_tables import DataCentreTables
+from .global_tables import GlobalTables, region_rule
+from .outcomes import Refused
+from .records import Account, Dispatcher, Grant, Route, ShardId, UpstreamSession
+from .result_codes import ResultCode
+from .shards import shard_of_key
+
+
+class RoutedRequest(NamedTuple):
+    """A request that may be served, and the data centre that holds its shard."""
+
+    account: Account
+    route: Route
+    shard: ShardId
+    data_centre: str
+    is_home_bound: bool
+
+
+class Owner(NamedTuple):
+    """The owner of a shard: its grant, its session and its dispatcher."""
+
+    grant: Grant
+    session: UpstreamSession
+    dispatcher: Dispatcher
+
+
+def find_account(tables: GlobalTables, token: str) -> Account | Refused:
+    """Return the account of a token.
+
+    The digest is looked up rather than the token compared, so the time taken tells
+    nothing about any account's token.
+    """
+    if not token:
+        return Refused(ResultCode.MISSING_TOKEN, "send Authorization: Bearer <token>")
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    for account in tables.accounts.values():
+        if account.token_sha256 == digest:
+            return account
+    return Refused(ResultCode.UNKNOWN_TOKEN, "the token is not known")
+
+
+def route_request(
+    tables: GlobalTables,
+    account: Account,
+    service: str,
+    route_name: str,
+    method: str,
+    key: str,
+    own_region: str,
+) -> RoutedRequest | Refused:
+    """Decide where a request goes, before any of its body is read.
+
+    Parameters
+    ----------
+    tables : GlobalTables
+        Configuration in force on this host.
+    account : Account
+        The caller's account.
+    service, route_name, method, key : str
+        What the caller asks for.
+    own_region : str
+        Region of this host.
+
+    Returns
+    -------
+    RoutedRequest or Refused
+        A refusal is always "not run".
+    """
+    route = tables.routes.get(f"{service}/{route_name}")
+    if route is None or route.method != method:
+        return Refused(ResultCode.UNKNOWN_ROUTE, f"no {method} /{service}/{route_name}")
+    if service not in account.services:
+        return Refused(ResultCode.ACCOUNT_NOT_ALLOWED, f"not allowed: {service}")
+    shard = shard_of_key(
+        service,
+        tables.services[service].n_shards,
+        tables.home_regions.values(),
+        key,
+    )
+    rule = region_rule(tables, service, shard.domain, account.name)
+    if rule is not None and own_region not in rule.regions:
+        regions = ", ".join(sorted(rule.regions))
+        return Refused(ResultCode.OUTSIDE_HOME_REGION, f"ask a host in {regions}")
+    home = tables.shard_homes.get(shard)
+    if home is None:
+        return Refused(ResultCode.NO_OWNER, "the shard has no data centre yet")
+    data_centre = tables.data_centres.get(home.data_centre)
+    if data_centre is None:
+        return Refused(ResultCode.NO_OWNER, "the shard's data centre is withdrawn")
+    if rule is not None and data_centre.region not in rule.regions:
+        return Refused(
+            ResultCode.OUTSIDE_HOME_REGION, "the key's owner is outside the home region"
+        )
+    return RoutedRequest(account, route, shard, data_centre.name, rule is not None)
+
+
+def find_owner(tables: DataCentreTables, shard: ShardId) -> Owner | Refused:
+    """Return who owns a shard and which host dispatches for it."""
+    grant = tables.grants.get(shard)
+    if grant is None:
+        return Refused(ResultCode.NO_OWNER, "the shard has no owner just now")
+    if grant.state != "held":
+        return Refused(ResultCode.NO_OWNER, "the shard is moving")
+    session = tables.sessions.get(grant.upstream)
+    if session is None or session.state != "serving":
+        return Refused(ResultCode.NO_OWNER, "the owner is leaving")
+    dispatcher = tables.dispatchers.get(grant.upstream)
+    if dispatcher is None or dispatcher.state != "serving":
+        return Refused(ResultCode.NOT_DISPATCHER, "the owner's dispatcher is changing")
+    return Owner(grant, session, dispatcher)
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/shards.py
@@ -0,0 +1,54 @@
+"""From a key to its shard.
+
+The hash covers the service, the home domain and the key, so that equal keys of two
+services fall on unrelated shards. No state is held per key.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from .records import HomeRegion, ShardId
+
+_SEPARATOR = b"\x00"
+
+
+def shard_of_key(
+    service: str, n_shards: int, home_regions: Iterable[HomeRegion], key: str
+) -> ShardId:
+    """Return the shard of a key.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    n_shards : int
+        Number of shards in each domain of the service.
+    home_regions : iterable of HomeRegion
+        All home regions; those of other services are passed over.
+    key : str
+        The caller's key.
+
+    Returns
+    -------
+    ShardId
+        The same shard for the same key, whoever asks.
+    """
+    home = home_region_of_key(service, home_regions, key)
+    domain = home.name if home else ""
+    text = _SEPARATOR.join((service.encode(), domain.encode(), key.encode()))
+    return ShardId(service, domain, xxhash.xxh3_64_intdigest(text) % n_shards)
+
+
+def home_region_of_key(
+    service: str, home_regions: Iterable[HomeRegion], key: str
+) -> HomeRegion | None:
+    """Return the home region with the longest matching prefix, if any."""
+    matching = [
+        home
+        for home in home_regions
+        if home.service == service
+        and home.key_prefix
+        and key.startswith(home.key_prefix)
+    ]
+    return max(matching, key=lambda home: len(home.key_prefix), default=None)
--- /dev/null
+++ b/packages/bergamotferry/tests/test_result_codes.py
@@ -0,0 +1,27 @@
+"""The table in docs/RESULT_CODES.md is the table in the code."""
+
+from pathlib import Path
+
+from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
+
+PAGE = Path(__file__).parents[3] / "docs" / "RESULT_CODES.md"
+
+
+def test_every_code_has_a_row():
+    assert set(RESULT_CODE_TABLE) == set(ResultCode)
+
+
+def test_thousands_say_whether_it_was_not_run():
+    for code, row in RESULT_CODE_TABLE.items():
+        assert row.is_not_run == (1000 <= code < 2000), code
+
+
+def test_page_and_code_agree():
+    rows = [
+        f"| {int(code)} | {code.name} | {row.http_status} | "
+        f"{'yes' if row.is_not_run else 'no'} | {row.meaning} |"
+        for code, row in RESULT_CODE_TABLE.items()
+    ]
+    text = PAGE.read_text()
+    listed = [line for line in text.splitlines() if line.startswith("| ")][2:]
+    assert listed == rows
--- /dev/null
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator tool of bergamotferry."""
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
@@ -0,0 +1,66 @@
+"""Which hosts are the first voters of each group.
+
+The global group begins with an odd number of hosts that have disks, spread over the
+data centres. A data centre's group begins with its own hosts that have disks and, where
+there are fewer than three, with one of the sibling data centre of the same region, so
+that no home-bound record leaves the region. Hosts without a disk are added by the
+leader.
+"""
+
+from collections.abc import Iterable
+
+from bergamotferry.messages import Member, Membership
+from bergamotferry.records import HostAddress
+
+from .data_folder import BOOTSTRAP_INCARNATION
+
+GLOBAL_GROUP = "global"
+DATA_CENTRE_PREFIX = "dc:"
+N_GLOBAL_VOTERS = 3
+N_DATA_CENTRE_VOTERS = 3
+
+
+def data_centre_group(data_centre: str) -> str:
+    """Return the name of a data centre's group."""
+    return DATA_CENTRE_PREFIX + data_centre
+
+
+def first_membership(group: str, seeds: Iterable[HostAddress]) -> Membership:
+    """Return the voters of a group at the first start of a deployment."""
+    durable = sorted(seed for seed in seeds if seed.is_durable)
+    if group == GLOBAL_GROUP:
+        chosen = durable[:N_GLOBAL_VOTERS]
+        # An even number of voters tolerates no more losses than one fewer.
+        if len(chosen) % 2 == 0:
+            chosen = chosen[:-1]
+    else:
+        chosen = _data_centre_voters(group.removeprefix(DATA_CENTRE_PREFIX), durable)
+    voters = tuple(Member(seed.name, BOOTSTRAP_INCARNATION, True) for seed in chosen)
+    return Membership(voters, ())
+
+
+def groups_of_host(host: HostAddress, seeds: Iterable[HostAddress]) -> list[str]:
+    """Return the groups a host takes part in, as member or as reader."""
+    region_centres = {s.data_centre for s in seeds if s.region == host.region}
+    siblings = sorted(region_centres - {host.data_centre})
+    names = [GLOBAL_GROUP, data_centre_group(host.data_centre)]
+    for sibling in siblings:
+        group = data_centre_group(sibling)
+        voters = first_membership(group, seeds).voters
+        if host.name in [voter.host for voter in voters]:
+            names.append(group)
+    return names
+
+
+def _data_centre_voters(
+    data_centre: str, durable: list[HostAddress]
+) -> list[HostAddress]:
+    own = [seed for seed in durable if seed.data_centre == data_centre]
+    if len(own) >= N_DATA_CENTRE_VOTERS or not own:
+        return own[:N_DATA_CENTRE_VOTERS]
+    siblings = [
+        seed
+        for seed in durable
+        if seed.region == own[0].region and seed.data_centre != data_centre
+    ]
+    return own + siblings[: N_DATA_CENTRE_VOTERS - len(own)]
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -0,0 +1,219 @@
+"""Puts a host together, runs it, and stops it gracefully."""
+
+import asyncio
+import secrets
+import signal
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from bergamotferry.data_centre_tables import (
+    DataCentreTables,
+    apply_data_centre_command,
+)
+from bergamotferry.global_tables import GlobalTables, apply_global_command
+from bergamotferry.messages import (
+    CapacityReport,
+    FetchLog,
+    HostStatusRequest,
+    Member,
+    Propose,
+    RenewLeases,
+    RequestHead,
+)
+
+from .bootstrap import (
+    DATA_CENTRE_PREFIX,
+    GLOBAL_GROUP,
+    first_membership,
+    groups_of_host,
+)
+from .caller_edge import build_caller_app
+from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
+from .dispatch import run_dispatcher
+from .dispatcher_table import DispatcherTable
+from .group import Group, answer_fetch, answer_propose, post, run_group
+from .group_start import start_member
+from .host_state import HostState
+from .leader_duties import (
+    answer_capacity,
+    answer_renewal,
+    run_capacity_reports,
+    run_ownership_duty,
+    run_placement_duty,
+)
+from .lease_renewal import run_lease_renewal
+from .logs import log
+from .metrics import metrics_from_config
+from .operator_edge import add_operator_routes, answer_status
+from .peer_link import PeerHandlers, PeerStream
+from .peer_network import PeerNetwork
+from .request_path import serve_peer
+from .settings import Settings, split_address
+from .upstream_edge import add_upstream_routes
+
+DRAIN_NOTICE_S = 0.5
+DRAIN_POLL_S = 0.02
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Run a host until SIGTERM or SIGINT, then stop it gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+    ) as http:
+        state = build_host(settings, http)
+        await state.network.start()
+        runners = await _start_edges(state, http)
+        tasks = [asyncio.create_task(work) for work in _duties(state, http)]
+        log("started", incarnation=state.incarnation)
+        stop_task = asyncio.create_task(stopping.wait())
+        done, _ = await asyncio.wait(
+            [stop_task, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        failed = [task for task in done if task is not stop_task]
+        if not failed:
+            await _drain(state)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for runner in runners:
+            await runner.cleanup()
+        await state.network.stop()
+        log("stopped")
+        for task in failed:
+            task.result()
+
+
+def build_host(settings: Settings, http: aiohttp.ClientSession) -> HostState:
+    """Return a host's state, recovered from its data folder if it has one."""
+    folder = None
+    incarnation = secrets.token_hex(8)
+    if settings.data_dir is not None:
+        folder = DataFolder.from_config(
+            settings.data_dir, settings.host.name, settings.is_bootstrap
+        )
+        incarnation = folder.incarnation
+    handlers = PeerHandlers(_unset, _unset, _unset)
+    network = PeerNetwork.from_config(
+        settings.host, settings.seeds, settings.peer_token, handlers
+    )
+    groups: dict[str, Group] = {}
+    for name in groups_of_host(settings.host, settings.seeds):
+        voters = [voter.host for voter in first_membership(name, settings.seeds).voters]
+        is_global = name == GLOBAL_GROUP
+        group = Group(
+            name,
+            GlobalTables() if is_global else DataCentreTables(),
+            apply_global_command if is_global else apply_data_centre_command,
+            network,
+            voters,
+        )
+        if folder is not None and settings.host.name in voters:
+            me = Member(settings.host.name, incarnation, True)
+            start_member(group, me, settings.seeds, folder)
+        groups[name] = group
+    process_incarnation = (
+        secrets.token_hex(8) if incarnation == BOOTSTRAP_INCARNATION else incarnation
+    )
+    state = HostState(
+        settings,
+        process_incarnation,
+        network,
+        groups,
+        metrics_from_config(settings.statsd_address, settings.host.name),
+        DispatcherTable(),
+    )
+    _set_handlers(state, http, handlers)
+    return state
+
+
+def _set_handlers(
+    state: HostState, http: aiohttp.ClientSession, handlers: PeerHandlers
+) -> None:
+    async def on_call(message: Any, peer: str) -> Any:
+        match message:
+            case RenewLeases():
+                return answer_renewal(state, message)
+            case Propose() if message.group in state.groups:
+                return await answer_propose(state.groups[message.group], message)
+            case FetchLog() if message.group in state.groups:
+                return await answer_fetch(state.groups[message.group], message)
+            case CapacityReport():
+                return answer_capacity(state, message)
+            case HostStatusRequest():
+                return await answer_status(state, message)
+        return None
+
+    def on_notice(message: Any, peer: str) -> None:
+        group = state.groups.get(getattr(message, "group", ""))
+        if group is not None and group.replica is not None:
+            post(group, message)
+
+    async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
+        if isinstance(head, RequestHead):
+            await serve_peer(state, http, stream, head)
+
+    handlers.on_call = on_call
+    handlers.on_notice = on_notice
+    handlers.on_stream = on_stream
+
+
+def _unset(*arguments: Any) -> Any:
+    raise RuntimeError("the host is not built yet")
+
+
+def _duties(state: HostState, http: aiohttp.ClientSession) -> list[Any]:
+    duties: list[Any] = [run_group(group) for group in state.groups.values()]
+    duties += [
+        run_lease_renewal(state),
+        run_dispatcher(state, http),
+        run_placement_duty(state),
+    ]
+    for name, group in state.groups.items():
+        if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
+            duties += [
+                run_ownership_duty(state, group),
+                run_capacity_reports(state, group),
+            ]
+    return duties
+
+
+async def _start_edges(
+    state: HostState, http: aiohttp.ClientSession
+) -> list[web.AppRunner]:
+    control = web.Application()
+    add_upstream_routes(control, state)
+    add_operator_routes(control, state)
+    callers = build_caller_app(state, http)
+    edges = (
+        (callers, state.settings.caller_address),
+        (control, state.settings.control_address),
+    )
+    runners = []
+    for app, address in edges:
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        ip, port = split_address(address)
+        await web.TCPSite(runner, ip, port, reuse_address=True).start()
+        runners.append(runner)
+    return runners
+
+
+async def _drain(state: HostState) -> None:
+    """Hand over what this host holds, and let work in flight finish."""
+    log("stopping", n_in_flight=state.n_in_flight)
+    state.is_stopping = True
+    await asyncio.sleep(DRAIN_NOTICE_S)
+    grace_s = state.settings.stop_grace_s
+    for _ in range(int(grace_s / DRAIN_POLL_S)):
+        is_dispatching = any(
+            work.in_flight for work in state.dispatchers.works.values()
+        )
+        if not state.n_in_flight and not is_dispatching:
+            return
+        await asyncio.sleep(DRAIN_POLL_S)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -0,0 +1,87 @@
+"""What the parts of one running host share."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bergamotferry.data_centre_tables import DataCentreTables
+from bergamotferry.global_tables import GlobalTables
+from bergamotferry.leases import LeaseTable
+from bergamotferry.messages import CapacityReport
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.records import HostAddress
+
+from .bootstrap import GLOBAL_GROUP, data_centre_group
+from .clock import now_ns
+from .dispatcher_table import DispatcherTable
+from .group import Group
+from .metrics import Metrics
+from .peer_network import PeerNetwork
+from .settings import Settings
+
+
+@dataclass(slots=True)
+class SessionRenewal:
+    """Renewals of one upstream's session that wait for the leader's answer."""
+
+    incarnation: int
+    waiters: list["asyncio.Future[Accepted | Refused]"] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class LeaderState:
+    """What a leader holds in memory; it is void once leadership is lost."""
+
+    term: int = -1
+    leases: LeaseTable = field(default_factory=LeaseTable)
+    reports: dict[str, CapacityReport] = field(default_factory=dict)
+    report_times_ns: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class HostState:
+    """State of this host."""
+
+    settings: Settings
+    incarnation: str
+    network: PeerNetwork
+    groups: dict[str, Group]
+    metrics: Metrics
+    dispatchers: DispatcherTable
+    host_lease_until_ns: int = 0
+    is_stopping: bool = False
+    n_in_flight: int = 0
+    renewals: dict[str, SessionRenewal] = field(default_factory=dict)
+    leaders: dict[str, LeaderState] = field(default_factory=dict)
+    dispatcher_hints: dict[tuple[str, object], str] = field(default_factory=dict)
+
+    @property
+    def host(self) -> HostAddress:
+        """Name and addresses of the host, as its settings give them."""
+        return self.settings.host
+
+    @property
+    def global_group(self) -> Group:
+        """The global group on this host."""
+        return self.groups[GLOBAL_GROUP]
+
+    @property
+    def own_group(self) -> Group:
+        """The group of this host's data centre."""
+        return self.groups[data_centre_group(self.host.data_centre)]
+
+    @property
+    def global_tables(self) -> GlobalTables:
+        """Configuration as applied on this host."""
+        tables: GlobalTables = self.global_group.tables
+        return tables
+
+    @property
+    def own_tables(self) -> DataCentreTables:
+        """Tables of this host's data centre as applied on this host."""
+        tables: DataCentreTables = self.own_group.tables
+        return tables
+
+    @property
+    def has_host_lease(self) -> bool:
+        """Whether this host may send orders and work to upstreams just now."""
+        return now_ns() < self.host_lease_until_ns
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_answers.py
@@ -0,0 +1,40 @@
+"""JSON bodies and headers that every HTTP edge answers with."""
+
+from aiohttp import web
+
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
+
+CODE_HEADER = "Bergamotferry-Code"
+NOT_RUN_HEADER = "Bergamotferry-Not-Run"
+REQUEST_ID_HEADER = "Bergamotferry-Request-Id"
+
+
+def outcome_headers(code: ResultCode, request_id: str) -> dict[str, str]:
+    """Return the headers that tell an outcome."""
+    is_not_run = RESULT_CODE_TABLE[code].is_not_run
+    return {
+        CODE_HEADER: str(int(code)),
+        NOT_RUN_HEADER: "true" if is_not_run else "false",
+        REQUEST_ID_HEADER: request_id,
+    }
+
+
+def refusal_response(refusal: Refused, request_id: str) -> web.Response:
+    """Return a refusal as a response."""
+    row = RESULT_CODE_TABLE[refusal.code]
+    body = {
+        "code": int(refusal.code),
+        "name": refusal.code.name,
+        "not_run": row.is_not_run,
+        "detail": refusal.detail,
+        "request_id": request_id,
+    }
+    headers = outcome_headers(refusal.code, request_id)
+    return web.json_response(body, status=row.http_status, headers=headers)
+
+
+def bearer_token(request: web.Request) -> str:
+    """Return the bearer token of a request, or an empty text."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    return token if scheme.lower() == "bearer" else ""
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
@@ -0,0 +1,110 @@
+"""Keeps this host's lease, and passes on the renewals of upstreams' sessions.
+
+All renewals of an interval go to the leader in one message, so the leader's load grows
+with the number of hosts and not with the number of upstreams.
+"""
+
+import asyncio
+
+from bergamotferry.leases import NS_PER_MS, RENEW_INTERVAL_MS, SESSION_LEASE_MS
+from bergamotferry.messages import RenewLeases, RenewLeasesReply
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.result_codes import ResultCode
+
+from .clock import now_ns
+from .dispatch import drained_upstreams, released_shards
+from .host_state import HostState, SessionRenewal
+from .peer_link import PeerUnreachable
+
+RENEW_TIMEOUT_S = 0.4
+
+
+async def run_lease_renewal(state: HostState) -> None:
+    """Renew until cancelled."""
+    while True:
+        started_ns = now_ns()
+        await renew_once(state)
+        took_s = (now_ns() - started_ns) / 1e9
+        await asyncio.sleep(max(0.0, RENEW_INTERVAL_MS / 1000 - took_s))
+
+
+async def renew_session(
+    state: HostState, name: str, incarnation: int
+) -> Accepted | Refused:
+    """Renew an upstream's session with the next message to the leader.
+
+    Returns
+    -------
+    Accepted or Refused
+        ``revision`` is the lease in ms, which the upstream counts from sending.
+    """
+    future: asyncio.Future[Accepted | Refused] = (
+        asyncio.get_running_loop().create_future()
+    )
+    renewal = state.renewals.get(name)
+    if renewal is None or renewal.incarnation < incarnation:
+        renewal = SessionRenewal(incarnation)
+        state.renewals[name] = renewal
+    renewal.waiters.append(future)
+    try:
+        return await asyncio.wait_for(future, SESSION_LEASE_MS / 1000)
+    except TimeoutError:
+        return Refused(ResultCode.NO_LEADER, "the leader did not answer in time")
+
+
+async def renew_once(state: HostState) -> None:
+    """Send one renewal and handle the reply."""
+    renewals, state.renewals = state.renewals, {}
+    sessions = tuple((name, row.incarnation) for name, row in renewals.items())
+    message = RenewLeases(
+        state.host,
+        state.incarnation,
+        state.host.data_centre,
+        state.is_stopping,
+        sessions,
+        drained_upstreams(state),
+        released_shards(state),
+    )
+    sent_ns = now_ns()
+    reply = await _ask_leader(state, message)
+    if reply is None:
+        _put_back(state, renewals)
+        return
+    state.host_lease_until_ns = sent_ns + reply.host_lease_ms * NS_PER_MS
+    lost = set(reply.lost_sessions)
+    for name, renewal in renewals.items():
+        outcome: Accepted | Refused = Accepted(reply.session_lease_ms)
+        if name in lost:
+            outcome = Refused(ResultCode.SESSION_UNKNOWN, "announce again")
+        for future in renewal.waiters:
+            if not future.done():
+                future.set_result(outcome)
+
+
+async def _ask_leader(
+    state: HostState, message: RenewLeases
+) -> RenewLeasesReply | None:
+    group = state.own_group
+    candidates = [group.leader] if group.leader else list(group.sources)
+    for host in candidates:
+        try:
+            reply = await state.network.call(host, message, RENEW_TIMEOUT_S)
+        except PeerUnreachable:
+            group.leader_hint = ""
+            continue
+        if not isinstance(reply, RenewLeasesReply):
+            continue
+        if reply.is_leader:
+            group.leader_hint = host
+            return reply
+        group.leader_hint = reply.leader if reply.leader != host else ""
+    return None
+
+
+def _put_back(state: HostState, renewals: dict[str, SessionRenewal]) -> None:
+    for name, renewal in renewals.items():
+        waiters = [future for future in renewal.waiters if not future.done()]
+        if not waiters:
+            continue
+        newer = state.renewals.setdefault(name, SessionRenewal(renewal.incarnation))
+        newer.waiters.extend(waiters)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/logs.py
@@ -0,0 +1,61 @@
+"""JSON-lines logs, one line per routing or placement decision.
+
+Logs are written by a thread of their own behind a bounded queue, so that a slow
+terminal can't hold up the event loop; lines that do not fit are counted and dropped.
+Content of requests never comes here: keys are left out by the callers of `log`.
+"""
+
+import logging
+import logging.handlers
+import queue
+import sys
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+N_LINES_WAITING_MAX = 10_000
+
+_LOGGER = logging.getLogger("bergamotferry")
+
+
+class _DroppingHandler(logging.handlers.QueueHandler):
+    """Drops lines when the queue is full, and counts them."""
+
+    n_dropped = 0
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.n_dropped += 1
+
+
+def start_logs(
+    host: str, data_centre: str, level: str
+) -> logging.handlers.QueueListener:
+    """Start writing logs to standard output; stop the listener to flush them."""
+    formatter = JsonFormatter(
+        "%(asctime)s %(levelname)s %(message)s",
+        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+        static_fields={"host": host, "data_centre": data_centre},
+    )
+    output = logging.StreamHandler(sys.stdout)
+    output.setFormatter(formatter)
+    lines: queue.Queue[logging.LogRecord] = queue.Queue(N_LINES_WAITING_MAX)
+    handler = _DroppingHandler(lines)
+    _LOGGER.addHandler(handler)
+    _LOGGER.setLevel(level.upper())
+    _LOGGER.propagate = False
+    listener = logging.handlers.QueueListener(lines, output)
+    listener.start()
+    return listener
+
+
+def log(event: str, **fields: Any) -> None:
+    """Write one line at level info."""
+    _LOGGER.info(event, extra=fields)
+
+
+def log_warning(event: str, **fields: Any) -> None:
+    """Write one line at level warning."""
+    _LOGGER.warning(event, extra=fields)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/main.py
@@ -0,0 +1,29 @@
+"""Entry point of ``bergamotferryd``."""
+
+import asyncio
+import sys
+
+from .daemon import run_daemon
+from .data_folder import DataFolderError
+from .disk_log import DiskLogDamaged
+from .logs import start_logs
+from .settings import settings_from_process
+
+
+def main() -> None:
+    """Run the daemon with the settings of the command line and the environment."""
+    settings = settings_from_process(sys.argv[1:])
+    listener = start_logs(
+        settings.host.name, settings.host.data_centre, settings.log_level
+    )
+    try:
+        asyncio.run(run_daemon(settings))
+    except (DataFolderError, DiskLogDamaged) as error:
+        print(f"bergamotferryd: {error}", file=sys.stderr)
+        raise SystemExit(1) from error
+    finally:
+        listener.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -0,0 +1,284 @@
+"""One websocket between two hosts, carrying calls, notices and streams by id.
+
+Frames are CBOR arrays ``[stream_id, kind, payload]``. A stream is opened by the side
+that dialled; each direction has a credit in bytes, so a slow reader holds up only its
+own stream. Frames for a stream that has ended are dropped.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Any
+
+import xxhash
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from .codec import DecodeError, decode, encode
+
+STREAM_CREDIT_BYTES = 256 * 1024
+CHUNK_MAX_BYTES = 64 * 1024
+FRAME_MAX_BYTES = 2 * 1024 * 1024
+
+
+class FrameKind(IntEnum):
+    """Kinds of frames."""
+
+    OPEN = 0
+    DATA = 1
+    END = 2
+    CANCEL = 3
+    CREDIT = 4
+    CALL = 5
+    REPLY = 6
+    NOTICE = 7
+
+
+class PeerUnreachable(ConnectionError):  # noqa: N818 - names a state of the network
+    """The peer can't be reached, or the link broke; the effect of a call is unknown."""
+
+
+class StreamBroken(ConnectionError):  # noqa: N818 - names what happened to a stream
+    """The stream was cancelled, its link broke, or its digest is wrong."""
+
+
+CallHandler = Callable[[Any, str], Awaitable[Any]]
+NoticeHandler = Callable[[Any, str], None]
+StreamHandler = Callable[["PeerStream", Any, str], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class PeerHandlers:
+    """What a host does with what its peers send; the text is the peer's name."""
+
+    on_call: CallHandler
+    on_notice: NoticeHandler
+    on_stream: StreamHandler
+
+
+@dataclass(slots=True)
+class PeerStream:
+    """One side of a stream; heads and data come in order through ``inbox``."""
+
+    link: "PeerLink"
+    stream_id: int
+    inbox: asyncio.Queue[tuple[FrameKind, Any]] = field(default_factory=asyncio.Queue)
+    credit_bytes: int = STREAM_CREDIT_BYTES
+    credit_grew: asyncio.Event = field(default_factory=asyncio.Event)
+    is_broken: bool = False
+    is_ended: bool = False
+    sent_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
+    received_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
+
+    async def send_head(self, head: Any) -> None:
+        """Send a message that is not data, such as the head of an answer."""
+        await self.link.send_frame(self.stream_id, FrameKind.OPEN, head)
+
+    async def send(self, data: bytes) -> None:
+        """Send data, waiting for credit.
+
+        Raises
+        ------
+        StreamBroken
+            If the other side cancelled, or the link broke.
+        """
+        for start in range(0, len(data), CHUNK_MAX_BYTES):
+            chunk = data[start : start + CHUNK_MAX_BYTES]
+            while self.credit_bytes <= 0 and not self.is_broken:
+                self.credit_grew.clear()
+                await self.credit_grew.wait()
+            if self.is_broken:
+                raise StreamBroken("the stream was cancelled")
+            self.credit_bytes -= len(chunk)
+            self.sent_digest.update(chunk)
+            await self.link.send_frame(self.stream_id, FrameKind.DATA, chunk)
+
+    async def end(self) -> None:
+        """Say that all data has been sent, with its digest."""
+        digest = self.sent_digest.intdigest()
+        await self.link.send_frame(self.stream_id, FrameKind.END, digest)
+
+    async def receive_head(self) -> Any:
+        """Return the next head.
+
+        Raises
+        ------
+        StreamBroken
+            If the stream breaks before one comes.
+        """
+        kind, payload = await self.inbox.get()
+        if kind is not FrameKind.OPEN:
+            raise StreamBroken("the stream ended before its head")
+        return payload
+
+    async def receive(self) -> bytes | None:
+        """Return the next data, or None after the last of it.
+
+        Raises
+        ------
+        StreamBroken
+            If the stream breaks, or the digest of what came is not that of what went.
+        """
+        kind, payload = await self.inbox.get()
+        if kind is FrameKind.DATA:
+            self.received_digest.update(payload)
+            await self.link.send_frame(self.stream_id, FrameKind.CREDIT, len(payload))
+            return bytes(payload)
+        if kind is FrameKind.END and payload == self.received_digest.intdigest():
+            return None
+        self.is_broken = True
+        raise StreamBroken("the stream broke before its end")
+
+    async def cancel(self) -> None:
+        """End the stream on both sides; safe to call at any time."""
+        if self.stream_id in self.link.streams:
+            self.close()
+            try:
+                await self.link.send_frame(self.stream_id, FrameKind.CANCEL, 0)
+            except PeerUnreachable:
+                return
+
+    def close(self) -> None:
+        """Forget the stream; later frames for it are dropped."""
+        self.link.streams.pop(self.stream_id, None)
+
+    def break_off(self) -> None:
+        """Tell both reader and writer that the stream is broken."""
+        self.is_broken = True
+        self.credit_grew.set()
+        self.inbox.put_nowait((FrameKind.CANCEL, 0))
+
+
+@dataclass(slots=True)
+class PeerLink:
+    """A connection to a peer, from either side."""
+
+    connection: Connection
+    peer: str
+    handlers: PeerHandlers
+    streams: dict[int, PeerStream] = field(default_factory=dict)
+    replies: dict[int, asyncio.Future[Any]] = field(default_factory=dict)
+    ids: "itertools.count[int]" = field(default_factory=itertools.count)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    is_closed: bool = False
+    n_bytes_sent: int = 0
+
+    async def run(self) -> None:
+        """Read frames until the connection ends, then break all that depends on it."""
+        try:
+            async for data in self.connection:
+                if isinstance(data, str):
+                    raise DecodeError("text frame")
+                self._on_frame(decode(data))
+        except (ConnectionClosed, DecodeError, TypeError, ValueError, OSError):
+            pass
+        finally:
+            self._break_off()
+            await self.connection.close()
+
+    async def send_frame(self, stream_id: int, kind: FrameKind, payload: Any) -> None:
+        """Send one frame.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the connection is closed.
+        """
+        data = encode((stream_id, int(kind), payload))
+        try:
+            await self.connection.send(data)
+        except (ConnectionClosed, OSError) as error:
+            raise PeerUnreachable(f"{self.peer}: connection closed") from error
+        self.n_bytes_sent += len(data)
+
+    async def call(self, message: Any, timeout_s: float) -> Any:
+        """Send a message and return the reply.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no reply came in time; the message may have had its effect.
+        """
+        call_id = next(self.ids)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self.replies[call_id] = future
+        try:
+            await self.send_frame(call_id, FrameKind.CALL, message)
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            raise PeerUnreachable(f"{self.peer}: no reply in time") from error
+        finally:
+            self.replies.pop(call_id, None)
+
+    async def open_stream(self, head: Any) -> PeerStream:
+        """Open a stream with its head."""
+        stream = PeerStream(self, next(self.ids))
+        self.streams[stream.stream_id] = stream
+        try:
+            await stream.send_head(head)
+        except PeerUnreachable:
+            stream.close()
+            raise
+        return stream
+
+    def _on_frame(self, frame: Any) -> None:
+        stream_id, kind_number, payload = frame
+        kind = FrameKind(kind_number)
+        if kind is FrameKind.NOTICE:
+            self.handlers.on_notice(payload, self.peer)
+        elif kind is FrameKind.CALL:
+            self._start(self._answer(stream_id, payload))
+        elif kind is FrameKind.REPLY:
+            future = self.replies.get(stream_id)
+            if future is not None and not future.done():
+                future.set_result(payload)
+        else:
+            self._on_stream_frame(stream_id, kind, payload)
+
+    def _on_stream_frame(self, stream_id: int, kind: FrameKind, payload: Any) -> None:
+        stream = self.streams.get(stream_id)
+        if stream is None:
+            if kind is FrameKind.OPEN:
+                stream = PeerStream(self, stream_id)
+                self.streams[stream_id] = stream
+                self._start(self._serve(stream, payload))
+            return
+        if kind is FrameKind.CREDIT:
+            stream.credit_bytes += payload
+            stream.credit_grew.set()
+        elif kind is FrameKind.CANCEL:
+            stream.close()
+            stream.break_off()
+        else:
+            stream.inbox.put_nowait((kind, payload))
+
+    async def _answer(self, call_id: int, message: Any) -> None:
+        reply = await self.handlers.on_call(message, self.peer)
+        try:
+            await self.send_frame(call_id, FrameKind.REPLY, reply)
+        except PeerUnreachable:
+            return
+
+    async def _serve(self, stream: PeerStream, head: Any) -> None:
+        try:
+            await self.handlers.on_stream(stream, head, self.peer)
+        except (StreamBroken, PeerUnreachable):
+            pass
+        finally:
+            stream.close()
+
+    def _start(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _break_off(self) -> None:
+        self.is_closed = True
+        for stream in list(self.streams.values()):
+            stream.break_off()
+        self.streams.clear()
+        for future in self.replies.values():
+            if not future.done():
+                future.set_exception(PeerUnreachable(f"{self.peer}: link broke"))
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -0,0 +1,203 @@
+"""Links to all peers: dialled on need, one for control and one for requests.
+
+Control has a connection of its own so that heartbeats never wait behind a download.
+"""
+
+import asyncio
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, Literal
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.http11 import Request, Response
+
+from bergamotferry.records import HostAddress
+
+from .clock import now_ns
+from .peer_link import (
+    FRAME_MAX_BYTES,
+    FrameKind,
+    PeerHandlers,
+    PeerLink,
+    PeerStream,
+    PeerUnreachable,
+)
+from .settings import split_address
+
+LinkClass = Literal["control", "request"]
+
+DIAL_TIMEOUT_S = 1.0
+DIAL_PAUSE_NS = 100_000_000
+PING_INTERVAL_S = 1.0
+PING_TIMEOUT_S = 2.0
+_NAME_HEADER = "Bergamotferry-Host"
+
+
+@dataclass(slots=True)
+class PeerNetwork:
+    """All links of one host."""
+
+    own_name: str
+    token: str
+    addresses: dict[str, HostAddress]
+    handlers: PeerHandlers
+    links: dict[tuple[str, LinkClass], PeerLink] = field(default_factory=dict)
+    accepted: set[PeerLink] = field(default_factory=set)
+    failed_ns: dict[tuple[str, LinkClass], int] = field(default_factory=dict)
+    dialling: dict[tuple[str, LinkClass], asyncio.Task[PeerLink]] = field(
+        default_factory=dict
+    )
+    notices: dict[str, asyncio.Queue[Any]] = field(default_factory=dict)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    server: Server | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        own: HostAddress,
+        seeds: tuple[HostAddress, ...],
+        token: str,
+        handlers: PeerHandlers,
+    ) -> "PeerNetwork":
+        """Return a network over the hosts that the settings name."""
+        return cls(own.name, token, {seed.name: seed for seed in seeds}, handlers)
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        ip, port = split_address(self.addresses[self.own_name].peer_address)
+        self.server = await serve(
+            self._accept,
+            ip,
+            port,
+            process_request=self._check_token,
+            max_size=FRAME_MAX_BYTES,
+            compression=None,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+        )
+
+    async def stop(self) -> None:
+        """Close every link."""
+        for task in list(self.tasks):
+            task.cancel()
+        for link in list(self.links.values()):
+            await link.connection.close()
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+
+    async def call(
+        self,
+        host: str,
+        message: Any,
+        timeout_s: float,
+        link_class: LinkClass = "control",
+    ) -> Any:
+        """Call a peer, or this host itself; see `PeerLink.call`."""
+        if host == self.own_name:
+            return await self.handlers.on_call(message, host)
+        link = await self._link(host, link_class)
+        return await link.call(message, timeout_s)
+
+    async def open_stream(self, host: str, head: Any) -> PeerStream:
+        """Open a stream to a peer."""
+        link = await self._link(host, "request")
+        return await link.open_stream(head)
+
+    def notify(self, host: str, message: Any) -> None:
+        """Send a message without a reply; it is dropped if the peer is unreachable."""
+        if host not in self.notices:
+            self.notices[host] = asyncio.Queue(maxsize=1024)
+            self._start(self._send_notices(host))
+        try:
+            self.notices[host].put_nowait(message)
+        except asyncio.QueueFull:
+            return
+
+    def is_reachable(self, host: str) -> bool:
+        """Return whether the last dial of a peer did not fail just now."""
+        if host == self.own_name:
+            return True
+        failed_ns = self.failed_ns.get((host, "request"), 0)
+        return now_ns() - failed_ns > 10 * DIAL_PAUSE_NS
+
+    async def _send_notices(self, host: str) -> None:
+        while True:
+            message = await self.notices[host].get()
+            try:
+                link = await self._link(host, "control")
+                await link.send_frame(0, FrameKind.NOTICE, message)
+            except PeerUnreachable:
+                continue
+
+    async def _link(self, host: str, link_class: LinkClass) -> PeerLink:
+        place = (host, link_class)
+        link = self.links.get(place)
+        if link is not None and not link.is_closed:
+            return link
+        if now_ns() - self.failed_ns.get(place, 0) < DIAL_PAUSE_NS:
+            raise PeerUnreachable(f"{host}: a dial failed just now")
+        if place not in self.dialling:
+            task = asyncio.get_running_loop().create_task(self._dial(place))
+            self.dialling[place] = task
+            task.add_done_callback(lambda _: self.dialling.pop(place, None))
+        return await asyncio.shield(self.dialling[place])
+
+    async def _dial(self, place: tuple[str, LinkClass]) -> PeerLink:
+        host, link_class = place
+        address = self.addresses.get(host)
+        if address is None:
+            raise PeerUnreachable(f"{host}: unknown host")
+        try:
+            connection = await connect(
+                f"ws://{address.peer_address}/{link_class}",
+                additional_headers={
+                    "Authorization": f"Bearer {self.token}",
+                    _NAME_HEADER: self.own_name,
+                },
+                open_timeout=DIAL_TIMEOUT_S,
+                max_size=FRAME_MAX_BYTES,
+                compression=None,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+                proxy=None,
+            )
+        except Exception as error:
+            self.failed_ns[place] = now_ns()
+            raise PeerUnreachable(f"{host}: {type(error).__name__}") from error
+        link = PeerLink(connection, host, self.handlers)
+        self.links[place] = link
+        self._start(link.run())
+        return link
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        request = connection.request
+        peer = request.headers.get(_NAME_HEADER, "") if request else ""
+        link = PeerLink(connection, peer, self.handlers)
+        await link.run()
+
+    def _check_token(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        sent = request.headers.get("Authorization", "")
+        expected = f"Bearer {self.token}"
+        if hmac.compare_digest(sent.encode(), expected.encode()):
+            return None
+        return connection.respond(HTTPStatus.UNAUTHORIZED, "1002 unknown token\n")
+
+    def _start(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def hosts_of_data_centre(
+    addresses: Mapping[str, HostAddress], data_centre: str
+) -> list[str]:
+    """Return the names of the hosts of a data centre, in order."""
+    return sorted(
+        name for name, row in addresses.items() if row.data_centre == data_centre
+    )
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -0,0 +1,228 @@
+"""Settings of the daemon: flags, each with an environment variable of the same name.
+
+A flag goes before its variable. All bad settings are reported at once, a line each, and
+stop the start with exit status 2.
+"""
+
+import argparse
+import os
+import sys
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from bergamotferry import __version__
+from bergamotferry.records import HostAddress
+
+ENVIRONMENT_PREFIX = "BERGAMOTFERRY_"
+TOKEN_MIN_LENGTH = 16
+
+
+class Settings(NamedTuple):
+    """Checked settings of one host."""
+
+    host: HostAddress
+    seeds: tuple[HostAddress, ...]
+    caller_address: str
+    control_address: str
+    peer_address: str
+    data_dir: Path | None
+    is_bootstrap: bool
+    operator_token: str
+    upstream_token: str
+    peer_token: str
+    statsd_address: str
+    log_level: str
+    stop_grace_s: float
+
+
+class SettingError(NamedTuple):
+    """A setting that can't be used, by the name of its flag."""
+
+    flag: str
+    message: str
+
+
+class _Flag(NamedTuple):
+    name: str
+    default: str | None
+    help: str
+
+
+_FLAGS = (
+    _Flag("host-name", None, "name of this host; must be one of the seeds"),
+    _Flag(
+        "seeds",
+        None,
+        "all hosts, separated by spaces, each as "
+        "NAME,DATA_CENTRE,REGION,IP:PORT[,durable]; IP:PORT is the peer address",
+    ),
+    _Flag("caller-address", "127.0.0.1:8080", "IP:PORT for callers' HTTP"),
+    _Flag("control-address", "127.0.0.1:8081", "IP:PORT for upstreams and operators"),
+    _Flag("data-dir", "", "folder for durable state; makes this host a durable voter"),
+    _Flag("operator-token", None, "token that operators send"),
+    _Flag("upstream-token", None, "token that upstreams send"),
+    _Flag("peer-token", None, "token that the hosts send each other"),
+    _Flag("statsd-address", "", "IP:PORT of statsd; empty sends no metrics"),
+    _Flag("log-level", "info", "debug, info, warning or error"),
+    _Flag("stop-grace-s", "20", "longest wait for work in flight at a planned stop"),
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser, whose help teaches every flag and its variable."""
+    parser = argparse.ArgumentParser(
+        prog="bergamotferryd",
+        description="The daemon of a bergamotferry entry host.",
+        epilog="Every flag has an environment variable: --data-dir is "
+        "BERGAMOTFERRY_DATA_DIR. A flag goes before its variable.",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    for flag in _FLAGS:
+        variable = _variable(flag.name)
+        text = f"{flag.help} [{variable}"
+        text += f", default {flag.default}]" if flag.default else "]"
+        parser.add_argument(f"--{flag.name}", help=text.replace("%", "%%"))
+    parser.add_argument(
+        "--bootstrap",
+        action="store_true",
+        default=None,
+        help="first start of a new deployment: an empty data folder becomes one of "
+        f"the first voters; never use it to replace a lost disk "
+        f"[{_variable('bootstrap')}=1]",
+    )
+    return parser
+
+
+def read_settings(
+    arguments: Sequence[str], environment: Mapping[str, str]
+) -> tuple[Settings | None, list[SettingError]]:
+    """Read flags and variables.
+
+    Returns
+    -------
+    settings : Settings or None
+        None if there is any error.
+    errors : list of SettingError
+        All of them at once.
+    """
+    parsed = vars(build_parser().parse_args(arguments))
+    errors: list[SettingError] = []
+    values: dict[str, str] = {}
+    for flag in _FLAGS:
+        values[flag.name] = _value(flag, parsed, environment, errors)
+    bootstrap_text = environment.get(_variable("bootstrap"), "0")
+    if bootstrap_text not in ("0", "1"):
+        errors.append(SettingError("bootstrap", "the variable must be 0 or 1"))
+    is_bootstrap = bool(parsed["bootstrap"]) or bootstrap_text == "1"
+    seeds = _read_seeds(values["seeds"], errors)
+    own = [seed for seed in seeds if seed.name == values["host-name"]]
+    if values["host-name"] and seeds and not own:
+        errors.append(SettingError("host-name", "is not one of the seeds"))
+    for name in ("caller-address", "control-address", "statsd-address"):
+        _check_address(name, values[name], errors)
+    for name in ("operator-token", "upstream-token", "peer-token"):
+        if values[name] and len(values[name]) < TOKEN_MIN_LENGTH:
+            errors.append(
+                SettingError(name, f"must have at least {TOKEN_MIN_LENGTH} characters")
+            )
+    if values["log-level"] not in ("debug", "info", "warning", "error"):
+        errors.append(SettingError("log-level", "must be debug, info, warning, error"))
+    stop_grace_s = _read_seconds("stop-grace-s", values["stop-grace-s"], errors)
+    if own and own[0].is_durable != bool(values["data-dir"]):
+        errors.append(
+            SettingError("data-dir", "must be given just where the seed says durable")
+        )
+    if errors:
+        return None, errors
+    settings = Settings(
+        own[0],
+        seeds,
+        values["caller-address"],
+        values["control-address"],
+        own[0].peer_address,
+        Path(values["data-dir"]) if values["data-dir"] else None,
+        is_bootstrap,
+        values["operator-token"],
+        values["upstream-token"],
+        values["peer-token"],
+        values["statsd-address"],
+        values["log-level"],
+        stop_grace_s,
+    )
+    return settings, []
+
+
+def settings_from_process(arguments: Sequence[str]) -> Settings:
+    """Read settings or end the process with status 2, a line for each error."""
+    settings, errors = read_settings(arguments, os.environ)
+    if settings is None:
+        lines = [
+            f"bergamotferryd: --{error.flag} ({_variable(error.flag)}): {error.message}"
+            for error in errors
+        ]
+        print("\n".join(lines), file=sys.stderr)
+        raise SystemExit(2)
+    return settings
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of a checked address."""
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
+def _variable(flag: str) -> str:
+    return ENVIRONMENT_PREFIX + flag.upper().replace("-", "_")
+
+
+def _value(
+    flag: _Flag,
+    parsed: Mapping[str, Any],
+    environment: Mapping[str, str],
+    errors: list[SettingError],
+) -> str:
+    value = parsed[flag.name.replace("-", "_")]
+    if value is None:
+        value = environment.get(_variable(flag.name), flag.default)
+    if value is None:
+        errors.append(SettingError(flag.name, "is required"))
+        return ""
+    return str(value)
+
+
+def _read_seeds(text: str, errors: list[SettingError]) -> tuple[HostAddress, ...]:
+    seeds: list[HostAddress] = []
+    for word in text.split():
+        parts = word.split(",")
+        is_durable = parts[4:] == ["durable"]
+        if len(parts) not in (4, 5) or (len(parts) == 5 and not is_durable):
+            errors.append(
+                SettingError(
+                    "seeds", f"{word!r} is not NAME,DATA_CENTRE,REGION,IP:PORT"
+                )
+            )
+            continue
+        _check_address("seeds", parts[3], errors)
+        seeds.append(HostAddress(parts[0], parts[1], parts[2], parts[3], is_durable))
+    if len({seed.name for seed in seeds}) != len(seeds):
+        errors.append(SettingError("seeds", "a host is named twice"))
+    return tuple(seeds)
+
+
+def _check_address(flag: str, text: str, errors: list[SettingError]) -> None:
+    if not text:
+        return
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdigit() or not 0 < int(port) < 65536:
+        errors.append(SettingError(flag, f"{text!r} is not IP:PORT"))
+
+
+def _read_seconds(flag: str, text: str, errors: list[SettingError]) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= 3600:
+        errors.append(SettingError(flag, "must be a number of seconds from 0 to 3600"))
+    return value
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -0,0 +1,146 @@
+"""Upstreams' HTTP: announce, renew and leave, at any host of their data centre."""
+
+import hmac
+import json
+from typing import Any
+
+from aiohttp import web
+
+from bergamotferry.commands import DrainSession, OpenSession
+from bergamotferry.leases import SESSION_LEASE_MS
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import ResultCode
+
+from .group import commit
+from .host_state import HostState
+from .http_answers import bearer_token, refusal_response
+from .lease_renewal import renew_session
+from .settings import split_address
+
+RENEW_EVERY_MS = 150
+ANNOUNCE_MAX_BYTES = 4096
+SLOTS_MAX = 1024
+CONNECTIONS_MAX = 10_000
+
+
+def add_upstream_routes(app: web.Application, state: HostState) -> None:
+    """Add the upstreams' routes to the control application."""
+
+    async def announce(request: web.Request) -> web.Response:
+        return await _with_body(state, request, _announce)
+
+    async def renew(request: web.Request) -> web.Response:
+        return await _with_body(state, request, _renew)
+
+    async def leave(request: web.Request) -> web.Response:
+        return await _with_body(state, request, _leave)
+
+    app.router.add_post("/upstreams/v1/announce", announce)
+    app.router.add_post("/upstreams/v1/renew", renew)
+    app.router.add_post("/upstreams/v1/leave", leave)
+
+
+async def _with_body(
+    state: HostState, request: web.Request, handler: Any
+) -> web.Response:
+    token = bearer_token(request)
+    if not token:
+        return refusal_response(Refused(ResultCode.MISSING_TOKEN, "no token"), "")
+    if not hmac.compare_digest(token.encode(), state.settings.upstream_token.encode()):
+        return refusal_response(Refused(ResultCode.UNKNOWN_TOKEN, "not known"), "")
+    if (request.content_length or 0) > ANNOUNCE_MAX_BYTES:
+        return refusal_response(Refused(ResultCode.BODY_TOO_LARGE, "too large"), "")
+    try:
+        body = json.loads(await request.text())
+    except (ValueError, RecursionError):
+        return refusal_response(Refused(ResultCode.BAD_JSON, "not JSON"), "")
+    if not isinstance(body, dict):
+        return refusal_response(Refused(ResultCode.BAD_JSON, "not an object"), "")
+    outcome = await handler(state, body)
+    if isinstance(outcome, Refused):
+        return refusal_response(outcome, "")
+    return web.json_response(outcome)
+
+
+async def _announce(
+    state: HostState, body: dict[str, Any]
+) -> dict[str, object] | Refused:
+    command = _read_announcement(body)
+    if isinstance(command, Refused):
+        return command
+    if body.get("data_centre") != state.host.data_centre:
+        return Refused(
+            ResultCode.SESSION_WRONG_DATA_CENTRE, f"this is {state.host.data_centre}"
+        )
+    if command.service not in state.global_tables.services:
+        return Refused(ResultCode.SESSION_WRONG_SERVICE, "the service is unknown")
+    outcome = await commit(state.own_group, command)
+    if isinstance(outcome, Refused):
+        return outcome
+    return await _renew(state, body)
+
+
+async def _renew(state: HostState, body: dict[str, Any]) -> dict[str, object] | Refused:
+    name, incarnation = body.get("name"), body.get("incarnation")
+    if not isinstance(name, str) or not _is_count(incarnation, 1 << 62):
+        return Refused(ResultCode.BAD_REQUEST, "needs name and incarnation")
+    outcome = await renew_session(state, name, int(incarnation or 0))
+    if isinstance(outcome, Refused):
+        return outcome
+    return {"lease_ms": SESSION_LEASE_MS, "renew_every_ms": RENEW_EVERY_MS}
+
+
+async def _leave(state: HostState, body: dict[str, Any]) -> dict[str, object] | Refused:
+    name, incarnation = body.get("name"), body.get("incarnation")
+    if not isinstance(name, str) or not _is_count(incarnation, 1 << 62):
+        return Refused(ResultCode.BAD_REQUEST, "needs name and incarnation")
+    command = DrainSession(name, int(incarnation or 0), False)
+    outcome = await commit(state.own_group, command)
+    if isinstance(outcome, Refused):
+        return outcome
+    return {"state": "draining"}
+
+
+def _read_announcement(body: dict[str, Any]) -> OpenSession | Refused:
+    wrong = [
+        field
+        for field in ("name", "service", "address")
+        if not isinstance(body.get(field), str) or not 0 < len(body[field]) <= 128
+    ]
+    wrong += [
+        field
+        for field, most in (
+            ("incarnation", 1 << 62),
+            ("n_slots", SLOTS_MAX),
+            ("max_connections", CONNECTIONS_MAX),
+        )
+        if not _is_count(body.get(field), most)
+    ]
+    if not isinstance(body.get("checks_epochs"), bool):
+        wrong.append("checks_epochs")
+    if "address" not in wrong and not _is_address(body["address"]):
+        wrong.append("address")
+    if wrong:
+        return Refused(ResultCode.BAD_REQUEST, f"wrong fields: {', '.join(wrong)}")
+    return OpenSession(
+        body["name"],
+        body["service"],
+        body["address"],
+        body["incarnation"],
+        body["n_slots"],
+        body["max_connections"],
+        body["checks_epochs"],
+    )
+
+
+def _is_count(value: object, most: int) -> bool:
+    is_int = isinstance(value, int) and not isinstance(value, bool)
+    return is_int and 0 < value <= most  # type: ignore[operator]
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ip, port = split_address(text)
+    except ValueError:
+        return False
+    return bool(ip) and 0 < port < 65536
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
@@ -0,0 +1,188 @@
+"""``make demo``: a whole deployment on loopback, from start to planned stop."""
+
+import argparse
+import asyncio
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from .deployments import SHAPES, first_note
+from .load import LoadResult, plan_load, run_load
+from .local_deployment import OPERATOR_TOKEN, LocalDeployment, wait_ready
+from .records_check import RunCheck, check_runs
+
+READY_TIMEOUT_S = 20.0
+PERCENTILES = (50.0, 99.0)
+
+
+async def run_demo(arguments: argparse.Namespace, folder: Path) -> dict[str, Any]:
+    """Run the demo and return its report."""
+    shape = SHAPES[arguments.deployment]
+    deployment = LocalDeployment.from_config(shape, folder / str(time.time_ns()))
+    started_s = time.monotonic()
+    try:
+        _say(f"starting {len(deployment.hosts)} hosts and the stand-ins")
+        deployment.start()
+        await _apply_first_note(deployment)
+        if not await wait_ready(deployment.hosts, READY_TIMEOUT_S):
+            raise RuntimeError("the hosts did not become ready in time")
+        n_owned = await wait_owned(deployment, READY_TIMEOUT_S)
+        ready_s = time.monotonic() - started_s
+        _say(f"ready after {ready_s:.1f} s, {n_owned} shards have owners")
+        planned = plan_load(
+            shape,
+            _addresses_by_region(deployment),
+            arguments.rate,
+            arguments.seconds,
+            arguments.keys,
+            arguments.seed,
+        )
+        _say(f"sending {len(planned)} requests over {arguments.seconds:.0f} s")
+        result = await run_load(planned, deployment.archive_bytes)
+    finally:
+        _say("stopping")
+        deployment.stop()
+    paths = [deployment.records_path(name) for name in deployment.stand_in_words]
+    check = check_runs(paths, result.acknowledged, result.refused_not_run)
+    return build_report(arguments.deployment, result, check, ready_s)
+
+
+async def wait_owned(deployment: LocalDeployment, timeout_s: float) -> int:
+    """Wait until every shard has an owner; return how many have one."""
+    deadline_s = time.monotonic() + timeout_s
+    n_expected = sum(service.n_shards for service in deployment.shape.services)
+    # The first service has a home domain of its own as well.
+    n_expected += deployment.shape.services[0].n_shards
+    n_owned = 0
+    while time.monotonic() < deadline_s:
+        n_owned = 0
+        for data_centre in deployment.stand_in_words:
+            host = deployment.hosts_of(data_centre)[0]
+            body = await _control(deployment, host.control_address, "upstreams")
+            n_owned += sum(row["n_shards"] for row in body.get("upstreams", []))
+        if n_owned >= n_expected:
+            await asyncio.sleep(0.3)
+            return n_owned
+        await asyncio.sleep(0.1)
+    return n_owned
+
+
+def build_report(
+    name: str, result: LoadResult, check: RunCheck, ready_s: float
+) -> dict[str, Any]:
+    """Return the report as JSON values."""
+    routes = {}
+    for route, row in sorted(result.routes.items()):
+        latency = row.latency_us
+        percentiles = {
+            f"p{percentile:.0f}_ms": latency.get_value_at_percentile(percentile) / 1000
+            for percentile in PERCENTILES
+        }
+        routes[route] = {
+            "sent": row.n_sent,
+            "answered": row.n_answered,
+            "refused": {str(code): n for code, n in sorted(row.refused.items())},
+            "broken": row.n_broken,
+            "wrong": row.n_wrong,
+            **percentiles,
+        }
+    return {
+        "deployment": name,
+        "ready_s": round(ready_s, 2),
+        "routes": routes,
+        "doubled": check.n_doubled,
+        "lost": check.n_lost,
+        "false_not_run": check.n_false_not_run,
+    }
+
+
+def is_good(report: dict[str, Any]) -> bool:
+    """Return whether no answer was wrong, lost, broken or doubled."""
+    n_bad: int = report["doubled"] + report["lost"] + report["false_not_run"]
+    n_bad += sum(row["wrong"] + row["broken"] for row in report["routes"].values())
+    n_answered = sum(row["answered"] for row in report["routes"].values())
+    return bool(n_bad == 0 and n_answered > 0)
+
+
+def print_report(report: dict[str, Any]) -> None:
+    """Print the report as a table."""
+    print(
+        f"{'route':<22}{'sent':>7}{'answered':>10}{'broken':>8}{'wrong':>7}"
+        f"{'p50 ms':>9}{'p99 ms':>9}  refused"
+    )
+    for route, row in report["routes"].items():
+        refused = ", ".join(f"{code}: {n}" for code, n in row["refused"].items())
+        print(
+            f"{route:<22}{row['sent']:>7}{row['answered']:>10}{row['broken']:>8}"
+            f"{row['wrong']:>7}{row['p50_ms']:>9.1f}{row['p99_ms']:>9.1f}"
+            f"  {refused or '-'}"
+        )
+    print(
+        f"filings doubled {report['doubled']}, lost {report['lost']}, "
+        f"run though refused as not run {report['false_not_run']}"
+    )
+
+
+def main() -> None:
+    """Run the demo from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(SHAPES), default="ezo-lumen")
+    parser.add_argument("--rate", type=float, default=200.0, help="requests per second")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--keys", type=int, default=5000)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    folder = Path("build/demo")
+    report = asyncio.run(run_demo(arguments, folder))
+    (folder / "report.json").write_text(json.dumps(report, indent=2) + "\n")
+    print_report(report)
+    raise SystemExit(0 if is_good(report) else 1)
+
+
+async def _apply_first_note(deployment: LocalDeployment) -> None:
+    path = deployment.folder / "note-1.json"
+    path.write_text(json.dumps(first_note(deployment.shape), indent=2))
+    addresses = ",".join(host.control_address for host in deployment.hosts)
+    command = [sys.executable, "-m", "bergamotferry_ctl.main", "--json"]
+    command += ["--addresses", addresses, "--token", OPERATOR_TOKEN]
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    while True:
+        done = await asyncio.to_thread(
+            subprocess.run, [*command, "apply", str(path)], capture_output=True
+        )
+        if done.returncode == 0:
+            _say(f"applied: {done.stdout.decode().strip()}")
+            return
+        if time.monotonic() > deadline_s:
+            raise RuntimeError(f"the note was not applied: {done.stdout.decode()}")
+        await asyncio.sleep(0.2)
+
+
+async def _control(
+    deployment: LocalDeployment, address: str, path: str
+) -> dict[str, Any]:
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    async with aiohttp.ClientSession(headers=headers) as http:
+        async with http.get(f"http://{address}/operators/v1/{path}") as response:
+            body: dict[str, Any] = await response.json()
+            return body
+
+
+def _addresses_by_region(deployment: LocalDeployment) -> dict[str, list[str]]:
+    addresses: dict[str, list[str]] = {}
+    for host in deployment.hosts:
+        addresses.setdefault(host.region, []).append(host.caller_address)
+    return addresses
+
+
+def _say(text: str) -> None:
+    print(f"demo: {text}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
@@ -0,0 +1,176 @@
+"""Open-loop load: requests start at planned times, whatever became of earlier ones.
+
+Latency counts from the planned time, so that a stall is not hidden by the pause it
+causes. Every answer is checked against the body that its request must have.
+"""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from .answers import (
+    BLOCK_BYTES,
+    archive_block,
+    archive_size_bytes,
+    filing_answer,
+    lookup_answer,
+)
+from .deployments import CALLER_TOKENS, DeploymentShape, RouteShape
+
+LATENCY_MAX_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+CODE_SERVED = 0
+
+
+class PlannedRequest(NamedTuple):
+    """One request of a plan; ``at_s`` counts from the start of the load."""
+
+    at_s: float
+    route: RouteShape
+    account: str
+    key: str
+    idempotency_key: str
+    address: str
+
+
+@dataclass(slots=True)
+class RouteResult:
+    """What became of the requests of one route."""
+
+    n_sent: int = 0
+    n_answered: int = 0
+    n_wrong: int = 0
+    n_broken: int = 0
+    refused: Counter[int] = field(default_factory=Counter)
+    latency_us: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
+    )
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Results by route, and the filings that were acknowledged."""
+
+    routes: dict[str, RouteResult] = field(default_factory=dict)
+    acknowledged: set[str] = field(default_factory=set)
+    refused_not_run: set[str] = field(default_factory=set)
+
+
+def plan_load(
+    shape: DeploymentShape,
+    addresses_by_region: dict[str, list[str]],
+    rate_per_s: float,
+    duration_s: float,
+    n_keys: int,
+    seed: int,
+) -> list[PlannedRequest]:
+    """Plan requests with exponential gaps; home-bound callers ask in their region."""
+    rng = random.Random(seed)
+    planned: list[PlannedRequest] = []
+    everywhere = [a for rows in addresses_by_region.values() for a in rows]
+    at_s = 0.0
+    while (at_s := at_s + rng.expovariate(rate_per_s)) < duration_s:
+        route = rng.choices(shape.routes, [r.share for r in shape.routes])[0]
+        is_home = route.service == shape.services[0].name and rng.random() < 0.1
+        key = f"key-{rng.randrange(n_keys)}"
+        addresses = everywhere
+        if is_home:
+            key = shape.home_prefix + key
+            addresses = addresses_by_region[shape.home_region]
+        account = "home" if is_home else "inspectors"
+        filing = f"{seed}-{len(planned)}" if route.method == "POST" else ""
+        planned.append(
+            PlannedRequest(at_s, route, account, key, filing, rng.choice(addresses))
+        )
+    return planned
+
+
+async def run_load(planned: list[PlannedRequest], archive_bytes: int) -> LoadResult:
+    """Run a plan and return what became of it."""
+    result = LoadResult()
+    start_s = time.monotonic()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        tasks: list[asyncio.Task[None]] = []
+        for request in planned:
+            delay_s = start_s + request.at_s - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            work = _send(http, request, start_s + request.at_s, archive_bytes, result)
+            tasks.append(asyncio.create_task(work))
+        await asyncio.gather(*tasks)
+    return result
+
+
+async def _send(
+    http: aiohttp.ClientSession,
+    request: PlannedRequest,
+    intended_s: float,
+    archive_bytes: int,
+    result: LoadResult,
+) -> None:
+    route = request.route
+    row = result.routes.setdefault(f"{route.service}/{route.name}", RouteResult())
+    row.n_sent += 1
+    headers = {"Authorization": f"Bearer {CALLER_TOKENS[request.account]}"}
+    body = None
+    if request.idempotency_key:
+        headers["Idempotency-Key"] = request.idempotency_key
+        body = f"filing {request.idempotency_key}".encode()
+    url = f"http://{request.address}/v1/{route.service}/{route.name}/{request.key}"
+    timeout = aiohttp.ClientTimeout(total=route.deadline_ms / 1000 + 5)
+    try:
+        async with http.request(
+            route.method, url, headers=headers, data=body, timeout=timeout
+        ) as response:
+            code = int(response.headers.get("Bergamotferry-Code", "-1"))
+            if code != CODE_SERVED:
+                row.refused[code] += 1
+                if response.headers.get("Bergamotferry-Not-Run") == "true":
+                    result.refused_not_run.add(request.idempotency_key)
+                return
+            if await _is_right(response, request, body or b"", archive_bytes):
+                row.n_answered += 1
+                result.acknowledged.add(request.idempotency_key)
+            else:
+                row.n_wrong += 1
+    except (aiohttp.ClientError, TimeoutError, ConnectionError):
+        row.n_broken += 1
+        return
+    latency_us = int((time.monotonic() - intended_s) * 1e6)
+    row.latency_us.record_value(max(1, latency_us))
+
+
+async def _is_right(
+    response: aiohttp.ClientResponse,
+    request: PlannedRequest,
+    body: bytes,
+    archive_bytes: int,
+) -> bool:
+    route = request.route
+    if response.status != 200:
+        return False
+    if route.traffic_class == "bulk":
+        return await _is_right_archive(response, request.key, archive_bytes)
+    if route.method == "POST":
+        expected = filing_answer(route.service, route.name, request.key, body)
+    else:
+        expected = lookup_answer(route.service, route.name, request.key)
+    return await response.read() == expected
+
+
+async def _is_right_archive(
+    response: aiohttp.ClientResponse, key: str, archive_bytes: int
+) -> bool:
+    size_bytes = archive_size_bytes(key, archive_bytes)
+    for number in range(size_bytes // BLOCK_BYTES):
+        block = await response.content.readexactly(BLOCK_BYTES)
+        if block != archive_block(key, number):
+            return False
+    return await response.content.read() == b""
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
@@ -0,0 +1,209 @@
+"""Starts a deployment on loopback as plain processes, and stops it.
+
+Only the testkit starts processes. Each is ended by its own id.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from .deployments import DeploymentShape
+
+OPERATOR_TOKEN = "operator-token-on-loopback"
+UPSTREAM_TOKEN = "upstream-token-on-loopback"
+PEER_TOKEN = "peer-token-on-loopback"
+STOP_TIMEOUT_S = 30.0
+
+
+@dataclass(slots=True)
+class HostProcess:
+    """One host's process and its addresses."""
+
+    name: str
+    data_centre: str
+    region: str
+    peer_address: str
+    caller_address: str
+    control_address: str
+    is_durable: bool
+    process: "subprocess.Popen[bytes] | None" = None
+
+
+@dataclass(slots=True)
+class LocalDeployment:
+    """All processes of a deployment."""
+
+    shape: DeploymentShape
+    folder: Path
+    hosts: list[HostProcess]
+    stand_ins: dict[str, "subprocess.Popen[bytes]"] = field(default_factory=dict)
+    stand_in_words: dict[str, list[str]] = field(default_factory=dict)
+    archive_bytes: int = 1 << 20
+
+    @classmethod
+    def from_config(
+        cls, shape: DeploymentShape, folder: Path, archive_bytes: int = 1 << 20
+    ) -> "LocalDeployment":
+        """Plan a deployment on free ports; nothing is started yet."""
+        folder.mkdir(parents=True, exist_ok=True)
+        n_centres = sum(len(names) for names in shape.regions.values())
+        n_hosts = n_centres * shape.n_hosts_per_data_centre
+        n_upstreams = sum(service.n_upstreams for service in shape.services)
+        ports = free_ports(3 * n_hosts + n_upstreams)
+        hosts: list[HostProcess] = []
+        for region, names in shape.regions.items():
+            for data_centre in names:
+                for number in range(1, shape.n_hosts_per_data_centre + 1):
+                    addresses = [f"127.0.0.1:{ports.pop()}" for _ in range(3)]
+                    hosts.append(
+                        HostProcess(
+                            f"{data_centre}-{number}",
+                            data_centre,
+                            region,
+                            addresses[0],
+                            addresses[1],
+                            addresses[2],
+                            number == 1,
+                        )
+                    )
+        deployment = cls(shape, folder, hosts, archive_bytes=archive_bytes)
+        deployment.stand_in_words = _plan_stand_ins(shape, ports)
+        return deployment
+
+    def hosts_of(self, data_centre: str) -> list[HostProcess]:
+        """Return the hosts of a data centre."""
+        return [host for host in self.hosts if host.data_centre == data_centre]
+
+    def start_host(self, host: HostProcess, is_bootstrap: bool = False) -> None:
+        """Start a host's process."""
+        seeds = " ".join(_seed_word(row) for row in self.hosts)
+        arguments = ["--host-name", host.name, "--seeds", seeds]
+        arguments += ["--caller-address", host.caller_address]
+        arguments += ["--control-address", host.control_address]
+        if host.is_durable:
+            arguments += ["--data-dir", str(self.folder / host.name)]
+        if is_bootstrap:
+            arguments.append("--bootstrap")
+        environment = {
+            **os.environ,
+            "BERGAMOTFERRY_OPERATOR_TOKEN": OPERATOR_TOKEN,
+            "BERGAMOTFERRY_UPSTREAM_TOKEN": UPSTREAM_TOKEN,
+            "BERGAMOTFERRY_PEER_TOKEN": PEER_TOKEN,
+        }
+        host.process = self._start(
+            host.name, ["-m", "bergamotferry_host.main", *arguments], environment
+        )
+
+    def start_stand_ins(self, data_centre: str) -> None:
+        """Start the process that holds a data centre's stand-ins."""
+        controls = ",".join(h.control_address for h in self.hosts_of(data_centre))
+        arguments = ["-m", "bergamotferry_testkit.stand_in"]
+        arguments += ["--data-centre", data_centre, "--controls", controls]
+        arguments += ["--token", UPSTREAM_TOKEN]
+        arguments += ["--records", str(self.records_path(data_centre))]
+        arguments += ["--archive-bytes", str(self.archive_bytes)]
+        arguments += ["--upstreams", " ".join(self.stand_in_words[data_centre])]
+        self.stand_ins[data_centre] = self._start(
+            f"stand-ins-{data_centre}", arguments, dict(os.environ)
+        )
+
+    def records_path(self, data_centre: str) -> Path:
+        """Return the file in which a data centre's stand-ins record runs."""
+        return self.folder / f"records-{data_centre}.jsonl"
+
+    def start(self) -> None:
+        """Start every process of a new deployment."""
+        for host in self.hosts:
+            self.start_host(host, is_bootstrap=True)
+        for data_centre in self.stand_in_words:
+            self.start_stand_ins(data_centre)
+
+    def stop(self) -> None:
+        """Stop every process gracefully, and end those that do not stop in time."""
+        hosts = [host.process for host in self.hosts if host.process is not None]
+        stop_processes(hosts)
+        stop_processes(list(self.stand_ins.values()))
+
+    def _start(
+        self, name: str, arguments: Sequence[str], environment: dict[str, str]
+    ) -> "subprocess.Popen[bytes]":
+        with (self.folder / f"{name}.log").open("ab") as output:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                env=environment,
+            )
+
+
+async def wait_ready(hosts: Sequence[HostProcess], timeout_s: float) -> bool:
+    """Wait until every host serves callers."""
+    deadline_s = time.monotonic() + timeout_s
+    async with aiohttp.ClientSession() as http:
+        for host in hosts:
+            while not await _is_ready(http, host):
+                if time.monotonic() > deadline_s:
+                    return False
+                await asyncio.sleep(0.05)
+    return True
+
+
+def stop_processes(processes: Sequence["subprocess.Popen[bytes]"]) -> None:
+    """Send SIGTERM to all, wait, and kill what is left."""
+    running = [process for process in processes if process.poll() is None]
+    for process in running:
+        process.send_signal(signal.SIGTERM)
+    deadline_s = time.monotonic() + STOP_TIMEOUT_S
+    for process in running:
+        try:
+            process.wait(max(0.1, deadline_s - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free just now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+async def _is_ready(http: aiohttp.ClientSession, host: HostProcess) -> bool:
+    try:
+        async with http.get(f"http://{host.caller_address}/ready") as response:
+            return response.status == 200
+    except (aiohttp.ClientError, OSError):
+        return False
+
+
+def _seed_word(host: HostProcess) -> str:
+    word = f"{host.name},{host.data_centre},{host.region},{host.peer_address}"
+    return f"{word},durable" if host.is_durable else word
+
+
+def _plan_stand_ins(shape: DeploymentShape, ports: list[int]) -> dict[str, list[str]]:
+    centres = [name for names in shape.regions.values() for name in names]
+    words: dict[str, list[str]] = {name: [] for name in centres}
+    for service in shape.services:
+        for number in range(service.n_upstreams):
+            name = f"{service.name}-{number + 1:02d}"
+            word = f"{name},{service.name},{ports.pop()}"
+            word += f",{service.n_slots},{service.service_time_ms}"
+            words[centres[number % len(centres)]].append(word)
+    return words
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_demo.py
@@ -0,0 +1,15 @@
+"""The whole path as separate processes: a short run of the demo answers everything."""
+
+import argparse
+import asyncio
+
+from bergamotferry_testkit.demo import is_good, run_demo
+
+
+def test_short_demo_answers_every_request(tmp_path):
+    arguments = argparse.Namespace(
+        deployment="ezo-lumen", rate=60.0, seconds=3.0, keys=500, seed=7
+    )
+    report = asyncio.run(run_demo(arguments, tmp_path))
+    assert is_good(report)
+    assert all(row["refused"] == {} for row in report["routes"].values()), report
