--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -55,6 +55,7 @@
 
 DRAIN_NOTICE_S = 0.5
 DRAIN_POLL_S = 0.02
+EDGE_STOP_TIMEOUT_S = 1.0
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -196,7 +197,12 @@
     )
     runners = []
     for app, address in edges:
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=EDGE_STOP_TIMEOUT_S,
+        )
         await runner.setup()
         ip, port = split_address(address)
         await web.TCPSite(runner, ip, port, reuse_address=True).start()
--- a/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
@@ -12,8 +12,8 @@
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns
-from .dispatch import drained_upstreams, released_shards
 from .host_state import HostState, SessionRenewal
+from .orders import drained_upstreams, released_shards
 from .peer_link import PeerUnreachable
 
 RENEW_TIMEOUT_S = 0.4
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -33,6 +33,7 @@
 DIAL_PAUSE_NS = 100_000_000
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.5
 _NAME_HEADER = "Bergamotferry-Host"
 
 
@@ -77,14 +78,15 @@
             compression=None,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
         )
 
     async def stop(self) -> None:
         """Close every link."""
         for task in list(self.tasks):
             task.cancel()
-        for link in list(self.links.values()):
-            await link.connection.close()
+        closing = [link.connection.close() for link in self.links.values()]
+        await asyncio.gather(*closing, return_exceptions=True)
         if self.server is not None:
             self.server.close()
             await self.server.wait_closed()
@@ -163,6 +165,7 @@
                 compression=None,
                 ping_interval=PING_INTERVAL_S,
                 ping_timeout=PING_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
                 proxy=None,
             )
         except Exception as error:
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import random
+import signal
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -25,6 +26,10 @@
 )
 
 ANNOUNCE_PAUSE_S = 0.1
+POISON_PREFIX = "poison-"
+CRASH_S = 60.0
+RESTART_S = 0.5
+COLD_FACTOR = 10.0
 
 
 @dataclass(slots=True)
@@ -47,6 +52,11 @@
     running: int = 0
     lease_until_s: float = 0.0
     has_left: bool = False
+    dispatcher_epoch: int = 0
+    slowness: float = 1.0
+    cold_s: float = 0.0
+    started_s: float = 0.0
+    crash: asyncio.Event = field(default_factory=asyncio.Event)
 
     def record(self, event: str, **fields: Any) -> None:
         """Write one line to the record."""
@@ -70,6 +80,14 @@
     async def run(request: web.Request) -> web.StreamResponse:
         return await _run(upstream, request)
 
+    async def faults(request: web.Request) -> web.Response:
+        # Tests make an upstream a straggler, or crash it, while it runs.
+        wanted = await request.json()
+        upstream.slowness = float(wanted.get("slowness", upstream.slowness))
+        if wanted.get("crash"):
+            upstream.crash.set()
+        return web.json_response({})
+
     async def health(request: web.Request) -> web.Response:
         return web.json_response({"healthy": True})
 
@@ -78,6 +96,7 @@
 
     app = web.Application(client_max_size=1 << 30)
     app.router.add_post("/bergamotferry/v1/grants", grants)
+    app.router.add_post("/stand-in/faults", faults)
     app.router.add_get("/bergamotferry/v1/health", health)
     app.router.add_get("/bergamotferry/v1/load", load)
     app.router.add_route("*", "/{route}/{key:.+}", run)
@@ -137,6 +156,10 @@
         granted=order["granted"],
         released=order["released"],
     )
+    is_stale = order["dispatcher_epoch"] < upstream.dispatcher_epoch
+    if upstream.checks_epochs and is_stale:
+        return web.Response(status=409, text="stale dispatcher epoch")
+    upstream.dispatcher_epoch = order["dispatcher_epoch"]
     for shard, epoch in order["granted"]:
         if epoch >= upstream.grants.get(shard, 0):
             upstream.grants[shard] = epoch
@@ -152,6 +175,8 @@
     epoch = int(request.headers.get("Bergamotferry-Epoch", "0"))
     if upstream.checks_epochs and upstream.grants.get(shard) != epoch:
         return _not_started(upstream, 409, "stale epoch", key)
+    if time.clock_gettime(time.CLOCK_BOOTTIME) > upstream.lease_until_s:
+        return _not_started(upstream, 503, "no lease", key)
     if upstream.running >= upstream.n_slots:
         return _not_started(upstream, 503, "no free slot", key)
     run = {
@@ -166,8 +191,10 @@
     upstream.record("run", n_running=upstream.running, **run)
     try:
         body = await request.read()
-        service_time_ms = random.expovariate(1 / upstream.service_time_ms)
-        await asyncio.sleep(service_time_ms / 1000)
+        if key.startswith(POISON_PREFIX):
+            upstream.crash.set()
+            await asyncio.sleep(CRASH_S)
+        await asyncio.sleep(service_time_s(upstream))
         response = await _answer(upstream, request, route, key, body)
         upstream.record("done", request_id=run["request_id"], key=key)
         return response
@@ -175,6 +202,46 @@
         upstream.running -= 1
 
 
+def service_time_s(upstream: StandIn) -> float:
+    """Draw how long a request takes: more when cold, overloaded or a straggler."""
+    mean_ms = upstream.service_time_ms * upstream.slowness
+    warm_for_s = time.monotonic() - upstream.started_s
+    if warm_for_s < upstream.cold_s:
+        # A cold upstream gets slower with each request that runs beside another.
+        coldness = 1 - warm_for_s / upstream.cold_s
+        mean_ms *= 1 + COLD_FACTOR * coldness * upstream.running**2
+    return random.expovariate(1000 / mean_ms)
+
+
+async def run_upstream(upstream: StandIn) -> None:
+    """Serve one upstream, starting it again, cold, whenever a request crashes it."""
+    ip, port = upstream.address.split(":")
+    while not upstream.has_left:
+        upstream.incarnation = time.time_ns()
+        upstream.grants.clear()
+        upstream.crash.clear()
+        upstream.started_s = time.monotonic()
+        upstream.record("start")
+        runner = web.AppRunner(
+            build_app(upstream),
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.0,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, ip, int(port), reuse_address=True).start()
+        session = asyncio.create_task(keep_session(upstream))
+        await upstream.crash.wait()
+        upstream.record("crash")
+        session.cancel()
+        if runner.server is not None:
+            for connection in runner.server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await runner.cleanup()
+        await asyncio.sleep(RESTART_S)
+
+
 def _not_started(upstream: StandIn, status: int, why: str, key: str) -> web.Response:
     upstream.record("shed", why=why, key=key)
     return web.Response(
@@ -208,34 +275,44 @@
 
 
 async def run_stand_ins(arguments: argparse.Namespace, record_file: TextIO) -> None:
-    """Run the stand-ins that the arguments name until cancelled."""
-    runners: list[web.AppRunner] = []
-    sessions: list[asyncio.Task[None]] = []
+    """Run the stand-ins that the arguments name; SIGTERM lets them leave first."""
+    upstreams: list[StandIn] = []
     for word in arguments.upstreams.split():
         name, service, port, n_slots, service_time_ms = word.split(",")
-        upstream = StandIn(
-            name,
-            service,
-            arguments.data_centre,
-            f"127.0.0.1:{port}",
-            arguments.controls.split(","),
-            arguments.token,
-            int(n_slots),
-            # Every third does not check who gives it an order.
-            int(port) % 3 != 0,
-            float(service_time_ms),
-            arguments.archive_bytes,
-            record_file,
-            time.time_ns(),
+        upstreams.append(
+            StandIn(
+                name,
+                service,
+                arguments.data_centre,
+                f"127.0.0.1:{port}",
+                arguments.controls.split(","),
+                arguments.token,
+                int(n_slots),
+                # Every third does not check who gives it an order.
+                int(port) % 3 != 0,
+                float(service_time_ms),
+                arguments.archive_bytes,
+                record_file,
+                time.time_ns(),
+                cold_s=arguments.cold_s,
+            )
         )
-        runner = web.AppRunner(
-            build_app(upstream), access_log=None, handler_cancellation=True
-        )
-        await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", int(port), reuse_address=True).start()
-        runners.append(runner)
-        sessions.append(asyncio.create_task(keep_session(upstream)))
-    await asyncio.gather(*sessions)
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    tasks = [asyncio.create_task(run_upstream(upstream)) for upstream in upstreams]
+    await stopping.wait()
+    if arguments.leave_s:
+        await asyncio.gather(*(_leave(upstream) for upstream in upstreams))
+        await asyncio.sleep(arguments.leave_s)
+    for task in tasks:
+        task.cancel()
+
+
+async def _leave(upstream: StandIn) -> None:
+    headers = {"Authorization": f"Bearer {upstream.token}"}
+    async with aiohttp.ClientSession(headers=headers) as http:
+        upstream.record("leave")
+        await call_control(upstream, http, "leave")
 
 
 def main() -> None:
@@ -248,6 +325,13 @@
     parser.add_argument("--token", required=True)
     parser.add_argument("--records", required=True, help="file for the record of runs")
     parser.add_argument("--archive-bytes", type=int, default=1 << 20)
+    parser.add_argument("--cold-s", type=float, default=0.0, help="time to warm up")
+    parser.add_argument(
+        "--leave-s",
+        type=float,
+        default=0.0,
+        help="on SIGTERM, leave and go on this long",
+    )
     parser.add_argument(
         "--upstreams",
         required=True,
