Tell readers of a log who leads the group

Cause: a host that is no member of the global group never learned its leader unless it had proposed something; when such a host led a data centre's group, that data centre's capacity reports went nowhere and its shards stayed without an owner.

Ruled out: lost sessions (no DrainSession in the logs), refused grants.

Change: FetchLogReply carries the leader; readers keep it as their hint.

Conclusion: mended; leaders' hints stay hints, a wrong one costs one call.

--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -157,6 +157,7 @@
     snapshot_index: int
     snapshot: bytes
     commit_index: int
+    leader: str
 
 
 class RenewLeases(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -157,7 +157,9 @@
     else:
         entries = group.fetched[message.after_index :]
     n_entries = min(FETCH_ENTRIES_MAX, max(0, commit_index - message.after_index))
-    return FetchLogReply(group.name, tuple(entries[:n_entries]), 0, b"", commit_index)
+    return FetchLogReply(
+        group.name, tuple(entries[:n_entries]), 0, b"", commit_index, group.leader
+    )
 
 
 async def wait_applied(group: Group, index: int, timeout_s: float) -> int:
@@ -291,6 +293,7 @@
                 group.fetched.append(entry)
                 _apply_entry(group, entry)
         group.fetched_commit_index = reply.commit_index
+        group.leader_hint = reply.leader or group.leader_hint
         group.applied.notify_all()
 
 
