Add a fault proxy, plans of faults and a soak that checks the records

Cause: promises about owners, filings and cuts can only be shown by causing the faults; nothing here could cut, delay, freeze or kill.

Change: a TCP proxy between every pair of hosts with rules per direction; plans drawn from a seed; a checker that reads the stand-ins' own records (epochs of a shard never fall, filings run once, slots are never exceeded).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo test lint types format clean
+.PHONY: demo soak test lint types format clean
 
 $(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -34,3 +34,10 @@
 
 clean:
 	rm -rf build .mypy_cache .ruff_cache
+
+MINUTES ?= 1
+SEED ?= $(shell date +%s)
+
+soak: $(READY)
+	$(BIN)/python -m bergamotferry_testkit.soak --seed $(SEED) --minutes $(MINUTES) \
+	  --deployment $(DEPLOYMENT)
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/fault_plan.py
@@ -0,0 +1,171 @@
+"""Plans of faults, fixed or drawn from a seed, and the hand that carries them out."""
+
+import asyncio
+import random
+import signal
+from typing import Any, Literal, NamedTuple
+
+import aiohttp
+
+from .local_deployment import HostProcess, LocalDeployment, cut, set_rules
+
+FaultKind = Literal[
+    "kill_host",
+    "stop_host",
+    "freeze_host",
+    "cut_data_centre",
+    "cut_region",
+    "cut_one_way",
+    "reset_links",
+    "delay_links",
+    "crash_upstream",
+    "freeze_stand_ins",
+]
+
+FAULT_KINDS: tuple[FaultKind, ...] = FaultKind.__args__  # type: ignore[attr-defined]
+FAULT_GAP_S = (2.0, 5.0)
+FAULT_LENGTH_S = (0.5, 4.0)
+
+
+class Fault(NamedTuple):
+    """A fault, when it begins, what it hits, and how long it lasts."""
+
+    at_s: float
+    kind: FaultKind
+    target: str
+    length_s: float
+
+
+def draw_plan(deployment: LocalDeployment, seed: int, duration_s: float) -> list[Fault]:
+    """Draw a plan; the same seed gives the same plan for the same shape."""
+    rng = random.Random(seed)
+    plan: list[Fault] = []
+    at_s = rng.uniform(*FAULT_GAP_S)
+    while at_s < duration_s - FAULT_LENGTH_S[1]:
+        kind = rng.choice(FAULT_KINDS)
+        target = rng.choice(_targets(deployment, kind))
+        plan.append(Fault(at_s, kind, target, rng.uniform(*FAULT_LENGTH_S)))
+        at_s += rng.uniform(*FAULT_GAP_S)
+    return plan
+
+
+async def carry_out(deployment: LocalDeployment, plan: list[Fault]) -> None:
+    """Carry out a plan; faults that overlap in time go on together."""
+
+    async def one(fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        print(f"fault: {fault}", flush=True)
+        await _begin(deployment, fault)
+        await asyncio.sleep(fault.length_s)
+        await _end(deployment, fault)
+
+    await asyncio.gather(*(one(fault) for fault in plan))
+
+
+def host_named(deployment: LocalDeployment, name: str) -> HostProcess:
+    """Return a host by its name."""
+    return next(host for host in deployment.hosts if host.name == name)
+
+
+def upstream_address(deployment: LocalDeployment, name: str) -> str:
+    """Return the address of an upstream by its name."""
+    for words in deployment.stand_in_words.values():
+        for word in words:
+            parts = word.split(",")
+            if parts[0] == name:
+                return f"127.0.0.1:{parts[2]}"
+    raise KeyError(name)
+
+
+async def set_stand_in_fault(
+    deployment: LocalDeployment, name: str, fault: dict[str, Any]
+) -> None:
+    """Make a stand-in slow, or crash it."""
+    url = f"http://{upstream_address(deployment, name)}/stand-in/faults"
+    async with aiohttp.ClientSession() as http:
+        try:
+            async with http.post(url, json=fault) as response:
+                await response.read()
+        except aiohttp.ClientError:
+            # A crash takes the connection with it.
+            return
+
+
+def _targets(deployment: LocalDeployment, kind: FaultKind) -> list[str]:
+    if kind in ("cut_data_centre", "freeze_stand_ins"):
+        return sorted(deployment.stand_in_words)
+    if kind in ("cut_region", "cut_one_way", "delay_links"):
+        return sorted(deployment.shape.regions)
+    if kind == "crash_upstream":
+        words = [w for rows in deployment.stand_in_words.values() for w in rows]
+        return sorted(word.split(",")[0] for word in words)
+    return sorted(host.name for host in deployment.hosts)
+
+
+async def _begin(deployment: LocalDeployment, fault: Fault) -> None:
+    match fault.kind:
+        case "kill_host":
+            _signal(deployment, fault.target, signal.SIGKILL)
+        case "stop_host":
+            _signal(deployment, fault.target, signal.SIGTERM)
+        case "freeze_host":
+            _signal(deployment, fault.target, signal.SIGSTOP)
+        case "crash_upstream":
+            await set_stand_in_fault(deployment, fault.target, {"crash": True})
+        case "freeze_stand_ins":
+            deployment.stand_ins[fault.target].send_signal(signal.SIGSTOP)
+        case "reset_links":
+            await _reset_links(deployment, fault.target)
+        case _:
+            await set_rules(deployment, *_link_rules(deployment, fault, True))
+
+
+async def _end(deployment: LocalDeployment, fault: Fault) -> None:
+    match fault.kind:
+        case "kill_host" | "stop_host":
+            await _start_again(deployment, host_named(deployment, fault.target))
+        case "freeze_host":
+            _signal(deployment, fault.target, signal.SIGCONT)
+        case "freeze_stand_ins":
+            deployment.stand_ins[fault.target].send_signal(signal.SIGCONT)
+        case "crash_upstream" | "reset_links":
+            return
+        case _:
+            await set_rules(deployment, *_link_rules(deployment, fault, False))
+
+
+def _signal(deployment: LocalDeployment, name: str, number: signal.Signals) -> None:
+    process = host_named(deployment, name).process
+    if process is not None and process.poll() is None:
+        process.send_signal(number)
+
+
+async def _start_again(deployment: LocalDeployment, host: HostProcess) -> None:
+    if host.process is not None:
+        await asyncio.to_thread(host.process.wait)
+    deployment.start_host(host)
+
+
+async def _reset_links(deployment: LocalDeployment, name: str) -> None:
+    others = [host.name for host in deployment.hosts if host.name != name]
+    rule = {"sources": [name], "targets": others, "reset": True}
+    await set_rules(deployment, rule)
+
+
+def _link_rules(
+    deployment: LocalDeployment, fault: Fault, is_begin: bool
+) -> list[dict[str, Any]]:
+    near = [
+        host
+        for host in deployment.hosts
+        if fault.target in (host.data_centre, host.region)
+    ]
+    far = [host for host in deployment.hosts if host not in near]
+    rules = cut(near, far, is_begin)
+    if fault.kind == "cut_one_way":
+        return rules[:1]
+    if fault.kind == "delay_links":
+        for rule in rules:
+            del rule["is_silent"]
+            rule["delay_ms"] = 150 if is_begin else 0
+    return rules
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -13,6 +14,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -48,20 +50,32 @@
     stand_ins: dict[str, "subprocess.Popen[bytes]"] = field(default_factory=dict)
     stand_in_words: dict[str, list[str]] = field(default_factory=dict)
     archive_bytes: int = 1 << 20
+    cold_s: float = 0.0
+    proxy_ports: dict[tuple[str, str], int] = field(default_factory=dict)
+    proxy_control_port: int = 0
+    proxy: "subprocess.Popen[bytes] | None" = None
 
     @classmethod
     def from_config(
-        cls, shape: DeploymentShape, folder: Path, archive_bytes: int = 1 << 20
+        cls,
+        shape: DeploymentShape,
+        folder: Path,
+        archive_bytes: int = 1 << 20,
+        has_proxy: bool = False,
     ) -> "LocalDeployment":
-        """Plan a deployment on free ports; nothing is started yet."""
+        """Plan a deployment on free ports; nothing is started yet.
+
+        With a proxy, every link between two hosts goes through it.
+        """
         folder.mkdir(parents=True, exist_ok=True)
         n_centres = sum(len(names) for names in shape.regions.values())
         n_hosts = n_centres * shape.n_hosts_per_data_centre
         n_upstreams = sum(service.n_upstreams for service in shape.services)
-        ports = free_ports(3 * n_hosts + n_upstreams)
+        n_links = n_hosts * (n_hosts - 1) + 1 if has_proxy else 0
+        ports = free_ports(3 * n_hosts + n_upstreams + n_links)
         hosts: list[HostProcess] = []
-        for region, names in shape.regions.items():
-            for data_centre in names:
+        for region, data_centres in shape.regions.items():
+            for data_centre in data_centres:
                 for number in range(1, shape.n_hosts_per_data_centre + 1):
                     addresses = [f"127.0.0.1:{ports.pop()}" for _ in range(3)]
                     hosts.append(
@@ -77,6 +91,15 @@
                     )
         deployment = cls(shape, folder, hosts, archive_bytes=archive_bytes)
         deployment.stand_in_words = _plan_stand_ins(shape, ports)
+        if has_proxy:
+            deployment.proxy_control_port = ports.pop()
+            names = [host.name for host in hosts]
+            deployment.proxy_ports = {
+                (source, target): ports.pop()
+                for source in names
+                for target in names
+                if source != target
+            }
         return deployment
 
     def hosts_of(self, data_centre: str) -> list[HostProcess]:
@@ -85,7 +108,7 @@
 
     def start_host(self, host: HostProcess, is_bootstrap: bool = False) -> None:
         """Start a host's process."""
-        seeds = " ".join(_seed_word(row) for row in self.hosts)
+        seeds = " ".join(self._seed_word(host, row) for row in self.hosts)
         arguments = ["--host-name", host.name, "--seeds", seeds]
         arguments += ["--caller-address", host.caller_address]
         arguments += ["--control-address", host.control_address]
@@ -111,6 +134,7 @@
         arguments += ["--token", UPSTREAM_TOKEN]
         arguments += ["--records", str(self.records_path(data_centre))]
         arguments += ["--archive-bytes", str(self.archive_bytes)]
+        arguments += ["--cold-s", str(self.cold_s)]
         arguments += ["--upstreams", " ".join(self.stand_in_words[data_centre])]
         self.stand_ins[data_centre] = self._start(
             f"stand-ins-{data_centre}", arguments, dict(os.environ)
@@ -122,6 +146,8 @@
 
     def start(self) -> None:
         """Start every process of a new deployment."""
+        if self.proxy_ports:
+            self._start_proxy()
         for host in self.hosts:
             self.start_host(host, is_bootstrap=True)
         for data_centre in self.stand_in_words:
@@ -132,6 +158,27 @@
         hosts = [host.process for host in self.hosts if host.process is not None]
         stop_processes(hosts)
         stop_processes(list(self.stand_ins.values()))
+        if self.proxy is not None:
+            stop_processes([self.proxy])
+
+    def _start_proxy(self) -> None:
+        addresses = {host.name: host.peer_address for host in self.hosts}
+        pairs = [
+            [source, target, port, addresses[target]]
+            for (source, target), port in self.proxy_ports.items()
+        ]
+        path = self.folder / "pairs.json"
+        path.write_text(json.dumps(pairs))
+        arguments = ["-m", "bergamotferry_testkit.fault_proxy", "--pairs", str(path)]
+        arguments += ["--control-port", str(self.proxy_control_port)]
+        self.proxy = self._start("proxy", arguments, dict(os.environ))
+
+    def _seed_word(self, reader: HostProcess, host: HostProcess) -> str:
+        """Return a seed as one host is told of another."""
+        port = self.proxy_ports.get((reader.name, host.name))
+        address = f"127.0.0.1:{port}" if port else host.peer_address
+        word = f"{host.name},{host.data_centre},{host.region},{address}"
+        return f"{word},durable" if host.is_durable else word
 
     def _start(
         self, name: str, arguments: Sequence[str], environment: dict[str, str]
@@ -158,6 +205,26 @@
     return True
 
 
+async def set_rules(deployment: LocalDeployment, *rules: dict[str, Any]) -> None:
+    """Change the proxy's rules; see `fault_proxy.FaultProxy.apply`."""
+    url = f"http://127.0.0.1:{deployment.proxy_control_port}/rules"
+    async with aiohttp.ClientSession() as http:
+        async with http.post(url, json=list(rules)) as response:
+            response.raise_for_status()
+
+
+def cut(
+    sources: Sequence[HostProcess], targets: Sequence[HostProcess], is_cut: bool = True
+) -> list[dict[str, Any]]:
+    """Return the rules of a cut, or of its healing, in both directions."""
+    near = [host.name for host in sources]
+    far = [host.name for host in targets]
+    return [
+        {"sources": near, "targets": far, "is_silent": is_cut},
+        {"sources": far, "targets": near, "is_silent": is_cut},
+    ]
+
+
 def stop_processes(processes: Sequence["subprocess.Popen[bytes]"]) -> None:
     """Send SIGTERM to all, wait, and kill what is left."""
     running = [process for process in processes if process.poll() is None]
@@ -192,11 +259,6 @@
         return False
 
 
-def _seed_word(host: HostProcess) -> str:
-    word = f"{host.name},{host.data_centre},{host.region},{host.peer_address}"
-    return f"{word},durable" if host.is_durable else word
-
-
 def _plan_stand_ins(shape: DeploymentShape, ports: list[int]) -> dict[str, list[str]]:
     centres = [name for names in shape.regions.values() for name in names]
     words: dict[str, list[str]] = {name: [] for name in centres}
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/soak.py
@@ -0,0 +1,105 @@
+"""``make soak``: load under faults drawn from a seed, checked against the records."""
+
+import argparse
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+from .demo import (
+    READY_TIMEOUT_S,
+    addresses_by_region,
+    apply_first_note,
+    build_report,
+    print_report,
+    wait_owned,
+)
+from .deployments import SHAPES
+from .fault_plan import Fault, carry_out, draw_plan
+from .load import plan_load, run_load
+from .local_deployment import LocalDeployment, wait_ready
+from .ownership_check import check_ownership, most_running
+from .records_check import check_runs
+
+SETTLE_S = 4.0
+
+
+async def run_soak(
+    deployment: LocalDeployment,
+    plan: list[Fault],
+    seed: int,
+    rate_per_s: float,
+    duration_s: float,
+) -> dict[str, Any]:
+    """Start a deployment, load it under a plan of faults, stop it, and check."""
+    started_s = time.monotonic()
+    try:
+        deployment.start()
+        await apply_first_note(deployment)
+        if not await wait_ready(deployment.hosts, READY_TIMEOUT_S):
+            raise RuntimeError("the hosts did not become ready in time")
+        await wait_owned(deployment, READY_TIMEOUT_S)
+        ready_s = time.monotonic() - started_s
+        planned = plan_load(
+            deployment.shape,
+            addresses_by_region(deployment),
+            rate_per_s,
+            duration_s + SETTLE_S,
+            2000,
+            seed,
+        )
+        result, _ = await asyncio.gather(
+            run_load(planned, deployment.archive_bytes), carry_out(deployment, plan)
+        )
+    finally:
+        deployment.stop()
+    paths = [deployment.records_path(name) for name in deployment.stand_in_words]
+    check = check_runs(paths, result.acknowledged, result.refused_not_run)
+    report = build_report(deployment.shape.name, result, check, ready_s)
+    report["ownership_faults"] = [str(row) for row in check_ownership(paths)]
+    slots = {service.name: service.n_slots for service in deployment.shape.services}
+    report["over_slots"] = {
+        name: count
+        for name, count in most_running(paths).items()
+        if count > slots[name.rsplit("-", 1)[0]]
+    }
+    report["faults"] = [str(fault) for fault in plan]
+    return report
+
+
+def is_safe(report: dict[str, Any]) -> bool:
+    """Return whether every promise held; failures that say so are no fault here."""
+    n_wrong = sum(row["wrong"] for row in report["routes"].values())
+    n_bad = report["doubled"] + report["lost"] + report["false_not_run"] + n_wrong
+    return not (n_bad or report["ownership_faults"] or report["over_slots"])
+
+
+def main() -> None:
+    """Run a soak from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(SHAPES), default="ezo-lumen")
+    parser.add_argument("--seed", type=int, default=int(time.time()))
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--rate", type=float, default=100.0)
+    arguments = parser.parse_args()
+    print(f"soak: seed {arguments.seed}, replay with SEED={arguments.seed}")
+    folder = Path("build/soak") / f"{arguments.seed}-{time.time_ns()}"
+    deployment = LocalDeployment.from_config(
+        SHAPES[arguments.deployment], folder, has_proxy=True
+    )
+    duration_s = arguments.minutes * 60
+    plan = draw_plan(deployment, arguments.seed, duration_s)
+    report = asyncio.run(
+        run_soak(deployment, plan, arguments.seed, arguments.rate, duration_s)
+    )
+    (folder / "report.json").write_text(json.dumps(report, indent=2) + "\n")
+    print_report(report)
+    for fault in report["ownership_faults"]:
+        print(f"ownership: {fault}")
+    print(f"over slots: {report['over_slots']}")
+    raise SystemExit(0 if is_safe(report) else 1)
+
+
+if __name__ == "__main__":
+    main()
