Measure failover, notes, a data centre out and in, and idle hosts

Cause: nothing here gave a figure for what the users measure.

Change: make measure, with scenarios for failover, release notes, a data centre out and in, overload, cold start, stragglers and idle hosts; tests of the checkers on records written by hand, of the proxy, and a fixed plan of seven faults under load.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo soak test lint types format clean
+.PHONY: demo soak measure test lint types format clean
 
 $(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -41,3 +41,6 @@
 soak: $(READY)
 	$(BIN)/python -m bergamotferry_testkit.soak --seed $(SEED) --minutes $(MINUTES) \
 	  --deployment $(DEPLOYMENT)
+
+measure: $(READY)
+	$(BIN)/python -m bergamotferry_testkit.measure $(MEASURE_FLAGS)
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
@@ -9,8 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
-
+from .control import ask_control
 from .deployments import SHAPES, first_note
 from .load import LoadResult, plan_load, run_load
 from .local_deployment import OPERATOR_TOKEN, LocalDeployment, wait_ready
@@ -63,7 +62,7 @@
         n_owned = 0
         for data_centre in deployment.stand_in_words:
             host = deployment.hosts_of(data_centre)[0]
-            body = await _control(deployment, host.control_address, "upstreams")
+            body = await ask_control(host.control_address, "upstreams")
             n_owned += sum(row["n_shards"] for row in body.get("upstreams", []))
         if n_owned >= n_expected:
             await asyncio.sleep(0.3)
@@ -164,16 +163,6 @@
         await asyncio.sleep(0.2)
 
 
-async def _control(
-    deployment: LocalDeployment, address: str, path: str
-) -> dict[str, Any]:
-    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
-    async with aiohttp.ClientSession(headers=headers) as http:
-        async with http.get(f"http://{address}/operators/v1/{path}") as response:
-            body: dict[str, Any] = await response.json()
-            return body
-
-
 def addresses_by_region(deployment: LocalDeployment) -> dict[str, list[str]]:
     """Return the callers' addresses of each region."""
     addresses: dict[str, list[str]] = {}
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
@@ -36,7 +36,7 @@
     account: str
     key: str
     idempotency_key: str
-    address: str
+    addresses: tuple[str, ...]
 
 
 @dataclass(slots=True)
@@ -47,6 +47,7 @@
     n_answered: int = 0
     n_wrong: int = 0
     n_broken: int = 0
+    n_rerouted: int = 0
     refused: Counter[int] = field(default_factory=Counter)
     latency_us: HdrHistogram = field(
         default_factory=lambda: HdrHistogram(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
@@ -79,14 +80,16 @@
         route = rng.choices(shape.routes, [r.share for r in shape.routes])[0]
         is_home = route.service == shape.services[0].name and rng.random() < 0.1
         key = f"key-{rng.randrange(n_keys)}"
-        addresses = everywhere
+        addresses = tuple(everywhere)
         if is_home:
             key = shape.home_prefix + key
-            addresses = addresses_by_region[shape.home_region]
+            addresses = tuple(addresses_by_region[shape.home_region])
         account = "home" if is_home else "inspectors"
         filing = f"{seed}-{len(planned)}" if route.method == "POST" else ""
         planned.append(
-            PlannedRequest(at_s, route, account, key, filing, rng.choice(addresses))
+            PlannedRequest(
+                at_s, route, account, key, filing, tuple(rng.sample(addresses, 2))
+            )
         )
     return planned
 
@@ -123,28 +126,48 @@
     if request.idempotency_key:
         headers["Idempotency-Key"] = request.idempotency_key
         body = f"filing {request.idempotency_key}".encode()
-    url = f"http://{request.address}/v1/{route.service}/{route.name}/{request.key}"
-    timeout = aiohttp.ClientTimeout(total=route.deadline_ms / 1000 + 5)
-    try:
-        async with http.request(
-            route.method, url, headers=headers, data=body, timeout=timeout
-        ) as response:
-            code = int(response.headers.get("Bergamotferry-Code", "-1"))
-            if code != CODE_SERVED:
-                row.refused[code] += 1
-                if response.headers.get("Bergamotferry-Not-Run") == "true":
-                    result.refused_not_run.add(request.idempotency_key)
-                return
-            if await _is_right(response, request, body or b"", archive_bytes):
-                row.n_answered += 1
-                result.acknowledged.add(request.idempotency_key)
-            else:
-                row.n_wrong += 1
-    except (aiohttp.ClientError, TimeoutError, ConnectionError):
-        row.n_broken += 1
+    for address in request.addresses:
+        try:
+            await _ask(http, request, address, headers, body, archive_bytes, result)
+        except aiohttp.ClientConnectorError:
+            # The platform's balancer leaves out a host that takes no connection.
+            row.n_rerouted += 1
+            continue
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            row.n_broken += 1
+            return
+        latency_us = int((time.monotonic() - intended_s) * 1e6)
+        row.latency_us.record_value(max(1, latency_us))
         return
-    latency_us = int((time.monotonic() - intended_s) * 1e6)
-    row.latency_us.record_value(max(1, latency_us))
+    row.n_broken += 1
+
+
+async def _ask(
+    http: aiohttp.ClientSession,
+    request: PlannedRequest,
+    address: str,
+    headers: dict[str, str],
+    body: bytes | None,
+    archive_bytes: int,
+    result: LoadResult,
+) -> None:
+    route = request.route
+    row = result.routes[f"{route.service}/{route.name}"]
+    url = f"http://{address}/v1/{route.service}/{route.name}/{request.key}"
+    timeout = aiohttp.ClientTimeout(total=route.deadline_ms / 1000 + 5)
+    async with http.request(
+        route.method, url, headers=headers, data=body, timeout=timeout
+    ) as response:
+        code = int(response.headers.get("Bergamotferry-Code", "-1"))
+        if code != CODE_SERVED:
+            row.refused[code] += 1
+            if response.headers.get("Bergamotferry-Not-Run") == "true":
+                result.refused_not_run.add(request.idempotency_key)
+        elif await _is_right(response, request, body or b"", archive_bytes):
+            row.n_answered += 1
+            result.acknowledged.add(request.idempotency_key)
+        else:
+            row.n_wrong += 1
 
 
 async def _is_right(
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
@@ -51,6 +51,7 @@
     stand_in_words: dict[str, list[str]] = field(default_factory=dict)
     archive_bytes: int = 1 << 20
     cold_s: float = 0.0
+    environment: dict[str, str] = field(default_factory=dict)
     proxy_ports: dict[tuple[str, str], int] = field(default_factory=dict)
     proxy_control_port: int = 0
     proxy: "subprocess.Popen[bytes] | None" = None
@@ -121,6 +122,7 @@
             "BERGAMOTFERRY_OPERATOR_TOKEN": OPERATOR_TOKEN,
             "BERGAMOTFERRY_UPSTREAM_TOKEN": UPSTREAM_TOKEN,
             "BERGAMOTFERRY_PEER_TOKEN": PEER_TOKEN,
+            **self.environment,
         }
         host.process = self._start(
             host.name, ["-m", "bergamotferry_host.main", *arguments], environment
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_faults.py
@@ -0,0 +1,241 @@
+"""Scenarios with a fault: failover, release notes, a data centre out and in."""
+
+import asyncio
+import json
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from .control import ask_control, post_control
+from .demo import addresses_by_region, apply_first_note, wait_owned
+from .deployments import DeploymentShape
+from .fault_plan import host_named, set_stand_in_fault
+from .load import LoadResult, plan_load, run_load
+from .local_deployment import HostProcess, LocalDeployment, wait_ready
+from .probes import judge_probes, probe_keys
+
+READY_TIMEOUT_S = 20.0
+PROBE_EVERY_S = 0.05
+PROBE_BEFORE_S = 1.0
+PROBE_AFTER_S = 4.0
+N_PROBE_KEYS = 8
+SETTLE_S = 3.0
+
+
+async def start_ready(deployment: LocalDeployment) -> None:
+    """Start a deployment and wait until every shard has an owner."""
+    deployment.start()
+    await apply_first_note(deployment)
+    if not await wait_ready(deployment.hosts, READY_TIMEOUT_S):
+        raise RuntimeError("the hosts did not become ready in time")
+    await wait_owned(deployment, READY_TIMEOUT_S)
+
+
+async def measure_failover(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure the time from a loss until the keys it hit are served again."""
+    rows: list[dict[str, Any]] = []
+    kinds = ("upstream", "dispatcher", "data centre leader", "global leader", "stop")
+    for number in range(1 if is_quick else 3):
+        deployment = LocalDeployment.from_config(shape, folder / str(number))
+        try:
+            await start_ready(deployment)
+            for kind in kinds:
+                rows.append(await _one_failover(deployment, kind))
+                await asyncio.sleep(SETTLE_S)
+        finally:
+            deployment.stop()
+    return {"rows": rows, "target": "served again within 1 s; no failure at a stop"}
+
+
+async def measure_notes(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure from sending a release note until it is in force everywhere."""
+    deployment = LocalDeployment.from_config(shape, folder)
+    took_ms: list[float] = []
+    try:
+        await start_ready(deployment)
+        for number in range(2, 12 if is_quick else 52):
+            note: dict[str, Any] = {"number": number, "based_on": number - 1}
+            note["added"] = {"services": [{"name": f"s{number}", "n_shards": 1}]}
+            host = deployment.hosts[number % len(deployment.hosts)]
+            started_s = time.monotonic()
+            answer = await post_control(host.control_address, "notes", json.dumps(note))
+            if answer.get("not_reached") != []:
+                raise RuntimeError(f"not in force everywhere: {answer}")
+            took_ms.append(1000 * (time.monotonic() - started_s))
+    finally:
+        deployment.stop()
+    took_ms.sort()
+    row = {
+        "n_notes": len(took_ms),
+        "p50_ms": round(took_ms[len(took_ms) // 2], 1),
+        "max_ms": round(took_ms[-1], 1),
+    }
+    return {"rows": [row], "target": "in force everywhere within 5000 ms"}
+
+
+async def measure_data_centre_out(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure service while a data centre is taken out and brought back."""
+    deployment = LocalDeployment.from_config(shape, folder)
+    region, names = next(iter(shape.regions.items()))
+    data_centre = names[0]
+    try:
+        await start_ready(deployment)
+        planned = plan_load(
+            shape, addresses_by_region(deployment), 100.0, 16.0, 2000, seed=3
+        )
+        load = asyncio.create_task(run_load(planned, deployment.archive_bytes))
+        await asyncio.sleep(3.0)
+        await _set_state(deployment, 2, data_centre, region, "out")
+        out_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        await asyncio.sleep(6.0)
+        in_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        await _set_state(deployment, 3, data_centre, region, "in")
+        result = await load
+    finally:
+        deployment.stop()
+    last_run_s = _last_run_s(deployment.records_path(data_centre), out_s, in_s)
+    row = {
+        "data_centre": data_centre,
+        "last_new_work_after_out_s": round(last_run_s, 2),
+        **_totals(result),
+    }
+    return {"rows": [row], "target": "no new work after 3 s; no failed request"}
+
+
+async def _one_failover(deployment: LocalDeployment, kind: str) -> dict[str, Any]:
+    service = deployment.shape.services[0].name
+    route = deployment.shape.routes[0].name
+    victim, keys, asker = await _choose_victim(deployment, kind, service)
+    probing = asyncio.create_task(
+        probe_keys(
+            asker.caller_address,
+            f"{service}/{route}",
+            keys,
+            PROBE_EVERY_S,
+            PROBE_BEFORE_S + PROBE_AFTER_S,
+        )
+    )
+    await asyncio.sleep(PROBE_BEFORE_S)
+    fault_s = time.monotonic()
+    if kind == "upstream":
+        await set_stand_in_fault(deployment, victim, {"crash": True})
+    else:
+        process = host_named(deployment, victim).process
+        if process is not None:
+            is_stop = kind == "stop"
+            process.send_signal(signal.SIGTERM if is_stop else signal.SIGKILL)
+    result = judge_probes(await probing, fault_s)
+    if kind != "upstream":
+        host = host_named(deployment, victim)
+        if host.process is not None:
+            await asyncio.to_thread(host.process.wait)
+        deployment.start_host(host)
+    return {
+        "fault": kind,
+        "victim": victim,
+        "n_probes": result.n_sent,
+        "n_failed": result.n_failed,
+        "codes": list(result.failure_codes),
+        "served_again_s": round(result.served_again_s, 3),
+    }
+
+
+async def _choose_victim(
+    deployment: LocalDeployment, kind: str, service: str
+) -> tuple[str, list[str], HostProcess]:
+    """Return what to hit, keys that it serves, and a host that it does not hit."""
+    data_centre = deployment.hosts[-1].data_centre
+    rows = (await _upstreams(deployment, data_centre))["upstreams"]
+    mine = [row for row in rows if row["service"] == service and row["n_shards"]]
+    upstream = mine[0]["name"]
+    victim = upstream
+    if kind in ("dispatcher", "stop"):
+        victim = mine[0]["dispatcher"]
+    elif kind != "upstream":
+        group = "global" if kind.startswith("global") else f"dc:{data_centre}"
+        victim = await _leader(deployment, group)
+    asker = next(
+        host
+        for host in deployment.hosts
+        if host.name != victim and host.data_centre != data_centre
+    )
+    keys = await _keys_of(deployment, service, data_centre, mine[0])
+    return victim, keys, asker
+
+
+async def _keys_of(
+    deployment: LocalDeployment,
+    service: str,
+    data_centre: str,
+    upstream: dict[str, Any],
+) -> list[str]:
+    keys: list[str] = []
+    host = deployment.hosts_of(data_centre)[0]
+    for number in range(4000):
+        path = f"owner?service={service}&key=probe-{number}"
+        answer = await ask_control(host.control_address, path)
+        if answer.get("upstream") == upstream["name"]:
+            keys.append(f"probe-{number}")
+        if len(keys) == N_PROBE_KEYS:
+            break
+    return keys
+
+
+async def _leader(deployment: LocalDeployment, group: str) -> str:
+    status = await ask_control(deployment.hosts[0].control_address, "status")
+    for host in status["hosts"]:
+        for row in host.get("groups", []):
+            if row["group"] == group and row["role"] == "leader":
+                return str(host["host"])
+    raise RuntimeError(f"{group} has no leader")
+
+
+async def _upstreams(deployment: LocalDeployment, data_centre: str) -> dict[str, Any]:
+    host = deployment.hosts_of(data_centre)[0]
+    return await ask_control(host.control_address, "upstreams")
+
+
+async def _set_state(
+    deployment: LocalDeployment, number: int, name: str, region: str, state: str
+) -> None:
+    row = {"name": name, "region": region, "state": state}
+    note = {
+        "number": number,
+        "based_on": number - 1,
+        "changed": {"data_centres": [row]},
+    }
+    address = deployment.hosts[-1].control_address
+    answer = await post_control(address, "notes", json.dumps(note))
+    if "revision" not in answer:
+        raise RuntimeError(f"note {number} was refused: {answer}")
+
+
+def _last_run_s(path: Path, out_s: float, in_s: float) -> float:
+    last_s = 0.0
+    for line in path.read_text().splitlines():
+        record = json.loads(line)
+        if record["event"] == "run" and out_s < record["at_s"] < in_s:
+            last_s = max(last_s, record["at_s"] - out_s)
+    return last_s
+
+
+def _totals(result: LoadResult) -> dict[str, Any]:
+    rows = result.routes.values()
+    refused: dict[str, int] = {}
+    for row in rows:
+        for code, count in row.refused.items():
+            refused[str(code)] = refused.get(str(code), 0) + count
+    return {
+        "n_sent": sum(row.n_sent for row in rows),
+        "n_answered": sum(row.n_answered for row in rows),
+        "n_broken": sum(row.n_broken for row in rows),
+        "n_wrong": sum(row.n_wrong for row in rows),
+        "refused": refused,
+    }
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_load.py
@@ -0,0 +1,180 @@
+"""Scenarios of load: overload, cold starts, stragglers, and hosts that are idle."""
+
+import asyncio
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+from .demo import addresses_by_region
+from .deployments import DeploymentShape, RouteShape, ServiceShape
+from .fault_plan import set_stand_in_fault
+from .load import LoadResult, plan_load, run_load
+from .local_deployment import LocalDeployment
+from .measure_faults import start_ready
+
+POLICIES_VARIABLE = "BERGAMOTFERRY_DISABLED_POLICIES"
+SLOW_SERVICE_MS = 60.0
+N_SMALL_UPSTREAMS = 12
+LOOKUP_DEADLINE_MS = 1000
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+async def measure_overload(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure goodput at half to three times the capacity, with and without refusal."""
+    rows: list[dict[str, Any]] = []
+    small = _small_shape(shape)
+    capacity_per_s = N_SMALL_UPSTREAMS * 2 / (SLOW_SERVICE_MS / 1000)
+    factors = (1.0, 3.0) if is_quick else (0.5, 1.0, 2.0, 3.0)
+    for disabled in ("", "admission"):
+        for factor in factors:
+            name = f"overload-{disabled or 'all'}-{factor}"
+            result = await _one_load(
+                small, folder / name, factor * capacity_per_s, 8.0, disabled
+            )
+            rows.append({"without": disabled, "load": factor, **_figures(result, 8.0)})
+    return {
+        "rows": rows,
+        "target": "goodput at 3 times the capacity as at 1",
+        "plot": {"x": "load", "y": "answered_per_s", "series": "without"},
+    }
+
+
+async def measure_cold_start(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure service while every upstream starts cold, with and without the ramp."""
+    rows: list[dict[str, Any]] = []
+    small = _small_shape(shape)
+    for disabled in ("", "slow-start"):
+        result = await _one_load(
+            small, folder / f"cold-{disabled or 'all'}", 200.0, 10.0, disabled, 6.0
+        )
+        rows.append({"without": disabled, **_figures(result, 10.0)})
+    return {"rows": rows, "target": "no collapse: answers while the upstreams warm up"}
+
+
+async def measure_stragglers(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure the tail with some upstreams ten times slower, with and without moves."""
+    rows: list[dict[str, Any]] = []
+    shares = (0.1,) if is_quick else (0.0, 0.1, 0.3)
+    for disabled in ("", "stragglers"):
+        for share in shares:
+            name = f"stragglers-{disabled or 'all'}-{share}"
+            result = await _one_load(
+                shape, folder / name, 200.0, 20.0, disabled, share=share
+            )
+            rows.append({"without": disabled, "share": share, **_figures(result, 20.0)})
+    return {
+        "rows": rows,
+        "target": "p99 near that without stragglers",
+        "plot": {"x": "share", "y": "p99_ms", "series": "without"},
+    }
+
+
+async def measure_idle(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure what a host without requests costs: processor, memory, peer bytes."""
+    deployment = LocalDeployment.from_config(shape, folder, has_proxy=True)
+    window_s = 5.0 if is_quick else 20.0
+    try:
+        await start_ready(deployment)
+        await asyncio.sleep(2.0)
+        before = {
+            host.name: _usage(host.process.pid)
+            for host in deployment.hosts
+            if host.process
+        }
+        await asyncio.sleep(window_s)
+        rows = []
+        for host in deployment.hosts:
+            if host.process is None:
+                continue
+            cpu_s, resident_bytes = _usage(host.process.pid)
+            core_percent = 100 * (cpu_s - before[host.name][0]) / window_s
+            rows.append(
+                {
+                    "host": host.name,
+                    "core_percent": round(core_percent, 1),
+                    "resident_mb": round(resident_bytes / 1e6, 1),
+                }
+            )
+    finally:
+        deployment.stop()
+    return {"rows": rows, "target": "3.9 percent of a core, 128 MB"}
+
+
+async def _one_load(
+    shape: DeploymentShape,
+    folder: Path,
+    rate_per_s: float,
+    duration_s: float,
+    disabled: str,
+    cold_s: float = 0.0,
+    share: float = 0.0,
+) -> LoadResult:
+    deployment = LocalDeployment.from_config(shape, folder)
+    deployment.environment[POLICIES_VARIABLE] = disabled
+    deployment.cold_s = cold_s
+    try:
+        await start_ready(deployment)
+        await _slow_down(deployment, share)
+        planned = plan_load(
+            shape, addresses_by_region(deployment), rate_per_s, duration_s, 2000, 5
+        )
+        return await run_load(planned, deployment.archive_bytes)
+    finally:
+        deployment.stop()
+
+
+async def _slow_down(deployment: LocalDeployment, share: float) -> None:
+    service = deployment.shape.services[0]
+    for number in range(round(share * service.n_upstreams)):
+        name = f"{service.name}-{number + 1:02d}"
+        await set_stand_in_fault(deployment, name, {"slowness": 10})
+
+
+def _small_shape(shape: DeploymentShape) -> DeploymentShape:
+    service = shape.services[0]
+    return shape._replace(
+        services=(
+            ServiceShape(service.name, N_SMALL_UPSTREAMS, 2, 64, SLOW_SERVICE_MS),
+        ),
+        routes=(
+            RouteShape(
+                service.name, "lookup", "GET", "lookup", LOOKUP_DEADLINE_MS, 1.0
+            ),
+        ),
+    )
+
+
+def _figures(result: LoadResult, duration_s: float) -> dict[str, Any]:
+    row = next(
+        row
+        for route, row in result.routes.items()
+        if not route.endswith("bundle") and "/filing" not in route
+    )
+    latency = row.latency_us
+    refused = {str(code): count for code, count in sorted(row.refused.items())}
+    return {
+        "n_sent": row.n_sent,
+        "answered_per_s": round(row.n_answered / duration_s, 1),
+        "p50_ms": latency.get_value_at_percentile(50) / 1000,
+        "p99_ms": latency.get_value_at_percentile(99) / 1000,
+        "p999_ms": latency.get_value_at_percentile(99.9) / 1000,
+        "refused": json.dumps(refused),
+        "n_broken": row.n_broken,
+    }
+
+
+def _usage(process_id: int) -> tuple[float, int]:
+    text = Path(f"/proc/{process_id}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+    return cpu_s, int(fields[21]) * PAGE_BYTES
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_checkers.py
@@ -0,0 +1,72 @@
+"""The checkers find what they are for, in records written out by hand."""
+
+import json
+
+import pytest
+
+from bergamotferry_testkit.ownership_check import check_ownership, most_running
+from bergamotferry_testkit.records_check import RunCheck, check_runs
+
+
+def run(at_s, upstream, epoch, incarnation=1, idempotency_key="", n_running=1):
+    return {
+        "at_s": at_s,
+        "event": "run",
+        "upstream": upstream,
+        "incarnation": incarnation,
+        "shard": "testlog//1",
+        "epoch": epoch,
+        "idempotency_key": idempotency_key,
+        "n_running": n_running,
+    }
+
+
+def order(at_s, upstream, dispatcher_epoch):
+    return {
+        "at_s": at_s,
+        "event": "order",
+        "upstream": upstream,
+        "incarnation": 1,
+        "dispatcher_epoch": dispatcher_epoch,
+    }
+
+
+def written(tmp_path, records):
+    path = tmp_path / "records.jsonl"
+    path.write_text("".join(json.dumps(record) + "\n" for record in records))
+    return [path]
+
+
+@pytest.mark.parametrize(
+    ("records", "expected"),
+    [
+        ([run(1, "a", 5), run(2, "b", 6)], []),
+        ([run(1, "a", 5), run(2, "b", 6), run(3, "a", 5)], ["epoch fell"]),
+        ([run(1, "a", 5), run(2, "b", 5)], ["epoch shared"]),
+        ([run(1, "a", 5), run(2, "a", 5, incarnation=2)], ["epoch shared"]),
+        ([order(1, "a", 3), order(2, "a", 4)], []),
+        ([order(1, "a", 4), order(2, "a", 3)], ["old dispatcher"]),
+    ],
+)
+def test_ownership_faults_are_found(tmp_path, records, expected):
+    faults = check_ownership(written(tmp_path, records))
+    assert [fault.what for fault in faults] == expected
+
+
+def test_most_running_is_the_peak(tmp_path):
+    records = [run(1, "a", 5, n_running=1), run(2, "a", 5, n_running=3)]
+    assert most_running(written(tmp_path, records)) == {"a": 3}
+
+
+@pytest.mark.parametrize(
+    ("runs", "acknowledged", "not_run", "expected"),
+    [
+        (["k1"], {"k1"}, set(), RunCheck(0, 0, 0)),
+        (["k1", "k1"], {"k1"}, set(), RunCheck(1, 0, 0)),
+        ([], {"k1"}, set(), RunCheck(0, 1, 0)),
+        (["k1"], set(), {"k1"}, RunCheck(0, 0, 1)),
+    ],
+)
+def test_filings_are_counted(tmp_path, runs, acknowledged, not_run, expected):
+    records = [run(at_s, "a", 5, idempotency_key=key) for at_s, key in enumerate(runs)]
+    assert check_runs(written(tmp_path, records), acknowledged, not_run) == expected
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_soak.py
@@ -0,0 +1,38 @@
+"""A fixed plan of faults under load: what the stand-ins recorded bears every promise.
+
+How much is refused depends on the moment and is not judged here; what is judged holds
+at every moment: one owner per key, filings at most once, true refusals, whole answers.
+"""
+
+import asyncio
+
+from bergamotferry_testkit.deployments import CONSORZIO
+from bergamotferry_testkit.fault_plan import Fault, draw_plan
+from bergamotferry_testkit.local_deployment import LocalDeployment
+from bergamotferry_testkit.soak import is_safe, run_soak
+
+PLAN = [
+    Fault(1.0, "freeze_host", "milano-2", 2.0),
+    Fault(2.0, "crash_upstream", "registro-01", 0.0),
+    Fault(4.0, "kill_host", "padova-2", 1.0),
+    Fault(6.0, "cut_one_way", "veneto", 2.0),
+    Fault(7.0, "reset_links", "bergamo-1", 0.0),
+    Fault(9.5, "freeze_stand_ins", "treviso", 2.0),
+    Fault(12.5, "cut_data_centre", "milano", 2.0),
+]
+DURATION_S = 16.0
+
+
+def test_promises_hold_under_a_fixed_plan_of_faults(tmp_path):
+    deployment = LocalDeployment.from_config(CONSORZIO, tmp_path, has_proxy=True)
+    report = asyncio.run(run_soak(deployment, PLAN, 11, 80.0, DURATION_S))
+    assert is_safe(report), report
+    n_sent = sum(row["sent"] for row in report["routes"].values())
+    n_answered = sum(row["answered"] for row in report["routes"].values())
+    assert n_answered > n_sent / 2, report
+
+
+def test_a_seed_gives_the_same_plan_again(tmp_path):
+    deployment = LocalDeployment.from_config(CONSORZIO, tmp_path, has_proxy=True)
+    assert draw_plan(deployment, 5, 60.0) == draw_plan(deployment, 5, 60.0)
+    assert draw_plan(deployment, 5, 60.0) != draw_plan(deployment, 6, 60.0)
