--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/fault_proxy.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/fault_proxy.py
@@ -20,6 +20,8 @@
 
 READ_BYTES = 64 * 1024
 HELD_CHUNKS_MAX = 256
+DIALLED = "dialled"
+ANSWERED = "answered"
 
 
 class Pair(NamedTuple):
@@ -54,6 +56,8 @@
         default_factory=dict
     )
     tasks: set["asyncio.Task[None]"] = field(default_factory=set)
+    capture_folder: Path | None = None
+    n_connections: int = 0
 
     def rule(self, source: str, target: str) -> Rule:
         """Return the rule of a direction."""
@@ -112,8 +116,14 @@
         place = (pair.source, pair.target)
         open_writers = self.writers.setdefault(place, set())
         open_writers.update((writer, far_writer))
-        there = self._pass(pair.source, pair.target, reader, far_writer)
-        back = self._pass(pair.target, pair.source, far_reader, writer)
+        self.n_connections += 1
+        name = f"{self.n_connections}~{pair.source}~{pair.target}"
+        there = self._pass(
+            pair.source, pair.target, reader, far_writer, f"{name}~{DIALLED}"
+        )
+        back = self._pass(
+            pair.target, pair.source, far_reader, writer, f"{name}~{ANSWERED}"
+        )
         await asyncio.gather(there, back)
         open_writers.difference_update((writer, far_writer))
 
@@ -123,12 +133,14 @@
         target: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        capture_name: str,
     ) -> None:
         held: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(HELD_CHUNKS_MAX)
 
         async def read() -> None:
             try:
                 while data := await reader.read(READ_BYTES):
+                    self._capture(capture_name, data)
                     await held.put((self._due_s(source, target, len(data)), data))
             except OSError:
                 pass
@@ -151,6 +163,11 @@
             self.tasks.discard(task)
             writer.close()
 
+    def _capture(self, name: str, data: bytes) -> None:
+        if self.capture_folder is not None:
+            with (self.capture_folder / name).open("ab") as file:
+                file.write(data)
+
     def _due_s(self, source: str, target: str, n_bytes: int) -> float:
         rule = self.rule(source, target)
         rule.n_bytes += n_bytes
@@ -171,9 +188,11 @@
             await asyncio.sleep(delay_s)
 
 
-async def run_proxy(pairs: list[Pair], control_port: int) -> None:
+async def run_proxy(
+    pairs: list[Pair], control_port: int, capture_folder: Path | None
+) -> None:
     """Run the proxy until cancelled."""
-    proxy = FaultProxy()
+    proxy = FaultProxy(capture_folder=capture_folder)
     servers = [await proxy.listen(pair) for pair in pairs]
 
     async def change(request: web.Request) -> web.Response:
@@ -199,9 +218,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--pairs", type=Path, required=True, help="JSON list of pairs")
     parser.add_argument("--control-port", type=int, required=True)
+    parser.add_argument("--capture", type=Path, help="folder for all bytes that pass")
     arguments = parser.parse_args()
     pairs = [Pair(*row) for row in json.loads(arguments.pairs.read_text())]
-    asyncio.run(run_proxy(pairs, arguments.control_port))
+    asyncio.run(run_proxy(pairs, arguments.control_port, arguments.capture))
 
 
 if __name__ == "__main__":
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
@@ -54,6 +54,7 @@
     environment: dict[str, str] = field(default_factory=dict)
     proxy_ports: dict[tuple[str, str], int] = field(default_factory=dict)
     proxy_control_port: int = 0
+    has_capture: bool = False
     proxy: "subprocess.Popen[bytes] | None" = None
 
     @classmethod
@@ -142,6 +143,11 @@
             f"stand-ins-{data_centre}", arguments, dict(os.environ)
         )
 
+    @property
+    def capture_folder(self) -> Path:
+        """Folder with every byte that passed between hosts, if it is captured."""
+        return self.folder / "capture"
+
     def records_path(self, data_centre: str) -> Path:
         """Return the file in which a data centre's stand-ins record runs."""
         return self.folder / f"records-{data_centre}.jsonl"
@@ -173,6 +179,9 @@
         path.write_text(json.dumps(pairs))
         arguments = ["-m", "bergamotferry_testkit.fault_proxy", "--pairs", str(path)]
         arguments += ["--control-port", str(self.proxy_control_port)]
+        if self.has_capture:
+            self.capture_folder.mkdir()
+            arguments += ["--capture", str(self.capture_folder)]
         self.proxy = self._start("proxy", arguments, dict(os.environ))
 
     def _seed_word(self, reader: HostProcess, host: HostProcess) -> str:
