Hold a 64 MB download to bounded memory on every host

Cause: streaming was built to hold little, and nothing checked it.

Change: four hosts, one in each data centre, pass the same 64 MB archive to slow readers at once; every block is checked and each host's peak resident memory must stay under 128 MB.

--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_streaming.py
@@ -0,0 +1,57 @@
+"""A large download passes whole, and no host holds more than a little of it."""
+
+import asyncio
+from pathlib import Path
+
+import aiohttp
+
+from bergamotferry_testkit.answers import BLOCK_BYTES, archive_block
+from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN
+from bergamotferry_testkit.local_deployment import LocalDeployment
+from bergamotferry_testkit.measure_faults import start_ready
+
+ARCHIVE_BYTES = 64 << 20
+MEMORY_LIMIT_BYTES = 128 << 20
+SLOW_START_BLOCKS = 40
+SLOW_PAUSE_S = 0.01
+
+
+def peak_memory_bytes(process_id):
+    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) * 1024
+    raise AssertionError("no VmHWM")
+
+
+async def download(address, key):
+    """Read an archive, slowly at first so that the sender must wait; check it all."""
+    headers = {"Authorization": f"Bearer {CALLER_TOKENS['inspectors']}"}
+    n_blocks = 0
+    async with aiohttp.ClientSession(headers=headers) as http:
+        async with http.get(f"http://{address}/v1/archive/bundle/{key}") as response:
+            assert response.headers["Bergamotferry-Code"] == "0"
+            while not response.content.at_eof():
+                block = await response.content.readexactly(BLOCK_BYTES)
+                assert block == archive_block(key, n_blocks)
+                n_blocks += 1
+                if n_blocks < SLOW_START_BLOCKS:
+                    await asyncio.sleep(SLOW_PAUSE_S)
+    return n_blocks * BLOCK_BYTES
+
+
+def test_a_large_archive_passes_with_bounded_memory(tmp_path):
+    deployment = LocalDeployment.from_config(EZO_LUMEN, tmp_path, ARCHIVE_BYTES)
+
+    async def work():
+        await start_ready(deployment)
+        # Whichever data centre owns the key, the other hosts forward it.
+        addresses = [host.caller_address for host in deployment.hosts[::2]]
+        return await asyncio.gather(*(download(a, "bundle-1") for a in addresses))
+
+    try:
+        sizes = asyncio.run(work())
+        peaks = [peak_memory_bytes(host.process.pid) for host in deployment.hosts]
+    finally:
+        deployment.stop()
+    assert sizes == [ARCHIVE_BYTES] * 4
+    assert max(peaks) < MEMORY_LIMIT_BYTES, peaks
