--- a/packages/bergamotferry/src/bergamotferry/commands.py
+++ b/packages/bergamotferry/src/bergamotferry/commands.py
@@ -118,17 +118,26 @@
 
 
 class RecordIntent(NamedTuple):
-    """Record that a non-idempotent request is about to be sent."""
+    """Record that a non-idempotent request is about to be sent.
+
+    The epochs name the dispatcher that will send it, and ``attempt_id`` its one try.
+    """
 
     account: str
     idempotency_key: str
     shard: ShardId
     request_sha256: str
     recorded_at_s: int
+    attempt_id: str
+    grant_epoch: int
+    dispatcher_epoch: int
 
 
 class RecordOutcome(NamedTuple):
-    """Record what became of a request whose intent was recorded."""
+    """Record what became of a request whose intent was recorded.
+
+    A body over the limit is left out; its size and SHA-256 are recorded all the same.
+    """
 
     account: str
     idempotency_key: str
@@ -136,6 +145,9 @@
     status: int
     content_type: str
     body: bytes
+    attempt_id: str
+    size_bytes: int
+    body_sha256: str
 
 
 class ForgetIntent(NamedTuple):
@@ -144,6 +156,7 @@
     account: str
     idempotency_key: str
     request_sha256: str
+    attempt_id: str
 
 
 class ImportOutcomes(NamedTuple):
@@ -153,11 +166,14 @@
 
 
 class RecordCrash(NamedTuple):
-    """An upstream ended while this request ran on it."""
+    """An upstream ended while this request ran on it, alone or beside others."""
 
     fingerprint: str
     service: str
     recorded_at_s: int
+    upstream: str
+    incarnation: int
+    is_alone: bool
 
 
 class ReleaseQuarantine(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -25,7 +25,14 @@
     RetireDispatcher,
     RevokeShards,
 )
+from .outcome_tables import (
+    forget_intent,
+    import_outcomes,
+    record_intent,
+    record_outcome,
+)
 from .outcomes import Accepted, Refused
+from .quarantine import record_crash
 from .records import (
     Dispatcher,
     Grant,
@@ -36,11 +43,6 @@
 )
 from .result_codes import ResultCode
 
-N_OUTCOMES_MAX = 100_000
-OUTCOME_BODY_MAX_BYTES = 4096
-OUTCOME_KEPT_S = 24 * 3600
-N_QUARANTINE_MAX = 10_000
-QUARANTINE_CRASHES = 2
 HOME_EPOCH_SHIFT = 40
 
 
@@ -56,6 +58,7 @@
     outcomes: dict[tuple[str, str], OutcomeRecord] = field(default_factory=dict)
     released_homes: dict[ShardId, int] = field(default_factory=dict)
     quarantine: dict[str, QuarantineRecord] = field(default_factory=dict)
+    outcome_body_bytes: int = 0
 
 
 def apply_data_centre_command(
@@ -88,15 +91,15 @@
         case AssignDispatcher():
             return _assign_dispatcher(tables, command)
         case RecordIntent():
-            return _record_intent(tables, command)
+            return record_intent(tables, command)
         case RecordOutcome():
-            return _record_outcome(tables, command)
+            return record_outcome(tables, command)
         case ForgetIntent():
-            return _forget_intent(tables, command)
+            return forget_intent(tables, command)
         case ImportOutcomes():
-            return _import_outcomes(tables, command)
+            return import_outcomes(tables, command)
         case RecordCrash():
-            return _record_crash(tables, command)
+            return record_crash(tables, command)
         case ReleaseQuarantine():
             tables.quarantine.pop(command.fingerprint, None)
     return Accepted(tables.last_epoch)
@@ -216,91 +219,3 @@
         command.upstream, command.host, tables.last_epoch, "serving"
     )
     return Accepted(tables.last_epoch)
-
-
-def _record_intent(
-    tables: DataCentreTables, command: RecordIntent
-) -> Accepted | Refused:
-    key = (command.account, command.idempotency_key)
-    known = tables.outcomes.get(key)
-    if known is not None:
-        if known.request_sha256 != command.request_sha256:
-            return Refused(
-                ResultCode.IDEMPOTENCY_KEY_REUSED, "the key names another request"
-            )
-        return Refused(ResultCode.OUTCOME_PENDING, "the request was sent before")
-    _expire_outcomes(tables, command.recorded_at_s)
-    if len(tables.outcomes) >= N_OUTCOMES_MAX:
-        return Refused(ResultCode.OUTCOME_STORE_FULL, "no room for another outcome")
-    tables.outcomes[key] = OutcomeRecord(
-        command.account,
-        command.idempotency_key,
-        command.shard,
-        command.request_sha256,
-        "intent",
-        0,
-        "",
-        b"",
-        command.recorded_at_s,
-    )
-    return Accepted(tables.last_epoch)
-
-
-def _expire_outcomes(tables: DataCentreTables, now_s: int) -> None:
-    # Records stand in the order of their time, so the oldest come first.
-    while tables.outcomes:
-        key, record = next(iter(tables.outcomes.items()))
-        if record.recorded_at_s + OUTCOME_KEPT_S > now_s:
-            return
-        del tables.outcomes[key]
-
-
-def _record_outcome(
-    tables: DataCentreTables, command: RecordOutcome
-) -> Accepted | Refused:
-    key = (command.account, command.idempotency_key)
-    known = tables.outcomes.get(key)
-    if known is None:
-        return Refused(ResultCode.BAD_REQUEST, "no intent was recorded")
-    if known.state != "done":
-        tables.outcomes[key] = known._replace(
-            state=command.state,
-            status=command.status,
-            content_type=command.content_type,
-            body=command.body[:OUTCOME_BODY_MAX_BYTES],
-        )
-    return Accepted(tables.last_epoch)
-
-
-def _forget_intent(tables: DataCentreTables, command: ForgetIntent) -> Accepted:
-    key = (command.account, command.idempotency_key)
-    known = tables.outcomes.get(key)
-    if (
-        known is not None
-        and known.state == "intent"
-        and known.request_sha256 == command.request_sha256
-    ):
-        del tables.outcomes[key]
-    return Accepted(tables.last_epoch)
-
-
-def _import_outcomes(tables: DataCentreTables, command: ImportOutcomes) -> Accepted:
-    for record in command.outcomes:
-        tables.outcomes.setdefault((record.account, record.idempotency_key), record)
-    return Accepted(tables.last_epoch)
-
-
-def _record_crash(tables: DataCentreTables, command: RecordCrash) -> Accepted | Refused:
-    known = tables.quarantine.get(command.fingerprint)
-    if known is None and len(tables.quarantine) >= N_QUARANTINE_MAX:
-        oldest = min(tables.quarantine.values(), key=lambda row: row.recorded_at_s)
-        del tables.quarantine[oldest.fingerprint]
-    n_crashes = (known.n_crashes if known else 0) + 1
-    tables.quarantine[command.fingerprint] = QuarantineRecord(
-        command.fingerprint,
-        command.service,
-        n_crashes,
-        n_crashes >= QUARANTINE_CRASHES,
-        command.recorded_at_s,
-    )
-    return Accepted(n_crashes)
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/outcome_tables.py
@@ -0,0 +1,165 @@
+"""What became of non-idempotent requests: the rows that make them run at most once.
+
+An intent is committed before anything is sent, under the epochs of the grant and of
+the dispatcher that will send it, and an outcome after. An intent whose dispatcher has
+been replaced can only have an unknown outcome, and is never sent again. A late outcome
+still takes the place of "unknown", since it says more.
+
+Retention is bounded in time, in rows and in bytes of bodies. When bodies take too much
+room the oldest are dropped first; their rows, with size and digest, stay.
+"""
+
+from typing import TYPE_CHECKING
+
+from .commands import ForgetIntent, ImportOutcomes, RecordIntent, RecordOutcome
+from .outcomes import Accepted, Refused
+from .records import OutcomeRecord
+from .result_codes import ResultCode
+
+if TYPE_CHECKING:
+    from .data_centre_tables import DataCentreTables
+
+N_OUTCOMES_MAX = 100_000
+OUTCOME_BODY_MAX_BYTES = 4096
+OUTCOME_BODIES_MAX_BYTES = 16 * 1024 * 1024
+OUTCOME_KEPT_S = 24 * 3600
+_BODIES_KEPT_SHARE = 0.9
+
+
+def record_intent(
+    tables: "DataCentreTables", command: RecordIntent
+) -> Accepted | Refused:
+    """Record an intent, or say what is known of the idempotency key.
+
+    Returns
+    -------
+    Accepted or Refused
+        Accepted only if this very attempt may send the request.
+    """
+    key = (command.account, command.idempotency_key)
+    known = tables.outcomes.get(key)
+    if known is not None:
+        return _resend(tables, known, command)
+    if not _is_dispatcher(tables, command):
+        return Refused(ResultCode.STALE_EPOCH, "the grant or dispatcher was replaced")
+    _expire_outcomes(tables, command.recorded_at_s)
+    if len(tables.outcomes) >= N_OUTCOMES_MAX:
+        return Refused(ResultCode.OUTCOME_STORE_FULL, "no room for another outcome")
+    tables.outcomes[key] = OutcomeRecord(
+        command.account,
+        command.idempotency_key,
+        command.shard,
+        command.request_sha256,
+        "intent",
+        0,
+        "",
+        b"",
+        command.recorded_at_s,
+        command.attempt_id,
+        command.grant_epoch,
+        command.dispatcher_epoch,
+        0,
+        "",
+    )
+    return Accepted(tables.last_epoch)
+
+
+def record_outcome(
+    tables: "DataCentreTables", command: RecordOutcome
+) -> Accepted | Refused:
+    """Record an outcome; one that is done never changes."""
+    key = (command.account, command.idempotency_key)
+    known = tables.outcomes.get(key)
+    if known is None or known.attempt_id != command.attempt_id:
+        return Refused(ResultCode.BAD_REQUEST, "no intent of this attempt is recorded")
+    if known.state != "done":
+        body = command.body if len(command.body) <= OUTCOME_BODY_MAX_BYTES else b""
+        tables.outcomes[key] = known._replace(
+            state=command.state,
+            status=command.status,
+            content_type=command.content_type,
+            body=body,
+            size_bytes=command.size_bytes,
+            body_sha256=command.body_sha256,
+        )
+        tables.outcome_body_bytes += len(body)
+        _drop_bodies(tables)
+    return Accepted(tables.last_epoch)
+
+
+def forget_intent(tables: "DataCentreTables", command: ForgetIntent) -> Accepted:
+    """Drop an intent whose request was certainly not run."""
+    key = (command.account, command.idempotency_key)
+    known = tables.outcomes.get(key)
+    if known is not None and known.attempt_id == command.attempt_id:
+        # The attempt itself knows; "unknown" was only what others could tell.
+        if known.state != "done":
+            del tables.outcomes[key]
+    return Accepted(tables.last_epoch)
+
+
+def import_outcomes(tables: "DataCentreTables", command: ImportOutcomes) -> Accepted:
+    """Take over outcomes that came with their shards; what is known here stays."""
+    for record in command.outcomes:
+        key = (record.account, record.idempotency_key)
+        if key not in tables.outcomes and len(tables.outcomes) < N_OUTCOMES_MAX:
+            tables.outcomes[key] = record
+            tables.outcome_body_bytes += len(record.body)
+    _drop_bodies(tables)
+    return Accepted(tables.last_epoch)
+
+
+def is_body_kept(record: OutcomeRecord) -> bool:
+    """Return whether an answer can be given again as it was."""
+    return len(record.body) == record.size_bytes
+
+
+def _resend(
+    tables: "DataCentreTables", known: OutcomeRecord, command: RecordIntent
+) -> Accepted | Refused:
+    if known.request_sha256 != command.request_sha256:
+        return Refused(
+            ResultCode.IDEMPOTENCY_KEY_REUSED, "the key names another request"
+        )
+    if known.state != "intent":
+        return Refused(ResultCode.OUTCOME_PENDING, "the request was sent before")
+    if known.attempt_id == command.attempt_id:
+        return Accepted(tables.last_epoch)
+    epochs = (command.grant_epoch, command.dispatcher_epoch)
+    if _is_dispatcher(tables, command) and epochs > (
+        known.grant_epoch,
+        known.dispatcher_epoch,
+    ):
+        # Its dispatcher was replaced, so nobody may send it any more.
+        key = (known.account, known.idempotency_key)
+        tables.outcomes[key] = known._replace(state="unknown")
+        return Refused(ResultCode.OUTCOME_UNKNOWN, "it may have run; not run again")
+    return Refused(ResultCode.OUTCOME_PENDING, "the request was sent before")
+
+
+def _is_dispatcher(tables: "DataCentreTables", command: RecordIntent) -> bool:
+    grant = tables.grants.get(command.shard)
+    if grant is None or grant.epoch != command.grant_epoch or grant.state != "held":
+        return False
+    dispatcher = tables.dispatchers.get(grant.upstream)
+    return dispatcher is not None and dispatcher.epoch == command.dispatcher_epoch
+
+
+def _expire_outcomes(tables: "DataCentreTables", now_s: int) -> None:
+    # Records stand in the order of their time, so the oldest come first.
+    while tables.outcomes:
+        key, record = next(iter(tables.outcomes.items()))
+        if record.recorded_at_s + OUTCOME_KEPT_S > now_s:
+            return
+        tables.outcome_body_bytes -= len(record.body)
+        del tables.outcomes[key]
+
+
+def _drop_bodies(tables: "DataCentreTables") -> None:
+    if tables.outcome_body_bytes <= OUTCOME_BODIES_MAX_BYTES:
+        return
+    for key, record in tables.outcomes.items():
+        if tables.outcome_body_bytes <= _BODIES_KEPT_SHARE * OUTCOME_BODIES_MAX_BYTES:
+            return
+        tables.outcomes[key] = record._replace(body=b"")
+        tables.outcome_body_bytes -= len(record.body)
--- a/packages/bergamotferry/src/bergamotferry/records.py
+++ b/packages/bergamotferry/src/bergamotferry/records.py
@@ -146,13 +146,23 @@
     content_type: str
     body: bytes
     recorded_at_s: int
+    attempt_id: str
+    grant_epoch: int
+    dispatcher_epoch: int
+    size_bytes: int
+    body_sha256: str
 
 
 class QuarantineRecord(NamedTuple):
-    """A request, by fingerprint, that was running when upstreams ended."""
+    """A request, by fingerprint, that was running when upstreams ended.
+
+    It is suspected until it is quarantined, or is cleared by running well alone.
+    """
 
     fingerprint: str
     service: str
     n_crashes: int
     is_quarantined: bool
     recorded_at_s: int
+    upstream: str
+    incarnation: int
--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -54,6 +54,7 @@
     SESSION_WRONG_DATA_CENTRE = 1505
     OUTCOME_UNKNOWN = 2001
     OUTCOME_PENDING = 2002
+    OUTCOME_NOT_KEPT = 2003
     UPSTREAM_FAILED = 3001
     ANSWER_BROKEN = 3002
     DEADLINE_EXPIRED_RUNNING = 3003
@@ -163,6 +164,9 @@
     ResultCode.OUTCOME_PENDING: ResultCodeRow(
         409, False, "A request with this idempotency key is still running."
     ),
+    ResultCode.OUTCOME_NOT_KEPT: ResultCodeRow(
+        410, False, "It ran once; its answer is not kept."
+    ),
     ResultCode.UPSTREAM_FAILED: ResultCodeRow(
         502, False, "The upstream failed while the request ran."
     ),
--- /dev/null
+++ b/packages/bergamotferry/tests/test_outcome_tables.py
@@ -0,0 +1,219 @@
+"""At most once, as the tables alone decide it: every state against every resend."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from bergamotferry import outcome_tables
+from bergamotferry.commands import ForgetIntent, RecordIntent, RecordOutcome
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.outcome_tables import (
+    OUTCOME_BODY_MAX_BYTES,
+    OUTCOME_KEPT_S,
+    is_body_kept,
+)
+from bergamotferry.outcomes import Accepted
+from bergamotferry.records import Dispatcher, Grant, ShardId
+from bergamotferry.result_codes import ResultCode as Code
+
+SHARD = ShardId("testlog", "", 1)
+KEY = ("acc", "testlog/i1")
+
+
+def tables_with(grant_epoch=5, dispatcher_epoch=6):
+    tables = DataCentreTables(last_epoch=20)
+    set_dispatcher(tables, grant_epoch, dispatcher_epoch)
+    return tables
+
+
+def set_dispatcher(tables, grant_epoch, dispatcher_epoch):
+    tables.grants[SHARD] = Grant(SHARD, "u1", 1, grant_epoch, "held")
+    tables.dispatchers["u1"] = Dispatcher("u1", "h1", dispatcher_epoch, "serving")
+
+
+def intent(
+    attempt="a1", grant_epoch=5, dispatcher_epoch=6, sha="s", at_s=100, key="i1"
+):
+    return RecordIntent(
+        "acc",
+        f"testlog/{key}",
+        SHARD,
+        sha,
+        at_s,
+        attempt,
+        grant_epoch,
+        dispatcher_epoch,
+    )
+
+
+def outcome(state, attempt="a1", body=b"ok", size_bytes=None, key="i1"):
+    size_bytes = len(body) if size_bytes is None else size_bytes
+    return RecordOutcome(
+        "acc", f"testlog/{key}", state, 200, "t", body, attempt, size_bytes, "d"
+    )
+
+
+def forget(attempt="a1"):
+    return ForgetIntent("acc", "testlog/i1", "s", attempt)
+
+
+BEFORE = {
+    "nothing": [],
+    "intent": [intent()],
+    "done": [intent(), outcome("done")],
+    "unknown": [intent(), outcome("unknown")],
+    "unknown, then done": [intent(), outcome("unknown"), outcome("done")],
+    "done, then unknown": [intent(), outcome("done"), outcome("unknown")],
+    "forgotten": [intent(), forget()],
+    "forgotten by another": [intent(), forget("a2")],
+    "done, then forgotten": [intent(), outcome("done"), forget()],
+    "outcome of another": [intent(), outcome("done", "a2")],
+}
+# The resend, and for each state before it the answer and the state after.
+SAME = intent()
+OTHER = intent("a2")
+REUSED = intent("a2", sha="other")
+NEWER = intent("a2", dispatcher_epoch=7)
+MOVED = intent("a2", grant_epoch=9, dispatcher_epoch=2)
+STALE = intent("a2", dispatcher_epoch=5)
+RESENDS = [
+    ("nothing", OTHER, 0, "intent"),
+    ("nothing", STALE, Code.STALE_EPOCH, None),
+    ("intent", SAME, 0, "intent"),
+    ("intent", OTHER, Code.OUTCOME_PENDING, "intent"),
+    ("intent", REUSED, Code.IDEMPOTENCY_KEY_REUSED, "intent"),
+    ("intent", STALE, Code.OUTCOME_PENDING, "intent"),
+    ("intent", NEWER, Code.OUTCOME_UNKNOWN, "unknown"),
+    ("intent", MOVED, Code.OUTCOME_UNKNOWN, "unknown"),
+    ("done", SAME, Code.OUTCOME_PENDING, "done"),
+    ("done", OTHER, Code.OUTCOME_PENDING, "done"),
+    ("done", NEWER, Code.OUTCOME_PENDING, "done"),
+    ("done", REUSED, Code.IDEMPOTENCY_KEY_REUSED, "done"),
+    ("unknown", SAME, Code.OUTCOME_PENDING, "unknown"),
+    ("unknown", NEWER, Code.OUTCOME_PENDING, "unknown"),
+    ("unknown, then done", OTHER, Code.OUTCOME_PENDING, "done"),
+    ("done, then unknown", OTHER, Code.OUTCOME_PENDING, "done"),
+    ("forgotten", OTHER, 0, "intent"),
+    ("forgotten by another", OTHER, Code.OUTCOME_PENDING, "intent"),
+    ("done, then forgotten", OTHER, Code.OUTCOME_PENDING, "done"),
+    ("outcome of another", OTHER, Code.OUTCOME_PENDING, "intent"),
+]
+
+
+@pytest.mark.parametrize(("before", "resend", "code", "state"), RESENDS)
+def test_resend(before, resend, code, state):
+    tables = tables_with()
+    for command in BEFORE[before]:
+        apply_data_centre_command(tables, command)
+    if resend is not STALE:
+        set_dispatcher(tables, resend.grant_epoch, resend.dispatcher_epoch)
+    answer = apply_data_centre_command(tables, resend)
+    record = tables.outcomes.get(KEY)
+    got = 0 if isinstance(answer, Accepted) else answer.code
+    assert (got, record and record.state) == (code, state)
+
+
+def test_bodies_over_the_limit_are_not_kept_but_described():
+    tables = tables_with()
+    body = bytes(OUTCOME_BODY_MAX_BYTES + 1)
+    for command in (intent(), outcome("done", body=body)):
+        apply_data_centre_command(tables, command)
+    record = tables.outcomes[KEY]
+    assert (record.body, record.size_bytes, record.body_sha256) == (b"", len(body), "d")
+    assert not is_body_kept(record)
+
+
+def test_rows_and_bodies_are_bounded(monkeypatch):
+    monkeypatch.setattr(outcome_tables, "N_OUTCOMES_MAX", 40)
+    monkeypatch.setattr(outcome_tables, "OUTCOME_BODIES_MAX_BYTES", 1000)
+    tables = tables_with()
+    answers = []
+    for number in range(45):
+        key = f"k{number}"
+        answers.append(apply_data_centre_command(tables, intent(key=key)))
+        done = outcome("done", body=bytes(100), key=key)
+        apply_data_centre_command(tables, done)
+    kept = [row for row in tables.outcomes.values() if is_body_kept(row)]
+    assert tables.outcome_body_bytes == sum(len(row.body) for row in kept) <= 1000
+    assert [row.idempotency_key for row in kept][-1] == "testlog/k39"
+    assert {a.code for a in answers[40:]} == {Code.OUTCOME_STORE_FULL}
+    late = intent(key="late", at_s=100 + OUTCOME_KEPT_S)
+    assert isinstance(apply_data_centre_command(tables, late), Accepted)
+    assert len(tables.outcomes) == 1
+    assert tables.outcome_body_bytes == 0
+
+
+KEYS = ("i1", "i2", "i3", "i4")
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Dispatchers come and go, commands are lost or come late; one run at most."""
+
+    def __init__(self):
+        super().__init__()
+        self.tables = tables_with()
+        self.n_attempts = 0
+        self.may_send = {}
+        self.runs = []
+        self.acknowledged = set()
+        self.in_transit = []
+
+    @rule(is_move=st.booleans())
+    def replace_dispatcher(self, is_move):
+        self.tables.last_epoch += 1
+        epoch = self.tables.last_epoch
+        grant = self.tables.grants[SHARD].epoch
+        set_dispatcher(self.tables, epoch if is_move else grant, epoch)
+
+    @rule(is_heard=st.sampled_from([True, True, False]), key=st.sampled_from(KEYS))
+    def try_to_send(self, is_heard, key):
+        self.n_attempts += 1
+        grant = self.tables.grants[SHARD].epoch
+        dispatcher = self.tables.dispatchers["u1"].epoch
+        command = intent(f"a{self.n_attempts}", grant, dispatcher, key=key)
+        answer = apply_data_centre_command(self.tables, command)
+        if isinstance(answer, Accepted) and is_heard:
+            self.may_send[command.attempt_id] = command
+        self.in_transit.append(command)
+
+    @precondition(lambda self: self.may_send)
+    @rule(data=st.data())
+    def run_it(self, data):
+        attempt = data.draw(st.sampled_from(sorted(self.may_send)))
+        # A dispatcher may have been frozen for as long as it liked before this.
+        self.runs.append(self.may_send.pop(attempt))
+
+    @precondition(lambda self: self.runs)
+    @rule(state=st.sampled_from(["done", "unknown"]))
+    def record(self, state):
+        run = self.runs[-1]
+        key = run.idempotency_key.removeprefix("testlog/")
+        command = outcome(state, run.attempt_id, key=key)
+        answer = apply_data_centre_command(self.tables, command)
+        if isinstance(answer, Accepted) and state == "done":
+            self.acknowledged.add((command.account, command.idempotency_key))
+        self.in_transit.append(command)
+
+    @precondition(lambda self: self.may_send)
+    @rule(data=st.data())
+    def give_up(self, data):
+        attempt = data.draw(st.sampled_from(sorted(self.may_send)))
+        given_up = self.may_send.pop(attempt)
+        command = forget(attempt)._replace(idempotency_key=given_up.idempotency_key)
+        apply_data_centre_command(self.tables, command)
+
+    @precondition(lambda self: self.in_transit)
+    @rule(data=st.data())
+    def repeat(self, data):
+        command = data.draw(st.sampled_from(self.in_transit))
+        apply_data_centre_command(self.tables, command)
+
+    @invariant()
+    def ran_at_most_once(self):
+        ran = [run.idempotency_key for run in self.runs]
+        assert len(ran) == len(set(ran))
+        for key in self.acknowledged:
+            assert self.tables.outcomes[key].state == "done"
+
+
+TestAtMostOnce = AtMostOnce.TestCase
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -1,15 +1,22 @@
 """What this host holds in memory for each upstream that it dispatches for."""
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 
+import aiohttp
+
 from bergamotferry.admission import UpstreamQueue
 from bergamotferry.records import ShardId, UpstreamSession
 
 
 @dataclass(slots=True)
 class UpstreamWork:
-    """Queue, confirmed grants and work in flight of one upstream's incarnation."""
+    """Queue, confirmed grants and work in flight of one upstream's incarnation.
+
+    ``sends`` are the tasks that talk to the upstream; they are cancelled when the host
+    loses it. ``attempts`` names the filings that this host may still resolve.
+    """
 
     session: UpstreamSession
     epoch: int
@@ -18,7 +25,8 @@
     released: set[tuple[ShardId, int]] = field(default_factory=set)
     in_flight: dict[ShardId, int] = field(default_factory=dict)
     started: dict[str, "asyncio.Future[bool]"] = field(default_factory=dict)
-    tasks: set["asyncio.Task[object]"] = field(default_factory=set)
+    sends: set["asyncio.Task[object]"] = field(default_factory=set)
+    attempts: set[str] = field(default_factory=set)
     is_ordering: bool = False
 
 
@@ -27,3 +35,6 @@
     """All upstreams that this host dispatches for, by name."""
 
     works: dict[str, UpstreamWork] = field(default_factory=dict)
+    fresh_http: aiohttp.ClientSession | None = None
+    filings: set["asyncio.Task[object]"] = field(default_factory=set)
+    ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -2,12 +2,15 @@
 
 Frames are CBOR arrays ``[stream_id, kind, payload]``. A stream is opened by the side
 that dialled; each direction has a credit in bytes, so a slow reader holds up only its
-own stream. Frames for a stream that has ended are dropped.
+own stream. Frames for a stream that has ended are dropped, and so is an opening or a
+call whose id is not above all that came before it. A peer that sends more than its
+credit loses the link. When nothing comes for a while, the link is probed with a ping,
+so that a half-open connection is found and closed.
 """
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Any
@@ -21,6 +24,9 @@
 STREAM_CREDIT_BYTES = 256 * 1024
 CHUNK_MAX_BYTES = 64 * 1024
 FRAME_MAX_BYTES = 2 * 1024 * 1024
+N_STREAMS_MAX = 4096
+SILENCE_S = 0.3
+PROBE_TIMEOUT_S = 1.0
 
 
 class FrameKind(IntEnum):
@@ -69,6 +75,9 @@
     credit_grew: asyncio.Event = field(default_factory=asyncio.Event)
     is_broken: bool = False
     is_ended: bool = False
+    has_head: bool = False
+    unread_bytes: int = 0
+    serving: "asyncio.Task[None] | None" = None
     sent_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
     received_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
 
@@ -108,7 +117,7 @@
         StreamBroken
             If the stream breaks before one comes.
         """
-        kind, payload = await self.inbox.get()
+        kind, payload = await self._next_frame()
         if kind is not FrameKind.OPEN:
             raise StreamBroken("the stream ended before its head")
         return payload
@@ -121,16 +130,30 @@
         StreamBroken
             If the stream breaks, or the digest of what came is not that of what went.
         """
-        kind, payload = await self.inbox.get()
+        if self.is_broken:
+            raise StreamBroken("the stream broke before")
+        kind, payload = await self._next_frame()
         if kind is FrameKind.DATA:
             self.received_digest.update(payload)
-            await self.link.send_frame(self.stream_id, FrameKind.CREDIT, len(payload))
+            self.unread_bytes -= len(payload)
+            await self._give_credit(len(payload))
             return bytes(payload)
         if kind is FrameKind.END and payload == self.received_digest.intdigest():
+            if self.serving is None:
+                self.close()
             return None
         self.is_broken = True
         raise StreamBroken("the stream broke before its end")
 
+    def __aiter__(self) -> "PeerStream":
+        return self
+
+    async def __anext__(self) -> bytes:
+        data = await self.receive()
+        if data is None:
+            raise StopAsyncIteration
+        return data
+
     async def cancel(self) -> None:
         """End the stream on both sides; safe to call at any time."""
         if self.stream_id in self.link.streams:
@@ -149,6 +172,57 @@
         self.is_broken = True
         self.credit_grew.set()
         self.inbox.put_nowait((FrameKind.CANCEL, 0))
+        if self.serving is not None:
+            self.serving.cancel()
+
+    def take(self, kind: FrameKind, payload: Any) -> None:
+        """Take a frame from the link.
+
+        Raises
+        ------
+        ValueError
+            If the peer breaks the protocol; the link is closed then.
+        """
+        if kind is FrameKind.CREDIT:
+            if not isinstance(payload, int) or payload < 0:
+                raise ValueError("credit is not a number of bytes")
+            self.credit_bytes += payload
+            self.credit_grew.set()
+        elif kind is FrameKind.CANCEL:
+            self.close()
+            self.break_off()
+        elif not self.is_ended:
+            self._take_in_order(kind, payload)
+
+    def _take_in_order(self, kind: FrameKind, payload: Any) -> None:
+        if kind is FrameKind.OPEN:
+            if self.has_head:
+                return
+            self.has_head = True
+        elif kind is FrameKind.DATA:
+            self.unread_bytes += len(payload)
+            # A sender may pass its credit by less than one chunk.
+            if self.unread_bytes > STREAM_CREDIT_BYTES + CHUNK_MAX_BYTES:
+                raise ValueError("the peer ignores its credit")
+        elif kind is FrameKind.END:
+            self.is_ended = True
+        self.inbox.put_nowait((kind, payload))
+
+    async def _give_credit(self, n_bytes: int) -> None:
+        try:
+            await self.link.send_frame(self.stream_id, FrameKind.CREDIT, n_bytes)
+        except BaseException:
+            # The data that was just taken is lost with this exception.
+            self.break_off()
+            raise
+
+    async def _next_frame(self) -> tuple[FrameKind, Any]:
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_S):
+                    return await self.inbox.get()
+            except TimeoutError:
+                await self.link.probe()
 
 
 @dataclass(slots=True)
@@ -164,6 +238,8 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     is_closed: bool = False
     n_bytes_sent: int = 0
+    last_peer_id: int = -1
+    probing: "asyncio.Task[None] | None" = None
 
     async def run(self) -> None:
         """Read frames until the connection ends, then break all that depends on it."""
@@ -193,6 +269,14 @@
             raise PeerUnreachable(f"{self.peer}: connection closed") from error
         self.n_bytes_sent += len(data)
 
+    async def probe(self) -> None:
+        """Ping the peer, and break the link if no answer comes."""
+        if self.is_closed:
+            return
+        if self.probing is None or self.probing.done():
+            self.probing = asyncio.create_task(self._ping())
+        await asyncio.shield(self.probing)
+
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Send a message and return the reply.
 
@@ -223,13 +307,29 @@
             raise
         return stream
 
+    async def _ping(self) -> None:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                await (await self.connection.ping())
+        except (TimeoutError, ConnectionClosed, OSError):
+            self._break_off()
+            self.connection.transport.abort()
+
+    def _is_new(self, peer_id: int) -> bool:
+        # The peer counts its ids upwards, so that a repeated frame is known by its id.
+        if not isinstance(peer_id, int) or peer_id <= self.last_peer_id:
+            return False
+        self.last_peer_id = peer_id
+        return True
+
     def _on_frame(self, frame: Any) -> None:
         stream_id, kind_number, payload = frame
         kind = FrameKind(kind_number)
         if kind is FrameKind.NOTICE:
             self.handlers.on_notice(payload, self.peer)
         elif kind is FrameKind.CALL:
-            self._start(self._answer(stream_id, payload))
+            if self._is_new(stream_id):
+                self._start(self._answer(stream_id, payload))
         elif kind is FrameKind.REPLY:
             future = self.replies.get(stream_id)
             if future is not None and not future.done():
@@ -239,20 +339,21 @@
 
     def _on_stream_frame(self, stream_id: int, kind: FrameKind, payload: Any) -> None:
         stream = self.streams.get(stream_id)
-        if stream is None:
-            if kind is FrameKind.OPEN:
-                stream = PeerStream(self, stream_id)
-                self.streams[stream_id] = stream
-                self._start(self._serve(stream, payload))
+        if stream is not None:
+            stream.take(kind, payload)
+        elif kind is FrameKind.OPEN and self._is_new(stream_id):
+            if len(self.streams) >= N_STREAMS_MAX:
+                self._start(self._turn_away(stream_id))
+                return
+            stream = PeerStream(self, stream_id, has_head=True)
+            self.streams[stream_id] = stream
+            stream.serving = self._start(self._serve(stream, payload))
+
+    async def _turn_away(self, stream_id: int) -> None:
+        try:
+            await self.send_frame(stream_id, FrameKind.CANCEL, 0)
+        except PeerUnreachable:
             return
-        if kind is FrameKind.CREDIT:
-            stream.credit_bytes += payload
-            stream.credit_grew.set()
-        elif kind is FrameKind.CANCEL:
-            stream.close()
-            stream.break_off()
-        else:
-            stream.inbox.put_nowait((kind, payload))
 
     async def _answer(self, call_id: int, message: Any) -> None:
         reply = await self.handlers.on_call(message, self.peer)
@@ -269,10 +370,11 @@
         finally:
             stream.close()
 
-    def _start(self, work: Any) -> None:
+    def _start(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     def _break_off(self) -> None:
         self.is_closed = True
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
 
 import aiohttp
 
@@ -17,7 +16,14 @@
 
 from .clock import now_ns
 from .dispatch import dispatch_here
-from .exchange import AnswerSink, RequestBody, Served
+from .exchange import (
+    AnswerSink,
+    RequestBody,
+    Served,
+    caller_gone,
+    is_taken,
+    no_body,
+)
 from .host_state import HostState
 from .peer_link import PeerStream, PeerUnreachable, StreamBroken
 from .peer_network import hosts_of_data_centre
@@ -26,6 +32,7 @@
 RETRY_PAUSE_MS = 20
 RETRY_PAUSE_MAX_MS = 200
 N_ATTEMPTS_MAX = 60
+N_RESUMES_MAX = 5
 
 # Refusals after which another host, or the same one a little later, may serve.
 _PASSING = frozenset(
@@ -54,33 +61,96 @@
     """Serve a request, trying again while that is safe and the deadline allows."""
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
     pause_ms = float(RETRY_PAUSE_MS)
-    outcome: Served | Refused = Refused(ResultCode.NO_OWNER, "not tried")
+    refusal = Refused(ResultCode.NO_OWNER, "not tried")
+    maybe_run: Refused | None = None
     for _ in range(N_ATTEMPTS_MAX):
         left_ms = (deadline_ns - now_ns()) // NS_PER_MS
         if left_ms <= 0:
             break
         attempt = head._replace(deadline_ms=left_ms)
         outcome = await _attempt(state, http, data_centre, attempt, body, sink)
-        if isinstance(outcome, Served) or sink.has_head:
-            return outcome
-        is_safe = outcome.is_not_run or is_idempotent
-        is_passing = outcome.code in _PASSING or outcome.code in _BROKEN
-        if not (is_safe and is_passing and body.is_replayable):
+        if isinstance(outcome, Served) or outcome.code is ResultCode.CALLER_GONE:
             return outcome
+        if sink.has_head:
+            return await _resume(
+                state, http, data_centre, head, deadline_ns, sink, outcome
+            )
+        refusal = outcome
+        if not outcome.is_not_run:
+            maybe_run = outcome
+        if not _may_try_again(outcome, body):
+            break
         if not _learn_dispatcher(state, head, outcome):
             await asyncio.sleep(pause_ms * random.uniform(0.5, 1.0) / 1000)
             pause_ms = min(2 * pause_ms, RETRY_PAUSE_MAX_MS)
+    return _final_refusal(refusal, maybe_run, is_idempotent)
+
+
+def _may_try_again(outcome: Refused, body: RequestBody) -> bool:
+    # A non-idempotent request is sent again to its dispatcher, not to its upstream:
+    # its idempotency key is looked up there, and it runs at most once. What the
+    # dispatcher itself calls unknown is never tried again.
+    is_passing = outcome.code in _PASSING or outcome.code in _BROKEN
+    return is_passing and body.is_replayable
+
+
+def _final_refusal(
+    outcome: Refused, maybe_run: Refused | None, is_idempotent: bool
+) -> Refused:
+    # A last try that was not run says nothing about an earlier one that may have.
+    if outcome.is_not_run and maybe_run is not None:
+        outcome = maybe_run
+    if outcome.code in _BROKEN and not is_idempotent:
+        return Refused(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
     return outcome
 
 
+async def _resume(
+    state: HostState,
+    http: aiohttp.ClientSession,
+    data_centre: str,
+    head: RequestHead,
+    deadline_ns: int,
+    sink: "CountingSink",
+    broken: Refused,
+) -> Served | Refused:
+    """Fetch the rest of an answer that broke off, from the same version only."""
+    for _ in range(N_RESUMES_MAX):
+        left_ms = (deadline_ns - now_ns()) // NS_PER_MS
+        if left_ms <= 0 or not sink.is_resumable or head.method != "GET":
+            break
+        attempt = head._replace(
+            deadline_ms=left_ms,
+            range_header=f"bytes={sink.n_bytes}-",
+            if_match=sink.etag,
+        )
+        body = RequestBody(no_body())
+        rest = _RestSink(sink)
+        outcome = await _attempt(state, http, data_centre, attempt, body, rest)
+        if isinstance(outcome, Served):
+            if not rest.is_same_version:
+                break
+            return Served(sink.status, sink.n_bytes, outcome.upstream)
+        is_passing = outcome.code in _PASSING or outcome.code in _BROKEN
+        if rest.is_refused or not is_passing:
+            break
+        _learn_dispatcher(state, head, outcome)
+        await asyncio.sleep(RETRY_PAUSE_MS * random.uniform(0.5, 1.0) / 1000)
+    return broken
+
+
 async def serve_peer(
     state: HostState, http: aiohttp.ClientSession, stream: PeerStream, head: RequestHead
 ) -> None:
     """Dispatch a request that another host forwarded."""
-    body = RequestBody(_stream_body(stream))
+    body = RequestBody(stream)
     sink = _PeerSink(stream)
     outcome = await dispatch_here(state, http, head, body, sink)
     if isinstance(outcome, Refused):
+        if sink.has_head:
+            # The head is out; only a broken stream tells that this is short.
+            await stream.cancel()
+            return
         dispatcher = ""
         if outcome.code is ResultCode.NOT_DISPATCHER:
             dispatcher = outcome.detail
@@ -91,21 +161,36 @@
 
 
 class CountingSink:
-    """Passes an answer to the caller and remembers whether it has begun."""
+    """Passes an answer to the caller and remembers how far it came."""
 
     def __init__(self, target: AnswerSink) -> None:
         self.target = target
         self.has_head = False
         self.code = ResultCode.SERVED
+        self.status = 0
+        self.etag = ""
+        self.size_bytes = -1
+        self.n_bytes = 0
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether the rest can be asked for by range, from the same version."""
+        is_strong = self.etag.startswith('"')
+        return self.status == 200 and is_strong and self.n_bytes < self.size_bytes
 
     async def head(self, head: ResponseHead) -> None:
         """Take the head; no other attempt is made after this."""
         self.has_head = True
         self.code = ResultCode(head.code)
+        self.status = head.status
+        headers = dict(head.headers)
+        self.etag = headers.get("ETag", "")
+        self.size_bytes = int(headers.get("Content-Length", "-1"))
         await self.target.head(head)
 
     async def data(self, data: bytes) -> None:
         """Take a part of the body."""
+        self.n_bytes += len(data)
         await self.target.data(data)
 
     async def end(self) -> None:
@@ -113,11 +198,41 @@
         await self.target.end()
 
 
+class _RestSink:
+    """Takes the rest of an answer, if it is of the same version and place."""
+
+    def __init__(self, sink: CountingSink) -> None:
+        self.sink = sink
+        self.is_same_version = False
+        self.is_refused = False
+
+    async def head(self, head: ResponseHead) -> None:
+        headers = dict(head.headers)
+        size = self.sink.size_bytes
+        expected = f"bytes {self.sink.n_bytes}-{size - 1}/{size}"
+        self.is_same_version = (
+            head.status == 206
+            and headers.get("ETag") == self.sink.etag
+            and headers.get("Content-Range") == expected
+        )
+        self.is_refused = not self.is_same_version
+
+    async def data(self, data: bytes) -> None:
+        if self.is_same_version:
+            await self.sink.data(data)
+
+    async def end(self) -> None:
+        if self.is_same_version:
+            await self.sink.end()
+
+
 class _PeerSink:
     def __init__(self, stream: PeerStream) -> None:
         self.stream = stream
+        self.has_head = False
 
     async def head(self, head: ResponseHead) -> None:
+        self.has_head = True
         await self.stream.send_head(head)
 
     async def data(self, data: bytes) -> None:
@@ -195,12 +310,13 @@
     except TimeoutError:
         return Refused(ResultCode.DEADLINE_EXPIRED_RUNNING, f"no answer from {host}")
     except (StreamBroken, PeerUnreachable):
-        code = ResultCode.ANSWER_BROKEN
-        if head.idempotency_key:
-            code = ResultCode.OUTCOME_UNKNOWN
-        return Refused(code, f"the link to {host} broke")
+        if body.is_broken:
+            return Refused(ResultCode.CALLER_GONE, "the body broke off")
+        return Refused(ResultCode.ANSWER_BROKEN, f"the stream to {host} broke")
     finally:
         sender.cancel()
+        # Waited for, since two readers of one body would take parts of each other.
+        await asyncio.wait([sender])
         await stream.cancel()
 
 
@@ -211,20 +327,22 @@
         await stream.end()
     except (StreamBroken, PeerUnreachable):
         return
+    except (aiohttp.ClientError, OSError):
+        # The caller's body broke: the dispatcher must not take it for whole.
+        await stream.cancel()
+        stream.break_off()
 
 
 async def _pass_on(
     stream: PeerStream, response: ResponseHead, sink: AnswerSink
-) -> Served:
-    await sink.head(response)
+) -> Served | Refused:
+    if not await is_taken(sink.head(response)):
+        return caller_gone()
     n_bytes = 0
     while (data := await stream.receive()) is not None:
         n_bytes += len(data)
-        await sink.data(data)
-    await sink.end()
+        if not await is_taken(sink.data(data)):
+            return caller_gone()
+    if not await is_taken(sink.end()):
+        return caller_gone()
     return Served(response.status, n_bytes, "")
-
-
-async def _stream_body(stream: PeerStream) -> AsyncIterator[bytes]:
-    while (data := await stream.receive()) is not None:
-        yield data
--- a/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
@@ -1,134 +1,289 @@
 """Non-idempotent requests run at most once, by the caller's idempotency key.
 
 The intent is committed in the data centre's group before anything is sent, and the
-outcome after, so that a resend through any host finds one or the other.
+outcome before any of the answer goes to the caller, so that a resend through any host
+finds one or the other. All of this goes on when the caller has gone.
 """
 
+import asyncio
 import hashlib
+import secrets
 import time
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
 
-import aiohttp
-
-from bergamotferry.commands import ForgetIntent, RecordIntent, RecordOutcome
-from bergamotferry.data_centre_tables import OUTCOME_BODY_MAX_BYTES
+from bergamotferry.commands import (
+    DataCentreCommand,
+    ForgetIntent,
+    RecordIntent,
+    RecordOutcome,
+)
 from bergamotferry.messages import RequestHead, ResponseHead
-from bergamotferry.outcomes import Refused
-from bergamotferry.records import OutcomeRecord, Route
+from bergamotferry.outcome_tables import OUTCOME_BODY_MAX_BYTES, is_body_kept
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.records import OutcomeRecord
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.routing import Owner
 
-from .exchange import AnswerSink, RequestBody, Served
+from .clock import now_ns
+from .dispatcher_table import UpstreamWork
+from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .group import commit
 from .host_state import HostState
-from .upstream_call import left_s, send_to_upstream
+from .logs import log_warning
+from .upstream_call import left_s
+
+# Answers to non-idempotent requests are held until their outcome is committed.
+FILING_ANSWER_MAX_BYTES = 1024 * 1024
+RECORD_TIMEOUT_S = 30.0
+PENDING_WAIT_S = 2.0
+PENDING_POLL_S = 0.02
+
+
+@dataclass(slots=True)
+class HeldAnswer:
+    """An answer held back until its outcome is committed, as a sink takes it."""
+
+    response: ResponseHead | None = None
+    body: bytearray = field(default_factory=bytearray)
+    size_bytes: int = 0
+    digest: "hashlib._Hash" = field(default_factory=hashlib.sha256)
+
+    async def head(self, head: ResponseHead) -> None:
+        """Keep the head."""
+        self.response = head
+
+    async def data(self, data: bytes) -> None:
+        """Keep as much of the body as may be kept."""
+        self.size_bytes += len(data)
+        self.digest.update(data)
+        if self.size_bytes <= FILING_ANSWER_MAX_BYTES:
+            self.body += data
+        else:
+            self.body.clear()
+
+    async def end(self) -> None:
+        """Do nothing; the length says that the body is whole."""
+
+
+SendFiling = Callable[[AnswerSink], Awaitable[Served | Refused | None]]
+FilingResult = HeldAnswer | OutcomeRecord | Refused
+
+
+async def read_content(
+    body: RequestBody, max_bytes: int, deadline_ns: int
+) -> bytes | Refused:
+    """Read a whole body within its limit; nothing has run if that fails."""
+    content = bytearray()
+    try:
+        async with asyncio.timeout(max(0.0, left_s(deadline_ns))):
+            async for chunk in body.chunks():
+                content += chunk
+                if len(content) > max_bytes:
+                    why = f"limit is {max_bytes} bytes"
+                    return Refused(ResultCode.BODY_TOO_LARGE, why)
+    except TimeoutError:
+        return Refused(ResultCode.SENDER_TOO_SLOW, "the body did not come in time")
+    return bytes(content)
 
 
 async def run_once(
     state: HostState,
-    http: aiohttp.ClientSession,
-    owner: Owner,
-    head: RequestHead,
-    body: RequestBody,
-    sink: AnswerSink,
-    deadline_ns: int,
-    route: Route,
+    work: UpstreamWork,
+    request: UpstreamRequest,
+    send: SendFiling,
+    free_slot: Callable[[], None],
+) -> FilingResult:
+    """Run a non-idempotent request at most once, and record what became of it.
+
+    ``send`` frees the slot of the upstream itself; otherwise ``free_slot`` does so as
+    soon as it is known that nothing will be sent.
+    """
+    intent = _intent(request, secrets.token_hex(8))
+    work.attempts.add(intent.attempt_id)
+    outcome = await commit(state.own_group, intent, left_s(request.deadline_ns))
+    if isinstance(outcome, Refused):
+        free_slot()
+        if outcome.code is ResultCode.NO_LEADER:
+            # It may be committed all the same, so it is taken back.
+            _in_background(state, _take_back(state, work, intent))
+            return outcome
+        work.attempts.discard(intent.attempt_id)
+        return await _known(state, work, request, intent, outcome)
+    try:
+        answer = HeldAnswer()
+        result = await send(answer)
+        return await _record(state, request, intent, answer, result)
+    finally:
+        work.attempts.discard(intent.attempt_id)
+
+
+async def deliver(
+    state: HostState, result: FilingResult, sink: AnswerSink
 ) -> Served | Refused:
-    """Run a non-idempotent request at most once, by its idempotency key."""
-    content = b"".join([chunk async for chunk in body.chunks()])
-    digest = hashlib.sha256(
-        b"\x00".join((route.service.encode(), route.name.encode(), head.key.encode()))
-        + b"\x00"
-        + content
-    ).hexdigest()
-    intent = RecordIntent(
-        head.account, head.idempotency_key, head.shard, digest, int(time.time())
+    """Pass on to the caller what became of a non-idempotent request."""
+    if isinstance(result, Refused):
+        return result
+    if isinstance(result, OutcomeRecord):
+        return await _replay(state, result, sink)
+    if result.response is None or len(result.body) != result.size_bytes:
+        return _not_kept(result.size_bytes, result.digest.hexdigest())
+    await sink.head(result.response)
+    await sink.data(bytes(result.body))
+    await sink.end()
+    return Served(result.response.status, result.size_bytes, "")
+
+
+def _in_background(state: HostState, work: Coroutine[Any, Any, None]) -> None:
+    task = asyncio.create_task(work)
+    state.dispatchers.filings.add(task)
+    task.add_done_callback(state.dispatchers.filings.discard)
+
+
+async def _take_back(
+    state: HostState, work: UpstreamWork, intent: RecordIntent
+) -> None:
+    try:
+        await _settle(state, _forget(intent))
+    finally:
+        work.attempts.discard(intent.attempt_id)
+
+
+def _intent(request: UpstreamRequest, attempt_id: str) -> RecordIntent:
+    head = request.head
+    return RecordIntent(
+        head.account,
+        f"{head.service}/{head.idempotency_key}",
+        head.shard,
+        _request_sha256(head, request.content or b""),
+        int(time.time()),
+        attempt_id,
+        request.owner.grant.epoch,
+        request.owner.dispatcher.epoch,
     )
-    outcome = await commit(state.own_group, intent, left_s(deadline_ns))
-    if isinstance(outcome, Refused):
-        return await _answer_known(state, head, digest, outcome, sink)
-    recorder = _Recorder(sink)
-    result = await send_to_upstream(
-        state, http, owner, head, body, recorder, deadline_ns, content
+
+
+def _request_sha256(head: RequestHead, content: bytes) -> str:
+    parts = (head.service, head.route, head.key)
+    digest = hashlib.sha256(b"\x00".join(part.encode() for part in parts))
+    digest.update(b"\x00" + content)
+    return digest.hexdigest()
+
+
+def _forget(intent: RecordIntent) -> ForgetIntent:
+    return ForgetIntent(
+        intent.account,
+        intent.idempotency_key,
+        intent.request_sha256,
+        intent.attempt_id,
     )
-    await _record(state, head, digest, result, recorder)
-    return result
 
 
-async def _answer_known(
+async def _record(
     state: HostState,
-    head: RequestHead,
-    digest: str,
+    request: UpstreamRequest,
+    intent: RecordIntent,
+    answer: HeldAnswer,
+    result: Served | Refused | None,
+) -> FilingResult:
+    if result is None:
+        result = Refused(ResultCode.OUTCOME_UNKNOWN, "the owner was lost")
+        if not request.progress.is_sent:
+            result = Refused(ResultCode.NO_OWNER, "the owner was lost")
+    if isinstance(result, Refused) and result.is_not_run:
+        await _settle(state, _forget(intent))
+        return result
+    if isinstance(result, Refused):
+        await _settle(state, _outcome(intent, "unknown", HeldAnswer()))
+        return result
+    if await _settle(state, _outcome(intent, "done", answer)):
+        return answer
+    why = "it ran, but that could not be recorded"
+    return Refused(ResultCode.OUTCOME_UNKNOWN, why)
+
+
+def _outcome(intent: RecordIntent, state: str, answer: HeldAnswer) -> RecordOutcome:
+    headers = dict(answer.response.headers) if answer.response else {}
+    is_kept = answer.size_bytes <= OUTCOME_BODY_MAX_BYTES
+    return RecordOutcome(
+        intent.account,
+        intent.idempotency_key,
+        "done" if state == "done" else "unknown",
+        answer.response.status if answer.response else 0,
+        headers.get("Content-Type", ""),
+        bytes(answer.body) if is_kept else b"",
+        intent.attempt_id,
+        answer.size_bytes,
+        answer.digest.hexdigest(),
+    )
+
+
+async def _settle(state: HostState, command: DataCentreCommand) -> bool:
+    """Commit what became of a request, for as long as a leader may still come."""
+    outcome = await commit(state.own_group, command, RECORD_TIMEOUT_S)
+    if isinstance(outcome, Accepted):
+        return True
+    name = type(command).__name__
+    log_warning("outcome not recorded", command=name, code=int(outcome.code))
+    return False
+
+
+async def _known(
+    state: HostState,
+    work: UpstreamWork,
+    request: UpstreamRequest,
+    intent: RecordIntent,
     refusal: Refused,
-    sink: AnswerSink,
-) -> Served | Refused:
+) -> FilingResult:
+    """Return what is known of a request that was sent before."""
     if refusal.code != ResultCode.OUTCOME_PENDING:
         return refusal
-    record = state.own_tables.outcomes.get((head.account, head.idempotency_key))
-    if record is None or record.request_sha256 != digest:
-        return refusal
-    if record.state == "unknown":
-        return Refused(ResultCode.OUTCOME_UNKNOWN, "it may have run; not run again")
-    if record.state == "intent":
-        return refusal
-    return await _replay(state, record, sink)
+    until_ns = min(request.deadline_ns, now_ns() + int(PENDING_WAIT_S * 1e9))
+    key = (intent.account, intent.idempotency_key)
+    is_seen = is_settled = False
+    while now_ns() < until_ns:
+        # This host's copy of the tables may lag behind the leader's answer.
+        record = state.own_tables.outcomes.get(key)
+        if record is None and is_seen:
+            return Refused(ResultCode.NO_LEADER, "an earlier try was taken back")
+        is_seen = is_seen or record is not None
+        if record is not None and record.state == "done":
+            return record
+        if record is not None and record.state == "unknown":
+            return Refused(ResultCode.OUTCOME_UNKNOWN, "it may have run; not run again")
+        if record is not None and _is_orphan(work, record, intent) and not is_settled:
+            orphan = intent._replace(attempt_id=record.attempt_id)
+            await _settle(state, _outcome(orphan, "unknown", HeldAnswer()))
+            is_settled = True
+        await asyncio.sleep(PENDING_POLL_S)
+    return refusal
+
+
+def _is_orphan(work: UpstreamWork, record: OutcomeRecord, intent: RecordIntent) -> bool:
+    """Whether the intent is of this very dispatcher, which no longer works on it."""
+    is_own = record.dispatcher_epoch == work.epoch == intent.dispatcher_epoch
+    is_same_grant = record.grant_epoch == intent.grant_epoch
+    return is_own and is_same_grant and record.attempt_id not in work.attempts
 
 
 async def _replay(
     state: HostState, record: OutcomeRecord, sink: AnswerSink
 ) -> Served | Refused:
-    headers = (("Content-Type", record.content_type),)
-    head = ResponseHead(0, "", record.status, headers, state.host.name, 0, True)
+    if not is_body_kept(record):
+        return _not_kept(record.size_bytes, record.body_sha256)
+    headers = [("Content-Length", str(record.size_bytes))]
+    if record.content_type:
+        headers.append(("Content-Type", record.content_type))
+    code = ResultCode.SERVED if record.status < 500 else ResultCode.UPSTREAM_FAILED
+    head = ResponseHead(
+        code, "", record.status, tuple(headers), state.host.name, 0, True
+    )
     await sink.head(head)
     await sink.data(record.body)
     await sink.end()
     return Served(record.status, len(record.body), "")
 
 
-async def _record(
-    state: HostState,
-    head: RequestHead,
-    digest: str,
-    result: Served | Refused,
-    recorder: "_Recorder",
-) -> None:
-    if isinstance(result, Served):
-        await commit(
-            state.own_group,
-            RecordOutcome(
-                head.account,
-                head.idempotency_key,
-                "done",
-                result.status,
-                recorder.content_type,
-                bytes(recorder.body),
-            ),
-        )
-    elif result.is_not_run:
-        forget = ForgetIntent(head.account, head.idempotency_key, digest)
-        await commit(state.own_group, forget)
-    else:
-        unknown = RecordOutcome(
-            head.account, head.idempotency_key, "unknown", 0, "", b""
-        )
-        await commit(state.own_group, unknown)
-
-
-class _Recorder:
-    """Passes an answer on and keeps as much of it as is recorded."""
-
-    def __init__(self, sink: AnswerSink) -> None:
-        self.sink = sink
-        self.content_type = ""
-        self.body = bytearray()
-
-    async def head(self, head: ResponseHead) -> None:
-        self.content_type = dict(head.headers).get("Content-Type", "")
-        await self.sink.head(head)
-
-    async def data(self, data: bytes) -> None:
-        if len(self.body) < OUTCOME_BODY_MAX_BYTES:
-            self.body += data
-        await self.sink.data(data)
-
-    async def end(self) -> None:
-        await self.sink.end()
+def _not_kept(size_bytes: int, sha256: str) -> Refused:
+    why = f"the answer had {size_bytes} bytes, SHA-256 {sha256}"
+    return Refused(ResultCode.OUTCOME_NOT_KEPT, why)
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -1,103 +1,208 @@
 """One request to an upstream over HTTP, and its answer passed on.
 
-The host's lease and the grant are checked again just before anything is written.
+The host's lease and the grant are checked again just before anything is written. What
+is told afterwards rests on the client library's own tracing: "not run" is said only if
+no byte of the request was handed to a connection.
+
+Idempotent requests use kept connections, and move to a fresh one once when a kept one
+turns out closed or silent. Others use fresh connections only, since a reset on a kept
+one leaves open whether they ran.
 """
 
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from urllib.parse import quote
 
 import aiohttp
+from yarl import URL
 
-from bergamotferry.messages import RequestHead, ResponseHead
+from bergamotferry.messages import ResponseHead
 from bergamotferry.outcomes import Refused
-from bergamotferry.records import ShardId
+from bergamotferry.records import ShardId, TrafficClass
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.routing import Owner, find_owner
 
 from .clock import now_ns
-from .exchange import AnswerSink, RequestBody, Served
+from .exchange import (
+    AnswerSink,
+    SendProgress,
+    Served,
+    UpstreamRequest,
+    caller_gone,
+    is_taken,
+)
 from .host_state import HostState
 from .orders import shard_text
 
 CHUNK_BYTES = 64 * 1024
-_PASSED_HEADERS = ("Content-Type", "ETag", "Content-Range", "Accept-Ranges")
+CONNECT_TIMEOUT_S = 1.0
+PROGRESS_TIMEOUT_S: dict[TrafficClass, float] = {
+    "lookup": 1.0,
+    "filing": 10.0,
+    "bulk": 3.0,
+}
+_PASSED_HEADERS = (
+    "Content-Type",
+    "Content-Encoding",
+    "ETag",
+    "Content-Range",
+    "Accept-Ranges",
+)
+_STATUSES_WITHOUT_BODY = (204, 304)
+
+
+class SentAlready(aiohttp.ClientError):  # noqa: N818 - names what is prevented
+    """The client library was about to send a request a second time by itself."""
+
+
+def open_upstream_session(is_fresh: bool = False) -> aiohttp.ClientSession:
+    """Return a session towards upstreams; a fresh one keeps no connection."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=is_fresh),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[_trace_progress()],
+    )
 
 
 async def send_to_upstream(
     state: HostState,
     http: aiohttp.ClientSession,
-    owner: Owner,
-    head: RequestHead,
-    body: RequestBody,
+    request: UpstreamRequest,
     sink: AnswerSink,
-    deadline_ns: int,
-    content: bytes | None,
 ) -> Served | Refused:
     """Send a request to its owner and pass the answer on."""
-    again = check_owner(state, head.shard)
+    fresh = state.dispatchers.fresh_http
+    if not request.route.is_idempotent:
+        return await _send_once(state, fresh or http, request, sink, None)
+    progress_s = PROGRESS_TIMEOUT_S[request.route.traffic_class]
+    outcome = await _send_once(state, http, request, sink, progress_s)
+    progress = request.progress
+    is_stale = isinstance(outcome, Refused) and progress.is_reused
+    if not is_stale or progress.has_head or not request.body.is_replayable:
+        return outcome
+    if fresh is None or not progress.is_sent or outcome == _no_time():
+        return outcome
+    # A kept connection was closed or silent; that says nothing about the upstream.
+    request.progress = SendProgress()
+    again = await _send_once(state, fresh, request, sink, None)
+    if isinstance(again, Refused) and again.is_not_run:
+        request.progress = progress
+        return outcome
+    return again
+
+
+def check_owner(state: HostState, shard: ShardId) -> Owner | Refused:
+    """Return the owner if this host may send to it just now."""
+    owner = find_owner(state.own_tables, shard)
+    if isinstance(owner, Refused):
+        return owner
+    if owner.dispatcher.host != state.host.name:
+        return Refused(ResultCode.NOT_DISPATCHER, owner.dispatcher.host)
+    if not state.has_host_lease:
+        return Refused(ResultCode.NOT_DISPATCHER, "")
+    return owner
+
+
+def upstream_url(address: str, route: str, key: str) -> URL:
+    """Return the address of a key, escaped so that the upstream reads it exactly."""
+    return URL(f"http://{address}/{quote(route)}/{quote(key)}", encoded=True)
+
+
+def left_s(deadline_ns: int) -> float:
+    """Return the seconds left until a deadline; negative once it has passed."""
+    return (deadline_ns - now_ns()) / 1e9
+
+
+async def _send_once(
+    state: HostState,
+    http: aiohttp.ClientSession,
+    request: UpstreamRequest,
+    sink: AnswerSink,
+    progress_s: float | None,
+) -> Served | Refused:
+    again = check_owner(state, request.head.shard)
     if isinstance(again, Refused):
         return again
-    if again.grant.epoch != owner.grant.epoch:
+    if again.grant.epoch != request.owner.grant.epoch:
         return Refused(ResultCode.STALE_EPOCH, "the grant was replaced")
-    if left_s(deadline_ns) <= 0:
+    if left_s(request.deadline_ns) <= 0:
         return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
-    url = f"http://{owner.session.address}/{head.route}/{head.key}"
-    timeout = aiohttp.ClientTimeout(total=left_s(deadline_ns), sock_connect=1.0)
-    has_head = False
+    head = request.head
+    timeout = aiohttp.ClientTimeout(
+        total=left_s(request.give_up_ns),
+        sock_connect=CONNECT_TIMEOUT_S,
+        sock_read=progress_s,
+    )
     try:
         async with http.request(
             head.method,
-            url,
-            headers=_upstream_headers(owner, head, deadline_ns),
-            data=_upstream_body(head, body, content),
+            upstream_url(request.owner.session.address, head.route, head.key),
+            headers=_upstream_headers(request),
+            data=_upstream_body(request),
             timeout=timeout,
             allow_redirects=False,
+            trace_request_ctx=request.progress,
         ) as response:
             refusal = _refusal_of_upstream(response)
             if refusal is not None:
                 return refusal
-            has_head = True
-            return await _pass_answer(state, owner, response, sink)
-    except aiohttp.ClientConnectorError:
+            return await _pass_answer(state, request, response, sink)
+    except (aiohttp.ClientError, OSError) as error:
+        return _failure(request, error)
+
+
+def _failure(request: UpstreamRequest, error: Exception) -> Refused:
+    progress = request.progress
+    if not progress.is_sent:
+        if left_s(request.deadline_ns) <= 0:
+            return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
         return Refused(ResultCode.NO_OWNER, "the owner takes no connection")
-    except TimeoutError:
-        return Refused(ResultCode.DEADLINE_EXPIRED_RUNNING, "the upstream was too slow")
-    except (aiohttp.ClientError, ConnectionError) as error:
-        code = ResultCode.ANSWER_BROKEN if has_head else ResultCode.UPSTREAM_FAILED
-        if head.idempotency_key and content is not None:
-            code = ResultCode.OUTCOME_UNKNOWN
-        return Refused(code, type(error).__name__)
-
-
-def _upstream_headers(
-    owner: Owner, head: RequestHead, deadline_ns: int
-) -> dict[str, str]:
+    why = type(error).__name__
+    if request.body.is_broken:
+        return caller_gone()
+    progress.is_reset = not isinstance(error, TimeoutError)
+    if not request.route.is_idempotent:
+        return Refused(ResultCode.OUTCOME_UNKNOWN, why)
+    if isinstance(error, TimeoutError) and left_s(request.give_up_ns) <= 0:
+        return _no_time()
+    if progress.has_head:
+        return Refused(ResultCode.ANSWER_BROKEN, why)
+    return Refused(ResultCode.UPSTREAM_FAILED, why)
+
+
+def _no_time() -> Refused:
+    return Refused(ResultCode.DEADLINE_EXPIRED_RUNNING, "the upstream was too slow")
+
+
+def _upstream_headers(request: UpstreamRequest) -> dict[str, str]:
+    owner, head = request.owner, request.head
+    left_ms = max(1, int(left_s(request.deadline_ns) * 1000))
     headers = {
+        "Accept-Encoding": "identity",
         "Bergamotferry-Request-Id": head.request_id,
         "Bergamotferry-Account": head.account,
         "Bergamotferry-Shard": shard_text(head.shard),
         "Bergamotferry-Epoch": str(owner.grant.epoch),
         "Bergamotferry-Dispatcher-Epoch": str(owner.dispatcher.epoch),
-        "Bergamotferry-Deadline-Ms": str(int(left_s(deadline_ns) * 1000)),
+        "Bergamotferry-Deadline-Ms": str(left_ms),
     }
-    if head.content_type:
-        headers["Content-Type"] = head.content_type
-    if head.idempotency_key:
-        headers["Idempotency-Key"] = head.idempotency_key
-    if head.range_header:
-        headers["Range"] = head.range_header
-    if head.if_match:
-        headers["If-Match"] = head.if_match
+    optional = {
+        "Content-Type": head.content_type,
+        "Idempotency-Key": head.idempotency_key,
+        "Range": head.range_header,
+        "If-Match": head.if_match,
+    }
+    headers.update({name: value for name, value in optional.items() if value})
     return headers
 
 
-def _upstream_body(
-    head: RequestHead, body: RequestBody, content: bytes | None
-) -> bytes | AsyncIterator[bytes] | None:
-    if content is not None:
-        return content
-    if head.method in ("GET", "DELETE"):
+def _upstream_body(request: UpstreamRequest) -> bytes | AsyncIterator[bytes] | None:
+    if request.content is not None:
+        return request.content
+    if request.head.method in ("GET", "HEAD", "DELETE"):
         return None
-    return body.chunks()
+    return request.body.chunks()
 
 
 def _refusal_of_upstream(response: aiohttp.ClientResponse) -> Refused | None:
@@ -110,10 +215,39 @@
 
 async def _pass_answer(
     state: HostState,
-    owner: Owner,
+    request: UpstreamRequest,
     response: aiohttp.ClientResponse,
     sink: AnswerSink,
-) -> Served:
+) -> Served | Refused:
+    if not _has_length(response):
+        # The end of such an answer can't be told from the upstream's own end.
+        why = "the answer has neither a length nor chunks"
+        if request.route.is_idempotent:
+            return Refused(ResultCode.ANSWER_BROKEN, why)
+        return Refused(ResultCode.OUTCOME_UNKNOWN, why)
+    request.progress.has_head = True
+    if not await is_taken(sink.head(_response_head(state, request, response))):
+        return caller_gone()
+    n_bytes = 0
+    async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+        n_bytes += len(chunk)
+        if not await is_taken(sink.data(chunk)):
+            return caller_gone()
+    if not await is_taken(sink.end()):
+        return caller_gone()
+    return Served(response.status, n_bytes, request.owner.session.name)
+
+
+def _has_length(response: aiohttp.ClientResponse) -> bool:
+    if response.status in _STATUSES_WITHOUT_BODY or response.method == "HEAD":
+        return True
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or response.content_length is not None
+
+
+def _response_head(
+    state: HostState, request: UpstreamRequest, response: aiohttp.ClientResponse
+) -> ResponseHead:
     headers = [
         (name, response.headers[name])
         for name in _PASSED_HEADERS
@@ -122,37 +256,36 @@
     if response.content_length is not None:
         headers.append(("Content-Length", str(response.content_length)))
     code = ResultCode.SERVED if response.status < 500 else ResultCode.UPSTREAM_FAILED
-    await sink.head(
-        ResponseHead(
-            code,
-            "",
-            response.status,
-            tuple(headers),
-            state.host.name,
-            owner.grant.epoch,
-            False,
-        )
+    epoch = request.owner.grant.epoch
+    return ResponseHead(
+        code, "", response.status, tuple(headers), state.host.name, epoch, False
     )
-    n_bytes = 0
-    async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-        n_bytes += len(chunk)
-        await sink.data(chunk)
-    await sink.end()
-    return Served(response.status, n_bytes, owner.session.name)
 
 
-def check_owner(state: HostState, shard: ShardId) -> Owner | Refused:
-    """Return the owner if this host may send to it just now."""
-    owner = find_owner(state.own_tables, shard)
-    if isinstance(owner, Refused):
-        return owner
-    if owner.dispatcher.host != state.host.name:
-        return Refused(ResultCode.NOT_DISPATCHER, owner.dispatcher.host)
-    if not state.has_host_lease:
-        return Refused(ResultCode.NOT_DISPATCHER, "")
-    return owner
+def _trace_progress() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
 
+    async def on_reuse(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionReuseconnParams,
+    ) -> None:
+        progress = context.trace_request_ctx
+        if isinstance(progress, SendProgress):
+            progress.is_reused = progress.is_reused or not progress.is_sent
 
-def left_s(deadline_ns: int) -> float:
-    """Return the seconds left until a deadline; negative once it has passed."""
-    return (deadline_ns - now_ns()) / 1e9
+    async def on_head(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        progress = context.trace_request_ctx
+        if isinstance(progress, SendProgress):
+            if progress.is_sent:
+                # The library sends again by itself when a kept connection closes.
+                raise SentAlready("sent once already")
+            progress.is_sent = True
+
+    trace.on_connection_reuseconn.append(on_reuse)
+    trace.on_request_headers_sent.append(on_head)
+    return trace
--- /dev/null
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -0,0 +1,170 @@
+"""A host's state with real tables and no network, and upstreams that misbehave."""
+
+import asyncio
+from types import SimpleNamespace
+
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.global_tables import GlobalTables
+from bergamotferry.messages import Propose, ProposeReply, RequestHead, ResponseHead
+from bergamotferry.outcomes import Accepted
+from bergamotferry.records import (
+    Dispatcher,
+    Grant,
+    Route,
+    ShardId,
+    UpstreamSession,
+)
+from bergamotferry_host.clock import now_ns
+from bergamotferry_host.dispatcher_table import DispatcherTable
+from bergamotferry_host.exchange import RequestBody, UpstreamRequest, no_body
+from bergamotferry_host.group import Group
+from bergamotferry_host.upstream_call import check_owner, open_upstream_session
+
+SHARD = ShardId("testlog", "", 7)
+HEAD_END = b"\r\n\r\n"
+
+
+class FakeNetwork:
+    """Applies proposals at once; ``losses`` says what becomes of the next ones."""
+
+    def __init__(self):
+        self.tables = DataCentreTables(last_epoch=9)
+        self.losses = []
+        self.commands = []
+
+    async def call(self, host, message, timeout_s):
+        assert isinstance(message, Propose)
+        self.commands.append(message.command)
+        loss = self.losses.pop(0) if self.losses else ""
+        outcome = None
+        if loss != "lost":
+            outcome = apply_data_centre_command(self.tables, message.command)
+        if loss:
+            return ProposeReply(1107, "no leader", 0, "")
+        if isinstance(outcome, Accepted):
+            return ProposeReply(0, "", outcome.revision, "")
+        return ProposeReply(outcome.code, outcome.detail, 0, "")
+
+
+def make_state(address="127.0.0.1:1"):
+    network = FakeNetwork()
+    tables = network.tables
+    tables.sessions["u1"] = UpstreamSession(
+        "u1", "testlog", address, 1, 2, 130, True, "serving"
+    )
+    tables.grants[SHARD] = Grant(SHARD, "u1", 1, 5, "held")
+    tables.dispatchers["u1"] = Dispatcher("u1", "h1", 6, "serving")
+    routes = {
+        f"testlog/{name}": make_route(name, method, is_idempotent, traffic_class)
+        for name, method, is_idempotent, traffic_class in (
+            ("lookup", "GET", True, "lookup"),
+            ("store", "PUT", True, "lookup"),
+            ("filing", "POST", False, "filing"),
+            ("replace", "PUT", False, "filing"),
+        )
+    }
+    return SimpleNamespace(
+        host=SimpleNamespace(name="h1", data_centre="a"),
+        has_host_lease=True,
+        own_tables=tables,
+        own_group=Group("dc", tables, apply_data_centre_command, network, ["h1"]),
+        global_tables=GlobalTables(routes=routes),
+        dispatchers=DispatcherTable(),
+        network=network,
+    )
+
+
+def make_route(name, method, is_idempotent, traffic_class):
+    return Route("testlog", name, method, is_idempotent, traffic_class, 3000, 1 << 20)
+
+
+def make_head(route="lookup", method="GET", key="k", idempotency_key="", **changes):
+    head = RequestHead(
+        "r1", "acc", "testlog", route, key, SHARD, method, 2000, idempotency_key,
+        "", "", "", 1, 1,
+    )  # fmt: skip
+    return head._replace(**changes)
+
+
+def make_request(state, head, content=None):
+    route = state.global_tables.routes[f"testlog/{head.route}"]
+    until_ns = now_ns() + head.deadline_ms * 1_000_000
+    owner = check_owner(state, SHARD)
+    body = RequestBody(no_body())
+    return UpstreamRequest(owner, route, head, body, until_ns, until_ns, content)
+
+
+class KeepingSink:
+    """Keeps an answer."""
+
+    def __init__(self):
+        self.response: ResponseHead | None = None
+        self.body = b""
+        self.is_over = False
+
+    async def head(self, head):
+        self.response = head
+
+    async def data(self, data):
+        self.body += data
+
+    async def end(self):
+        self.is_over = True
+
+
+class RawUpstream:
+    """Answers each request by the next line of a script, or the last of them."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = []
+        self.writers = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.state = make_state(self.address)
+        self.http = open_upstream_session()
+        self.state.dispatchers.fresh_http = open_upstream_session(is_fresh=True)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.http.close()
+        await self.state.dispatchers.fresh_http.close()
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        self.writers.append(writer)
+        while True:
+            try:
+                head = await reader.readuntil(HEAD_END)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            self.requests.append(head)
+            action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+            if action == "reset":
+                writer.transport.abort()
+                return
+            if action == "silent":
+                continue
+            is_closing = action.endswith("close")
+            writer.write(ANSWERS[action.removesuffix(" close")])
+            await writer.drain()
+            if is_closing:
+                writer.close()
+                return
+
+
+ANSWERS = {
+    "whole": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",
+    "short": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata",
+    "no length": b"HTTP/1.1 200 OK\r\n\r\ndata",
+    "half chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata",
+    "shed": (
+        b"HTTP/1.1 503 Busy\r\nBergamotferry-Not-Started: true\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    ),
+}
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -0,0 +1,135 @@
+"""Work that is aborted, callers that leave, and filings that go on without them."""
+
+import asyncio
+
+from request_fakes import SHARD, KeepingSink, RawUpstream, make_head
+
+from bergamotferry.admission import UpstreamQueue
+from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry_host import dispatch
+from bergamotferry_host.dispatcher_table import UpstreamWork
+from bergamotferry_host.exchange import RequestBody, Served, no_body
+
+LOOKUP = make_head()
+FILING = make_head("filing", "POST", idempotency_key="i1")
+
+
+def add_work(upstream):
+    session = upstream.state.own_tables.sessions["u1"]
+    work = UpstreamWork(session, 6, UpstreamQueue(2))
+    work.confirmed[SHARD] = 5
+    upstream.state.dispatchers.works["u1"] = work
+    return work
+
+
+def start(upstream, head, sink=None):
+    body = RequestBody(no_body())
+    work = dispatch.dispatch_here(
+        upstream.state, upstream.http, head, body, sink or KeepingSink()
+    )
+    return asyncio.create_task(work)
+
+
+async def wait_until(is_true):
+    for _ in range(500):
+        if is_true():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it did not come about in time")
+
+
+def outcome_record(upstream):
+    return upstream.state.own_tables.outcomes.get(("acc", "testlog/i1"))
+
+
+def test_aborted_work_is_told_by_a_code():
+    async def run(head):
+        async with RawUpstream("silent") as upstream:
+            work = add_work(upstream)
+            task = start(upstream, head)
+            await wait_until(lambda: upstream.requests)
+            dispatch._abort_work(work)
+            outcome = await asyncio.wait_for(task, 2.0)
+            await asyncio.sleep(0)
+            return outcome.code, work.queue.running, work.in_flight
+
+    assert asyncio.run(run(LOOKUP)) == (Code.UPSTREAM_FAILED, {}, {})
+    assert asyncio.run(run(FILING)) == (Code.OUTCOME_UNKNOWN, {}, {})
+
+
+def test_caller_that_leaves_cancels_a_lookup_but_no_filing():
+    async def run(head):
+        async with RawUpstream("silent", "whole") as upstream:
+            work = add_work(upstream)
+            task = start(upstream, head)
+            await wait_until(lambda: upstream.requests)
+            task.cancel()
+            await asyncio.wait([task])
+            await asyncio.sleep(0.02)
+            n_running = len(work.queue.running)
+            # The upstream answers only now.
+            upstream.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await wait_until(lambda: not work.in_flight)
+            record = outcome_record(upstream)
+            return n_running, record and (record.state, record.body), work.in_flight
+
+    assert asyncio.run(run(LOOKUP)) == (0, None, {})
+    assert asyncio.run(run(FILING)) == (1, ("done", b"ok"), {})
+
+
+def test_filing_past_its_deadline_goes_on_and_a_resend_gets_its_answer():
+    async def run():
+        async with RawUpstream("silent", "whole") as upstream:
+            add_work(upstream)
+            first = await start(upstream, FILING._replace(deadline_ms=100))
+            again = start(upstream, FILING)
+            await asyncio.sleep(0.05)
+            upstream.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            return first.code, await again, len(upstream.requests)
+
+    assert asyncio.run(run()) == (Code.OUTCOME_PENDING, Served(200, 2, ""), 1)
+
+
+def test_outcome_is_committed_before_the_answer_goes_out():
+    seen = []
+
+    async def run():
+        async with RawUpstream("whole") as upstream:
+            add_work(upstream)
+            sink = KeepingSink()
+
+            async def head(response):
+                seen.append(outcome_record(upstream).state)
+
+            sink.head = head
+            await start(upstream, FILING, sink)
+
+    asyncio.run(run())
+    assert seen == ["done"]
+
+
+def test_lost_leader_at_each_commit_of_a_filing():
+    # What becomes of the proposals in turn, and what the caller and a resend are told.
+    table = [
+        (["lost"] * 99, Code.NO_LEADER, 0),
+        (["unheard", *["lost"] * 99], Code.NO_LEADER, 0),
+        (["unheard", ""], Code.SERVED, 1),
+        (["", "unheard"], Code.SERVED, 1),
+        (["", "lost", "lost"], Code.SERVED, 1),
+    ]
+
+    async def run(losses, code, n_runs):
+        async with RawUpstream("whole") as upstream:
+            work = add_work(upstream)
+            upstream.state.network.losses = list(losses)
+            outcome = await start(upstream, FILING._replace(deadline_ms=400))
+            got = Code.SERVED if isinstance(outcome, Served) else outcome.code
+            assert (got, len(upstream.requests)) == (code, n_runs), losses
+            upstream.state.network.losses = []
+            await wait_until(lambda: not work.attempts)
+            again = await start(upstream, FILING)
+            assert isinstance(again, Served), losses
+            assert len(upstream.requests) == 1, losses
+
+    for row in table:
+        asyncio.run(asyncio.wait_for(run(*row), 10.0))
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_peer_link.py
@@ -0,0 +1,194 @@
+"""Frames that are late, repeated or out of bounds, and links that go silent."""
+
+import asyncio
+
+import pytest
+
+from bergamotferry_host import peer_link
+from bergamotferry_host.codec import decode, encode
+from bergamotferry_host.peer_link import (
+    CHUNK_MAX_BYTES,
+    STREAM_CREDIT_BYTES,
+    FrameKind,
+    PeerHandlers,
+    PeerLink,
+    StreamBroken,
+)
+
+
+class FakeConnection:
+    """A websocket whose other end is the test; it answers pings or does not."""
+
+    def __init__(self, answers_pings=True):
+        self.frames = asyncio.Queue()
+        self.sent = []
+        self.answers_pings = answers_pings
+        self.transport = self
+
+    def feed(self, stream_id, kind, payload=0):
+        self.frames.put_nowait(encode((stream_id, int(kind), payload)))
+
+    def abort(self):
+        self.frames.put_nowait(None)
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        data = await self.frames.get()
+        if data is None:
+            raise StopAsyncIteration
+        return data
+
+    async def send(self, data):
+        self.sent.append(decode(data))
+
+    async def ping(self):
+        pong = asyncio.get_running_loop().create_future()
+        if self.answers_pings:
+            pong.set_result(0.0)
+        return pong
+
+    async def close(self):
+        pass
+
+
+class Harness:
+    """A link over a fake connection; streams are read only when the test says so."""
+
+    def __init__(self, **options):
+        self.connection = FakeConnection(**options)
+        self.opened, self.calls, self.cancelled = [], [], []
+        handlers = PeerHandlers(self._on_call, lambda *_: None, self._on_stream)
+        self.link = PeerLink(self.connection, "peer", handlers)
+
+    async def _on_call(self, message, peer):
+        self.calls.append(message)
+
+    async def _on_stream(self, stream, head, peer):
+        self.opened.append((head, stream))
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(head)
+            raise
+
+    async def play(self, *frames):
+        running = asyncio.create_task(self.link.run())
+        for frame in frames:
+            self.connection.feed(*frame)
+            for _ in range(5):
+                await asyncio.sleep(0)
+        return running
+
+
+def test_repeated_and_late_openings_and_calls_are_dropped():
+    async def run():
+        harness = Harness()
+        await harness.play(
+            (1, FrameKind.CALL, "c"),
+            (1, FrameKind.CALL, "c"),
+            (3, FrameKind.OPEN, "a"),
+            (3, FrameKind.OPEN, "a"),
+            (3, FrameKind.CANCEL),
+            (3, FrameKind.OPEN, "a"),
+            (2, FrameKind.OPEN, "late"),
+            (2, FrameKind.DATA, b"late"),
+            (4, FrameKind.OPEN, "b"),
+        )
+        cancelled = list(harness.cancelled)
+        return harness.calls, [head for head, _ in harness.opened], cancelled
+
+    assert asyncio.run(run()) == (["c"], ["a", "b"], ["a"])
+
+
+def test_data_after_the_end_and_second_heads_are_dropped():
+    async def run():
+        harness = Harness()
+        running = await harness.play()
+        stream = await harness.link.open_stream("head")
+        digest = peer_link.xxhash.xxh3_64(b"xy").intdigest()
+        for kind, payload in (
+            (FrameKind.OPEN, "answer"),
+            (FrameKind.OPEN, "again"),
+            (FrameKind.DATA, b"xy"),
+            (FrameKind.END, digest),
+            (FrameKind.DATA, b"late"),
+            (FrameKind.END, digest),
+        ):
+            harness.connection.feed(stream.stream_id, kind, payload)
+        head = await stream.receive_head()
+        got = [await stream.receive(), await stream.receive()]
+        running.cancel()
+        return head, got, harness.link.streams
+
+    assert asyncio.run(run()) == ("answer", [b"xy", None], {})
+
+
+@pytest.mark.parametrize("payload", [b"lost part", b""])
+def test_data_that_does_not_match_its_digest_breaks_the_stream(payload):
+    async def run():
+        harness = Harness()
+        await harness.play()
+        stream = await harness.link.open_stream("head")
+        harness.connection.feed(stream.stream_id, FrameKind.DATA, payload)
+        harness.connection.feed(stream.stream_id, FrameKind.END, 17)
+        await stream.receive()
+        await stream.receive()
+
+    with pytest.raises(StreamBroken):
+        asyncio.run(run())
+
+
+def test_a_peer_that_ignores_its_credit_loses_the_link():
+    n_within = (STREAM_CREDIT_BYTES + CHUNK_MAX_BYTES) // CHUNK_MAX_BYTES
+    chunk = (0, FrameKind.DATA, bytes(CHUNK_MAX_BYTES))
+
+    async def run(n_chunks):
+        harness = Harness()
+        await harness.play((0, FrameKind.OPEN, "a"), *([chunk] * n_chunks))
+        stream = harness.opened[0][1]
+        return harness.link.is_closed, stream.unread_bytes <= n_within * len(chunk[2])
+
+    assert asyncio.run(run(n_within)) == (False, True)
+    assert asyncio.run(run(n_within + 1))[0]
+
+
+@pytest.mark.parametrize("payload", [-1, "many", None])
+def test_bad_credit_closes_the_link(payload):
+    async def run():
+        harness = Harness()
+        await harness.play((0, FrameKind.OPEN, "a"), (0, FrameKind.CREDIT, payload))
+        return harness.link.is_closed
+
+    assert asyncio.run(run())
+
+
+def test_a_stream_without_credit_does_not_hold_up_another():
+    async def run():
+        harness = Harness()
+        await harness.play((0, FrameKind.OPEN, "slow"), (1, FrameKind.OPEN, "other"))
+        slow, other = (stream for _, stream in harness.opened)
+        sending = asyncio.create_task(slow.send(bytes(2 * STREAM_CREDIT_BYTES)))
+        await asyncio.sleep(0)
+        await asyncio.wait_for(other.send(b"x"), 1.0)
+        return sending.done(), sending.cancel()
+
+    assert asyncio.run(run()) == (False, True)
+
+
+def test_a_silent_link_is_probed_and_broken(monkeypatch):
+    monkeypatch.setattr(peer_link, "SILENCE_S", 0.02)
+    monkeypatch.setattr(peer_link, "PROBE_TIMEOUT_S", 0.05)
+
+    async def run(answers_pings):
+        harness = Harness(answers_pings=answers_pings)
+        await harness.play()
+        stream = await harness.link.open_stream("head")
+        try:
+            await asyncio.wait_for(stream.receive_head(), 0.5)
+        except (StreamBroken, TimeoutError) as error:
+            return type(error), harness.link.is_closed
+
+    assert asyncio.run(run(False)) == (StreamBroken, True)
+    assert asyncio.run(run(True)) == (TimeoutError, False)
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_request_path.py
@@ -0,0 +1,124 @@
+"""The entry host's retries: what it may say, and how a broken answer goes on."""
+
+import asyncio
+
+import pytest
+from request_fakes import KeepingSink, make_head, make_state
+
+from bergamotferry.messages import ResponseHead
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry_host import request_path
+from bergamotferry_host.exchange import RequestBody, Served, no_body
+from bergamotferry_host.request_path import CountingSink, serve_request
+
+BODY = b"0123456789"
+
+
+def refuse(code):
+    return lambda head, sink: Refused(code, "")
+
+
+async def give(sink, status, body, content_range="", etag='"v1"', length=None):
+    headers = [("ETag", etag), ("Content-Length", str(length or len(body)))]
+    if content_range:
+        headers.append(("Content-Range", content_range))
+    await sink.head(ResponseHead(0, "", status, tuple(headers), "h2", 1, False))
+    await sink.data(body)
+
+
+async def whole(head, sink):
+    await give(sink, 200, BODY)
+    await sink.end()
+    return Served(200, len(BODY), "u1")
+
+
+async def broken(head, sink):
+    await give(sink, 200, BODY[:4], length=len(BODY))
+    return Refused(Code.ANSWER_BROKEN, "")
+
+
+async def rest(head, sink):
+    assert (head.range_header, head.if_match) == ("bytes=4-", '"v1"')
+    await give(sink, 206, BODY[4:], "bytes 4-9/10")
+    await sink.end()
+    return Served(206, 6, "u1")
+
+
+async def part_of_rest(head, sink):
+    await give(sink, 206, BODY[4:7], "bytes 4-9/10")
+    return Refused(Code.ANSWER_BROKEN, "")
+
+
+async def last_part(head, sink):
+    assert head.range_header == "bytes=7-"
+    await give(sink, 206, BODY[7:], "bytes 7-9/10")
+    await sink.end()
+    return Served(206, 3, "u1")
+
+
+async def other_version(head, sink):
+    await give(sink, 206, BODY[4:], "bytes 4-9/10", etag='"v2"')
+    await sink.end()
+    return Served(206, 6, "u1")
+
+
+async def whole_again(head, sink):
+    await give(sink, 200, BODY)
+    await sink.end()
+    return Served(200, len(BODY), "u1")
+
+
+async def precondition_failed(head, sink):
+    await give(sink, 412, b"")
+    await sink.end()
+    return Served(412, 0, "u1")
+
+
+LOOKUP = make_head()
+FILING = make_head("filing", "POST", idempotency_key="i1")
+NO_OWNER, FAILED = refuse(Code.NO_OWNER), refuse(Code.UPSTREAM_FAILED)
+LINK_BROKE = refuse(Code.ANSWER_BROKEN)
+
+# Attempts in turn, the head, the outcome, and whether the answer was ended whole.
+TABLE = [
+    ([NO_OWNER, whole], LOOKUP, Code.SERVED, True),
+    ([FAILED, whole], LOOKUP, Code.SERVED, True),
+    ([FAILED, refuse(Code.QUEUE_FULL)], LOOKUP, Code.UPSTREAM_FAILED, False),
+    ([NO_OWNER, refuse(Code.QUEUE_FULL)], LOOKUP, Code.QUEUE_FULL, False),
+    ([LINK_BROKE, whole], FILING, Code.SERVED, True),
+    ([LINK_BROKE, refuse(Code.QUEUE_FULL)], FILING, Code.OUTCOME_UNKNOWN, False),
+    ([refuse(Code.OUTCOME_UNKNOWN)], FILING, Code.OUTCOME_UNKNOWN, False),
+    ([refuse(Code.OUTCOME_PENDING)], FILING, Code.OUTCOME_PENDING, False),
+    ([broken, rest], LOOKUP, Code.SERVED, True),
+    ([broken, FAILED, NO_OWNER, rest], LOOKUP, Code.SERVED, True),
+    ([broken, part_of_rest, last_part], LOOKUP, Code.SERVED, True),
+    ([broken, other_version], LOOKUP, Code.ANSWER_BROKEN, False),
+    ([broken, whole_again], LOOKUP, Code.ANSWER_BROKEN, False),
+    ([broken, precondition_failed], LOOKUP, Code.ANSWER_BROKEN, False),
+    ([broken, refuse(Code.UNKNOWN_ROUTE)], LOOKUP, Code.ANSWER_BROKEN, False),
+]
+
+
+@pytest.mark.parametrize(("attempts", "head", "code", "is_whole"), TABLE)
+def test_attempts(attempts, head, code, is_whole, monkeypatch):
+    left = list(attempts)
+
+    async def attempt(state, http, data_centre, head, body, sink):
+        step = left.pop(0)(head, sink)
+        return step if isinstance(step, Refused) else await step
+
+    monkeypatch.setattr(request_path, "_attempt", attempt)
+    target = KeepingSink()
+    state = make_state()
+    state.network.addresses = {}
+    outcome = asyncio.run(
+        serve_request(
+            state, None, "a", head is LOOKUP, head, RequestBody(no_body()),
+            CountingSink(target),
+        )
+    )  # fmt: skip
+    got = Code.SERVED if isinstance(outcome, Served) else outcome.code
+    assert (got, target.is_over, left) == (code, is_whole, [])
+    if is_whole:
+        assert target.body == BODY
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_upstream_call.py
@@ -0,0 +1,120 @@
+"""What is told about a send, against what the upstream itself saw."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from request_fakes import KeepingSink, RawUpstream, make_head, make_request
+
+from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry_host import upstream_call
+from bergamotferry_host.exchange import Served
+from bergamotferry_host.upstream_call import send_to_upstream, upstream_url
+
+LOOKUP = make_head()
+STORE = make_head("store", "PUT")
+FILING = make_head("filing", "POST", idempotency_key="i1")
+REPLACE = make_head("replace", "PUT", idempotency_key="i1")
+
+# Script of the upstream, head, outcome, and how many heads the upstream got.
+FAULTS = [
+    (["whole"], LOOKUP, Code.SERVED, 1),
+    (["shed"], LOOKUP, Code.UPSTREAM_SHED, 1),
+    (["shed"], FILING, Code.UPSTREAM_SHED, 1),
+    (["reset"], LOOKUP, Code.UPSTREAM_FAILED, 1),
+    (["reset"], STORE, Code.UPSTREAM_FAILED, 1),
+    (["reset"], FILING, Code.OUTCOME_UNKNOWN, 1),
+    (["reset"], REPLACE, Code.OUTCOME_UNKNOWN, 1),
+    (["short close"], LOOKUP, Code.ANSWER_BROKEN, 1),
+    (["short close"], FILING, Code.OUTCOME_UNKNOWN, 1),
+    (["half chunk close"], LOOKUP, Code.ANSWER_BROKEN, 1),
+    (["no length close"], LOOKUP, Code.ANSWER_BROKEN, 1),
+    (["no length close"], FILING, Code.OUTCOME_UNKNOWN, 1),
+    (["silent"], LOOKUP._replace(deadline_ms=150), Code.DEADLINE_EXPIRED_RUNNING, 1),
+    (["silent"], FILING._replace(deadline_ms=150), Code.OUTCOME_UNKNOWN, 1),
+]
+
+
+async def send(upstream, head):
+    content = b"body" if head.idempotency_key else None
+    request = make_request(upstream.state, head, content)
+    sink = KeepingSink()
+    outcome = await send_to_upstream(upstream.state, upstream.http, request, sink)
+    return outcome, sink
+
+
+@pytest.mark.parametrize(("script", "head", "code", "n_heads"), FAULTS)
+def test_outcome_of_a_first_send(script, head, code, n_heads):
+    async def run():
+        async with RawUpstream(*script) as upstream:
+            outcome, _ = await send(upstream, head)
+            return outcome, len(upstream.requests)
+
+    outcome, n_seen = asyncio.run(run())
+    got = Code.SERVED if isinstance(outcome, Served) else outcome.code
+    assert (got, n_seen) == (code, n_heads)
+
+
+@pytest.mark.parametrize(
+    ("second", "head", "n_heads"),
+    [("reset", LOOKUP, 3), ("silent", LOOKUP, 3), ("whole", FILING, 2)],
+)
+def test_kept_connection_that_fails_is_replaced_by_a_fresh_one(
+    second, head, n_heads, monkeypatch
+):
+    monkeypatch.setitem(upstream_call.PROGRESS_TIMEOUT_S, "lookup", 0.2)
+
+    async def run():
+        async with RawUpstream("whole", second, "whole") as upstream:
+            await send(upstream, LOOKUP)
+            outcome, sink = await send(upstream, head)
+            assert len(upstream.writers) > 1
+            return outcome, sink.body, len(upstream.requests)
+
+    outcome, body, n_seen = asyncio.run(run())
+    assert outcome == Served(200, 4, "u1")
+    assert body == b"data"
+    assert n_seen == n_heads
+
+
+def test_refused_connection_is_not_run():
+    async def run(head):
+        async with RawUpstream("whole") as upstream:
+            session = upstream.state.own_tables.sessions["u1"]
+            gone = session._replace(address="127.0.0.1:1")
+            upstream.state.own_tables.sessions["u1"] = gone
+            return (await send(upstream, head))[0]
+
+    for head in (LOOKUP, FILING):
+        outcome = asyncio.run(run(head))
+        assert outcome.code is Code.NO_OWNER
+        assert outcome.is_not_run
+
+
+@pytest.mark.parametrize(
+    "key",
+    ["a", "a/b", "a//b", "a b", "..", "../x", "a/./b", "Sàpporo ☂", "100%25", "q?a#b"],
+)
+def test_upstream_reads_the_key_exactly(key):
+    async def run():
+        got = []
+
+        async def handle(request):
+            got.append(request.match_info["key"])
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_get("/{route}/{key:.+}", handle)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        async with upstream_call.open_upstream_session() as http:
+            url = upstream_url(f"127.0.0.1:{port}", "lookup", key)
+            async with http.get(url) as response:
+                await response.read()
+        await runner.cleanup()
+        return got
+
+    assert asyncio.run(run()) == [key]
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -56,6 +56,7 @@
     slowness: float = 1.0
     cold_s: float = 0.0
     started_s: float = 0.0
+    n_breaks: int = 0
     crash: asyncio.Event = field(default_factory=asyncio.Event)
 
     def record(self, event: str, **fields: Any) -> None:
@@ -84,6 +85,8 @@
         # Tests make an upstream a straggler, or crash it, while it runs.
         wanted = await request.json()
         upstream.slowness = float(wanted.get("slowness", upstream.slowness))
+        # So many archive answers break off half way through.
+        upstream.n_breaks = int(wanted.get("n_breaks", upstream.n_breaks))
         if wanted.get("crash"):
             upstream.crash.set()
         return web.json_response({})
@@ -265,11 +268,26 @@
     upstream: StandIn, request: web.Request, key: str
 ) -> web.StreamResponse:
     size_bytes = archive_size_bytes(key, upstream.archive_bytes)
-    response = web.StreamResponse(headers={"ETag": f'"{key}-1"'})
-    response.content_length = size_bytes
+    etag = f'"{key}-1"'
+    if request.headers.get("If-Match", etag) != etag:
+        return web.Response(status=412)
+    start = request.http_range.start or 0
+    headers = {"ETag": etag, "Accept-Ranges": "bytes"}
+    if start:
+        headers["Content-Range"] = f"bytes {start}-{size_bytes - 1}/{size_bytes}"
+    response = web.StreamResponse(status=206 if start else 200, headers=headers)
+    response.content_length = size_bytes - start
     await response.prepare(request)
-    for number in range(size_bytes // BLOCK_BYTES):
-        await response.write(archive_block(key, number))
+    first, skipped = divmod(start, BLOCK_BYTES)
+    n_blocks = size_bytes // BLOCK_BYTES
+    for number in range(first, n_blocks):
+        if upstream.n_breaks and number == (first + n_blocks) // 2:
+            upstream.n_breaks -= 1
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        block = archive_block(key, number)
+        await response.write(block[skipped:] if number == first else block)
     await response.write_eof()
     return response
 
