Hold filings under kill -9 and freezes against the stand-ins' runs

Cause: at most once was shown against fakes only. Ruled out: a single timed fault per run; several overlap in one run of 5 s, so that the cost of starting processes is paid once. Change: an integration test with 3 hosts of one data centre. 500 filings at 100/s; a host without a disk is killed, an upstream crashed, and the other host without a disk frozen for 1.2 s, while callers resend at once elsewhere and a fifth of them send twice from the start. Conclusion: holds for the loss of a dispatcher and an upstream. The leader's host is the only voter here and is not killed; that is left for the fault proxy's deployments.

--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
@@ -0,0 +1,131 @@
+"""Filings under kill -9 and freezes, their callers resending at once elsewhere.
+
+The stand-ins count the runs; what callers were told is held against that.
+"""
+
+import asyncio
+import random
+import signal
+from collections import Counter
+
+import aiohttp
+
+from bergamotferry_testkit.answers import filing_answer
+from bergamotferry_testkit.demo import _apply_first_note, wait_owned
+from bergamotferry_testkit.deployments import (
+    CALLER_TOKENS,
+    DeploymentShape,
+    RouteShape,
+    ServiceShape,
+)
+from bergamotferry_testkit.local_deployment import LocalDeployment, wait_ready
+from bergamotferry_testkit.records_check import read_records
+
+SHAPE = DeploymentShape(
+    "filings",
+    {"north": ("a",)},
+    3,
+    (ServiceShape("testlog", 4, 2, 32, 15.0),),
+    (RouteShape("testlog", "filing", "POST", "filing", 3000, 1.0),),
+    "home-",
+    "north",
+)
+N_FILINGS = 500
+RATE_PER_S = 100.0
+N_TRIES_MAX = 12
+CALLER_TIMEOUT_S = 4.0
+SERVED_SHARE_MIN = 0.9
+
+
+async def send(http, host, key, idempotency_key):
+    """Send a filing once; return its code and "not run", or -1 if that broke."""
+    headers = {
+        "Authorization": f"Bearer {CALLER_TOKENS['inspectors']}",
+        "Idempotency-Key": idempotency_key,
+    }
+    url = f"http://{host.caller_address}/v1/testlog/filing/{key}"
+    body = b"filing " + idempotency_key.encode()
+    try:
+        async with http.post(url, headers=headers, data=body) as response:
+            got = await response.read()
+            code = int(response.headers["Bergamotferry-Code"])
+            if code == 0:
+                assert got == filing_answer("testlog", "filing", key, body)
+            return code, response.headers["Bergamotferry-Not-Run"] == "true"
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return -1, False
+
+
+async def file(http, hosts, number, told):
+    """Send a filing until its outcome is known, through one host after another."""
+    rng = random.Random(number)
+    key, idempotency_key = f"key-{number % 97}", f"f{number}"
+    # Some callers send twice from the start.
+    tries = [rng.sample(hosts, 2)] if number % 5 == 0 else []
+    tries += [[rng.choice(hosts)] for _ in range(N_TRIES_MAX)]
+    for chosen in tries:
+        sends = [send(http, host, key, idempotency_key) for host in chosen]
+        answers = await asyncio.gather(*sends)
+        told[idempotency_key] += answers
+        if any(code in (0, 2001) for code, _ in answers):
+            return
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
+
+async def play(deployment):
+    """Send the filings while hosts and an upstream are ended and frozen."""
+    timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    told = {f"f{number}": [] for number in range(N_FILINGS)}
+    second, third = deployment.hosts[1].process, deployment.hosts[2].process
+    address = deployment.stand_in_words["a"][0].split(",")[2]
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as http:
+
+        async def crash():
+            url = f"http://127.0.0.1:{address}/stand-in/faults"
+            async with http.post(url, json={"crash": True}):
+                pass
+
+        faults = {100: third.kill, 200: crash}
+        faults[300] = lambda: second.send_signal(signal.SIGSTOP)
+        faults[420] = lambda: second.send_signal(signal.SIGCONT)
+        tasks = []
+        for number in range(N_FILINGS):
+            if number in faults:
+                done = faults[number]()
+                if done is not None:
+                    tasks.append(asyncio.create_task(done))
+            work = file(http, deployment.hosts, number, told)
+            tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(1 / RATE_PER_S)
+        await asyncio.gather(*tasks)
+    return told
+
+
+async def run(deployment):
+    deployment.start()
+    await _apply_first_note(deployment)
+    assert await wait_ready(deployment.hosts, 20.0)
+    await wait_owned(deployment, 20.0)
+    return await play(deployment)
+
+
+def test_filings_run_at_most_once_and_refusals_are_true(tmp_path):
+    deployment = LocalDeployment.from_config(SHAPE, tmp_path)
+    try:
+        told = asyncio.run(run(deployment))
+    finally:
+        deployment.stop()
+    runs = Counter(
+        record["idempotency_key"]
+        for record in read_records([deployment.records_path("a")])
+        if record["event"] == "run"
+    )
+    n_by_code = Counter(code for answers in told.values() for code, _ in answers)
+    print("answers by code:", dict(n_by_code))
+    assert {key: n for key, n in runs.items() if n > 1} == {}
+    served = {key for key, answers in told.items() if (0, False) in answers}
+    assert {key for key in served if runs[key] != 1} == set()
+    not_run = {key for key, rows in told.items() if all(is_not for _, is_not in rows)}
+    assert {key for key in not_run if runs[key]} == set()
+    assert len(served) >= SERVED_SHARE_MIN * N_FILINGS, dict(n_by_code)
