Admit fairly, ramp fresh upstreams, and quarantine what ends them

Cause: one queue in order of arrival let an account or a class hold up all others, kept work that could not end in time, gave a cold upstream its full load, and let one request end every upstream that ran it.

Change: classes share slots by weight and slot time, accounts take turns, queues are bounded in all and for each account, and a slot is not given to what would end after its deadline while others wait. slow_start bounds slots and the rate of starts for 8 s after an incarnation is first seen, and again after an end or a jump in latency. When an upstream resets a connection and then takes none, what ran on it is suspected, runs alone, and is cleared or quarantined.

Conclusion: holds in the pure parts; real processes follow.

--- a/packages/bergamotferry/src/bergamotferry/admission.py
+++ b/packages/bergamotferry/src/bergamotferry/admission.py
@@ -1,50 +1,95 @@
-"""Admission to one upstream: exact slots and a queue bounded by deadlines.
+"""Admission to one upstream: exact slots, and queues that are fair and bounded.
 
 The dispatcher of an upstream is the only host that sends to it, so counting here is
-exact. A request that can't be served within its deadline is refused at once, while
-"not run" is still true.
+exact. Classes share the slots by weight and by the time that their requests take, so
+that lookups go first and bulk still goes on; within a class accounts take turns. A
+request that can't be served within its deadline is refused at once, while "not run" is
+still true.
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from .outcomes import Refused
+from .records import TrafficClass
 from .result_codes import ResultCode
+from .slow_start import SlowStart, n_slots_allowed, rate_per_s, take_start
 
 QUEUE_MAX = 256
+ACCOUNT_QUEUE_MAX = 128
+CLASS_WEIGHTS: dict[TrafficClass, float] = {"lookup": 16.0, "filing": 4.0, "bulk": 1.0}
 SERVICE_TIME_GUESS_MS = 10.0
 SERVICE_TIME_SMOOTHING = 0.1
+PURGE_INTERVAL_NS = 20_000_000
 
 
 class Ticket(NamedTuple):
-    """A request that waits for, or holds, a slot."""
+    """A request that waits for, or holds, a slot; ``is_alone`` shares with none."""
 
     request_id: str
     account: str
     deadline_ns: int
+    traffic_class: TrafficClass
+    is_alone: bool
+
+
+@dataclass(slots=True)
+class ClassQueue:
+    """Waiting requests of one class by account; the first account is next.
+
+    ``used_ms`` is the slot time that the class was given, divided by its weight.
+    """
+
+    accounts: dict[str, deque[Ticket]] = field(default_factory=dict)
+    n_waiting: int = 0
+    used_ms: float = 0.0
+    service_time_ms: float = SERVICE_TIME_GUESS_MS
 
 
 @dataclass(slots=True)
 class UpstreamQueue:
-    """Slots and waiting requests of one upstream's incarnation."""
+    """Slots and waiting requests of one upstream's incarnation.
+
+    Without ``is_early_refusal`` a request waits until its deadline has passed.
+    """
 
     n_slots: int
-    waiting: deque[Ticket] = field(default_factory=deque)
+    ramp: SlowStart
+    is_early_refusal: bool = True
+    classes: dict[TrafficClass, ClassQueue] = field(
+        default_factory=lambda: {name: ClassQueue() for name in CLASS_WEIGHTS}
+    )
     running: dict[str, Ticket] = field(default_factory=dict)
-    service_time_ms: float = SERVICE_TIME_GUESS_MS
+    is_shared: bool = False
+    purged_ns: int = 0
+
+    @property
+    def n_waiting(self) -> int:
+        """Number of requests that wait."""
+        return sum(row.n_waiting for row in self.classes.values())
 
 
 def enqueue(queue: UpstreamQueue, ticket: Ticket, now_ns: int) -> Refused | None:
     """Let a request wait for a slot, or refuse it at once."""
-    if len(queue.waiting) >= QUEUE_MAX:
-        return Refused(ResultCode.QUEUE_FULL, f"{QUEUE_MAX} requests wait already")
-    wait_ms = expected_wait_ms(queue)
-    if now_ns + int(wait_ms * 1e6) > ticket.deadline_ns:
+    row = queue.classes[ticket.traffic_class]
+    waiting = row.accounts.get(ticket.account, ())
+    if queue.n_waiting >= QUEUE_MAX or len(waiting) >= ACCOUNT_QUEUE_MAX:
+        return Refused(ResultCode.QUEUE_FULL, f"{queue.n_waiting} requests wait")
+    wait_ms = expected_wait_ms(queue, ticket, now_ns)
+    finish_ns = now_ns + int((wait_ms + row.service_time_ms) * 1e6)
+    if wait_ms and queue.is_early_refusal and finish_ns > ticket.deadline_ns:
         return Refused(
             ResultCode.DEADLINE_TOO_SHORT, f"expected wait is {wait_ms:.0f} ms"
         )
-    queue.waiting.append(ticket)
+    if not row.n_waiting:
+        # A class that was idle has saved up nothing.
+        busy = [r.used_ms for r in queue.classes.values() if r.n_waiting]
+        row.used_ms = max(row.used_ms, min(busy, default=row.used_ms))
+    row.accounts.setdefault(ticket.account, deque()).append(ticket)
+    row.n_waiting += 1
+    queue.is_shared = queue.is_shared or ticket.traffic_class != "bulk"
     return None
 
 
@@ -56,15 +101,25 @@
     started : list of Ticket
         Requests that now hold a slot.
     expired : list of Ticket
-        Requests whose deadline has passed while they waited.
+        Requests whose deadline has passed, or would pass, while they waited.
     """
+    expired = _purge(queue, now_ns)
     started: list[Ticket] = []
-    expired: list[Ticket] = []
-    while queue.waiting and len(queue.running) < queue.n_slots:
-        ticket = queue.waiting.popleft()
-        if ticket.deadline_ns <= now_ns:
+    while len(queue.running) < n_slots_allowed(queue.ramp, queue.n_slots, now_ns):
+        row = _next_class(queue)
+        if row is None:
+            break
+        ticket = next(iter(row.accounts.values()))[0]
+        if _is_too_late(queue, row, ticket, now_ns):
+            _remove_first(row)
             expired.append(ticket)
             continue
+        if ticket.is_alone and queue.running or _has_alone(queue):
+            break
+        if not take_start(queue.ramp, now_ns):
+            break
+        _remove_first(row)
+        row.used_ms += row.service_time_ms / CLASS_WEIGHTS[ticket.traffic_class]
         queue.running[ticket.request_id] = ticket
         started.append(ticket)
     return started, expired
@@ -72,20 +127,98 @@
 
 def finish(queue: UpstreamQueue, request_id: str, took_ms: float | None) -> None:
     """Give a slot back; ``took_ms`` is None if the time says nothing."""
-    queue.running.pop(request_id, None)
-    if took_ms is not None:
-        difference_ms = took_ms - queue.service_time_ms
-        queue.service_time_ms += SERVICE_TIME_SMOOTHING * difference_ms
+    ticket = queue.running.pop(request_id, None)
+    if ticket is not None and took_ms is not None:
+        row = queue.classes[ticket.traffic_class]
+        row.service_time_ms += SERVICE_TIME_SMOOTHING * (took_ms - row.service_time_ms)
 
 
 def withdraw(queue: UpstreamQueue, request_id: str) -> None:
     """Take back a request that still waits; its caller is gone."""
-    queue.waiting = deque(t for t in queue.waiting if t.request_id != request_id)
+    _remove_where(queue, lambda ticket: ticket.request_id == request_id)
+
+
+def clear_waiting(queue: UpstreamQueue) -> None:
+    """Drop all that waits."""
+    _remove_where(queue, lambda _: True)
 
 
-def expected_wait_ms(queue: UpstreamQueue) -> float:
+def expected_wait_ms(queue: UpstreamQueue, ticket: Ticket, now_ns: int) -> float:
     """Return how long a new request would wait for a slot."""
-    n_ahead = len(queue.waiting) + len(queue.running)
-    if n_ahead < queue.n_slots:
+    n_slots = n_slots_allowed(queue.ramp, queue.n_slots, now_ns)
+    if not queue.n_waiting and len(queue.running) < n_slots:
         return 0.0
-    return (n_ahead - queue.n_slots + 1) * queue.service_time_ms / queue.n_slots
+    row = queue.classes[ticket.traffic_class]
+    n_before = len(row.accounts.get(ticket.account, ()))
+    # Accounts take turns, so of each other one no more goes first than of its own.
+    n_turns = (n_before + 1) * max(1, len(row.accounts))
+    n_ahead = min(row.n_waiting, n_turns)
+    busy = {name for name, other in queue.classes.items() if other.n_waiting}
+    weights = sum(CLASS_WEIGHTS[name] for name in busy | {ticket.traffic_class})
+    share = CLASS_WEIGHTS[ticket.traffic_class] / weights
+    slot_ms = (n_ahead / share + 1) * row.service_time_ms / n_slots
+    ramp_ms = 1000 * n_ahead / share / rate_per_s(queue.ramp, now_ns)
+    return max(slot_ms, ramp_ms)
+
+
+def _next_class(queue: UpstreamQueue) -> ClassQueue | None:
+    rows = dict(queue.classes)
+    n_bulk = sum(t.traffic_class == "bulk" for t in queue.running.values())
+    if queue.is_shared and 0 < n_bulk >= queue.n_slots - 1:
+        # Bulk runs long: where others come too, it leaves them a slot.
+        del rows["bulk"]
+    waiting = [row for row in rows.values() if row.n_waiting]
+    return min(waiting, key=lambda row: row.used_ms, default=None)
+
+
+def _is_too_late(
+    queue: UpstreamQueue, row: ClassQueue, ticket: Ticket, now_ns: int
+) -> bool:
+    if ticket.deadline_ns <= now_ns:
+        return True
+    # While others wait, a slot is not given to what would end after its deadline. The
+    # last one is always tried, or a slow spell would never be seen to end.
+    ends_ns = now_ns + int(row.service_time_ms * 1e6)
+    is_hopeless = queue.is_early_refusal and ends_ns > ticket.deadline_ns
+    return is_hopeless and queue.n_waiting > 1
+
+
+def _has_alone(queue: UpstreamQueue) -> bool:
+    return any(ticket.is_alone for ticket in queue.running.values())
+
+
+def _remove_first(row: ClassQueue) -> None:
+    account = next(iter(row.accounts))
+    waiting = row.accounts.pop(account)
+    waiting.popleft()
+    row.n_waiting -= 1
+    if waiting:
+        # To the end: the other accounts come first now.
+        row.accounts[account] = waiting
+
+
+def _purge(queue: UpstreamQueue, now_ns: int) -> list[Ticket]:
+    if now_ns - queue.purged_ns < PURGE_INTERVAL_NS:
+        return []
+    queue.purged_ns = now_ns
+    return _remove_where(queue, lambda ticket: ticket.deadline_ns <= now_ns)
+
+
+def _remove_where(
+    queue: UpstreamQueue, is_removed: Callable[[Ticket], bool]
+) -> list[Ticket]:
+    removed: list[Ticket] = []
+    for row in queue.classes.values():
+        for account in list(row.accounts):
+            waiting = row.accounts[account]
+            gone = [ticket for ticket in waiting if is_removed(ticket)]
+            if not gone:
+                continue
+            removed += gone
+            row.n_waiting -= len(gone)
+            left = deque(ticket for ticket in waiting if not is_removed(ticket))
+            if left:
+                row.accounts[account] = left
+            else:
+                del row.accounts[account]
+    return removed
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -18,6 +18,7 @@
 from bergamotferry.admission import (
     Ticket,
     UpstreamQueue,
+    clear_waiting,
     enqueue,
     finish,
     take_ready,
@@ -25,10 +26,13 @@
 )
 from bergamotferry.messages import RequestHead
 from bergamotferry.outcomes import Refused
-from bergamotferry.records import Route
+from bergamotferry.quarantine import request_fingerprint
+from bergamotferry.records import Route, UpstreamSession
 from bergamotferry.result_codes import ResultCode
+from bergamotferry.slow_start import SlowStart, observe_answer
 
 from .clock import now_ns
+from .crash_watch import note_end, note_good_run, verdict_now
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .host_state import HostState
@@ -67,15 +71,14 @@
     work = state.dispatchers.works.get(owner.session.name)
     if work is None or work.confirmed.get(head.shard) != owner.grant.epoch:
         return Refused(ResultCode.NO_OWNER, "the owner has not confirmed the grant yet")
-    ticket = _new_ticket(state, head, route, deadline_ns)
-    refusal = await _wait_for_slot(work, ticket)
-    if refusal is not None:
-        return refusal
+    ticket = await _admit(state, work, head, route, content, deadline_ns)
+    if isinstance(ticket, Refused):
+        return ticket
     give_up_ns = deadline_ns if route.is_idempotent else deadline_ns + FILING_GRACE_NS
     request = UpstreamRequest(
         owner, route, head, body, deadline_ns, give_up_ns, content
     )
-    _begin(work, head)
+    work.in_flight[head.shard] = work.in_flight.get(head.shard, 0) + 1
     if route.is_idempotent:
         return await _run_idempotent(state, http, work, ticket, request, sink)
     return await _run_filing(state, http, work, ticket, request, sink)
@@ -86,6 +89,7 @@
     pending: set[asyncio.Task[None]] = set()
     async with open_upstream_session(is_fresh=True) as fresh:
         state.dispatchers.fresh_http = fresh
+        state.dispatchers.policies_off = state.settings.request_policies_off
         while True:
             _follow_sessions(state)
             for work in state.dispatchers.works.values():
@@ -97,25 +101,82 @@
             await asyncio.sleep(DISPATCHER_TICK_S)
 
 
-async def _run_idempotent(
+async def _admit(
+    state: HostState,
+    work: UpstreamWork,
+    head: RequestHead,
+    route: Route,
+    content: bytes | None,
+    deadline_ns: int,
+) -> Ticket | Refused:
+    """Wait for a slot; a request that is suspected gets the upstream to itself."""
+    fingerprint = request_fingerprint(
+        head.service, head.route, head.key, head.range_header, content
+    )
+    while True:
+        verdict = verdict_now(state, fingerprint)
+        if verdict == "quarantined":
+            return Refused(ResultCode.REQUEST_QUARANTINED, "it has ended upstreams")
+        # An earlier attempt of the same request may still run, so ids are our own.
+        number = next(state.dispatchers.ticket_numbers)
+        ticket = Ticket(
+            f"{head.request_id}/{number}",
+            head.account,
+            deadline_ns,
+            route.traffic_class,
+            verdict == "suspected",
+        )
+        refusal = await _wait_for_slot(work, ticket)
+        if refusal is not None:
+            return refusal
+        # The verdict may have changed while this waited.
+        verdict = verdict_now(state, fingerprint)
+        if verdict == "clear" or (verdict == "suspected" and ticket.is_alone):
+            work.fingerprints[ticket.request_id] = fingerprint
+            return ticket
+        finish(work.queue, ticket.request_id, None)
+        _start_ready(work)
+
+
+async def _send(
     state: HostState,
     http: aiohttp.ClientSession,
     work: UpstreamWork,
     ticket: Ticket,
     request: UpstreamRequest,
     sink: AnswerSink,
-) -> Served | Refused:
+) -> Served | Refused | None:
+    """Send a request that holds a slot, and free the slot; None if it was aborted."""
     started_ns = now_ns()
-    outcome: Served | Refused | None = None
+    took_ms = None
     try:
-        send = send_to_upstream(state, http, request, sink)
-        outcome = await run_abortable(work, send)
+        call = send_to_upstream(state, http, request, sink)
+        outcome = await run_abortable(work, call)
+        if isinstance(outcome, Served):
+            took_ms = (now_ns() - started_ns) / NS_PER_MS
+            observe_answer(work.queue.ramp, took_ms, now_ns())
+            note_good_run(state, work, ticket)
+        elif request.progress.is_reset:
+            await note_end(state, work)
+        return outcome
     finally:
-        is_served = isinstance(outcome, Served)
-        took_ms = (now_ns() - started_ns) / NS_PER_MS if is_served else None
         finish(work.queue, ticket.request_id, took_ms)
-        _end(work, request.head)
+        work.fingerprints.pop(ticket.request_id, None)
         _start_ready(work)
+
+
+async def _run_idempotent(
+    state: HostState,
+    http: aiohttp.ClientSession,
+    work: UpstreamWork,
+    ticket: Ticket,
+    request: UpstreamRequest,
+    sink: AnswerSink,
+) -> Served | Refused:
+    try:
+        outcome = await _send(state, http, work, ticket, request, sink)
+    finally:
+        _end(work, request.head)
     if outcome is not None:
         return outcome
     if request.progress.has_head:
@@ -131,20 +192,13 @@
     request: UpstreamRequest,
     sink: AnswerSink,
 ) -> Served | Refused:
-    def free_slot(took_ms: float | None = None) -> None:
-        finish(work.queue, ticket.request_id, took_ms)
+    def free_slot() -> None:
+        finish(work.queue, ticket.request_id, None)
+        work.fingerprints.pop(ticket.request_id, None)
         _start_ready(work)
 
     async def send(target: AnswerSink) -> Served | Refused | None:
-        started_ns = now_ns()
-        outcome: Served | Refused | None = None
-        try:
-            call = send_to_upstream(state, http, request, target)
-            outcome = await run_abortable(work, call)
-        finally:
-            is_served = isinstance(outcome, Served)
-            free_slot((now_ns() - started_ns) / NS_PER_MS if is_served else None)
-        return outcome
+        return await _send(state, http, work, ticket, request, target)
 
     task = asyncio.create_task(run_once(state, work, request, send, free_slot))
     state.dispatchers.filings.add(task)
@@ -173,33 +227,21 @@
     return None if task.cancelled() else task.result()
 
 
-def _begin(work: UpstreamWork, head: RequestHead) -> None:
-    work.in_flight[head.shard] = work.in_flight.get(head.shard, 0) + 1
-
-
 def _end(work: UpstreamWork, head: RequestHead) -> None:
     work.in_flight[head.shard] -= 1
     if not work.in_flight[head.shard]:
         del work.in_flight[head.shard]
 
 
-def _new_ticket(
-    state: HostState, head: RequestHead, route: Route, deadline_ns: int
-) -> Ticket:
-    # An earlier attempt of the same request may still run here, so ids are our own.
-    number = next(state.dispatchers.ticket_numbers)
-    return Ticket(f"{head.request_id}/{number}", head.account, deadline_ns)
-
-
 async def _wait_for_slot(work: UpstreamWork, ticket: Ticket) -> Refused | None:
     refusal = enqueue(work.queue, ticket, now_ns())
     if refusal is not None:
         return refusal
-    future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+    future: asyncio.Future[Refused | None] = asyncio.get_running_loop().create_future()
     work.started[ticket.request_id] = future
     _start_ready(work)
     try:
-        is_started = await future
+        return await future
     except asyncio.CancelledError:
         withdraw(work.queue, ticket.request_id)
         finish(work.queue, ticket.request_id, None)
@@ -207,28 +249,27 @@
         raise
     finally:
         work.started.pop(ticket.request_id, None)
-    if is_started:
-        return None
-    if ticket.deadline_ns <= now_ns():
-        return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "waited too long")
-    return Refused(ResultCode.NOT_DISPATCHER, "")
 
 
 def _start_ready(work: UpstreamWork) -> None:
     started, expired = take_ready(work.queue, now_ns())
     for ticket in started:
-        future = work.started.get(ticket.request_id)
-        if future is not None and not future.done():
-            future.set_result(True)
+        _tell(work, ticket.request_id, None)
+    too_late = Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "waited too long")
     for ticket in expired:
-        future = work.started.get(ticket.request_id)
-        if future is not None and not future.done():
-            future.set_result(False)
+        _tell(work, ticket.request_id, too_late)
+
+
+def _tell(work: UpstreamWork, ticket_id: str, refusal: Refused | None) -> None:
+    future = work.started.get(ticket_id)
+    if future is not None and not future.done():
+        future.set_result(refusal)
 
 
 def _follow_sessions(state: HostState) -> None:
     tables = state.own_tables
     works = state.dispatchers.works
+    _see_incarnations(state)
     for name, dispatcher in tables.dispatchers.items():
         session = tables.sessions.get(name)
         if session is None or dispatcher.host != state.host.name:
@@ -236,9 +277,8 @@
         work = works.get(name)
         if work is None or work.epoch != dispatcher.epoch:
             _drop_work(state, name)
-            works[name] = UpstreamWork(
-                session, dispatcher.epoch, UpstreamQueue(session.n_slots)
-            )
+            queue = _new_queue(state, session)
+            works[name] = UpstreamWork(session, dispatcher.epoch, queue)
         if session.state == "expired":
             _abort_work(works[name])
         elif session.state != "serving" or dispatcher.state != "serving":
@@ -249,6 +289,24 @@
             _drop_work(state, name)
 
 
+def _see_incarnations(state: HostState) -> None:
+    # Every host notes these, so that a new dispatcher knows how warm an upstream is.
+    known = state.dispatchers.first_seen_ns
+    sessions = state.own_tables.sessions.values()
+    present = {(row.name, row.incarnation) for row in sessions}
+    for place in present - known.keys():
+        known[place] = now_ns()
+    for place in known.keys() - present:
+        del known[place]
+
+
+def _new_queue(state: HostState, session: UpstreamSession) -> UpstreamQueue:
+    began_ns = state.dispatchers.first_seen_ns[session.name, session.incarnation]
+    off = state.dispatchers.policies_off
+    ramp = SlowStart(began_ns, is_enabled="slow-start" not in off)
+    return UpstreamQueue(session.n_slots, ramp, "early-refusal" not in off)
+
+
 def _drop_work(state: HostState, name: str) -> None:
     work = state.dispatchers.works.pop(name, None)
     if work is not None:
@@ -262,7 +320,6 @@
 
 
 def _refuse_waiting(work: UpstreamWork) -> None:
-    work.queue.waiting.clear()
-    for future in work.started.values():
-        if not future.done():
-            future.set_result(False)
+    clear_waiting(work.queue)
+    for ticket_id in list(work.started):
+        _tell(work, ticket_id, Refused(ResultCode.NOT_DISPATCHER, ""))
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from bergamotferry.admission import UpstreamQueue
+from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId, UpstreamSession
 
 
@@ -15,7 +16,8 @@
     """Queue, confirmed grants and work in flight of one upstream's incarnation.
 
     ``sends`` are the tasks that talk to the upstream; they are cancelled when the host
-    loses it. ``attempts`` names the filings that this host may still resolve.
+    loses it. ``attempts`` names the filings that this host may still resolve, and
+    ``fingerprints`` tells what runs by the id of its ticket.
     """
 
     session: UpstreamSession
@@ -24,9 +26,11 @@
     confirmed: dict[ShardId, int] = field(default_factory=dict)
     released: set[tuple[ShardId, int]] = field(default_factory=set)
     in_flight: dict[ShardId, int] = field(default_factory=dict)
-    started: dict[str, "asyncio.Future[bool]"] = field(default_factory=dict)
+    started: dict[str, "asyncio.Future[Refused | None]"] = field(default_factory=dict)
     sends: set["asyncio.Task[object]"] = field(default_factory=set)
     attempts: set[str] = field(default_factory=set)
+    fingerprints: dict[str, str] = field(default_factory=dict)
+    has_crashed: bool = False
     is_ordering: bool = False
 
 
@@ -37,4 +41,6 @@
     works: dict[str, UpstreamWork] = field(default_factory=dict)
     fresh_http: aiohttp.ClientSession | None = None
     filings: set["asyncio.Task[object]"] = field(default_factory=set)
+    first_seen_ns: dict[tuple[str, int], int] = field(default_factory=dict)
+    policies_off: frozenset[str] = frozenset()
     ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -16,6 +16,7 @@
 
 ENVIRONMENT_PREFIX = "BERGAMOTFERRY_"
 TOKEN_MIN_LENGTH = 16
+REQUEST_POLICIES = ("early-refusal", "isolation", "retry-budget", "slow-start")
 
 
 class Settings(NamedTuple):
@@ -34,6 +35,7 @@
     statsd_address: str
     log_level: str
     stop_grace_s: float
+    request_policies_off: frozenset[str]
 
 
 class SettingError(NamedTuple):
@@ -66,6 +68,12 @@
     _Flag("statsd-address", "", "IP:PORT of statsd; empty sends no metrics"),
     _Flag("log-level", "info", "debug, info, warning or error"),
     _Flag("stop-grace-s", "20", "longest wait for work in flight at a planned stop"),
+    _Flag(
+        "request-policies-off",
+        "",
+        "policies to switch off for a comparison, by commas, of "
+        + ", ".join(REQUEST_POLICIES),
+    ),
 )
 
 
@@ -128,6 +136,9 @@
             )
     if values["log-level"] not in ("debug", "info", "warning", "error"):
         errors.append(SettingError("log-level", "must be debug, info, warning, error"))
+    policies_off = frozenset(values["request-policies-off"].split(",")) - {""}
+    for name in sorted(policies_off.difference(REQUEST_POLICIES)):
+        errors.append(SettingError("request-policies-off", f"no policy {name!r}"))
     stop_grace_s = _read_seconds("stop-grace-s", values["stop-grace-s"], errors)
     if own and own[0].is_durable != bool(values["data-dir"]):
         errors.append(
@@ -149,6 +160,7 @@
         values["statsd-address"],
         values["log-level"],
         stop_grace_s,
+        policies_off,
     )
     return settings, []
 
