Budget retries, pace bulk over the link, and judge stragglers

Cause: retries had no bound but the deadline, bulk could fill the slow link, and nothing told a slow upstream from its peers. Ruled out: budgeting every retry (waiting for a new dispatcher or leader costs no upstream anything, and must last through a failover); token buckets for lookups too (they are a small part of the link, and holding them back is what the budget is there to prevent). Change: retry_budget bounds tries that cost an upstream work to a tenth of the requests plus 20. link_budget paces bulk answers to 60% of 30 Mbit/s, split among a region's hosts, refuses bulk that could not begin in time, and counts bytes by class. stragglers compares smoothed latencies with the service's median, with hysteresis and a bound on how many may be called slow, and gives weights for placement; the dispatcher observes latencies. Nothing calls the verdicts yet: placement has to.

--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/link_budget.py
@@ -0,0 +1,47 @@
+"""What a host may send over the slow link between regions, by class.
+
+Bulk is paced to a share of the link, split among the region's hosts, so that lookups,
+filings and control always find the rest free. They are counted but never held back.
+"""
+
+from dataclasses import dataclass, field
+
+from .records import TrafficClass
+
+LINK_BYTES_PER_S = 30_000_000 / 8
+BULK_SHARE = 0.6
+BULK_BURST_BYTES = 256 * 1024
+
+
+@dataclass(slots=True)
+class LinkBudget:
+    """Pace of bulk, and bytes sent by class."""
+
+    bulk_bytes_per_s: float
+    bulk_free_ns: int = 0
+    n_bytes: dict[TrafficClass, int] = field(
+        default_factory=lambda: {"lookup": 0, "filing": 0, "bulk": 0}
+    )
+
+    @classmethod
+    def from_config(cls, n_hosts_of_region: int) -> "LinkBudget":
+        """Return the budget of one of a region's hosts."""
+        return cls(BULK_SHARE * LINK_BYTES_PER_S / max(1, n_hosts_of_region))
+
+
+def take_bytes(
+    budget: LinkBudget, traffic_class: TrafficClass, size_bytes: int, now_ns: int
+) -> float:
+    """Count bytes about to be sent; return how many seconds to wait before that."""
+    budget.n_bytes[traffic_class] += size_bytes
+    if traffic_class != "bulk":
+        return 0.0
+    burst_ns = int(BULK_BURST_BYTES / budget.bulk_bytes_per_s * 1e9)
+    begin_ns = max(budget.bulk_free_ns, now_ns - burst_ns)
+    budget.bulk_free_ns = begin_ns + int(size_bytes / budget.bulk_bytes_per_s * 1e9)
+    return max(0.0, (budget.bulk_free_ns - now_ns) / 1e9)
+
+
+def backlog_s(budget: LinkBudget, now_ns: int) -> float:
+    """Return how long bulk sent now would wait for what goes before it."""
+    return max(0.0, (budget.bulk_free_ns - now_ns) / 1e9)
--- /dev/null
+++ b/packages/bergamotferry/tests/test_retry_budget.py
@@ -0,0 +1,32 @@
+"""Retries stay a bounded share of the load, and pauses grow with jitter."""
+
+from bergamotferry.retry_budget import (
+    PAUSE_MAX_MS,
+    TRIES_MAX,
+    TRIES_PER_REQUEST,
+    RetryBudget,
+    backoff_ms,
+    earn_try,
+    spend_try,
+)
+
+
+def test_tries_are_a_bounded_share_of_requests():
+    budget, n_tries = RetryBudget(), 0
+    for _ in range(1000):
+        earn_try(budget)
+        n_tries += sum(spend_try(budget) for _ in range(3))
+    assert n_tries <= TRIES_MAX + 1000 * TRIES_PER_REQUEST
+    assert n_tries >= 1000 * TRIES_PER_REQUEST
+
+
+def test_tries_are_not_saved_up_without_end():
+    budget = RetryBudget()
+    for _ in range(10_000):
+        earn_try(budget)
+    assert sum(spend_try(budget) for _ in range(100)) == TRIES_MAX
+
+
+def test_pauses_double_up_to_a_bound_with_jitter():
+    assert [backoff_ms(n, 1.0) for n in range(5)] == [20, 40, 80, 160, PAUSE_MAX_MS]
+    assert [backoff_ms(n, 0.0) for n in (0, 1000)] == [10, PAUSE_MAX_MS / 2]
--- /dev/null
+++ b/packages/bergamotferry/tests/test_stragglers.py
@@ -0,0 +1,66 @@
+"""Verdicts against the median of peers, with hysteresis and a bound."""
+
+import pytest
+
+from bergamotferry.stragglers import (
+    N_LOOKS_GOOD,
+    N_LOOKS_SLOW,
+    LatencyTable,
+    judge_stragglers,
+    observe_latency,
+    placement_weights,
+    set_latencies,
+)
+
+
+def look(table, latencies_ms, n_looks):
+    """Return the names of slow upstreams after each look."""
+    slow = []
+    for _ in range(n_looks):
+        set_latencies(table, "testlog", latencies_ms)
+        judge_stragglers(table)
+        slow.append({name for name, row in table.rows.items() if row.is_slow})
+    return slow
+
+
+def fleet(**slow):
+    return {f"u{number}": 5.0 for number in range(10)} | slow
+
+
+def test_a_straggler_is_found_weighed_and_forgiven_late():
+    table = LatencyTable()
+    found = look(table, fleet(u3=50.0), N_LOOKS_SLOW)
+    assert found == [set()] * (N_LOOKS_SLOW - 1) + [{"u3"}]
+    assert placement_weights(table) == fleet(u3=50.0) | {
+        f"u{number}": 0.1 if number == 3 else 1.0 for number in range(10)
+    }
+    forgiven = look(table, fleet(u3=6.0), N_LOOKS_GOOD)
+    assert forgiven == [{"u3"}] * (N_LOOKS_GOOD - 1) + [set()]
+
+
+@pytest.mark.parametrize("other_ms", [5.0, 14.0])
+def test_a_latency_that_swings_does_not_flap(other_ms):
+    table = LatencyTable()
+    verdicts = []
+    for _ in range(20):
+        verdicts += look(table, fleet(u3=50.0), 1)
+        verdicts += look(table, fleet(u3=other_ms), 1)
+    assert verdicts == [set()] * 40
+
+
+def test_no_more_than_a_share_is_called_slow():
+    table = LatencyTable()
+    slow = {f"u{number}": 50.0 + number for number in range(4)}
+    assert look(table, fleet(**slow), 5)[-1] == {"u1", "u2", "u3"}
+
+
+def test_few_peers_or_few_answers_give_no_verdict():
+    table = LatencyTable()
+    assert look(table, {"u0": 5.0, "u1": 90.0}, 9)[-1] == set()
+    table = LatencyTable()
+    for number in range(5):
+        for _ in range(9):
+            observe_latency(table, "testlog", f"u{number}", 90.0 if number else 5.0)
+    for _ in range(9):
+        judge_stragglers(table)
+    assert not any(row.is_slow for row in table.rows.values())
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -30,6 +30,7 @@
 from bergamotferry.records import Route, UpstreamSession
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.slow_start import SlowStart, observe_answer
+from bergamotferry.stragglers import N_ANSWERS_MIN, observe_latency
 
 from .clock import now_ns
 from .crash_watch import note_end, note_good_run, verdict_now
@@ -92,7 +93,9 @@
     ):
         state.dispatchers.kept_http = kept
         state.dispatchers.fresh_http = fresh
-        state.dispatchers.policies_off = state.settings.request_policies_off
+        off = state.settings.request_policies_off
+        state.dispatchers.policies_off = off
+        state.dispatchers.retry_budget.is_enabled = "retry-budget" not in off
         while True:
             _follow_sessions(state)
             for work in state.dispatchers.works.values():
@@ -104,6 +107,16 @@
             await asyncio.sleep(DISPATCHER_TICK_S)
 
 
+def observed_latencies(state: HostState) -> tuple[tuple[str, str, float], ...]:
+    """Return service, upstream and latency of what this host dispatches for."""
+    rows = state.dispatchers.latencies.rows
+    return tuple(
+        (row.service, name, row.latency_ms)
+        for name, row in rows.items()
+        if name in state.dispatchers.works and row.n_answers >= N_ANSWERS_MIN
+    )
+
+
 async def _admit(
     state: HostState,
     work: UpstreamWork,
@@ -157,6 +170,12 @@
         if isinstance(outcome, Served):
             took_ms = (now_ns() - started_ns) / NS_PER_MS
             observe_answer(work.queue.ramp, took_ms, now_ns())
+            observe_latency(
+                state.dispatchers.latencies,
+                work.session.service,
+                work.session.name,
+                took_ms,
+            )
             note_good_run(state, work, ticket)
         elif request.progress.is_reset:
             await note_end(state, work)
@@ -298,6 +317,7 @@
         known[place] = now_ns()
     for place in known.keys() - present:
         del known[place]
+        state.dispatchers.latencies.rows.pop(place[0], None)
 
 
 def _new_queue(state: HostState, session: UpstreamSession) -> UpstreamQueue:
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -7,8 +7,11 @@
 import aiohttp
 
 from bergamotferry.admission import UpstreamQueue
+from bergamotferry.link_budget import LinkBudget
 from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId, UpstreamSession
+from bergamotferry.retry_budget import RetryBudget
+from bergamotferry.stragglers import LatencyTable
 
 
 @dataclass(slots=True)
@@ -47,4 +50,7 @@
     filings: set["asyncio.Task[object]"] = field(default_factory=set)
     first_seen_ns: dict[tuple[str, int], int] = field(default_factory=dict)
     policies_off: frozenset[str] = frozenset()
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    link_budget: LinkBudget | None = None
+    latencies: LatencyTable = field(default_factory=LatencyTable)
     ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -12,6 +12,7 @@
 from bergamotferry.messages import RequestHead, ResponseHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
+from bergamotferry.retry_budget import backoff_ms, earn_try, spend_try
 from bergamotferry.routing import find_owner
 
 from .clock import now_ns
@@ -27,10 +28,9 @@
 from .host_state import HostState
 from .peer_link import PeerStream, PeerUnreachable, StreamBroken
 from .peer_network import hosts_of_data_centre
+from .slow_link import SlowLink
 
 NS_PER_MS = 1_000_000
-RETRY_PAUSE_MS = 20
-RETRY_PAUSE_MAX_MS = 200
 N_ATTEMPTS_MAX = 60
 N_RESUMES_MAX = 5
 
@@ -46,6 +46,14 @@
         ResultCode.HOST_STOPPING,
     }
 )
+# These have cost an upstream work, so that trying again is budgeted.
+_COSTLY = frozenset(
+    {
+        ResultCode.UPSTREAM_FAILED,
+        ResultCode.ANSWER_BROKEN,
+        ResultCode.UPSTREAM_SHED,
+    }
+)
 _BROKEN = frozenset({ResultCode.UPSTREAM_FAILED, ResultCode.ANSWER_BROKEN})
 
 
@@ -59,10 +67,11 @@
 ) -> Served | Refused:
     """Serve a request, trying again while that is safe and the deadline allows."""
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
-    pause_ms = float(RETRY_PAUSE_MS)
+    budget = state.dispatchers.retry_budget
+    earn_try(budget)
     refusal = Refused(ResultCode.NO_OWNER, "not tried")
     maybe_run: Refused | None = None
-    for _ in range(N_ATTEMPTS_MAX):
+    for n_tries in range(N_ATTEMPTS_MAX):
         left_ms = (deadline_ns - now_ns()) // NS_PER_MS
         if left_ms <= 0:
             break
@@ -77,12 +86,18 @@
             maybe_run = outcome
         if not _may_try_again(outcome, body):
             break
+        if outcome.code in _COSTLY and not spend_try(budget):
+            state.metrics.incr("requests.retry_budget_spent")
+            break
         if not _learn_dispatcher(state, head, outcome):
-            await asyncio.sleep(pause_ms * random.uniform(0.5, 1.0) / 1000)
-            pause_ms = min(2 * pause_ms, RETRY_PAUSE_MAX_MS)
+            await _pause(n_tries)
     return _final_refusal(refusal, maybe_run, is_idempotent)
 
 
+async def _pause(n_tries: int) -> None:
+    await asyncio.sleep(backoff_ms(n_tries, random.random()) / 1000)
+
+
 def _may_try_again(outcome: Refused, body: RequestBody) -> bool:
     # A non-idempotent request is sent again to its dispatcher, not to its upstream:
     # its idempotency key is looked up there, and it runs at most once. What the
@@ -111,7 +126,7 @@
     broken: Refused,
 ) -> Served | Refused:
     """Fetch the rest of an answer that broke off, from the same version only."""
-    for _ in range(N_RESUMES_MAX):
+    for n_tries in range(N_RESUMES_MAX):
         left_ms = (deadline_ns - now_ns()) // NS_PER_MS
         if left_ms <= 0 or not sink.is_resumable or head.method != "GET":
             break
@@ -131,15 +146,18 @@
         if rest.is_refused or not is_passing:
             break
         _learn_dispatcher(state, head, outcome)
-        await asyncio.sleep(RETRY_PAUSE_MS * random.uniform(0.5, 1.0) / 1000)
+        await _pause(n_tries)
     return broken
 
 
 async def serve_peer(state: HostState, stream: PeerStream, head: RequestHead) -> None:
     """Dispatch a request that another host forwarded."""
     body = RequestBody(stream)
-    sink = _PeerSink(stream)
-    outcome = await dispatch_here(state, head, body, sink)
+    link = SlowLink.from_request(state, stream.link.peer, head)
+    sink = _PeerSink(stream, link)
+    outcome: Served | Refused | None = link.refusal(head.deadline_ms)
+    if outcome is None:
+        outcome = await dispatch_here(state, head, body, sink)
     if isinstance(outcome, Refused):
         if sink.has_head:
             # The head is out; only a broken stream tells that this is short.
@@ -221,8 +239,9 @@
 
 
 class _PeerSink:
-    def __init__(self, stream: PeerStream) -> None:
+    def __init__(self, stream: PeerStream, link: SlowLink) -> None:
         self.stream = stream
+        self.link = link
         self.has_head = False
 
     async def head(self, head: ResponseHead) -> None:
@@ -230,6 +249,7 @@
         await self.stream.send_head(head)
 
     async def data(self, data: bytes) -> None:
+        await self.link.pace(len(data))
         await self.stream.send(data)
 
     async def end(self) -> None:
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/slow_link.py
@@ -0,0 +1,55 @@
+"""Paces and counts what answers send over the slow link between regions."""
+
+import asyncio
+from dataclasses import dataclass
+
+from bergamotferry.link_budget import LinkBudget, backlog_s, take_bytes
+from bergamotferry.messages import RequestHead
+from bergamotferry.outcomes import Refused
+from bergamotferry.records import TrafficClass
+from bergamotferry.result_codes import ResultCode
+
+from .clock import now_ns
+from .host_state import HostState
+
+
+@dataclass(slots=True)
+class SlowLink:
+    """The way of one answer to a peer; without a budget the peer is near."""
+
+    state: HostState
+    budget: LinkBudget | None
+    traffic_class: TrafficClass
+
+    @classmethod
+    def from_request(cls, state: HostState, peer: str, head: RequestHead) -> "SlowLink":
+        """Return the way of the answer to a request that a peer forwarded."""
+        route = state.global_tables.routes.get(f"{head.service}/{head.route}")
+        traffic_class: TrafficClass = route.traffic_class if route else "lookup"
+        addresses = state.network.addresses
+        own_region = state.host.region
+        if peer not in addresses or addresses[peer].region == own_region:
+            return cls(state, None, traffic_class)
+        if state.dispatchers.link_budget is None:
+            n_hosts = sum(row.region == own_region for row in addresses.values())
+            state.dispatchers.link_budget = LinkBudget.from_config(n_hosts)
+        return cls(state, state.dispatchers.link_budget, traffic_class)
+
+    def refusal(self, deadline_ms: int) -> Refused | None:
+        """Refuse bulk that could not begin before its deadline."""
+        if self.budget is None or self.traffic_class != "bulk":
+            return None
+        wait_s = backlog_s(self.budget, now_ns())
+        if wait_s * 1000 <= deadline_ms:
+            return None
+        why = f"bulk over the link waits {wait_s:.1f} s"
+        return Refused(ResultCode.LINK_BUDGET_SPENT, why)
+
+    async def pace(self, size_bytes: int) -> None:
+        """Wait for the turn of some bytes, and count them."""
+        if self.budget is None:
+            return
+        wait_s = take_bytes(self.budget, self.traffic_class, size_bytes, now_ns())
+        self.state.metrics.incr(f"link.bytes.{self.traffic_class}", size_bytes)
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -18,6 +18,7 @@
 from bergamotferry_host.dispatcher_table import DispatcherTable
 from bergamotferry_host.exchange import RequestBody, UpstreamRequest, no_body
 from bergamotferry_host.group import Group
+from bergamotferry_host.metrics import NoMetrics
 from bergamotferry_host.upstream_call import check_owner, open_upstream_session
 
 SHARD = ShardId("testlog", "", 7)
@@ -71,6 +72,7 @@
         global_tables=GlobalTables(routes=routes),
         dispatchers=DispatcherTable(),
         network=network,
+        metrics=NoMetrics(),
     )
 
 
--- a/packages/bergamotferry_host/tests/test_request_path.py
+++ b/packages/bergamotferry_host/tests/test_request_path.py
@@ -8,6 +8,7 @@
 from bergamotferry.messages import ResponseHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry.retry_budget import TRIES_MAX, TRIES_PER_REQUEST
 from bergamotferry_host import request_path
 from bergamotferry_host.exchange import RequestBody, Served, no_body
 from bergamotferry_host.request_path import CountingSink, serve_request
@@ -75,6 +76,28 @@
     return Served(412, 0, "u1")
 
 
+def test_retries_that_cost_an_upstream_are_budgeted(monkeypatch):
+    n_attempts = 0
+
+    async def attempt(*_):
+        nonlocal n_attempts
+        n_attempts += 1
+        return Refused(Code.UPSTREAM_FAILED, "")
+
+    monkeypatch.setattr(request_path, "_attempt", attempt)
+    monkeypatch.setattr(request_path, "backoff_ms", lambda *_: 0.0)
+    state = make_state()
+
+    async def send(count):
+        for _ in range(count):
+            sink = CountingSink(KeepingSink())
+            body = RequestBody(no_body())
+            await serve_request(state, "a", True, LOOKUP, body, sink)
+
+    asyncio.run(send(100))
+    assert n_attempts <= 100 + TRIES_MAX + 100 * TRIES_PER_REQUEST
+
+
 LOOKUP = make_head()
 FILING = make_head("filing", "POST", idempotency_key="i1")
 NO_OWNER, FAILED = refuse(Code.NO_OWNER), refuse(Code.UPSTREAM_FAILED)
