--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/compare_policies.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/compare_policies.py
@@ -25,6 +25,7 @@
 COLD_S = 4.0
 N_KEYS = 1000
 SEED = 11
+POLICIES_VARIABLE = "BERGAMOTFERRY_REQUEST_POLICIES_OFF"
 SHAPE = DeploymentShape(
     "policies",
     {"north": ("a",)},
@@ -42,7 +43,7 @@
     """Run all phases with some policies off and return figures for each."""
     deployment = LocalDeployment.from_config(SHAPE, folder)
     deployment.cold_s = COLD_S
-    deployment.policies_off = policies_off
+    deployment.environment[POLICIES_VARIABLE] = policies_off
     report: dict[str, Any] = {"policies_off": policies_off}
     try:
         deployment.start()
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
@@ -9,8 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
-
+from .control import ask_control
 from .deployments import SHAPES, first_note
 from .load import LoadResult, plan_load, run_load
 from .local_deployment import OPERATOR_TOKEN, LocalDeployment, wait_ready
@@ -28,7 +27,7 @@
     try:
         _say(f"starting {len(deployment.hosts)} hosts and the stand-ins")
         deployment.start()
-        await _apply_first_note(deployment)
+        await apply_first_note(deployment)
         if not await wait_ready(deployment.hosts, READY_TIMEOUT_S):
             raise RuntimeError("the hosts did not become ready in time")
         n_owned = await wait_owned(deployment, READY_TIMEOUT_S)
@@ -36,7 +35,7 @@
         _say(f"ready after {ready_s:.1f} s, {n_owned} shards have owners")
         planned = plan_load(
             shape,
-            _addresses_by_region(deployment),
+            addresses_by_region(deployment),
             arguments.rate,
             arguments.seconds,
             arguments.keys,
@@ -63,7 +62,7 @@
         n_owned = 0
         for data_centre in deployment.stand_in_words:
             host = deployment.hosts_of(data_centre)[0]
-            body = await _control(deployment, host.control_address, "upstreams")
+            body = await ask_control(host.control_address, "upstreams")
             n_owned += sum(row["n_shards"] for row in body.get("upstreams", []))
         if n_owned >= n_expected:
             await asyncio.sleep(0.3)
@@ -144,7 +143,8 @@
     raise SystemExit(0 if is_good(report) else 1)
 
 
-async def _apply_first_note(deployment: LocalDeployment) -> None:
+async def apply_first_note(deployment: LocalDeployment) -> None:
+    """Apply the first release note with the operators' tool."""
     path = deployment.folder / "note-1.json"
     path.write_text(json.dumps(first_note(deployment.shape), indent=2))
     addresses = ",".join(host.control_address for host in deployment.hosts)
@@ -163,17 +163,8 @@
         await asyncio.sleep(0.2)
 
 
-async def _control(
-    deployment: LocalDeployment, address: str, path: str
-) -> dict[str, Any]:
-    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
-    async with aiohttp.ClientSession(headers=headers) as http:
-        async with http.get(f"http://{address}/operators/v1/{path}") as response:
-            body: dict[str, Any] = await response.json()
-            return body
-
-
-def _addresses_by_region(deployment: LocalDeployment) -> dict[str, list[str]]:
+def addresses_by_region(deployment: LocalDeployment) -> dict[str, list[str]]:
+    """Return the callers' addresses of each region."""
     addresses: dict[str, list[str]] = {}
     for host in deployment.hosts:
         addresses.setdefault(host.region, []).append(host.caller_address)
