--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/compare_policies.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/compare_policies.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from .demo import _addresses_by_region, _apply_first_note, wait_owned
+from .demo import addresses_by_region, apply_first_note, wait_owned
 from .deployments import DeploymentShape, RouteShape, ServiceShape
 from .load import plan_load, run_load
 from .local_deployment import LocalDeployment, wait_ready
@@ -47,7 +47,7 @@
     report: dict[str, Any] = {"policies_off": policies_off}
     try:
         deployment.start()
-        await _apply_first_note(deployment)
+        await apply_first_note(deployment)
         await wait_ready(deployment.hosts, READY_TIMEOUT_S)
         await wait_owned(deployment, READY_TIMEOUT_S)
         for name, load, duration_s in PHASES:
@@ -64,7 +64,7 @@
 ) -> dict[str, Any]:
     planned = plan_load(
         SHAPE,
-        _addresses_by_region(deployment),
+        addresses_by_region(deployment),
         load * CAPACITY_PER_S,
         duration_s,
         N_KEYS,
--- a/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from bergamotferry_testkit.answers import filing_answer
-from bergamotferry_testkit.demo import _apply_first_note, wait_owned
+from bergamotferry_testkit.demo import apply_first_note, wait_owned
 from bergamotferry_testkit.deployments import (
     CALLER_TOKENS,
     DeploymentShape,
@@ -104,7 +104,7 @@
 
 async def run(deployment):
     deployment.start()
-    await _apply_first_note(deployment)
+    await apply_first_note(deployment)
     assert await wait_ready(deployment.hosts, 20.0)
     await wait_owned(deployment, 20.0)
     return await play(deployment)
--- a/packages/bergamotferry_testkit/tests/test_requests_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_requests_under_faults.py
@@ -15,7 +15,7 @@
     rate_per_s,
 )
 from bergamotferry_testkit.answers import archive_block, lookup_answer
-from bergamotferry_testkit.demo import _apply_first_note, wait_owned
+from bergamotferry_testkit.demo import apply_first_note, wait_owned
 from bergamotferry_testkit.deployments import (
     CALLER_TOKENS,
     DeploymentShape,
@@ -95,7 +95,7 @@
 
 async def play(deployment):
     deployment.start()
-    await _apply_first_note(deployment)
+    await apply_first_note(deployment)
     assert await wait_ready(deployment.hosts, 20.0)
     await wait_owned(deployment, 20.0)
     connector = aiohttp.TCPConnector(limit=0)
