Bring outcomes along when shards change data centre

Cause: the tables could import outcomes but nothing asked for them, so that a filing sent again after its shard had moved would have run a second time. Ruled out: carrying outcomes through the global group (it holds no request data); importing on the first resend only (a page of outcomes for each). Change: the leader of the new data centre asks the one that released the shard, by the epoch of the release, and commits what comes. Until then an intent on the shard is refused as not run; lookups go on. The rate of the slow link became a setting, 0 pacing nothing. Measured: the table test fails without the wait. The test with two data centres is not run yet. Conclusion: to be confirmed with real processes.

--- a/packages/bergamotferry/src/bergamotferry/commands.py
+++ b/packages/bergamotferry/src/bergamotferry/commands.py
@@ -160,9 +160,14 @@
 
 
 class ImportOutcomes(NamedTuple):
-    """Take over the outcomes of shards that were handed to this data centre."""
+    """Take over the outcomes of shards that were handed to this data centre.
+
+    ``shards`` names those of which all outcomes have now come.
+    """
 
     outcomes: tuple[OutcomeRecord, ...]
+    shards: tuple[ShardId, ...]
+    home_epochs: tuple[int, ...]
 
 
 class RecordCrash(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -26,6 +26,7 @@
     RevokeShards,
 )
 from .outcome_tables import (
+    HOME_EPOCH_SHIFT,
     forget_intent,
     import_outcomes,
     record_intent,
@@ -43,8 +44,6 @@
 )
 from .result_codes import ResultCode
 
-HOME_EPOCH_SHIFT = 40
-
 
 @dataclass(slots=True)
 class DataCentreTables:
@@ -59,6 +58,7 @@
     released_homes: dict[ShardId, int] = field(default_factory=dict)
     quarantine: dict[str, QuarantineRecord] = field(default_factory=dict)
     outcome_body_bytes: int = 0
+    imported_homes: dict[ShardId, int] = field(default_factory=dict)
 
 
 def apply_data_centre_command(
--- a/packages/bergamotferry/src/bergamotferry/link_budget.py
+++ b/packages/bergamotferry/src/bergamotferry/link_budget.py
@@ -8,7 +8,6 @@
 
 from .records import TrafficClass
 
-LINK_BYTES_PER_S = 30_000_000 / 8
 BULK_SHARE = 0.6
 BULK_BURST_BYTES = 256 * 1024
 
@@ -24,9 +23,14 @@
     )
 
     @classmethod
-    def from_config(cls, n_hosts_of_region: int) -> "LinkBudget":
-        """Return the budget of one of a region's hosts."""
-        return cls(BULK_SHARE * LINK_BYTES_PER_S / max(1, n_hosts_of_region))
+    def from_config(
+        cls, link_mbit_per_s: float, n_hosts_of_region: int
+    ) -> "LinkBudget":
+        """Return the budget of one of a region's hosts; a rate of 0 has no bound."""
+        if not link_mbit_per_s:
+            return cls(float("inf"))
+        link_bytes_per_s = link_mbit_per_s * 1_000_000 / 8
+        return cls(BULK_SHARE * link_bytes_per_s / max(1, n_hosts_of_region))
 
 
 def take_bytes(
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from .commands import Command
-from .records import HostAddress, ShardId
+from .records import HostAddress, OutcomeRecord, ShardId
 
 
 class Member(NamedTuple):
@@ -194,6 +194,24 @@
     released: tuple[tuple[ShardId, int], ...]
 
 
+class FetchOutcomes(NamedTuple):
+    """Ask a data centre for outcomes of shards that it released under these epochs."""
+
+    data_centre: str
+    shards: tuple[ShardId, ...]
+    released_epochs: tuple[int, ...]
+    after: tuple[str, str]
+
+
+class OutcomesReply(NamedTuple):
+    """Outcomes of those ``shards`` that were released here; more follow if not last."""
+
+    shards: tuple[ShardId, ...]
+    outcomes: tuple[OutcomeRecord, ...]
+    is_last: bool
+    is_leader: bool
+
+
 class HostStatusRequest(NamedTuple):
     """Ask a host for its state."""
 
--- a/packages/bergamotferry/src/bergamotferry/outcome_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/outcome_tables.py
@@ -9,11 +9,12 @@
 room the oldest are dropped first; their rows, with size and digest, stay.
 """
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from .commands import ForgetIntent, ImportOutcomes, RecordIntent, RecordOutcome
 from .outcomes import Accepted, Refused
-from .records import OutcomeRecord
+from .records import OutcomeRecord, ShardId
 from .result_codes import ResultCode
 
 if TYPE_CHECKING:
@@ -23,6 +24,8 @@
 OUTCOME_BODY_MAX_BYTES = 4096
 OUTCOME_BODIES_MAX_BYTES = 16 * 1024 * 1024
 OUTCOME_KEPT_S = 24 * 3600
+HOME_EPOCH_SHIFT = 40
+FIRST_HOME_EPOCH = 1
 _BODIES_KEPT_SHARE = 0.9
 
 
@@ -42,6 +45,8 @@
         return _resend(tables, known, command)
     if not _is_dispatcher(tables, command):
         return Refused(ResultCode.STALE_EPOCH, "the grant or dispatcher was replaced")
+    if not has_outcomes(tables, command.shard, command.grant_epoch >> HOME_EPOCH_SHIFT):
+        return Refused(ResultCode.NO_OWNER, "the shard's outcomes have not come yet")
     _expire_outcomes(tables, command.recorded_at_s)
     if len(tables.outcomes) >= N_OUTCOMES_MAX:
         return Refused(ResultCode.OUTCOME_STORE_FULL, "no room for another outcome")
@@ -98,17 +103,51 @@
     return Accepted(tables.last_epoch)
 
 
-def import_outcomes(tables: "DataCentreTables", command: ImportOutcomes) -> Accepted:
+def import_outcomes(
+    tables: "DataCentreTables", command: ImportOutcomes
+) -> Accepted | Refused:
     """Take over outcomes that came with their shards; what is known here stays."""
-    for record in command.outcomes:
-        key = (record.account, record.idempotency_key)
-        if key not in tables.outcomes and len(tables.outcomes) < N_OUTCOMES_MAX:
-            tables.outcomes[key] = record
-            tables.outcome_body_bytes += len(record.body)
+    new = {
+        (record.account, record.idempotency_key): record for record in command.outcomes
+    }
+    new = {key: record for key, record in new.items() if key not in tables.outcomes}
+    if len(tables.outcomes) + len(new) > N_OUTCOMES_MAX:
+        return Refused(ResultCode.OUTCOME_STORE_FULL, "no room for these outcomes")
+    tables.outcomes.update(new)
+    tables.outcome_body_bytes += sum(len(record.body) for record in new.values())
     _drop_bodies(tables)
+    for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
+        known = tables.imported_homes.get(shard, 0)
+        tables.imported_homes[shard] = max(known, home_epoch)
     return Accepted(tables.last_epoch)
 
 
+def has_outcomes(tables: "DataCentreTables", shard: ShardId, home_epoch: int) -> bool:
+    """Return whether the outcomes of a shard's earlier homes are in the tables.
+
+    Until then a request that ran there could run again here.
+    """
+    if home_epoch <= FIRST_HOME_EPOCH:
+        return True
+    return tables.imported_homes.get(shard, 0) >= home_epoch
+
+
+def outcomes_after(
+    tables: "DataCentreTables",
+    shards: Iterable[ShardId],
+    after: tuple[str, str],
+    n_max: int,
+) -> list[OutcomeRecord]:
+    """Return outcomes of shards in the order of their keys, from after a key."""
+    wanted = set(shards)
+    keys = sorted(
+        key
+        for key, record in tables.outcomes.items()
+        if record.shard in wanted and key > after
+    )
+    return [tables.outcomes[key] for key in keys[:n_max]]
+
+
 def is_body_kept(record: OutcomeRecord) -> bool:
     """Return whether an answer can be given again as it was."""
     return len(record.body) == record.size_bytes
--- a/packages/bergamotferry/tests/test_link_budget.py
+++ b/packages/bergamotferry/tests/test_link_budget.py
@@ -3,7 +3,6 @@
 from bergamotferry.link_budget import (
     BULK_BURST_BYTES,
     BULK_SHARE,
-    LINK_BYTES_PER_S,
     LinkBudget,
     backlog_s,
     take_bytes,
@@ -14,20 +13,20 @@
 
 
 def test_bulk_of_all_hosts_keeps_to_its_share():
-    budgets = [LinkBudget.from_config(4) for _ in range(4)]
+    budgets = [LinkBudget.from_config(30.0, 4) for _ in range(4)]
     n_bytes = 0
     for budget in budgets:
         now_ns = S
         while now_ns < 11 * S:
             now_ns += int(take_bytes(budget, "bulk", CHUNK_BYTES, now_ns) * 1e9) + 1
             n_bytes += CHUNK_BYTES
-    allowed = 10 * BULK_SHARE * LINK_BYTES_PER_S
+    allowed = 10 * BULK_SHARE * 30_000_000 / 8
     slack = 4 * (BULK_BURST_BYTES + CHUNK_BYTES)
     assert 0.95 * allowed <= n_bytes <= allowed + slack
 
 
 def test_lookups_never_wait_behind_bulk_and_all_is_counted():
-    budget = LinkBudget.from_config(1)
+    budget = LinkBudget.from_config(30.0, 1)
     for _ in range(1000):
         take_bytes(budget, "bulk", CHUNK_BYTES, S)
     assert backlog_s(budget, S) > 10
@@ -35,3 +34,9 @@
     assert take_bytes(budget, "filing", 700, S) == 0
     sent = {"lookup": 500, "filing": 700, "bulk": 1000 * CHUNK_BYTES}
     assert budget.n_bytes == sent
+
+
+def test_without_a_rate_nothing_waits():
+    budget = LinkBudget.from_config(0.0, 4)
+    waits = {take_bytes(budget, "bulk", CHUNK_BYTES, S) for _ in range(100)}
+    assert waits == {0.0}
--- a/packages/bergamotferry/tests/test_outcome_tables.py
+++ b/packages/bergamotferry/tests/test_outcome_tables.py
@@ -5,12 +5,19 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from bergamotferry import outcome_tables
-from bergamotferry.commands import ForgetIntent, RecordIntent, RecordOutcome
+from bergamotferry.commands import (
+    ForgetIntent,
+    ImportOutcomes,
+    RecordIntent,
+    RecordOutcome,
+)
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.outcome_tables import (
+    HOME_EPOCH_SHIFT,
     OUTCOME_BODY_MAX_BYTES,
     OUTCOME_KEPT_S,
     is_body_kept,
+    outcomes_after,
 )
 from bergamotferry.outcomes import Accepted
 from bergamotferry.records import Dispatcher, Grant, ShardId
@@ -146,6 +153,32 @@
 KEYS = ("i1", "i2", "i3", "i4")
 
 
+def test_filings_wait_for_the_outcomes_of_a_shard_that_moved():
+    source, target = tables_with(), tables_with(2 << HOME_EPOCH_SHIFT | 5)
+    for command in (intent(), outcome("done"), intent(key="i2", attempt="a2")):
+        apply_data_centre_command(source, command)
+    moved = {"grant_epoch": 2 << HOME_EPOCH_SHIFT | 5, "attempt": "b1"}
+    refusal = apply_data_centre_command(target, intent(**moved))
+    assert (refusal.code, refusal.is_not_run) == (Code.NO_OWNER, True)
+    first = outcomes_after(source, [SHARD], ("", ""), 1)
+    rest = outcomes_after(source, [SHARD], KEY, 9)
+    assert [row.state for row in first + rest] == ["done", "intent"]
+    assert outcomes_after(source, [SHARD._replace(number=2)], ("", ""), 9) == []
+    whole = ImportOutcomes((), (SHARD,), (2,))
+    for command in (ImportOutcomes((*first, *rest), (), ()), whole, whole):
+        apply_data_centre_command(target, command)
+    codes = [
+        apply_data_centre_command(target, intent(key=key, **moved))
+        for key in ("i1", "i2", "i3")
+    ]
+    assert [getattr(row, "code", 0) for row in codes] == [
+        Code.OUTCOME_PENDING,
+        Code.OUTCOME_UNKNOWN,
+        0,
+    ]
+    assert target.outcomes[KEY].body == b"ok"
+
+
 class AtMostOnce(RuleBasedStateMachine):
     """Dispatchers come and go, commands are lost or come late; one run at most."""
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -16,6 +16,7 @@
 from bergamotferry.messages import (
     CapacityReport,
     FetchLog,
+    FetchOutcomes,
     HostStatusRequest,
     Member,
     Propose,
@@ -47,6 +48,7 @@
 from .logs import log
 from .metrics import metrics_from_config
 from .operator_edge import add_operator_routes, answer_status
+from .outcome_transfer import answer_outcomes, run_outcome_imports
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
 from .request_path import serve_peer
@@ -146,6 +148,8 @@
                 return await answer_fetch(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
+            case FetchOutcomes():
+                return answer_outcomes(state, message)
             case HostStatusRequest():
                 return await answer_status(state, message)
         return None
@@ -180,6 +184,7 @@
             duties += [
                 run_ownership_duty(state, group),
                 run_capacity_reports(state, group),
+                run_outcome_imports(state, group),
             ]
     return duties
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -36,6 +36,7 @@
     log_level: str
     stop_grace_s: float
     request_policies_off: frozenset[str]
+    link_mbit_per_s: float
 
 
 class SettingError(NamedTuple):
@@ -68,6 +69,12 @@
     _Flag("statsd-address", "", "IP:PORT of statsd; empty sends no metrics"),
     _Flag("log-level", "info", "debug, info, warning or error"),
     _Flag("stop-grace-s", "20", "longest wait for work in flight at a planned stop"),
+    _Flag(
+        "link-mbit-per-s",
+        "0",
+        "rate of the link between regions, each way; bulk keeps to a share of it; "
+        "0 paces nothing",
+    ),
     _Flag(
         "request-policies-off",
         "",
@@ -136,10 +143,11 @@
             )
     if values["log-level"] not in ("debug", "info", "warning", "error"):
         errors.append(SettingError("log-level", "must be debug, info, warning, error"))
+    link_mbit_per_s = _read_number("link-mbit-per-s", values, 1_000_000, errors)
     policies_off = frozenset(values["request-policies-off"].split(",")) - {""}
     for name in sorted(policies_off.difference(REQUEST_POLICIES)):
         errors.append(SettingError("request-policies-off", f"no policy {name!r}"))
-    stop_grace_s = _read_seconds("stop-grace-s", values["stop-grace-s"], errors)
+    stop_grace_s = _read_number("stop-grace-s", values, 3600, errors)
     if own and own[0].is_durable != bool(values["data-dir"]):
         errors.append(
             SettingError("data-dir", "must be given just where the seed says durable")
@@ -161,6 +169,7 @@
         values["log-level"],
         stop_grace_s,
         policies_off,
+        link_mbit_per_s,
     )
     return settings, []
 
@@ -230,11 +239,13 @@
         errors.append(SettingError(flag, f"{text!r} is not IP:PORT"))
 
 
-def _read_seconds(flag: str, text: str, errors: list[SettingError]) -> float:
+def _read_number(
+    flag: str, values: Mapping[str, str], largest: float, errors: list[SettingError]
+) -> float:
     try:
-        value = float(text)
+        value = float(values[flag])
     except ValueError:
         value = -1.0
-    if not 0 <= value <= 3600:
-        errors.append(SettingError(flag, "must be a number of seconds from 0 to 3600"))
+    if not 0 <= value <= largest:
+        errors.append(SettingError(flag, f"must be a number from 0 to {largest:.0f}"))
     return value
--- a/packages/bergamotferry_host/src/bergamotferry_host/slow_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/slow_link.py
@@ -32,7 +32,9 @@
             return cls(state, None, traffic_class)
         if state.dispatchers.link_budget is None:
             n_hosts = sum(row.region == own_region for row in addresses.values())
-            state.dispatchers.link_budget = LinkBudget.from_config(n_hosts)
+            state.dispatchers.link_budget = LinkBudget.from_config(
+                state.settings.link_mbit_per_s, n_hosts
+            )
         return cls(state, state.dispatchers.link_budget, traffic_class)
 
     def refusal(self, deadline_ms: int) -> Refused | None:
--- a/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections import Counter
 
 import aiohttp
@@ -19,6 +20,7 @@
     ServiceShape,
 )
 from bergamotferry_testkit.local_deployment import LocalDeployment, wait_ready
+from bergamotferry_testkit.measure_faults import _set_state, start_ready
 from bergamotferry_testkit.records_check import read_records
 
 SHAPE = DeploymentShape(
@@ -30,6 +32,9 @@
     "home-",
     "north",
 )
+TWO_CENTRES = SHAPE._replace(regions={"north": ("a", "b")}, n_hosts_per_data_centre=2)
+N_MOVED_FILINGS = 60
+MOVE_TIMEOUT_S = 15.0
 N_FILINGS = 500
 RATE_PER_S = 100.0
 N_TRIES_MAX = 12
@@ -110,6 +115,45 @@
     return await play(deployment)
 
 
+async def file_move_and_resend(deployment):
+    """File, take one data centre out, and send all filings again."""
+    await start_ready(deployment)
+    hosts = [deployment.hosts[0], deployment.hosts[2]]
+    names = [(f"key-{n}", f"m{n}") for n in range(N_MOVED_FILINGS)]
+    async with aiohttp.ClientSession() as http:
+        first = [await send(http, hosts[n % 2], *names[n]) for n in range(len(names))]
+        await _set_state(deployment, 2, "a", "north", "out")
+        again = []
+        for name in names:
+            deadline_s = time.monotonic() + MOVE_TIMEOUT_S
+            answer = (-1, False)
+            while answer[0] != 0 and time.monotonic() < deadline_s:
+                answer = await send(http, hosts[1], *name)
+            again.append(answer)
+    return first, again
+
+
+def test_filings_do_not_run_again_after_their_shard_moved(tmp_path):
+    deployment = LocalDeployment.from_config(TWO_CENTRES, tmp_path)
+    try:
+        first, again = asyncio.run(file_move_and_resend(deployment))
+    finally:
+        deployment.stop()
+    paths = [deployment.records_path(name) for name in ("a", "b")]
+    runs = Counter()
+    n_by_path = []
+    for path in paths:
+        ran = [
+            r["idempotency_key"] for r in read_records([path]) if r["event"] == "run"
+        ]
+        runs.update(ran)
+        n_by_path.append(len(ran))
+    assert first == again == [(0, False)] * N_MOVED_FILINGS
+    assert set(runs.values()) == {1}
+    # Some ran where their shards no longer are.
+    assert n_by_path[0] > 0
+
+
 def test_filings_run_at_most_once_and_refusals_are_true(tmp_path):
     deployment = LocalDeployment.from_config(SHAPE, tmp_path)
     try:
