Let no lease outlive a decision that its end allowed

Cause: a review of who may order an upstream found ways to two owners. A host that regained its lease, or restarted, acted on tables that lagged. An upstream's new incarnation freed its shards while the old dispatcher could still send to the same address. A session whose lease had run out could be renewed between decision and commit. Late commands closed a session that had been opened again. An upstream that left lost its shards before it gave them back. "Drained" was reported while releases were still ordered. The check before writing came before the connection was made.

Ruled out: waiting out the lease of a host's old incarnation (its address is bound again, so the process has ended); a longer wait for new leaders (does not help a host that lags).

Change: a host lease that begins anew carries the end of the leader's log, and the leader appends all decisions of a tick before anything else runs. Sessions have an opening epoch, which commands, orders and leases name. A new incarnation retires the dispatcher, and its grants are freed with the next one. Orders are numbered; an upstream names shards that are busy. The client checks lease and grant again when it has the connection. Reports and incarnations are bounded. Leases belong to a process, not to a folder.

Not covered: a process frozen between the last check and the write, towards an upstream that does not check epochs.

--- a/packages/bergamotferry/src/bergamotferry/commands.py
+++ b/packages/bergamotferry/src/bergamotferry/commands.py
@@ -57,11 +57,15 @@
 
 
 class DrainSession(NamedTuple):
-    """No new work for this incarnation: it leaves, or its lease has run out."""
+    """No new work for this incarnation: it leaves, or its lease has run out.
+
+    With ``is_expired`` it holds for one opening of the session only.
+    """
 
     name: str
     incarnation: int
     is_expired: bool
+    opened_epoch: int = 0
 
 
 class CloseSession(NamedTuple):
@@ -70,6 +74,7 @@
     name: str
     incarnation: int
     reason: str
+    opened_epoch: int
 
 
 class GrantShards(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from itertools import islice
 
 from .commands import (
     AssignDispatcher,
@@ -42,6 +43,7 @@
 N_QUARANTINE_MAX = 10_000
 QUARANTINE_CRASHES = 2
 HOME_EPOCH_SHIFT = 40
+N_INCARNATIONS_MAX = 10_000
 
 
 @dataclass(slots=True)
@@ -119,12 +121,39 @@
             ResultCode.SESSION_NAME_TAKEN, f"the name is held at {known.address}"
         )
     if known is not None and known.incarnation == command.incarnation:
-        return Accepted(known.incarnation)
-    # A new incarnation at the same address proves that the old process has ended.
-    _drop_session(tables, command.name)
+        return Accepted(known.opened_epoch)
+    _supersede(tables, command.name)
+    tables.last_epoch += 1
+    _note_incarnation(tables, command)
+    tables.sessions[command.name] = UpstreamSession(
+        *command, "serving", tables.last_epoch
+    )
+    return Accepted(tables.last_epoch)
+
+
+def _supersede(tables: DataCentreTables, name: str) -> None:
+    # A new incarnation at the same address proves that the old process has ended, but
+    # not that its dispatcher knows: until that one has stopped, it may send work for
+    # the old grants to the new process. They are freed with the next dispatcher.
+    dispatcher = tables.dispatchers.get(name)
+    if dispatcher is None:
+        _drop_session(tables, name)
+        return
+    tables.dispatchers[name] = dispatcher._replace(state="retiring")
+    for shard, grant in tables.grants.items():
+        if grant.upstream == name:
+            tables.grants[shard] = grant._replace(state="revoking")
+
+
+def _note_incarnation(tables: DataCentreTables, command: OpenSession) -> None:
+    tables.incarnations.pop(command.name, None)
     tables.incarnations[command.name] = command.incarnation
-    tables.sessions[command.name] = UpstreamSession(*command, "serving")
-    return Accepted(command.incarnation)
+    n_excess = len(tables.incarnations) - N_INCARNATIONS_MAX
+    if n_excess > 0:
+        closed = (name for name in tables.incarnations if name not in tables.sessions)
+        for name in list(islice(closed, n_excess)):
+            if name != command.name:
+                del tables.incarnations[name]
 
 
 def _drain_session(
@@ -133,15 +162,18 @@
     known = tables.sessions.get(command.name)
     if known is None or known.incarnation != command.incarnation:
         return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
-    tables.sessions[command.name] = known._replace(
-        state="expired" if command.is_expired else "draining"
-    )
+    if command.is_expired:
+        if known.opened_epoch != command.opened_epoch:
+            return Refused(ResultCode.SESSION_UNKNOWN, "the session was opened again")
+        tables.sessions[command.name] = known._replace(state="expired")
+    elif known.state == "serving":
+        tables.sessions[command.name] = known._replace(state="draining")
     return Accepted(known.incarnation)
 
 
 def _close_session(tables: DataCentreTables, command: CloseSession) -> Accepted:
     known = tables.sessions.get(command.name)
-    if known is not None and known.incarnation == command.incarnation:
+    if known is not None and known.opened_epoch == command.opened_epoch:
         _drop_session(tables, command.name)
     return Accepted(command.incarnation)
 
@@ -205,7 +237,8 @@
 def _assign_dispatcher(
     tables: DataCentreTables, command: AssignDispatcher
 ) -> Accepted | Refused:
-    if command.upstream not in tables.sessions:
+    session = tables.sessions.get(command.upstream)
+    if session is None:
         return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
     known = tables.dispatchers.get(command.upstream)
     epoch = known.epoch if known else 0
@@ -215,6 +248,10 @@
     tables.dispatchers[command.upstream] = Dispatcher(
         command.upstream, command.host, tables.last_epoch, "serving"
     )
+    # The old dispatcher has stopped, so nobody sends under an old incarnation's grants.
+    for shard, grant in list(tables.grants.items()):
+        if grant.upstream == session.name and grant.incarnation != session.incarnation:
+            del tables.grants[shard]
     return Accepted(tables.last_epoch)
 
 
--- a/packages/bergamotferry/src/bergamotferry/leases.py
+++ b/packages/bergamotferry/src/bergamotferry/leases.py
@@ -3,12 +3,19 @@
 A lease is not in the log: renewals would cost a commit each. The grantor counts from
 receiving a renewal, the holder from sending it, so the holder's always ends first. A
 new leader knows no renewals of its predecessor's and takes every lease as just granted.
+
+Two rules keep a lease from outliving a decision that its end allowed. A session's lease
+that has run out is never renewed: the session must be opened again. A host's lease that
+begins anew carries the end of the leader's log, and the host acts only after it has
+applied the log that far, so it knows everything that was decided without it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from .records import Dispatcher, Grant, ShardId, UpstreamSession
+
 NS_PER_MS = 1_000_000
 HOST_LEASE_MS = 600
 SESSION_LEASE_MS = 600
@@ -18,57 +25,130 @@
 
 
 class HostLease(NamedTuple):
-    """A host's lease as the grantor counts it."""
+    """A host's lease as the grantor counts it, and the log index that it began at."""
 
     incarnation: str
     expires_ns: int
     is_stopping: bool
+    since_index: int
+
+
+class SessionLease(NamedTuple):
+    """The lease of one opening of an upstream's session."""
+
+    opened_epoch: int
+    expires_ns: int
 
 
 @dataclass(slots=True)
 class LeaseTable:
-    """All leases that one leader has granted."""
+    """All leases that one leader has granted, and what hosts reported with them."""
 
     hosts: dict[str, HostLease] = field(default_factory=dict)
-    sessions: dict[str, int] = field(default_factory=dict)
+    sessions: dict[str, SessionLease] = field(default_factory=dict)
     drained: dict[str, int] = field(default_factory=dict)
-    released: set[tuple[object, int]] = field(default_factory=set)
+    released: set[tuple[ShardId, int]] = field(default_factory=set)
+    out_since_ns: int | None = None
 
 
 def assume_all_granted(
-    leases: LeaseTable, hosts: Iterable[str], sessions: Iterable[str], now_ns: int
+    leases: LeaseTable,
+    hosts: Iterable[str],
+    sessions: Mapping[str, UpstreamSession],
+    now_ns: int,
 ) -> None:
     """Take every lease as just granted, as a new leader must."""
     leases.hosts = {
-        host: HostLease("", now_ns + granted_ns(HOST_LEASE_MS), False) for host in hosts
+        host: HostLease("", now_ns + granted_ns(HOST_LEASE_MS), False, 0)
+        for host in hosts
     }
-    leases.sessions = {name: now_ns + granted_ns(SESSION_LEASE_MS) for name in sessions}
+    leases.sessions = {}
+    follow_sessions(leases, sessions, now_ns)
     leases.drained = {}
     leases.released = set()
+    leases.out_since_ns = None
 
 
 def renew_host(
-    leases: LeaseTable, host: str, incarnation: str, is_stopping: bool, now_ns: int
-) -> None:
-    """Renew a host's lease; one of an older incarnation is replaced."""
+    leases: LeaseTable,
+    host: str,
+    incarnation: str,
+    is_stopping: bool,
+    last_index: int,
+    now_ns: int,
+) -> HostLease:
+    """Renew a host's lease.
+
+    A lease that ran out, or that another incarnation held, begins anew at
+    ``last_index``, the end of the leader's log. A new incarnation at the host's address
+    proves that the old process has ended, so it is not waited for.
+    """
+    known = leases.hosts.get(host)
+    since_index = last_index
+    if known is not None and known.incarnation == incarnation:
+        if known.expires_ns > now_ns:
+            since_index = known.since_index
     expires_ns = now_ns + granted_ns(HOST_LEASE_MS)
-    leases.hosts[host] = HostLease(incarnation, expires_ns, is_stopping)
+    lease = HostLease(incarnation, expires_ns, is_stopping, since_index)
+    leases.hosts[host] = lease
+    return lease
 
 
-def renew_session(leases: LeaseTable, name: str, now_ns: int) -> None:
-    """Renew an upstream's session lease."""
-    leases.sessions[name] = now_ns + granted_ns(SESSION_LEASE_MS)
+def renew_session(leases: LeaseTable, session: UpstreamSession, now_ns: int) -> bool:
+    """Renew an upstream's session lease; return False if it has run out."""
+    if session.state == "expired" or is_session_expired(leases, session, now_ns):
+        return False
+    expires_ns = now_ns + granted_ns(SESSION_LEASE_MS)
+    leases.sessions[session.name] = SessionLease(session.opened_epoch, expires_ns)
+    return True
 
 
-def follow_sessions(leases: LeaseTable, sessions: Iterable[str], now_ns: int) -> None:
+def follow_sessions(
+    leases: LeaseTable, sessions: Mapping[str, UpstreamSession], now_ns: int
+) -> None:
     """Begin the leases of sessions that were just opened; forget closed ones."""
-    open_sessions = set(sessions)
-    for name in open_sessions - leases.sessions.keys():
-        renew_session(leases, name, now_ns)
-    for name in leases.sessions.keys() - open_sessions:
+    for session in sessions.values():
+        if not _is_same_opening(leases, session):
+            expires_ns = now_ns + granted_ns(SESSION_LEASE_MS)
+            lease = SessionLease(session.opened_epoch, expires_ns)
+            leases.sessions[session.name] = lease
+    for name in leases.sessions.keys() - sessions.keys():
         del leases.sessions[name]
 
 
+def note_reports(
+    leases: LeaseTable,
+    drained: Iterable[tuple[str, int]],
+    released: Iterable[tuple[ShardId, int]],
+) -> None:
+    """Note what a host has stopped sending; a late report replaces no newer one."""
+    for name, epoch in drained:
+        leases.drained[name] = max(epoch, leases.drained.get(name, 0))
+    leases.released.update(released)
+
+
+def forget_reports(
+    leases: LeaseTable,
+    dispatchers: Mapping[str, Dispatcher],
+    grants: Mapping[ShardId, Grant],
+) -> None:
+    """Forget reports about dispatchers and grants that were replaced.
+
+    Epochs never return, so such a report can't be needed again; a host repeats the
+    others with every renewal.
+    """
+    leases.drained = {
+        name: epoch
+        for name, epoch in leases.drained.items()
+        if name in dispatchers and dispatchers[name].epoch <= epoch
+    }
+    leases.released = {
+        (shard, epoch)
+        for shard, epoch in leases.released
+        if shard in grants and grants[shard].epoch <= epoch
+    }
+
+
 def live_hosts(leases: LeaseTable, now_ns: int) -> list[str]:
     """Return the hosts that hold a lease and are not stopping."""
     return sorted(
@@ -78,17 +158,32 @@
     )
 
 
+def is_host_stopping(leases: LeaseTable, host: str) -> bool:
+    """Return whether a host has said that it stops."""
+    lease = leases.hosts.get(host)
+    return lease is not None and lease.is_stopping
+
+
 def is_host_expired(leases: LeaseTable, host: str, now_ns: int) -> bool:
     """Return whether a host can hold no lease any more."""
     lease = leases.hosts.get(host)
     return lease is None or lease.expires_ns <= now_ns
 
 
-def is_session_expired(leases: LeaseTable, name: str, now_ns: int) -> bool:
-    """Return whether an upstream can hold no session lease any more."""
-    return leases.sessions.get(name, 0) <= now_ns
+def is_session_expired(
+    leases: LeaseTable, session: UpstreamSession, now_ns: int
+) -> bool:
+    """Return whether an upstream can hold no lease of this session any more."""
+    if not _is_same_opening(leases, session):
+        return False
+    return leases.sessions[session.name].expires_ns <= now_ns
 
 
 def granted_ns(lease_ms: int) -> int:
     """Return how long the grantor waits for a lease of ``lease_ms``, in ns."""
     return lease_ms * NS_PER_MS * (100 + CLOCK_RATE_PERCENT) // 100
+
+
+def _is_same_opening(leases: LeaseTable, session: UpstreamSession) -> bool:
+    lease = leases.sessions.get(session.name)
+    return lease is not None and lease.opened_epoch == session.opened_epoch
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -177,13 +177,17 @@
 
 
 class RenewLeasesReply(NamedTuple):
-    """Remaining lease times, counted by the holder from sending the renewal."""
+    """Remaining lease times, counted by the holder from sending the renewal.
+
+    The holder acts only once it has applied its data centre's log to ``since_index``.
+    """
 
     is_leader: bool
     leader: str
     host_lease_ms: int
     session_lease_ms: int
     lost_sessions: tuple[str, ...]
+    since_index: int
 
 
 class CapacityReport(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -19,20 +19,25 @@
     RetireDispatcher,
     RevokeShards,
 )
-from .data_centre_tables import DataCentreTables
+from .data_centre_tables import HOME_EPOCH_SHIFT, DataCentreTables
 from .global_tables import GlobalTables
 from .leases import (
+    NS_PER_MS,
     LeaseTable,
     follow_sessions,
+    forget_reports,
     is_host_expired,
+    is_host_stopping,
     is_session_expired,
     live_hosts,
 )
 from .placement import choose_targets, shards_over_share
-from .records import ShardId, UpstreamSession
+from .records import Dispatcher, Grant, ShardId
 
 N_MOVES_PER_TICK = 8
 N_MOVES_IN_FLIGHT = 16
+# How long a data centre that is taken out goes on with shards that no other may take.
+OUT_GRACE_MS = 1500
 
 
 def run_ownership(
@@ -44,13 +49,16 @@
 ) -> list[DataCentreCommand]:
     """Run every system once and return the commands to commit, in order."""
     follow_sessions(leases, tables.sessions, now_ns)
+    forget_reports(leases, tables.dispatchers, tables.grants)
     commands: list[DataCentreCommand] = []
     commands += close_sessions(tables, leases, now_ns)
     commands += assign_dispatchers(tables, leases, now_ns)
     commands += confirm_releases(tables, leases, now_ns)
-    commands += release_homes(tables, global_tables, data_centre)
-    commands += grant_free_shards(tables, global_tables, data_centre)
-    commands += move_shards(tables, global_tables, data_centre)
+    commands += release_homes(tables, global_tables, leases, data_centre, now_ns)
+    commands += revoke_leaving(tables)
+    if not _is_out(global_tables, data_centre):
+        commands += grant_free_shards(tables, global_tables, data_centre)
+        commands += move_shards(tables, global_tables, leases)
     return commands
 
 
@@ -59,19 +67,33 @@
 ) -> list[DataCentreCommand]:
     """Drain sessions whose lease has run out, and close those that are drained.
 
-    A session closes only when its dispatcher has stopped sending to it, or can hold no
-    lease, since closing frees its shards for another upstream.
+    Closing frees the shards for another upstream. So an upstream that leaves first
+    gives back every shard; and no session closes before its dispatcher has stopped
+    sending to it, or can hold no lease.
     """
     commands: list[DataCentreCommand] = []
+    n_grants = Counter(grant.upstream for grant in tables.grants.values())
     for session in tables.sessions.values():
-        is_expired = is_session_expired(leases, session.name, now_ns)
-        if is_expired and session.state != "expired":
-            commands.append(DrainSession(session.name, session.incarnation, True))
-        elif session.state != "serving" and _is_drained(
-            tables, leases, session, now_ns
-        ):
-            reason = "lease expired" if session.state == "expired" else "left"
-            commands.append(CloseSession(session.name, session.incarnation, reason))
+        is_expired = session.state == "expired"
+        if not is_expired and is_session_expired(leases, session, now_ns):
+            commands.append(
+                DrainSession(
+                    session.name, session.incarnation, True, session.opened_epoch
+                )
+            )
+            continue
+        if session.state == "serving" or (n_grants[session.name] and not is_expired):
+            continue
+        dispatcher = tables.dispatchers.get(session.name)
+        if dispatcher is None or _has_stopped(dispatcher, leases, now_ns):
+            reason = "lease expired" if is_expired else "left"
+            commands.append(
+                CloseSession(
+                    session.name, session.incarnation, reason, session.opened_epoch
+                )
+            )
+        elif dispatcher.state == "serving" and not is_expired:
+            commands.append(RetireDispatcher(session.name, dispatcher.epoch))
     return commands
 
 
@@ -80,28 +102,28 @@
 ) -> list[DataCentreCommand]:
     """Give each upstream one dispatcher, and replace those that stop or are lost."""
     live = live_hosts(leases, now_ns)
+    if not live:
+        return []
     loads = Counter({host: 0 for host in live})
     for dispatcher in tables.dispatchers.values():
         if dispatcher.host in loads:
             loads[dispatcher.host] += 1
+    n_grants = Counter(grant.upstream for grant in tables.grants.values())
     commands: list[DataCentreCommand] = []
     for session in tables.sessions.values():
+        is_leaving = session.state == "draining" and not n_grants[session.name]
+        if session.state == "expired" or is_leaving:
+            continue
         known = tables.dispatchers.get(session.name)
         if known is not None and known.host in loads and known.state == "serving":
             continue
-        if not loads:
-            break
-        is_free = (
-            known is None
-            or is_host_expired(leases, known.host, now_ns)
-            or leases.drained.get(session.name) == known.epoch
-        )
-        if is_free:
+        if known is None or _has_stopped(known, leases, now_ns):
             host = min(loads, key=lambda name: (loads[name], name))
             loads[host] += 1
             epoch = known.epoch if known else 0
             commands.append(AssignDispatcher(session.name, host, epoch))
-        elif known is not None and known.state == "serving":
+        elif known.state == "serving" and is_host_stopping(leases, known.host):
+            # A host that a new leader has not heard from yet keeps its dispatchers.
             commands.append(RetireDispatcher(session.name, known.epoch))
     return commands
 
@@ -124,31 +146,56 @@
 
 
 def release_homes(
-    tables: DataCentreTables, global_tables: GlobalTables, data_centre: str
+    tables: DataCentreTables,
+    global_tables: GlobalTables,
+    leases: LeaseTable,
+    data_centre: str,
+    now_ns: int,
 ) -> list[DataCentreCommand]:
-    """Revoke shards that are handed to another data centre, then give them up."""
-    revoked: list[ShardId] = []
-    epochs: list[int] = []
-    given_up: list[ShardId] = []
-    home_epochs: list[int] = []
-    for shard, home in global_tables.shard_homes.items():
-        if home.data_centre != data_centre or not home.next_data_centre:
+    """Revoke shards that do not belong here, and give up those that are handed over.
+
+    While operators take the data centre out, a shard is served here until its handover
+    begins; what can go nowhere else stops with the end of `OUT_GRACE_MS`. Homes older
+    than a grant come from global tables that lag, and say nothing about it.
+    """
+    is_over = _is_out_for_long(global_tables, leases, data_centre, now_ns)
+    revoked: list[Grant] = []
+    for grant in tables.grants.values():
+        home = global_tables.shard_homes.get(grant.shard)
+        if home is None or home.epoch < grant.epoch >> HOME_EPOCH_SHIFT:
             continue
-        grant = tables.grants.get(shard)
-        if grant is not None and grant.state == "held":
-            revoked.append(shard)
-            epochs.append(grant.epoch)
-        elif grant is None and tables.released_homes.get(shard, 0) < home.epoch:
-            given_up.append(shard)
-            home_epochs.append(home.epoch)
+        is_staying = home.data_centre == data_centre and not home.next_data_centre
+        if grant.state == "held" and (is_over or not is_staying):
+            revoked.append(grant)
+    given_up = [
+        (shard, home.epoch)
+        for shard, home in global_tables.shard_homes.items()
+        if home.data_centre == data_centre
+        and home.next_data_centre
+        and shard not in tables.grants
+        and tables.released_homes.get(shard, 0) < home.epoch
+    ]
     commands: list[DataCentreCommand] = []
     if revoked:
-        commands.append(RevokeShards(tuple(revoked), tuple(epochs)))
+        commands.append(_revoke(revoked))
     if given_up:
-        commands.append(ReleaseHomes(tuple(given_up), tuple(home_epochs)))
+        shards, epochs = zip(*given_up, strict=True)
+        commands.append(ReleaseHomes(shards, epochs))
     return commands
 
 
+def revoke_leaving(tables: DataCentreTables) -> list[DataCentreCommand]:
+    """Revoke every shard of upstreams that leave: they get no new work as it is."""
+    revoked = [
+        grant
+        for grant in tables.grants.values()
+        if grant.state == "held"
+        and tables.sessions[grant.upstream].state == "draining"
+        and grant.upstream in tables.dispatchers
+    ]
+    return [_revoke(revoked)] if revoked else []
+
+
 def grant_free_shards(
     tables: DataCentreTables, global_tables: GlobalTables, data_centre: str
 ) -> list[DataCentreCommand]:
@@ -177,9 +224,9 @@
 
 
 def move_shards(
-    tables: DataCentreTables, global_tables: GlobalTables, data_centre: str
+    tables: DataCentreTables, global_tables: GlobalTables, leases: LeaseTable
 ) -> list[DataCentreCommand]:
-    """Revoke some shards of upstreams that leave or hold more than their share."""
+    """Revoke some shards of upstreams that hold more than their share."""
     n_moving = sum(grant.state == "revoking" for grant in tables.grants.values())
     n_moves = min(N_MOVES_PER_TICK, N_MOVES_IN_FLIGHT - n_moving)
     if n_moves <= 0:
@@ -190,21 +237,47 @@
         if weights:
             owned = _owners(tables, service)
             shards += shards_over_share(owned, weights, n_moves)
-    held = [s for s in shards if tables.grants[s].state == "held"][:n_moves]
-    if not held:
-        return []
-    epochs = tuple(tables.grants[shard].epoch for shard in held)
-    return [RevokeShards(tuple(held), epochs)]
+    held = [
+        tables.grants[shard] for shard in shards if _is_movable(tables, leases, shard)
+    ][:n_moves]
+    return [_revoke(held)] if held else []
+
+
+def _is_movable(tables: DataCentreTables, leases: LeaseTable, shard: ShardId) -> bool:
+    # Only a live dispatcher can get a shard back, so without one it is served longer
+    # where it is.
+    grant = tables.grants[shard]
+    dispatcher = tables.dispatchers.get(grant.upstream)
+    if grant.state != "held" or dispatcher is None or dispatcher.state != "serving":
+        return False
+    return not is_host_stopping(leases, dispatcher.host)
 
 
-def _is_drained(
-    tables: DataCentreTables, leases: LeaseTable, session: UpstreamSession, now_ns: int
+def _has_stopped(dispatcher: Dispatcher, leases: LeaseTable, now_ns: int) -> bool:
+    """Return whether a dispatcher can give no order any more under its epoch."""
+    is_drained = leases.drained.get(dispatcher.upstream) == dispatcher.epoch
+    return is_drained or is_host_expired(leases, dispatcher.host, now_ns)
+
+
+def _is_out_for_long(
+    global_tables: GlobalTables, leases: LeaseTable, data_centre: str, now_ns: int
 ) -> bool:
-    dispatcher = tables.dispatchers.get(session.name)
-    if dispatcher is None:
-        return True
-    return leases.drained.get(session.name) == dispatcher.epoch or is_host_expired(
-        leases, dispatcher.host, now_ns
+    if not _is_out(global_tables, data_centre):
+        leases.out_since_ns = None
+        return False
+    if leases.out_since_ns is None:
+        leases.out_since_ns = now_ns
+    return now_ns - leases.out_since_ns >= OUT_GRACE_MS * NS_PER_MS
+
+
+def _is_out(global_tables: GlobalTables, data_centre: str) -> bool:
+    row = global_tables.data_centres.get(data_centre)
+    return row is None or row.state != "in"
+
+
+def _revoke(grants: list[Grant]) -> RevokeShards:
+    return RevokeShards(
+        tuple(grant.shard for grant in grants), tuple(grant.epoch for grant in grants)
     )
 
 
--- a/packages/bergamotferry/src/bergamotferry/records.py
+++ b/packages/bergamotferry/src/bergamotferry/records.py
@@ -99,7 +99,11 @@
 
 
 class UpstreamSession(NamedTuple):
-    """The session of one incarnation of an upstream with its data centre's group."""
+    """The session of one incarnation of an upstream with its data centre's group.
+
+    ``opened_epoch`` tells a session that was closed and opened again from its
+    predecessor; every epoch given under a session is above it.
+    """
 
     name: str
     service: str
@@ -109,6 +113,7 @@
     max_connections: int
     checks_epochs: bool
     state: SessionState
+    opened_epoch: int = 0
 
 
 class Grant(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -30,7 +30,7 @@
     groups_of_host,
 )
 from .caller_edge import build_caller_app
-from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
+from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
 from .group import Group, answer_fetch, answer_propose, post, run_group
@@ -52,6 +52,7 @@
 from .request_path import serve_peer
 from .settings import Settings, split_address
 from .upstream_edge import add_upstream_routes
+from .write_guard import guarded_client
 
 DRAIN_NOTICE_S = 0.5
 DRAIN_POLL_S = 0.02
@@ -64,9 +65,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-    ) as http:
+    async with guarded_client() as http:
         state = build_host(settings, http)
         await state.network.start()
         runners = await _start_edges(state, http)
@@ -118,12 +117,11 @@
             me = Member(settings.host.name, incarnation, True)
             start_member(group, me, settings.seeds, folder)
         groups[name] = group
-    process_incarnation = (
-        secrets.token_hex(8) if incarnation == BOOTSTRAP_INCARNATION else incarnation
-    )
     state = HostState(
         settings,
-        process_incarnation,
+        # Leases belong to a process, not to a data folder: this one starts with none
+        # of what the last one knew of its dispatchers.
+        secrets.token_hex(8),
         network,
         groups,
         metrics_from_config(settings.statsd_address, settings.host.name),
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -156,7 +156,8 @@
             works[name] = UpstreamWork(
                 session, dispatcher.epoch, UpstreamQueue(session.n_slots)
             )
-        if session.state == "expired":
+        is_replaced = session.opened_epoch != works[name].session.opened_epoch
+        if session.state == "expired" or is_replaced:
             _abort_work(works[name])
         elif session.state != "serving" or dispatcher.state != "serving":
             _refuse_waiting(works[name])
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -20,6 +20,7 @@
     started: dict[str, "asyncio.Future[bool]"] = field(default_factory=dict)
     tasks: set["asyncio.Task[object]"] = field(default_factory=set)
     is_ordering: bool = False
+    n_orders: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -126,25 +126,41 @@
 
 async def answer_propose(group: Group, message: Propose) -> ProposeReply:
     """Commit a command here if this host leads; a peer or this host asks."""
-    if group.replica is None or not group.is_leader:
+    future = append_here(group, message.command)
+    if future is None:
         return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
-    index = propose(group.replica, message.command, now_ns())
+    outcome = await wait_committed(group, future)
+    if isinstance(outcome, Accepted):
+        return ProposeReply(0, "", outcome.revision, "")
+    return ProposeReply(outcome.code, outcome.detail, 0, "")
+
+
+def append_here(
+    group: Group, command: Command
+) -> asyncio.Future[Accepted | Refused] | None:
+    """Append a command to the log at once if this host leads; None if it does not."""
+    if group.replica is None or not group.is_leader:
+        return None
+    index = propose(group.replica, command, now_ns())
     if index is None:
-        return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
+        return None
     future: asyncio.Future[Accepted | Refused] = (
         asyncio.get_running_loop().create_future()
     )
     group.waiters[index] = (group.replica.term, future)
+    future.add_done_callback(lambda _: group.waiters.pop(index, None))
     group.woken.set()
+    return future
+
+
+async def wait_committed(
+    group: Group, future: asyncio.Future[Accepted | Refused]
+) -> Accepted | Refused:
+    """Wait for the outcome of a command that was appended here."""
     try:
-        outcome = await asyncio.wait_for(future, PROPOSE_TIMEOUT_S)
+        return await asyncio.wait_for(future, PROPOSE_TIMEOUT_S)
     except TimeoutError:
-        return ProposeReply(ResultCode.NO_LEADER, "not committed in time", 0, "")
-    finally:
-        group.waiters.pop(index, None)
-    if isinstance(outcome, Accepted):
-        return ProposeReply(0, "", outcome.revision, "")
-    return ProposeReply(outcome.code, outcome.detail, 0, "")
+        return Refused(ResultCode.NO_LEADER, f"{group.name}: not committed in time")
 
 
 async def answer_fetch(group: Group, message: FetchLog) -> FetchLogReply:
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -48,6 +48,7 @@
     metrics: Metrics
     dispatchers: DispatcherTable
     host_lease_until_ns: int = 0
+    host_lease_since_index: int = 0
     is_stopping: bool = False
     n_in_flight: int = 0
     renewals: dict[str, SessionRenewal] = field(default_factory=dict)
@@ -83,5 +84,10 @@
 
     @property
     def has_host_lease(self) -> bool:
-        """Whether this host may send orders and work to upstreams just now."""
-        return now_ns() < self.host_lease_until_ns
+        """Whether this host may send orders and work to upstreams just now.
+
+        A lease that began anew holds only once everything is applied that was decided
+        while this host had none, since an upstream may have another dispatcher by then.
+        """
+        is_current = self.own_group.applied_index >= self.host_lease_since_index
+        return is_current and now_ns() < self.host_lease_until_ns
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 
 from bergamotferry.commands import Command
 from bergamotferry.global_placement import run_global_placement
@@ -14,16 +15,17 @@
     HOST_LEASE_MS,
     SESSION_LEASE_MS,
     assume_all_granted,
+    note_reports,
     renew_host,
     renew_session,
 )
 from bergamotferry.messages import CapacityReport, RenewLeases, RenewLeasesReply
 from bergamotferry.ownership import run_ownership
-from bergamotferry.replication import term_at
+from bergamotferry.replication import last_index, term_at
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .clock import now_ns
-from .group import Group, commit
+from .group import Group, append_here, wait_committed
 from .host_state import HostState, LeaderState
 from .logs import log
 from .peer_link import PeerUnreachable
@@ -46,8 +48,7 @@
         commands = run_ownership(
             group.tables, state.global_tables, leader.leases, data_centre, now_ns()
         )
-        for command in commands:
-            await _commit_and_log(group, command)
+        await _commit_all(group, commands)
 
 
 async def run_placement_duty(state: HostState) -> None:
@@ -63,8 +64,7 @@
             for name, report in leader.reports.items()
             if now_ns() - leader.report_times_ns[name] < REPORT_MAX_AGE_NS
         }
-        for command in run_global_placement(group.tables, fresh):
-            await _commit_and_log(group, command)
+        await _commit_all(group, run_global_placement(group.tables, fresh))
 
 
 async def run_capacity_reports(state: HostState, group: Group) -> None:
@@ -96,7 +96,8 @@
         state.leaders[group.name] = leader = LeaderState(term=replica.term)
         if group.name.startswith(DATA_CENTRE_PREFIX):
             data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
-            hosts = hosts_of_data_centre(state.network.addresses, data_centre)
+            hosts = set(hosts_of_data_centre(state.network.addresses, data_centre))
+            hosts |= {row.host for row in group.tables.dispatchers.values()}
             assume_all_granted(leader.leases, hosts, group.tables.sessions, now_ns())
         log("leadership began", group=group.name, term=replica.term)
     return leader
@@ -107,23 +108,30 @@
     group = state.groups.get(data_centre_group(message.data_centre))
     leader = leader_state(state, group) if group else None
     if group is None or leader is None:
-        return RenewLeasesReply(False, group.leader if group else "", 0, 0, ())
+        return RenewLeasesReply(False, group.leader if group else "", 0, 0, (), 0)
     leases = leader.leases
-    renew_host(
-        leases, message.host.name, message.incarnation, message.is_stopping, now_ns()
+    lease = renew_host(
+        leases,
+        message.host.name,
+        message.incarnation,
+        message.is_stopping,
+        last_index(group.replica) if group.replica else 0,
+        now_ns(),
     )
     lost: list[str] = []
     for name, incarnation in message.sessions:
         session = group.tables.sessions.get(name)
         is_known = session is not None and session.incarnation == incarnation
-        if is_known and session.state != "expired":
-            renew_session(leases, name, now_ns())
-        else:
+        if not is_known or not renew_session(leases, session, now_ns()):
             lost.append(name)
-    leases.drained.update(dict(message.drained))
-    leases.released.update(message.released)
+    note_reports(leases, message.drained, message.released)
     return RenewLeasesReply(
-        True, state.host.name, HOST_LEASE_MS, SESSION_LEASE_MS, tuple(lost)
+        True,
+        state.host.name,
+        HOST_LEASE_MS,
+        SESSION_LEASE_MS,
+        tuple(lost),
+        lease.since_index,
     )
 
 
@@ -155,8 +163,17 @@
     return CapacityReport(data_centre, tuple(sorted(n_slots.items())), released)
 
 
-async def _commit_and_log(group: Group, command: Command) -> None:
-    outcome = await commit(group, command)
+async def _commit_all(group: Group, commands: Sequence[Command]) -> None:
+    # All are in the log before anything else runs here: a lease that begins after they
+    # were decided must begin at an index behind them.
+    waiting = [(command, append_here(group, command)) for command in commands]
+    for command, future in waiting:
+        if future is None:
+            return
+        _log_command(group, command, await wait_committed(group, future))
+
+
+def _log_command(group: Group, command: Command, outcome: object) -> None:
     fields = {
         name: value if isinstance(value, str | int | bool) else str(value)[:200]
         for name, value in command._asdict().items()
--- a/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
@@ -17,15 +17,20 @@
 from .peer_link import PeerUnreachable
 
 RENEW_TIMEOUT_S = 0.4
+REPORT_POLL_S = 0.02
 
 
 async def run_lease_renewal(state: HostState) -> None:
-    """Renew until cancelled."""
+    """Renew until cancelled, and sooner when there is something new to report."""
+    reported: tuple[object, ...] = ()
     while True:
         started_ns = now_ns()
+        reported = (drained_upstreams(state), released_shards(state))
         await renew_once(state)
-        took_s = (now_ns() - started_ns) / 1e9
-        await asyncio.sleep(max(0.0, RENEW_INTERVAL_MS / 1000 - took_s))
+        while now_ns() - started_ns < RENEW_INTERVAL_MS * NS_PER_MS:
+            await asyncio.sleep(REPORT_POLL_S)
+            if reported != (drained_upstreams(state), released_shards(state)):
+                break
 
 
 async def renew_session(
@@ -70,6 +75,7 @@
     if reply is None:
         _put_back(state, renewals)
         return
+    state.host_lease_since_index = reply.since_index
     state.host_lease_until_ns = sent_ns + reply.host_lease_ms * NS_PER_MS
     lost = set(reply.lost_sessions)
     for name, renewal in renewals.items():
--- a/packages/bergamotferry_host/src/bergamotferry_host/orders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/orders.py
@@ -3,13 +3,18 @@
 Only the dispatcher of an upstream gives it orders, and only while it holds its lease.
 """
 
+import json
+
 import aiohttp
 
+from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId
+from bergamotferry.result_codes import ResultCode
 
 from .dispatcher_table import UpstreamWork
 from .host_state import HostState
 from .logs import log
+from .write_guard import WriteRefusedError
 
 ORDER_TIMEOUT_S = 1.0
 
@@ -19,42 +24,77 @@
 ) -> None:
     """Order new grants and releases from an upstream, and note what it confirmed."""
     work.is_ordering = True
+
+    def guard() -> Refused | None:
+        if _may_order(state, work):
+            return None
+        return Refused(ResultCode.NOT_DISPATCHER, "another host may give orders")
+
     try:
         granted, released = _orders_due(state, work)
         if not granted and not released:
             return
+        work.n_orders += 1
         order = {
             "dispatcher_epoch": work.epoch,
+            "session_epoch": work.session.opened_epoch,
+            "order": work.n_orders,
             "incarnation": work.session.incarnation,
             "granted": [[shard_text(shard), epoch] for shard, epoch in granted],
             "released": [[shard_text(shard), epoch] for shard, epoch in released],
         }
         url = f"http://{work.session.address}/bergamotferry/v1/grants"
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
-        if not state.has_host_lease:
-            return
-        async with http.post(url, json=order, timeout=timeout) as response:
+        async with http.post(
+            url, json=order, timeout=timeout, trace_request_ctx=guard
+        ) as response:
             if response.status != 200:
                 log("order refused", upstream=work.session.name, status=response.status)
                 return
+            busy = _busy_shards(await response.text())
         work.confirmed.update(granted)
-        work.released.update(released)
-    except (aiohttp.ClientError, ConnectionError, TimeoutError):
+        work.released.update(row for row in released if shard_text(row[0]) not in busy)
+    except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
+        return
+    except WriteRefusedError:
         return
     finally:
         work.is_ordering = False
 
 
+def _may_order(state: HostState, work: UpstreamWork) -> bool:
+    tables = state.own_tables
+    dispatcher = tables.dispatchers.get(work.session.name)
+    session = tables.sessions.get(work.session.name)
+    return (
+        state.has_host_lease
+        and dispatcher is not None
+        and dispatcher.host == state.host.name
+        and dispatcher.epoch == work.epoch
+        and dispatcher.state == "serving"
+        and session is not None
+        and session.opened_epoch == work.session.opened_epoch
+        and session.state != "expired"
+    )
+
+
+def _busy_shards(text: str) -> set[str]:
+    # An upstream that still runs requests of a shard keeps it and is asked again.
+    reply = json.loads(text) if text else {}
+    busy = reply.get("busy", []) if isinstance(reply, dict) else []
+    return {shard for shard in busy if isinstance(shard, str)}
+
+
 def _orders_due(
     state: HostState, work: UpstreamWork
 ) -> tuple[list[tuple[ShardId, int]], list[tuple[ShardId, int]]]:
-    dispatcher = state.own_tables.dispatchers.get(work.session.name)
-    if dispatcher is None or dispatcher.state != "serving":
+    if not _may_order(state, work):
         return [], []
     granted: list[tuple[ShardId, int]] = []
     released: list[tuple[ShardId, int]] = []
     for shard, grant in state.own_tables.grants.items():
-        if grant.upstream != work.session.name:
+        is_mine = grant.upstream == work.session.name
+        if not is_mine or grant.incarnation != work.session.incarnation:
             continue
         if grant.state == "held" and work.confirmed.get(shard) != grant.epoch:
             granted.append((shard, grant.epoch))
@@ -70,16 +110,20 @@
 
 
 def drained_upstreams(state: HostState) -> tuple[tuple[str, int], ...]:
-    """Return the upstreams, with epoch, that this host has stopped sending to."""
+    """Return the upstreams, with epoch, that this host has stopped sending to.
+
+    What is reported here must hold for ever: under that epoch it never sends again.
+    """
     drained: list[tuple[str, int]] = []
     tables = state.own_tables
     for name, dispatcher in tables.dispatchers.items():
         session = tables.sessions.get(name)
         if dispatcher.host != state.host.name or session is None:
             continue
-        is_stopped = session.state != "serving" or dispatcher.state != "serving"
+        is_stopped = session.state == "expired" or dispatcher.state != "serving"
         work = state.dispatchers.works.get(name)
-        if is_stopped and (work is None or not work.in_flight):
+        is_idle = work is None or not (work.in_flight or work.is_ordering)
+        if is_stopped and is_idle:
             drained.append((name, dispatcher.epoch))
     return tuple(drained)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -17,6 +17,7 @@
 from .exchange import AnswerSink, RequestBody, Served
 from .host_state import HostState
 from .orders import shard_text
+from .write_guard import WriteRefusedError
 
 CHUNK_BYTES = 64 * 1024
 _PASSED_HEADERS = ("Content-Type", "ETag", "Content-Range", "Accept-Ranges")
@@ -33,16 +34,18 @@
     content: bytes | None,
 ) -> Served | Refused:
     """Send a request to its owner and pass the answer on."""
-    again = check_owner(state, head.shard)
-    if isinstance(again, Refused):
-        return again
-    if again.grant.epoch != owner.grant.epoch:
-        return Refused(ResultCode.STALE_EPOCH, "the grant was replaced")
+    refusal = _check_again(state, owner, head.shard)
+    if refusal is not None:
+        return refusal
     if left_s(deadline_ns) <= 0:
         return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
     url = f"http://{owner.session.address}/{head.route}/{head.key}"
     timeout = aiohttp.ClientTimeout(total=left_s(deadline_ns), sock_connect=1.0)
     has_head = False
+
+    def guard() -> Refused | None:
+        return _check_again(state, owner, head.shard)
+
     try:
         async with http.request(
             head.method,
@@ -51,12 +54,15 @@
             data=_upstream_body(head, body, content),
             timeout=timeout,
             allow_redirects=False,
+            trace_request_ctx=guard,
         ) as response:
             refusal = _refusal_of_upstream(response)
             if refusal is not None:
                 return refusal
             has_head = True
             return await _pass_answer(state, owner, response, sink)
+    except WriteRefusedError as error:
+        return error.refusal
     except aiohttp.ClientConnectorError:
         return Refused(ResultCode.NO_OWNER, "the owner takes no connection")
     except TimeoutError:
@@ -153,6 +159,17 @@
     return owner
 
 
+def _check_again(state: HostState, owner: Owner, shard: ShardId) -> Refused | None:
+    again = check_owner(state, shard)
+    if isinstance(again, Refused):
+        return again
+    if again.grant.epoch != owner.grant.epoch:
+        return Refused(ResultCode.STALE_EPOCH, "the grant was replaced")
+    if again.dispatcher.epoch != owner.dispatcher.epoch:
+        return Refused(ResultCode.NOT_DISPATCHER, "")
+    return None
+
+
 def left_s(deadline_ns: int) -> float:
     """Return the seconds left until a deadline; negative once it has passed."""
     return (deadline_ns - now_ns()) / 1e9
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -77,7 +77,10 @@
     outcome = await commit(state.own_group, command)
     if isinstance(outcome, Refused):
         return outcome
-    return await _renew(state, body)
+    renewed = await _renew(state, body)
+    if isinstance(renewed, Refused):
+        return renewed
+    return {**renewed, "session_epoch": outcome.revision}
 
 
 async def _renew(state: HostState, body: dict[str, Any]) -> dict[str, object] | Refused:
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, TextIO
@@ -53,6 +54,9 @@
     lease_until_s: float = 0.0
     has_left: bool = False
     dispatcher_epoch: int = 0
+    session_epoch: int = 0
+    last_order: int = 0
+    running_by_shard: Counter[str] = field(default_factory=Counter)
     slowness: float = 1.0
     cold_s: float = 0.0
     started_s: float = 0.0
@@ -118,6 +122,7 @@
                 await asyncio.sleep(ANNOUNCE_PAUSE_S)
                 continue
             is_known = True
+            adopt_session(upstream, int(reply.get("session_epoch", 0)))
             upstream.lease_until_s = sent_s + reply["lease_ms"] / 1000
             await asyncio.sleep(reply["renew_every_ms"] / 1000)
 
@@ -149,6 +154,13 @@
         return None
 
 
+def adopt_session(upstream: StandIn, session_epoch: int) -> None:
+    """Drop the grants of earlier sessions when a new one has been opened."""
+    if session_epoch > upstream.session_epoch:
+        upstream.session_epoch = session_epoch
+        upstream.grants.clear()
+
+
 def _take_grants(upstream: StandIn, order: dict[str, Any]) -> web.Response:
     upstream.record(
         "order",
@@ -156,24 +168,33 @@
         granted=order["granted"],
         released=order["released"],
     )
-    is_stale = order["dispatcher_epoch"] < upstream.dispatcher_epoch
-    if upstream.checks_epochs and is_stale:
-        return web.Response(status=409, text="stale dispatcher epoch")
-    upstream.dispatcher_epoch = order["dispatcher_epoch"]
+    place = (order["dispatcher_epoch"], order["order"])
+    is_stale = place <= (upstream.dispatcher_epoch, upstream.last_order)
+    is_stale = is_stale or order["session_epoch"] < upstream.session_epoch
+    is_other = order["incarnation"] != upstream.incarnation
+    if upstream.checks_epochs and (is_stale or is_other):
+        return web.Response(status=409, text="stale order")
+    upstream.dispatcher_epoch, upstream.last_order = place
+    adopt_session(upstream, order["session_epoch"])
     for shard, epoch in order["granted"]:
         if epoch >= upstream.grants.get(shard, 0):
             upstream.grants[shard] = epoch
+    busy: list[str] = []
     for shard, epoch in order["released"]:
-        if upstream.grants.get(shard) == epoch:
+        if upstream.running_by_shard[shard]:
+            busy.append(shard)
+        elif upstream.grants.get(shard) == epoch:
             del upstream.grants[shard]
-    return web.json_response({"shards": len(upstream.grants)})
+    return web.json_response({"shards": len(upstream.grants), "busy": busy})
 
 
 async def _run(upstream: StandIn, request: web.Request) -> web.StreamResponse:
     route, key = request.match_info["route"], request.match_info["key"]
     shard = request.headers.get("Bergamotferry-Shard", "")
     epoch = int(request.headers.get("Bergamotferry-Epoch", "0"))
-    if upstream.checks_epochs and upstream.grants.get(shard) != epoch:
+    sender_epoch = int(request.headers.get("Bergamotferry-Dispatcher-Epoch", "0"))
+    is_stale = sender_epoch < upstream.dispatcher_epoch
+    if upstream.checks_epochs and (is_stale or upstream.grants.get(shard) != epoch):
         return _not_started(upstream, 409, "stale epoch", key)
     if time.clock_gettime(time.CLOCK_BOOTTIME) > upstream.lease_until_s:
         return _not_started(upstream, 503, "no lease", key)
@@ -186,8 +207,10 @@
         "key": key,
         "shard": shard,
         "epoch": epoch,
+        "dispatcher_epoch": sender_epoch,
     }
     upstream.running += 1
+    upstream.running_by_shard[shard] += 1
     upstream.record("run", n_running=upstream.running, **run)
     try:
         body = await request.read()
@@ -200,6 +223,9 @@
         return response
     finally:
         upstream.running -= 1
+        upstream.running_by_shard[shard] -= 1
+        if not upstream.running_by_shard[shard]:
+            del upstream.running_by_shard[shard]
 
 
 def service_time_s(upstream: StandIn) -> float:
@@ -219,6 +245,10 @@
     while not upstream.has_left:
         upstream.incarnation = time.time_ns()
         upstream.grants.clear()
+        upstream.running_by_shard.clear()
+        upstream.running = 0
+        upstream.dispatcher_epoch = upstream.session_epoch = upstream.last_order = 0
+        upstream.lease_until_s = 0.0
         upstream.crash.clear()
         upstream.started_s = time.monotonic()
         upstream.record("start")
