--- a/packages/bergamotferry_host/src/bergamotferry_host/exchange.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/exchange.py
@@ -12,6 +12,8 @@
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.routing import Owner
 
+from .write_guard import WriteGuard
+
 REPLAY_MAX_BYTES = 64 * 1024
 
 
@@ -86,6 +88,7 @@
     is_sent: bool = False
     has_head: bool = False
     is_reset: bool = False
+    guard: WriteGuard | None = None
 
 
 @dataclass(slots=True)
