Check release notes whole, and let no host serve before it has caught up

Cause: a note that withdrew a service left its routes, accounts and home regions behind, a withdrawn key prefix or data centre left keys with two owners or none, a JSON field named twice lost one value in silence, half a surrogate pair in a name was an exception in the peers' codec, and nothing bounded the configuration. A host that had restarted served as soon as it knew any revision, which could be an old one. Ruled out: checking each entity against the tables in turn, since withdrawing a service with all that refers to it in one note must pass; letting a withdrawn service's name come back, since grants of its shards may outlive it in a data centre that is cut off; trusting a majority of voters that have themselves just started. Change: note_check works out the configuration after the note and checks that; notes are bounded in entities, names and shards; readiness asks the voters and the neighbours, and a host answers HOST_NOT_READY until it has applied what a leader or a settled majority knows. Operators' questions go to one host of each data centre and name shards, never keys. Bodies on the control address are bounded in bytes and time.

--- a/packages/bergamotferry/src/bergamotferry/global_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/global_tables.py
@@ -14,6 +14,7 @@
     FinishHandover,
     PlaceShards,
 )
+from .note_check import Configuration, check_note, retired_by
 from .outcomes import Accepted, Refused
 from .records import (
     Account,
@@ -27,10 +28,10 @@
 )
 from .release_note import (
     Entity,
-    NoteError,
     ReleaseNote,
     content_sha256,
     entity_key,
+    errors_text,
     parse_note_text,
 )
 from .result_codes import ResultCode
@@ -50,6 +51,7 @@
     home_regions: dict[str, HomeRegion] = field(default_factory=dict)
     shard_homes: dict[ShardId, ShardHome] = field(default_factory=dict)
     notes: dict[int, NoteRecord] = field(default_factory=dict)
+    retired_names: dict[str, int] = field(default_factory=dict)
 
 
 class RegionRule(NamedTuple):
@@ -79,23 +81,17 @@
     return Accepted(tables.revision)
 
 
-def check_note(tables: GlobalTables, note: ReleaseNote) -> list[NoteError]:
-    """Return what stands against a note, given the configuration in force."""
-    errors: list[NoteError] = []
-    for entity in note.added:
-        kind, name = entity_key(entity)
-        if name in _table(tables, kind):
-            errors.append(NoteError(f"added.{kind} {name}", "exists already"))
-    for entity in note.changed:
-        kind, name = entity_key(entity)
-        if name not in _table(tables, kind):
-            errors.append(NoteError(f"changed.{kind} {name}", "does not exist"))
-        else:
-            errors.extend(_check_change(tables, entity))
-    for kind, name in note.withdrawn:
-        if name not in _table(tables, kind):
-            errors.append(NoteError(f"withdrawn.{kind} {name}", "does not exist"))
-    return errors + _check_references(tables, note)
+def configuration_of(tables: GlobalTables) -> Configuration:
+    """Return the configuration in force, as the checks of a note read it."""
+    return Configuration(
+        tables.data_centres,
+        tables.services,
+        tables.routes,
+        tables.accounts,
+        tables.home_regions,
+        tables.shard_homes,
+        tables.retired_names,
+    )
 
 
 def unplaced_shards(tables: GlobalTables) -> list[ShardId]:
@@ -164,10 +160,9 @@
         )
     note, errors = parse_note_text(command.content)
     if note is not None:
-        errors = errors + check_note(tables, note)
+        errors = errors + check_note(configuration_of(tables), note)
     if note is None or errors:
-        text = "; ".join(f"{error.place}: {error.message}" for error in errors)
-        return Refused(ResultCode.NOTE_INVALID, text)
+        return Refused(ResultCode.NOTE_INVALID, errors_text(errors))
     _put_in_force(tables, note)
     tables.revision = command.number
     tables.notes[command.number] = NoteRecord(command.number, digest, command.number)
@@ -177,6 +172,8 @@
 
 
 def _put_in_force(tables: GlobalTables, note: ReleaseNote) -> None:
+    for retired in retired_by(configuration_of(tables), note):
+        tables.retired_names[retired] = note.number
     for entity in note.added + note.changed:
         kind, name = entity_key(entity)
         _table(tables, kind)[name] = entity
@@ -189,60 +186,6 @@
             del tables.shard_homes[shard]
 
 
-def _check_change(tables: GlobalTables, entity: Entity) -> list[NoteError]:
-    kind, name = entity_key(entity)
-    place = f"changed.{kind} {name}"
-    match entity:
-        case Service():
-            if entity.n_shards != tables.services[name].n_shards:
-                return [NoteError(place, "n_shards can't change while keys are owned")]
-        case DataCentre():
-            if entity.region != tables.data_centres[name].region:
-                return [NoteError(place, "a data centre can't change its region")]
-        case HomeRegion():
-            if entity.key_prefix != tables.home_regions[name].key_prefix:
-                return [NoteError(place, "key_prefix can't change: keys are owned")]
-    return []
-
-
-def _check_references(tables: GlobalTables, note: ReleaseNote) -> list[NoteError]:
-    errors: list[NoteError] = []
-    entities = note.added + note.changed
-    gone = set(note.withdrawn)
-    new_services = {row.name for row in note.added if isinstance(row, Service)}
-    services = set(tables.services) | new_services
-    services -= {name for kind, name in gone if kind == "services"}
-    regions = {row.region for row in tables.data_centres.values()}
-    regions |= {row.region for row in entities if isinstance(row, DataCentre)}
-    for entity in entities:
-        kind, name = entity_key(entity)
-        if isinstance(entity, Route | HomeRegion) and entity.service not in services:
-            errors.append(NoteError(f"{kind} {name}", "names an unknown service"))
-        if isinstance(entity, Account):
-            for service in entity.services:
-                if service not in services:
-                    errors.append(
-                        NoteError(f"{kind} {name}", f"names unknown {service}")
-                    )
-        if isinstance(entity, HomeRegion):
-            for region in entity.regions:
-                if region not in regions:
-                    errors.append(
-                        NoteError(f"{kind} {name}", f"names unknown region {region}")
-                    )
-    # A prefix that appears on a live service would give its keys a second owner.
-    for entity in note.added:
-        if isinstance(entity, HomeRegion) and entity.key_prefix:
-            if entity.service not in new_services:
-                errors.append(
-                    NoteError(
-                        f"added.home_regions {entity.name}",
-                        "a key_prefix can only be added together with its service",
-                    )
-                )
-    return errors
-
-
 def _place_shards(tables: GlobalTables, command: PlaceShards) -> Accepted:
     known = set(unplaced_shards(tables))
     for shard, data_centre in zip(command.shards, command.data_centres, strict=True):
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from .commands import Command
-from .records import HostAddress, ShardId
+from .records import HostAddress, QuarantineRecord, ShardId, UpstreamSession
 
 
 class Member(NamedTuple):
@@ -214,7 +214,11 @@
 
 
 class HostStatus(NamedTuple):
-    """A host's own account of its state."""
+    """A host's own account of its state.
+
+    ``settled_groups`` are those whose replica here has applied an entry of its own
+    term, and so knows all that earlier leaders committed.
+    """
 
     host: str
     data_centre: str
@@ -223,6 +227,8 @@
     revision: int
     is_stopping: bool
     groups: tuple[GroupStatus, ...]
+    settled_groups: tuple[str, ...]
+    is_ready: bool
 
 
 class RequestHead(NamedTuple):
@@ -260,3 +266,66 @@
     """Application ping of a peer connection."""
 
     nonce: int
+
+
+class ListUpstreams(NamedTuple):
+    """An operator asks, through a host, for the upstreams of a data centre."""
+
+
+class UpstreamRow(NamedTuple):
+    """An upstream's session, its dispatcher and how many shards it owns."""
+
+    session: UpstreamSession
+    dispatcher: str
+    n_shards: int
+
+
+class UpstreamList(NamedTuple):
+    """The upstreams of one data centre."""
+
+    data_centre: str
+    rows: tuple[UpstreamRow, ...]
+
+
+class FindGrant(NamedTuple):
+    """An operator asks who owns a shard; the key itself is never sent."""
+
+    shard: ShardId
+
+
+class GrantReport(NamedTuple):
+    """Who owns a shard, as a host of its data centre knows it.
+
+    ``held_since_s`` is the time of day at which that host saw the grant committed, or 0
+    if it started later. Empty texts stand for what there is not.
+    """
+
+    data_centre: str
+    host: str
+    upstream: str
+    epoch: int
+    state: str
+    dispatcher: str
+    dispatcher_epoch: int
+    held_since_s: int
+    reason: str
+
+
+class ListQuarantine(NamedTuple):
+    """An operator asks which requests a data centre suspects or refuses."""
+
+
+class QuarantineList(NamedTuple):
+    """The suspected and quarantined requests of one data centre."""
+
+    data_centre: str
+    rows: tuple[QuarantineRecord, ...]
+
+
+class LiftQuarantine(NamedTuple):
+    """An operator lets a request run again; the reply is a result code."""
+
+    fingerprint: str
+
+
+OperatorQuery = ListUpstreams | FindGrant | ListQuarantine | LiftQuarantine
--- a/packages/bergamotferry/src/bergamotferry/release_note.py
+++ b/packages/bergamotferry/src/bergamotferry/release_note.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import re
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -18,8 +19,12 @@
 BODY_MAX_BYTES = 1 << 30
 NOTE_MAX_BYTES = 1 << 20
 IN_FLIGHT_MAX = 100_000
+N_NAMES_MAX = 256
+KEY_PREFIX_MAX_LENGTH = 128
+N_ERRORS_TOLD_MAX = 100
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}\Z")
+_ROUTE_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}/[a-z0-9][a-z0-9-]{0,62}\Z")
 _SHA256 = re.compile(r"[0-9a-f]{64}\Z")
 _PARTS = ("added", "changed", "withdrawn")
 _CLASSES = ("lookup", "filing", "bulk")
@@ -65,15 +70,17 @@
     errors : list of NoteError
         Every error found, in the order of the text.
     """
-    if len(text) > NOTE_MAX_BYTES:
+    if len(text.encode(errors="surrogatepass")) > NOTE_MAX_BYTES:
         return None, [NoteError("note", f"longer than {NOTE_MAX_BYTES} bytes")]
+    repeated: list[NoteError] = []
     try:
-        raw = json.loads(text)
+        raw = json.loads(text, object_pairs_hook=_pairs_reader(repeated))
     except (ValueError, RecursionError) as error:
         return None, [NoteError("note", f"not JSON: {error}")]
     if not isinstance(raw, dict):
         return None, [NoteError("note", "must be a JSON object")]
-    return parse_note(raw)
+    note, errors = parse_note(raw)
+    return note, repeated + errors
 
 
 def parse_note(raw: Mapping[str, Any]) -> tuple[ReleaseNote | None, list[NoteError]]:
@@ -87,6 +94,9 @@
     added = _read_part(raw.get("added", {}), "added", errors)
     changed = _read_part(raw.get("changed", {}), "changed", errors)
     withdrawn = _read_withdrawn(raw.get("withdrawn", {}), errors)
+    has_numbers = not {"number", "based_on"} & {error.place for error in errors}
+    if has_numbers and number <= based_on:
+        errors.append(NoteError("number", "must be above based_on"))
     _check_repeats(added + changed, withdrawn, errors)
     return ReleaseNote(number, based_on, added, changed, withdrawn), errors
 
@@ -104,6 +114,32 @@
     return kinds[type(entity)], entity.name
 
 
+def errors_text(errors: list[NoteError]) -> str:
+    """Return errors as one line, the first hundred in full."""
+    texts = [f"{error.place}: {error.message}" for error in errors[:N_ERRORS_TOLD_MAX]]
+    if len(errors) > N_ERRORS_TOLD_MAX:
+        texts.append(f"and {len(errors) - N_ERRORS_TOLD_MAX} more")
+    return "; ".join(texts)
+
+
+def _pairs_reader(
+    errors: list[NoteError],
+) -> Callable[[list[tuple[str, Any]]], dict[str, Any]]:
+    def read_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        # Without this the last one would silently win.
+        row = dict(pairs)
+        if len(row) != len(pairs):
+            counts = Counter(name for name, _ in pairs)
+            errors.extend(
+                NoteError(name, "field named twice in one object")
+                for name, count in counts.items()
+                if count > 1
+            )
+        return row
+
+    return read_pairs
+
+
 def _read_part(raw: Any, part: str, errors: list[NoteError]) -> tuple[Entity, ...]:
     if not isinstance(raw, dict):
         errors.append(NoteError(part, "must be an object of lists"))
@@ -136,12 +172,20 @@
         return ()
     withdrawn: list[tuple[str, str]] = []
     for kind, names in raw.items():
+        place = f"withdrawn.{kind}"
         if kind not in _READERS:
-            errors.append(NoteError(f"withdrawn.{kind}", "unknown kind"))
-        elif not isinstance(names, list) or not all(isinstance(n, str) for n in names):
-            errors.append(NoteError(f"withdrawn.{kind}", "must be a list of names"))
-        else:
-            withdrawn.extend((kind, name) for name in names)
+            errors.append(NoteError(place, "unknown kind"))
+            continue
+        if not isinstance(names, list):
+            errors.append(NoteError(place, "must be a list of names"))
+            continue
+        pattern = _ROUTE_NAME if kind == "routes" else _NAME
+        for position, name in enumerate(names):
+            if isinstance(name, str) and pattern.match(name):
+                withdrawn.append((kind, name))
+            else:
+                what = "SERVICE/ROUTE" if kind == "routes" else "a name"
+                errors.append(NoteError(f"{place}[{position}]", f"must be {what}"))
     return tuple(withdrawn)
 
 
@@ -239,8 +283,9 @@
 ) -> HomeRegion:
     _check_fields(row, HomeRegion._fields, place, errors)
     key_prefix = row.get("key_prefix", "")
-    if not isinstance(key_prefix, str):
-        errors.append(NoteError(f"{place}.key_prefix", "must be text"))
+    if not _is_key_prefix(key_prefix):
+        text = f"must be text of up to {KEY_PREFIX_MAX_LENGTH} characters"
+        errors.append(NoteError(f"{place}.key_prefix", text))
     accounts = _read_names({"accounts": [], **row}, "accounts", place, errors)
     if not key_prefix and not accounts:
         errors.append(NoteError(place, "needs a key_prefix or accounts"))
@@ -297,9 +342,20 @@
     ):
         errors.append(NoteError(f"{place}.{field}", "must be a list of names"))
         return ()
+    if len(value) > N_NAMES_MAX:
+        errors.append(NoteError(f"{place}.{field}", f"limit is {N_NAMES_MAX} names"))
+    if len(set(value)) != len(value):
+        errors.append(NoteError(f"{place}.{field}", "a name stands twice"))
     return tuple(value)
 
 
+def _is_key_prefix(value: Any) -> bool:
+    # Half of a surrogate pair is JSON but no text that a key could begin with.
+    if not isinstance(value, str) or len(value) > KEY_PREFIX_MAX_LENGTH:
+        return False
+    return not any("\ud800" <= character <= "\udfff" for character in value)
+
+
 def _read_int(
     row: Mapping[str, Any],
     field: str,
--- /dev/null
+++ b/packages/bergamotferry/tests/test_readiness.py
@@ -0,0 +1,64 @@
+"""Which answers let a host that has just started serve, in a table."""
+
+import pytest
+
+from bergamotferry.messages import GroupStatus, HostStatus
+from bergamotferry.readiness import CatchUpTarget, catch_up_target, is_caught_up
+
+VOTERS = ("a", "b", "c")
+
+
+def status(host, role, index, revision, settled=True, voters=VOTERS):
+    view = GroupStatus("global", role, 3, "", index, index, voters)
+    known = ("global",) if settled else ()
+    return HostStatus(host, "dc", "r", "1", revision, False, (view,), known, True)
+
+
+CASES = [
+    ("nobody answered", [], None),
+    ("one follower of three", [status("a", "follower", 9, 4)], None),
+    ("the leader", [status("a", "leader", 9, 4)], CatchUpTarget(9, 4)),
+    (
+        "a leader that has not committed in its term",
+        [status("a", "leader", 0, 0, settled=False)],
+        None,
+    ),
+    (
+        "two followers of three: the later one counts",
+        [status("a", "follower", 9, 4), status("b", "follower", 7, 3)],
+        CatchUpTarget(9, 4),
+    ),
+    (
+        "a majority that has itself just started knows nothing",
+        [
+            status("a", "follower", 0, 0, settled=False),
+            status("b", "follower", 0, 0, settled=False),
+        ],
+        None,
+    ),
+    (
+        "readers are no voters, but what they serve counts",
+        [status("r", "reader", 8, 6, False, ()), status("a", "leader", 9, 4)],
+        CatchUpTarget(9, 6),
+    ),
+    (
+        "a later membership counts, not the one of the settings",
+        [
+            status("a", "follower", 9, 4, voters=("a", "d", "e", "f", "g")),
+            status("b", "follower", 7, 3),
+        ],
+        None,
+    ),
+]
+
+
+@pytest.mark.parametrize(("name", "statuses", "expected"), CASES)
+def test_target(name, statuses, expected):
+    assert catch_up_target(statuses, "global", VOTERS) == expected
+
+
+def test_both_the_index_and_the_revision_must_be_reached():
+    target = CatchUpTarget(9, 4)
+    assert is_caught_up(target, 9, 4)
+    assert not is_caught_up(target, 8, 4)
+    assert not is_caught_up(target, 9, 3)
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -18,6 +18,7 @@
 from .host_state import HostState
 from .http_answers import bearer_token, outcome_headers, refusal_response
 from .logs import log
+from .readiness import is_ready
 from .request_path import CountingSink, serve_request
 
 KEY_MAX_LENGTH = 512
@@ -31,12 +32,13 @@
     async def handle(request: web.Request) -> web.StreamResponse:
         return await _handle(state, http, request)
 
-    async def is_ready(request: web.Request) -> web.Response:
-        is_open = not state.is_stopping and state.global_tables.revision > 0
-        return web.Response(status=200 if is_open else 503)
+    async def ready(request: web.Request) -> web.Response:
+        if is_ready(state):
+            return web.Response(text="ready\n")
+        return refusal_response(_not_ready(state), "")
 
     app = web.Application(client_max_size=1 << 31)
-    app.router.add_get("/ready", is_ready)
+    app.router.add_get("/ready", ready)
     app.router.add_route("*", "/v1/{service}/{route}/{key:.+}", handle)
     return app
 
@@ -61,8 +63,8 @@
 
 
 def _route(state: HostState, request: web.Request) -> RoutedRequest | Refused:
-    if state.is_stopping:
-        return Refused(ResultCode.HOST_STOPPING, "ask another host")
+    if not is_ready(state):
+        return _not_ready(state)
     tables = state.global_tables
     account = find_account(tables, bearer_token(request))
     if isinstance(account, Refused):
@@ -93,6 +95,12 @@
     return routed
 
 
+def _not_ready(state: HostState) -> Refused:
+    if state.is_stopping:
+        return Refused(ResultCode.HOST_STOPPING, "ask another host")
+    return Refused(ResultCode.HOST_NOT_READY, "the host is catching up")
+
+
 async def _serve(
     state: HostState,
     http: aiohttp.ClientSession,
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -16,7 +16,11 @@
 from bergamotferry.messages import (
     CapacityReport,
     FetchLog,
+    FindGrant,
     HostStatusRequest,
+    LiftQuarantine,
+    ListQuarantine,
+    ListUpstreams,
     Member,
     Propose,
     RenewLeases,
@@ -33,6 +37,7 @@
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
+from .grant_history import GrantHistory, observe_grants
 from .group import Group, answer_fetch, answer_propose, post, run_group
 from .group_start import start_member
 from .host_state import HostState
@@ -47,8 +52,10 @@
 from .logs import log
 from .metrics import metrics_from_config
 from .operator_edge import add_operator_routes, answer_status
+from .operator_queries import answer_query
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
+from .readiness import run_readiness
 from .request_path import serve_peer
 from .settings import Settings, split_address
 from .upstream_edge import add_upstream_routes
@@ -104,13 +111,15 @@
         settings.host, settings.seeds, settings.peer_token, handlers
     )
     groups: dict[str, Group] = {}
+    history = GrantHistory()
+    apply_observed = observe_grants(apply_data_centre_command, history)
     for name in groups_of_host(settings.host, settings.seeds):
         voters = [voter.host for voter in first_membership(name, settings.seeds).voters]
         is_global = name == GLOBAL_GROUP
         group = Group(
             name,
             GlobalTables() if is_global else DataCentreTables(),
-            apply_global_command if is_global else apply_data_centre_command,
+            apply_global_command if is_global else apply_observed,
             network,
             voters,
         )
@@ -128,6 +137,7 @@
         groups,
         metrics_from_config(settings.statsd_address, settings.host.name),
         DispatcherTable(),
+        grant_history=history,
     )
     _set_handlers(state, http, handlers)
     return state
@@ -148,6 +158,8 @@
                 return answer_capacity(state, message)
             case HostStatusRequest():
                 return await answer_status(state, message)
+            case ListUpstreams() | FindGrant() | ListQuarantine() | LiftQuarantine():
+                return await answer_query(state, message)
         return None
 
     def on_notice(message: Any, peer: str) -> None:
@@ -174,6 +186,7 @@
         run_lease_renewal(state),
         run_dispatcher(state, http),
         run_placement_duty(state),
+        run_readiness(state),
     ]
     for name, group in state.groups.items():
         if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -1,6 +1,7 @@
 """What the parts of one running host share."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bergamotferry.data_centre_tables import DataCentreTables
@@ -13,6 +14,7 @@
 from .bootstrap import GLOBAL_GROUP, data_centre_group
 from .clock import now_ns
 from .dispatcher_table import DispatcherTable
+from .grant_history import GrantHistory
 from .group import Group
 from .metrics import Metrics
 from .peer_network import PeerNetwork
@@ -49,7 +51,10 @@
     dispatchers: DispatcherTable
     host_lease_until_ns: int = 0
     is_stopping: bool = False
+    is_caught_up: bool = False
     n_in_flight: int = 0
+    in_flight_by_account: Counter[str] = field(default_factory=Counter)
+    grant_history: GrantHistory = field(default_factory=GrantHistory)
     renewals: dict[str, SessionRenewal] = field(default_factory=dict)
     leaders: dict[str, LeaderState] = field(default_factory=dict)
     dispatcher_hints: dict[tuple[str, object], str] = field(default_factory=dict)
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_answers.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_answers.py
@@ -20,8 +20,10 @@
     }
 
 
-def refusal_response(refusal: Refused, request_id: str) -> web.Response:
-    """Return a refusal as a response."""
+def refusal_response(
+    refusal: Refused, request_id: str, **details: object
+) -> web.Response:
+    """Return a refusal as a response; details are further fields of its body."""
     row = RESULT_CODE_TABLE[refusal.code]
     body = {
         "code": int(refusal.code),
@@ -29,6 +31,7 @@
         "not_run": row.is_not_run,
         "detail": refusal.detail,
         "request_id": request_id,
+        **details,
     }
     headers = outcome_headers(refusal.code, request_id)
     return web.json_response(body, status=row.http_status, headers=headers)
@@ -37,4 +40,6 @@
 def bearer_token(request: web.Request) -> str:
     """Return the bearer token of a request, or an empty text."""
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-    return token if scheme.lower() == "bearer" else ""
+    # Text that came as bytes outside UTF-8 can't be any token that was given out.
+    is_text = not any("\ud800" <= character <= "\udfff" for character in token)
+    return token if scheme.lower() == "bearer" and is_text else ""
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_body.py
@@ -0,0 +1,74 @@
+"""Reads bodies of requests within a limit in bytes and in time.
+
+The count is of bytes that came, so a body sent in chunks, without a length, meets the
+same limit.
+"""
+
+import asyncio
+import json
+from typing import Any
+
+from aiohttp import web
+
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import ResultCode
+
+BODY_GAP_TIMEOUT_S = 5.0
+BODY_TOTAL_TIMEOUT_S = 20.0
+
+
+async def read_body(
+    request: web.Request, most_bytes: int, total_timeout_s: float = BODY_TOTAL_TIMEOUT_S
+) -> bytes | Refused:
+    """Read a whole body, or say why it can't be taken."""
+    if (request.content_length or 0) > most_bytes:
+        return too_large(most_bytes)
+    parts: list[bytes] = []
+    n_bytes = 0
+    try:
+        async with asyncio.timeout(total_timeout_s):
+            while True:
+                async with asyncio.timeout(BODY_GAP_TIMEOUT_S):
+                    part = await request.content.readany()
+                if not part:
+                    return b"".join(parts)
+                n_bytes += len(part)
+                if n_bytes > most_bytes:
+                    return too_large(most_bytes)
+                parts.append(part)
+    except TimeoutError:
+        return Refused(ResultCode.SENDER_TOO_SLOW, "the body came too slowly")
+    except web.RequestPayloadError:
+        return Refused(ResultCode.BAD_REQUEST, "the body is malformed")
+
+
+async def read_text(request: web.Request, most_bytes: int) -> str | Refused:
+    """Read a body that must be text in UTF-8."""
+    body = await read_body(request, most_bytes)
+    if isinstance(body, Refused):
+        return body
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        return Refused(ResultCode.BAD_JSON, "not UTF-8")
+
+
+async def read_json_object(
+    request: web.Request, most_bytes: int
+) -> dict[str, Any] | Refused:
+    """Read a body that must be one JSON object."""
+    text = await read_text(request, most_bytes)
+    if isinstance(text, Refused):
+        return text
+    try:
+        body = json.loads(text)
+    except (ValueError, RecursionError):
+        return Refused(ResultCode.BAD_JSON, "not JSON")
+    if not isinstance(body, dict):
+        return Refused(ResultCode.BAD_JSON, "not an object")
+    return body
+
+
+def too_large(most_bytes: int) -> Refused:
+    """Return the refusal of a body over its limit."""
+    return Refused(ResultCode.BODY_TOO_LARGE, f"limit is {most_bytes} bytes")
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
@@ -3,51 +3,73 @@
 import asyncio
 import hmac
 import json
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from bergamotferry.commands import ApplyNote
-from bergamotferry.messages import HostStatus, HostStatusRequest
+from bergamotferry.global_tables import configuration_of
+from bergamotferry.messages import (
+    FindGrant,
+    GrantReport,
+    HostStatus,
+    HostStatusRequest,
+    LiftQuarantine,
+    ListQuarantine,
+    ListUpstreams,
+    QuarantineList,
+    UpstreamList,
+)
+from bergamotferry.note_check import N_ENTITIES_MAX, check_note, rows_of
 from bergamotferry.outcomes import Refused
+from bergamotferry.records import DataCentre, ShardId
 from bergamotferry.release_note import (
     NOTE_MAX_BYTES,
+    NoteError,
+    ReleaseNote,
     canonical_content,
-    entity_key,
+    errors_text,
     parse_note_text,
 )
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.shards import shard_of_key
 
-from .group import commit, group_status, wait_applied
+from .group import commit, wait_applied
 from .host_state import HostState
 from .http_answers import bearer_token, refusal_response
+from .http_body import read_json_object, read_text
 from .logs import log
+from .operator_queries import ask_data_centre, ask_data_centres
 from .peer_link import PeerUnreachable
+from .readiness import own_status
 
 IN_FORCE_WAIT_MS = 5000
 STATUS_TIMEOUT_S = 1.0
 APPLY_TIMEOUT_S = 5.0
+ORDER_MAX_BYTES = 4096
+
+Handler = Callable[[HostState, web.Request], Awaitable[web.Response]]
 
 
 def add_operator_routes(app: web.Application, state: HostState) -> None:
     """Add the operators' routes to the control application."""
 
-    def guarded(handler: Any) -> Any:
+    def guarded(handler: Handler) -> Callable[[web.Request], Awaitable[web.Response]]:
         async def handle(request: web.Request) -> web.Response:
             refusal = _check_token(state, request)
             if refusal is not None:
                 return refusal_response(refusal, "")
-            response: web.Response = await handler(state, request)
-            return response
+            return await handler(state, request)
 
         return handle
 
-    app.router.add_post("/operators/v1/notes", guarded(_apply))
-    app.router.add_get("/operators/v1/configuration", guarded(_configuration))
-    app.router.add_get("/operators/v1/status", guarded(_status))
-    app.router.add_get("/operators/v1/upstreams", guarded(_upstreams))
-    app.router.add_get("/operators/v1/owner", guarded(_owner))
+    router = app.router
+    router.add_post("/operators/v1/notes", guarded(_apply))
+    router.add_get("/operators/v1/configuration", guarded(_configuration))
+    router.add_get("/operators/v1/status", guarded(_status))
+    router.add_get("/operators/v1/upstreams", guarded(_upstreams))
+    router.add_get("/operators/v1/owner", guarded(_owner))
+    router.add_get("/operators/v1/quarantine", guarded(_quarantine))
+    router.add_post("/operators/v1/quarantine/release", guarded(_release))
 
 
 async def answer_status(state: HostState, message: HostStatusRequest) -> HostStatus:
@@ -57,27 +79,19 @@
     while state.global_tables.revision < message.wait_revision and left_ms > 0:
         await wait_applied(group, group.applied_index + 1, 0.05)
         left_ms -= 50
-    return HostStatus(
-        state.host.name,
-        state.host.data_centre,
-        state.host.region,
-        state.incarnation,
-        state.global_tables.revision,
-        state.is_stopping,
-        tuple(group_status(row) for row in state.groups.values()),
-    )
+    return own_status(state)
 
 
 async def _apply(state: HostState, request: web.Request) -> web.Response:
-    if (request.content_length or 0) > NOTE_MAX_BYTES:
-        refusal = Refused(ResultCode.BODY_TOO_LARGE, f"limit is {NOTE_MAX_BYTES}")
-        return refusal_response(refusal, "")
-    note, errors = parse_note_text(await request.text())
+    text = await read_text(request, NOTE_MAX_BYTES)
+    if isinstance(text, Refused):
+        return refusal_response(text, "")
+    note, errors = parse_note_text(text)
+    if note is not None:
+        errors = errors + _check_here(state, note)
     if note is None or errors:
-        text = "; ".join(f"{error.place}: {error.message}" for error in errors)
-        return refusal_response(Refused(ResultCode.NOTE_INVALID, text), "")
-    content = canonical_content(json.loads(await request.text()))
-    command = ApplyNote(note.number, note.based_on, content)
+        return _invalid_note(errors)
+    command = ApplyNote(note.number, note.based_on, canonical_content(json.loads(text)))
     outcome = await commit(state.global_group, command, APPLY_TIMEOUT_S)
     log("note", number=note.number, based_on=note.based_on, outcome=str(outcome))
     if isinstance(outcome, Refused):
@@ -94,13 +108,34 @@
     )
 
 
+def _check_here(state: HostState, note: ReleaseNote) -> list[NoteError]:
+    """Find errors early, with their places; the leader's own check decides."""
+    errors: list[NoteError] = []
+    regions = {row.data_centre: row.region for row in state.settings.seeds}
+    for entity in note.added:
+        if isinstance(entity, DataCentre):
+            region = regions.get(entity.name, entity.region)
+            if region != entity.region:
+                text = f"its hosts are in region {region} by their settings"
+                errors.append(NoteError(f"added.data_centres {entity.name}", text))
+    # A note that was accepted before must get its first answer again.
+    if note.based_on == state.global_tables.revision:
+        errors += check_note(configuration_of(state.global_tables), note)
+    return errors
+
+
+def _invalid_note(errors: list[NoteError]) -> web.Response:
+    refusal = Refused(ResultCode.NOTE_INVALID, errors_text(errors))
+    return refusal_response(refusal, "", errors=[row._asdict() for row in errors])
+
+
 async def _configuration(state: HostState, request: web.Request) -> web.Response:
-    tables = state.global_tables
-    kinds = ("data_centres", "services", "routes", "accounts", "home_regions")
-    body: dict[str, object] = {"revision": tables.revision}
-    for kind in kinds:
-        rows = getattr(tables, kind).values()
-        body[kind] = {entity_key(row)[1]: row._asdict() for row in rows}
+    configuration = configuration_of(state.global_tables)
+    body: dict[str, object] = {"revision": state.global_tables.revision}
+    for kind in N_ENTITIES_MAX:
+        rows = rows_of(configuration, kind).items()
+        body[kind] = {name: row._asdict() for name, row in rows}
+    body["retired_names"] = dict(configuration.retired_names)
     return web.json_response(body)
 
 
@@ -114,49 +149,79 @@
         row = status._asdict()
         row["groups"] = [group._asdict() for group in status.groups]
         hosts.append({**row, "is_reachable": True})
-    return web.json_response({"hosts": hosts})
+    return web.json_response({"answered_by": state.host.name, "hosts": hosts})
 
 
 async def _upstreams(state: HostState, request: web.Request) -> web.Response:
-    tables = state.own_tables
-    rows = []
-    for session in tables.sessions.values():
-        dispatcher = tables.dispatchers.get(session.name)
-        n_shards = sum(g.upstream == session.name for g in tables.grants.values())
-        rows.append(
+    query = ListUpstreams()
+    if request.query.get("data_centre") == "all":
+        replies = await ask_data_centres(state, query)
+    else:
+        own = state.host.data_centre
+        replies = {own: await ask_data_centre(state, own, query)}
+    rows: list[dict[str, object]] = []
+    for data_centre, reply in replies.items():
+        if not isinstance(reply, UpstreamList):
+            continue
+        rows += [
             {
-                **session._asdict(),
-                "dispatcher": dispatcher.host if dispatcher else "",
-                "n_shards": n_shards,
+                "data_centre": data_centre,
+                **row.session._asdict(),
+                "dispatcher": row.dispatcher,
+                "n_shards": row.n_shards,
             }
-        )
-    return web.json_response({"data_centre": state.host.data_centre, "upstreams": rows})
+            for row in reply.rows
+        ]
+    return web.json_response({"upstreams": rows, "not_reached": _missing(replies)})
 
 
 async def _owner(state: HostState, request: web.Request) -> web.Response:
-    service = request.query.get("service", "")
-    key = request.query.get("key", "")
-    tables = state.global_tables
-    row = tables.services.get(service)
-    if row is None or not key:
-        refusal = Refused(ResultCode.BAD_REQUEST, "needs a known service and a key")
+    shard = _read_shard(request)
+    if shard is None:
+        refusal = Refused(ResultCode.BAD_REQUEST, "needs service, domain and number")
         return refusal_response(refusal, "")
-    shard = shard_of_key(service, row.n_shards, tables.home_regions.values(), key)
-    home = tables.shard_homes.get(shard)
-    body: dict[str, object] = {
-        "shard": list(shard),
-        "data_centre": home.data_centre if home else None,
-        "next_data_centre": home.next_data_centre if home else None,
-    }
-    if home is not None and home.data_centre == state.host.data_centre:
-        grant = state.own_tables.grants.get(shard)
-        if grant is not None:
-            dispatcher = state.own_tables.dispatchers.get(grant.upstream)
-            body["upstream"] = grant.upstream
-            body["epoch"] = grant.epoch
-            body["state"] = grant.state
-            body["dispatcher"] = dispatcher.host if dispatcher else None
-    return web.json_response(body)
+    home = state.global_tables.shard_homes.get(shard)
+    if home is None:
+        refusal = Refused(ResultCode.NO_OWNER, "the shard has no data centre yet")
+        return refusal_response(refusal, "")
+    reply = await ask_data_centre(state, home.data_centre, FindGrant(shard))
+    grant = reply._asdict() if isinstance(reply, GrantReport) else None
+    return web.json_response(
+        {"shard": shard._asdict(), "home": home._asdict(), "grant": grant}
+    )
+
+
+async def _quarantine(state: HostState, request: web.Request) -> web.Response:
+    replies = await ask_data_centres(state, ListQuarantine())
+    rows = [
+        {"data_centre": data_centre, **row._asdict()}
+        for data_centre, reply in replies.items()
+        if isinstance(reply, QuarantineList)
+        for row in reply.rows
+    ]
+    return web.json_response({"quarantine": rows, "not_reached": _missing(replies)})
+
+
+async def _release(state: HostState, request: web.Request) -> web.Response:
+    body = await read_json_object(request, ORDER_MAX_BYTES)
+    if isinstance(body, Refused):
+        return refusal_response(body, "")
+    fingerprint = body.get("fingerprint")
+    if not isinstance(fingerprint, str) or not 0 < len(fingerprint) <= 128:
+        refusal = Refused(ResultCode.BAD_REQUEST, "needs a fingerprint")
+        return refusal_response(refusal, "")
+    replies = await ask_data_centres(state, LiftQuarantine(fingerprint))
+    released = sorted(name for name, code in replies.items() if code == 0)
+    missing = sorted(set(replies) - set(released))
+    return web.json_response({"released": released, "not_reached": missing})
+
+
+def _read_shard(request: web.Request) -> ShardId | None:
+    number = request.query.get("number", "")
+    service = request.query.get("service", "")
+    if not service or not number.isascii() or not number.isdigit() or len(number) > 6:
+        return None
+    return ShardId(service, request.query.get("domain", ""), int(number))
 
 
 async def _ask_all(
@@ -177,6 +242,10 @@
     return dict(zip(names, replies, strict=True))
 
 
+def _missing(replies: dict[str, object]) -> list[str]:
+    return sorted(name for name, reply in replies.items() if reply is None)
+
+
 def _check_token(state: HostState, request: web.Request) -> Refused | None:
     token = bearer_token(request)
     if not token:
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_queries.py
@@ -0,0 +1,108 @@
+"""What operators ask about a data centre, answered by any host of that data centre.
+
+The host that an operator speaks to asks one host of each data centre through the peer
+network. Questions name shards and fingerprints, never keys, so a home-bound key does
+not leave the operator's own machine.
+"""
+
+import asyncio
+from typing import Any
+
+from bergamotferry.commands import ReleaseQuarantine
+from bergamotferry.messages import (
+    FindGrant,
+    GrantReport,
+    LiftQuarantine,
+    ListQuarantine,
+    ListUpstreams,
+    OperatorQuery,
+    QuarantineList,
+    UpstreamList,
+    UpstreamRow,
+)
+from bergamotferry.outcomes import Refused
+from bergamotferry.records import ShardId
+
+from .group import commit
+from .host_state import HostState
+from .logs import log
+from .peer_link import PeerUnreachable
+from .peer_network import hosts_of_data_centre
+
+QUERY_TIMEOUT_S = 1.5
+
+
+async def answer_query(state: HostState, query: OperatorQuery) -> Any:
+    """Answer a question about this host's own data centre."""
+    match query:
+        case ListUpstreams():
+            return _upstreams(state)
+        case FindGrant():
+            return _grant_report(state, query.shard)
+        case ListQuarantine():
+            rows = tuple(state.own_tables.quarantine.values())
+            return QuarantineList(state.host.data_centre, rows)
+        case LiftQuarantine():
+            command = ReleaseQuarantine(query.fingerprint)
+            outcome = await commit(state.own_group, command)
+            log("quarantine lifted", outcome=str(outcome))
+            return int(outcome.code) if isinstance(outcome, Refused) else 0
+
+
+async def ask_data_centre(
+    state: HostState, data_centre: str, query: OperatorQuery
+) -> Any:
+    """Return the answer of the first host of a data centre that gives one, or None."""
+    names = hosts_of_data_centre(state.network.addresses, data_centre)
+    if state.host.name in names:
+        names = [state.host.name]
+    for name in names:
+        try:
+            reply = await state.network.call(name, query, QUERY_TIMEOUT_S)
+        except PeerUnreachable:
+            continue
+        if reply is not None:
+            return reply
+    return None
+
+
+async def ask_data_centres(state: HostState, query: OperatorQuery) -> dict[str, Any]:
+    """Ask one host of each data centre; None stands where none answered."""
+    names = sorted({row.data_centre for row in state.network.addresses.values()})
+    replies = await asyncio.gather(
+        *(ask_data_centre(state, name, query) for name in names)
+    )
+    return dict(zip(names, replies, strict=True))
+
+
+def _upstreams(state: HostState) -> UpstreamList:
+    tables = state.own_tables
+    counts: dict[str, int] = {}
+    for grant in tables.grants.values():
+        counts[grant.upstream] = counts.get(grant.upstream, 0) + 1
+    rows = []
+    for name, session in sorted(tables.sessions.items()):
+        dispatcher = tables.dispatchers.get(name)
+        host = dispatcher.host if dispatcher else ""
+        rows.append(UpstreamRow(session, host, counts.get(name, 0)))
+    return UpstreamList(state.host.data_centre, tuple(rows))
+
+
+def _grant_report(state: HostState, shard: ShardId) -> GrantReport:
+    place = (state.host.data_centre, state.host.name)
+    grant = state.own_tables.grants.get(shard)
+    if grant is None:
+        return GrantReport(*place, "", 0, "", "", 0, 0, "no upstream holds the shard")
+    dispatcher = state.own_tables.dispatchers.get(grant.upstream)
+    seen = state.grant_history.grants.get(shard)
+    is_seen = seen is not None and seen.epoch == grant.epoch
+    return GrantReport(
+        *place,
+        grant.upstream,
+        grant.epoch,
+        grant.state,
+        dispatcher.host if dispatcher else "",
+        dispatcher.epoch if dispatcher else 0,
+        seen.seen_at_s if seen and is_seen else 0,
+        seen.reason if seen and is_seen else "granted before this host started",
+    )
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
@@ -0,0 +1,89 @@
+"""Keeps a host that has just started from serving before it has caught up."""
+
+import asyncio
+
+from bergamotferry.messages import HostStatus, HostStatusRequest
+from bergamotferry.readiness import CatchUpTarget, catch_up_target, is_caught_up
+from bergamotferry.replication import term_at
+
+from .bootstrap import GLOBAL_GROUP
+from .group import Group, group_status, wait_applied
+from .host_state import HostState
+from .logs import log
+from .peer_link import PeerUnreachable
+from .peer_network import hosts_of_data_centre
+
+ASK_TIMEOUT_S = 1.0
+ASK_PAUSE_S = 0.1
+CATCH_UP_WAIT_S = 0.5
+
+
+async def run_readiness(state: HostState) -> None:
+    """Ask until enough hosts have answered, catch up, then let the host serve."""
+    target: CatchUpTarget | None = None
+    while target is None:
+        target = await _ask_target(state)
+        if target is None:
+            await asyncio.sleep(ASK_PAUSE_S)
+    group = state.global_group
+    while not is_caught_up(target, group.applied_index, state.global_tables.revision):
+        next_index = max(target.log_index, group.applied_index + 1)
+        await wait_applied(group, next_index, CATCH_UP_WAIT_S)
+    state.is_caught_up = True
+    log(
+        "caught up",
+        target_index=target.log_index,
+        target_revision=target.revision,
+        revision=state.global_tables.revision,
+    )
+    # A duty never ends by itself, since its end would stop the host.
+    await asyncio.Event().wait()
+
+
+def own_status(state: HostState) -> HostStatus:
+    """Return this host's account of its state."""
+    return HostStatus(
+        state.host.name,
+        state.host.data_centre,
+        state.host.region,
+        state.incarnation,
+        state.global_tables.revision,
+        state.is_stopping,
+        tuple(group_status(group) for group in state.groups.values()),
+        tuple(name for name, group in state.groups.items() if _is_settled(group)),
+        is_ready(state),
+    )
+
+
+def is_ready(state: HostState) -> bool:
+    """Return whether the host takes requests of callers."""
+    has_configuration = state.is_caught_up and state.global_tables.revision > 0
+    return has_configuration and not state.is_stopping
+
+
+async def _ask_target(state: HostState) -> CatchUpTarget | None:
+    voters = state.global_group.sources
+    neighbours = hosts_of_data_centre(state.network.addresses, state.host.data_centre)
+    # The host itself answers too: alone, as the only voter, it is a majority.
+    names = sorted({*voters, *neighbours})
+    replies = await asyncio.gather(*(_ask(state, name) for name in names))
+    statuses = [reply for reply in replies if reply is not None]
+    return catch_up_target(statuses, GLOBAL_GROUP, voters)
+
+
+async def _ask(state: HostState, host: str) -> HostStatus | None:
+    try:
+        reply = await state.network.call(host, HostStatusRequest(0, 0), ASK_TIMEOUT_S)
+    except PeerUnreachable:
+        return None
+    return reply if isinstance(reply, HostStatus) else None
+
+
+def _is_settled(group: Group) -> bool:
+    replica = group.replica
+    if replica is None or group.applied_index == 0:
+        return False
+    # A leader whose lease has run out may have been replaced without knowing it.
+    if replica.role == "leader" and not group.is_leader:
+        return False
+    return term_at(replica, group.applied_index) == replica.term
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -1,7 +1,6 @@
 """Upstreams' HTTP: announce, renew and leave, at any host of their data centre."""
 
 import hmac
-import json
 from typing import Any
 
 from aiohttp import web
@@ -14,6 +13,7 @@
 from .group import commit
 from .host_state import HostState
 from .http_answers import bearer_token, refusal_response
+from .http_body import read_json_object
 from .lease_renewal import renew_session
 from .settings import split_address
 
@@ -48,14 +48,9 @@
         return refusal_response(Refused(ResultCode.MISSING_TOKEN, "no token"), "")
     if not hmac.compare_digest(token.encode(), state.settings.upstream_token.encode()):
         return refusal_response(Refused(ResultCode.UNKNOWN_TOKEN, "not known"), "")
-    if (request.content_length or 0) > ANNOUNCE_MAX_BYTES:
-        return refusal_response(Refused(ResultCode.BODY_TOO_LARGE, "too large"), "")
-    try:
-        body = json.loads(await request.text())
-    except (ValueError, RecursionError):
-        return refusal_response(Refused(ResultCode.BAD_JSON, "not JSON"), "")
-    if not isinstance(body, dict):
-        return refusal_response(Refused(ResultCode.BAD_JSON, "not an object"), "")
+    body = await read_json_object(request, ANNOUNCE_MAX_BYTES)
+    if isinstance(body, Refused):
+        return refusal_response(body, "")
     outcome = await handler(state, body)
     if isinstance(outcome, Refused):
         return refusal_response(outcome, "")
@@ -73,6 +68,8 @@
             ResultCode.SESSION_WRONG_DATA_CENTRE, f"this is {state.host.data_centre}"
         )
     if command.service not in state.global_tables.services:
+        if not state.is_caught_up:
+            return Refused(ResultCode.HOST_NOT_READY, "the host is catching up")
         return Refused(ResultCode.SESSION_WRONG_SERVICE, "the service is unknown")
     outcome = await commit(state.own_group, command)
     if isinstance(outcome, Refused):
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_release_notes.py
@@ -0,0 +1,176 @@
+"""Release notes with real processes: races, lost answers, a lost leader, restarts."""
+
+import asyncio
+import hashlib
+import json
+import time
+
+import aiohttp
+
+from bergamotferry.result_codes import ResultCode
+from bergamotferry_testkit.deployments import EZO_LUMEN, first_note
+from bergamotferry_testkit.local_deployment import OPERATOR_TOKEN, LocalDeployment
+
+IN_FORCE_TARGET_S = 5.0
+WAIT_S = 20.0
+NEW_TOKEN = "token-of-the-account-in-the-last-note"
+# More than one reply to a reader of the log holds.
+N_NOTES_PASSED_BY = 520
+HEADERS = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+
+
+def account_note(number, based_on, name, token):
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    row = {"name": name, "token_sha256": digest, "services": ["testlog"]}
+    return {"number": number, "based_on": based_on, "added": {"accounts": [row]}}
+
+
+async def send(http, host, note):
+    url = f"http://{host.control_address}/operators/v1/notes"
+    async with http.post(url, data=json.dumps(note), headers=HEADERS) as response:
+        return response.status, await response.json()
+
+
+async def send_until_answered(http, host, note):
+    """Resend as an operator does while no leader answers."""
+    deadline_s = time.monotonic() + WAIT_S
+    while True:
+        try:
+            status, body = await send(http, host, note)
+            if body.get("code") != ResultCode.NO_LEADER:
+                return status, body
+        except aiohttp.ClientError:
+            pass
+        assert time.monotonic() < deadline_s, "the note got no answer in time"
+        await asyncio.sleep(0.1)
+
+
+async def leader_of_global(http, host):
+    url = f"http://{host.control_address}/operators/v1/status"
+    async with http.get(url, headers=HEADERS) as response:
+        body = await response.json()
+    for row in body["hosts"]:
+        for group in row.get("groups", []):
+            if group["group"] == "global" and group["role"] == "leader":
+                return row["host"]
+    return ""
+
+
+async def codes_until_ready(http, host):
+    """Ask as the account of note 3 from the first moment; return every code."""
+    url = f"http://{host.caller_address}/v1/testlog/no-such-route/key"
+    headers = {"Authorization": f"Bearer {NEW_TOKEN}"}
+    codes = []
+    deadline_s = time.monotonic() + WAIT_S
+    while ResultCode.UNKNOWN_ROUTE not in codes and time.monotonic() < deadline_s:
+        try:
+            async with http.get(url, headers=headers) as response:
+                codes.append(int(response.headers["Bergamotferry-Code"]))
+        except aiohttp.ClientError:
+            pass
+        await asyncio.sleep(0.002)
+    return codes
+
+
+def assert_never_served_older(codes):
+    # Older configuration would not know the token.
+    allowed = {ResultCode.HOST_NOT_READY, ResultCode.UNKNOWN_ROUTE}
+    assert set(codes) <= allowed, codes
+    assert codes[-1] == ResultCode.UNKNOWN_ROUTE
+
+
+async def run_scenario(deployment):
+    hosts = deployment.hosts
+    async with aiohttp.ClientSession() as http:
+        for host in hosts:
+            deployment.start_host(host, is_bootstrap=True)
+        body = {}
+        while body.get("not_reached") != []:
+            _, body = await send_until_answered(http, hosts[0], first_note(EZO_LUMEN))
+        assert body["revision"] == 1
+
+        rivals = [account_note(2, 1, name, f"token-{name}") for name in ("x", "y")]
+        answers = await asyncio.gather(
+            send(http, hosts[1], rivals[0]), send(http, hosts[6], rivals[1])
+        )
+        assert sorted(status for status, _ in answers) == [200, 409]
+        won = 0 if answers[0][0] == 200 else 1
+        assert answers[1 - won][1]["code"] == ResultCode.NOTE_CONFLICT
+        assert await send(http, hosts[3], rivals[won]) == answers[won]
+        assert (await send(http, hosts[4], rivals[1 - won]))[1]["code"] == 1401
+
+        note = {"number": 3, "based_on": 2}
+        await lose_answer(hosts[5], note)
+        began_s = time.monotonic()
+        status, body = await send_until_answered(http, hosts[2], note)
+        took_s = time.monotonic() - began_s
+        assert (status, body["revision"], body["not_reached"]) == (200, 3, [])
+        assert took_s < IN_FORCE_TARGET_S
+        print(f"resent note in force on {len(hosts)} hosts after {took_s:.3f} s")
+
+        leader_name = await leader_of_global(http, hosts[0])
+        leader = next(host for host in hosts if host.name == leader_name)
+        reader = next(host for host in hosts if not host.is_durable)
+        alive = [host for host in hosts if host not in (leader, reader)]
+        kill([leader, reader])
+        status, body = await send_until_answered(http, alive[0], note)
+        assert (status, body["revision"]) == (200, 3)
+        assert body["not_reached"] == sorted([leader.name, reader.name])
+        last = await pass_notes_by(http, alive[0])
+        for host in (leader, reader):
+            deployment.start_host(host)
+            assert_never_served_older(await codes_until_ready(http, host))
+
+        kill(hosts)
+        for host in hosts:
+            deployment.start_host(host)
+        for codes in await asyncio.gather(*(codes_until_ready(http, h) for h in hosts)):
+            assert_never_served_older(codes)
+        status, body = await send_until_answered(http, hosts[7], last)
+        assert (status, body["revision"]) == (200, last["number"])
+
+
+def kill(hosts):
+    for host in hosts:
+        host.process.kill()
+    for host in hosts:
+        host.process.wait()
+
+
+async def pass_notes_by(http, host):
+    """Apply hundreds of notes; the last one adds the account that tests ask as."""
+    longest_s = 0.0
+    for number in range(4, 4 + N_NOTES_PASSED_BY):
+        note = {"number": number, "based_on": number - 1}
+        if number == 3 + N_NOTES_PASSED_BY:
+            note = account_note(number, number - 1, "new", NEW_TOKEN)
+        began_s = time.monotonic()
+        status, body = await send_until_answered(http, host, note)
+        longest_s = max(longest_s, time.monotonic() - began_s)
+        assert (status, body["revision"]) == (200, number), body
+    print(f"{N_NOTES_PASSED_BY} notes, the slowest in force after {longest_s:.3f} s")
+    assert longest_s < IN_FORCE_TARGET_S
+    return note
+
+
+async def lose_answer(host, note):
+    """Send a note and hang up before its answer."""
+    ip, port = host.control_address.split(":")
+    body = json.dumps(note)
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    head = "POST /operators/v1/notes HTTP/1.1\r\nHost: x\r\nAuthorization: "
+    head += f"{HEADERS['Authorization']}\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write((head + body).encode())
+    await writer.drain()
+    writer.close()
+
+
+def test_release_notes_hold_through_races_and_restarts(tmp_path):
+    deployment = LocalDeployment.from_config(EZO_LUMEN, tmp_path)
+    try:
+        asyncio.run(run_scenario(deployment))
+    finally:
+        for host in deployment.hosts:
+            if host.process is not None and host.process.poll() is None:
+                host.process.kill()
+                host.process.wait()
