Give operators every command, with a status for each outcome

Cause: bergamotferryctl could only check, apply and print raw status. Ruled out: asking the owner of a key by sending the key, since a home-bound key would then reach hosts outside its region: the tool works the shard out itself and sends that. Conclusion: a data centre is only taken out after a look at what is left.

--- /dev/null
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/data_centre.py
@@ -0,0 +1,75 @@
+"""Taking a data centre out or in: what would be left, and the note that does it."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from bergamotferry.note_check import Configuration
+from bergamotferry.records import DataCentre
+
+
+class CapacityRow(NamedTuple):
+    """Slots that serve one space of keys, before and after."""
+
+    service: str
+    domain: str
+    regions: str
+    n_slots_before: int
+    n_slots_after: int
+
+
+def capacity_rows(
+    configuration: Configuration,
+    upstreams: Iterable[Mapping[str, Any]],
+    changed: DataCentre,
+) -> list[CapacityRow]:
+    """Return the slots of each service and home domain, before and after a change."""
+    before = configuration.data_centres
+    after = {**before, changed.name: changed}
+    serving = [row for row in upstreams if row["state"] == "serving"]
+    every_region = frozenset(row.region for row in before.values())
+    spaces = [(name, "", every_region) for name in sorted(configuration.services)]
+    spaces += [
+        (home.service, home.name, frozenset(home.regions))
+        for home in configuration.home_regions.values()
+        if home.key_prefix
+    ]
+    return [
+        CapacityRow(
+            service,
+            domain,
+            ",".join(sorted(regions)),
+            _n_slots(serving, service, regions, before),
+            _n_slots(serving, service, regions, after),
+        )
+        for service, domain, regions in spaces
+    ]
+
+
+def spaces_left_empty(rows: Iterable[CapacityRow]) -> list[CapacityRow]:
+    """Return the spaces of keys that would lose their last upstream."""
+    return [row for row in rows if row.n_slots_before and not row.n_slots_after]
+
+
+def note_for_state(changed: DataCentre, revision: int) -> dict[str, Any]:
+    """Return the release note that puts a data centre into its new state."""
+    return {
+        "number": revision + 1,
+        "based_on": revision,
+        "changed": {"data_centres": [changed._asdict()]},
+    }
+
+
+def _n_slots(
+    upstreams: Iterable[Mapping[str, Any]],
+    service: str,
+    regions: frozenset[str],
+    data_centres: Mapping[str, DataCentre],
+) -> int:
+    total = 0
+    for row in upstreams:
+        data_centre = data_centres.get(row["data_centre"])
+        if data_centre is None or data_centre.state != "in":
+            continue
+        if row["service"] == service and data_centre.region in regions:
+            total += row["n_slots"]
+    return total
--- /dev/null
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/note_commands.py
@@ -0,0 +1,166 @@
+"""The commands about release notes: check, compare, apply, and data centres."""
+
+import argparse
+import asyncio
+import json
+import time
+from typing import Any
+
+from bergamotferry.note_check import Configuration
+from bergamotferry.records import DataCentre
+from bergamotferry.release_note import NoteError, ReleaseNote, parse_note_text
+
+from .client import ask
+from .configuration import compare, read_configuration
+from .data_centre import (
+    CapacityRow,
+    capacity_rows,
+    note_for_state,
+    spaces_left_empty,
+)
+from .exits import Exit
+from .parser import CtlSettings
+from .reports import Report, errors_report, get, refusal_report
+from .tables import format_table
+
+RESEND_PAUSE_S = 0.2
+
+
+def check(parsed: argparse.Namespace) -> Report:
+    """Validate a note offline."""
+    note, errors = _read_note(parsed)
+    if note is None or errors:
+        return errors_report(str(parsed.note), errors)
+    text = f"{parsed.note}: note {note.number} is well formed"
+    return Report(text, {"number": note.number, "errors": []}, Exit.DONE)
+
+
+async def diff(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Compare a note with the configuration in force."""
+    note, errors = _read_note(parsed)
+    if note is None or errors:
+        return errors_report(str(parsed.note), errors)
+    answer = await get(settings, "configuration")
+    if answer.status != 200:
+        return refusal_report(answer)
+    revision = answer.body["revision"]
+    changes, errors = compare(read_configuration(answer.body), revision, note)
+    lines = [f"in force is {revision}, the note is {note.number}"]
+    lines += [
+        f"{row.sign} {row.kind} {row.name}  {row.text}".rstrip() for row in changes
+    ]
+    lines += [f"error: {error.place}: {error.message}" for error in errors]
+    body = {
+        "revision": revision,
+        "changes": [row._asdict() for row in changes],
+        "errors": [error._asdict() for error in errors],
+    }
+    return Report("\n".join(lines), body, Exit.USAGE if errors else Exit.DONE)
+
+
+async def apply(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Put a note in force."""
+    note, errors = _read_note(parsed)
+    if note is None or errors:
+        return errors_report(str(parsed.note), errors)
+    return await _apply_text(settings, parsed.note.read_text())
+
+
+async def data_centre(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Take a data centre out or in, after a look at what would be left."""
+    answer = await get(settings, "configuration")
+    if answer.status != 200:
+        return refusal_report(answer)
+    revision = answer.body["revision"]
+    configuration = read_configuration(answer.body)
+    known = configuration.data_centres.get(parsed.name)
+    if known is None:
+        names = ", ".join(sorted(configuration.data_centres))
+        text = f"no data centre {parsed.name}; there are: {names}"
+        return Report(text, {"detail": text}, Exit.REFUSED)
+    changed = known._replace(state=parsed.direction)
+    if changed == known:
+        text = f"{parsed.name} is {parsed.direction} already, revision {revision}"
+        return Report(text, {"revision": revision, "detail": text}, Exit.DONE)
+    plan = await _plan_change(settings, configuration, changed, revision)
+    if plan.status not in (Exit.DONE, Exit.NO_CAPACITY):
+        return plan
+    if not parsed.yes:
+        return plan._replace(text=f"{plan.text}\nnothing was changed; --yes applies it")
+    if plan.status is Exit.NO_CAPACITY and not parsed.force:
+        text = f"{plan.text}\nnothing was changed; --force applies it all the same"
+        return plan._replace(text=text)
+    applied = await _apply_text(settings, json.dumps(plan.body["note"]))
+    text = f"{plan.text}\n{applied.text}"
+    return Report(text, {**plan.body, **applied.body}, applied.status)
+
+
+async def _plan_change(
+    settings: CtlSettings,
+    configuration: Configuration,
+    changed: DataCentre,
+    revision: int,
+) -> Report:
+    answer = await get(settings, "upstreams?data_centre=all")
+    if answer.status != 200:
+        return refusal_report(answer)
+    rows = capacity_rows(configuration, answer.body["upstreams"], changed)
+    empty = spaces_left_empty(rows)
+    missing = answer.body["not_reached"]
+    body: dict[str, Any] = {
+        "note": note_for_state(changed, revision),
+        "capacity": [row._asdict() for row in rows],
+        "not_counted": missing,
+    }
+    lines = [
+        f"{changed.name} goes {changed.state} by note {revision + 1}",
+        _capacity_text(rows),
+    ]
+    if missing:
+        lines.append(f"not reached, not counted: {', '.join(missing)}")
+    for row in empty:
+        space = (
+            f"{row.service}, home region {row.domain}" if row.domain else row.service
+        )
+        lines.append(f"{space}: no upstream would be left")
+    status = Exit.NO_CAPACITY if empty else Exit.DONE
+    return Report("\n".join(lines), body, status)
+
+
+def _capacity_text(rows: list[CapacityRow]) -> str:
+    headings = ("service", "home region", "regions", "slots now", "slots then")
+    return format_table(headings, rows)
+
+
+def _read_note(
+    parsed: argparse.Namespace,
+) -> tuple[ReleaseNote | None, list[NoteError]]:
+    try:
+        return parse_note_text(parsed.note.read_text())
+    except OSError as error:
+        return None, [NoteError("note", f"can't be read: {error.strerror}")]
+    except UnicodeDecodeError:
+        return None, [NoteError("note", "is not UTF-8")]
+
+
+async def _apply_text(settings: CtlSettings, text: str) -> Report:
+    """Send a note, and send it again until it is in force on every host.
+
+    A note that was accepted gets its first answer again, so this is harmless.
+    """
+    deadline_s = time.monotonic() + settings.wait_s
+    while True:
+        answer = await ask(settings.addresses, settings.token, "POST", "notes", text)
+        is_done = answer.status == 200 and not answer.body["not_reached"]
+        is_final = answer.status not in (0, 200, 503)
+        if is_done or is_final or time.monotonic() >= deadline_s:
+            break
+        await asyncio.sleep(RESEND_PAUSE_S)
+    if answer.status != 200:
+        return refusal_report(answer)
+    revision, missing = answer.body["revision"], answer.body["not_reached"]
+    text = f"revision {revision} is in force on {len(answer.body['in_force'])} hosts"
+    if not missing:
+        return Report(text, answer.body, Exit.DONE)
+    text += f"\nnot reached: {', '.join(missing)}"
+    return Report(text, answer.body, Exit.NOT_EVERYWHERE)
--- /dev/null
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/query_commands.py
@@ -0,0 +1,182 @@
+"""The commands that ask: status, upstreams, owners, logs and quarantine."""
+
+import argparse
+import json
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+from bergamotferry.shards import shard_of_key
+
+from .client import ask
+from .configuration import read_configuration
+from .exits import Exit
+from .explain import lines_of_request, tell
+from .parser import CtlSettings
+from .reports import Report, get, refusal_report, time_text, with_missing
+from .tables import format_table
+
+
+async def status(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Show hosts, groups, leaders and revisions."""
+    answer = await get(settings, "status")
+    if answer.status != 200:
+        return refusal_report(answer)
+    hosts = answer.body["hosts"]
+    rows = [
+        (
+            row["host"],
+            row.get("data_centre"),
+            row.get("region"),
+            _host_state(row),
+            row.get("revision"),
+        )
+        for row in hosts
+    ]
+    text = format_table(("host", "data centre", "region", "state", "revision"), rows)
+    text += "\n\n" + _groups_text(hosts)
+    missing = [row["host"] for row in hosts if not row["is_reachable"]]
+    return Report(text, answer.body, Exit.NOT_EVERYWHERE if missing else Exit.DONE)
+
+
+async def upstreams(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Show the upstreams of all data centres."""
+    answer = await get(settings, "upstreams?data_centre=all")
+    if answer.status != 200:
+        return refusal_report(answer)
+    columns = (
+        ("upstream", "name"),
+        ("service", "service"),
+        ("data centre", "data_centre"),
+        ("address", "address"),
+        ("state", "state"),
+        ("slots", "n_slots"),
+        ("shards", "n_shards"),
+        ("dispatcher", "dispatcher"),
+        ("checks epochs", "checks_epochs"),
+    )
+    rows = [
+        [row.get(field) for _, field in columns] for row in answer.body["upstreams"]
+    ]
+    text = format_table([heading for heading, _ in columns], rows)
+    return with_missing(text, answer.body)
+
+
+async def owner(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Show who owns a key; only its shard's number is sent."""
+    answer = await get(settings, "configuration")
+    if answer.status != 200:
+        return refusal_report(answer)
+    configuration = read_configuration(answer.body)
+    service = configuration.services.get(parsed.service)
+    if service is None:
+        text = f"no service {parsed.service}; there are: "
+        text += ", ".join(sorted(configuration.services))
+        return Report(text, {"detail": text}, Exit.REFUSED)
+    homes = configuration.home_regions.values()
+    shard = shard_of_key(service.name, service.n_shards, homes, parsed.key)
+    place = f"service={shard.service}&domain={shard.domain}&number={shard.number}"
+    answer = await get(settings, f"owner?{place}")
+    if answer.status != 200:
+        return refusal_report(answer)
+    text = _owner_text(answer.body)
+    status = Exit.DONE if answer.body["grant"] else Exit.NOT_EVERYWHERE
+    return Report(text, answer.body, status)
+
+
+def explain(parsed: argparse.Namespace) -> Report:
+    """Tell what became of a request, from logs."""
+    lines: list[str] = []
+    for path in parsed.log:
+        with path.open(errors="replace") as log_file:
+            lines += [line for line in log_file if parsed.request_id in line]
+    source: Iterable[str] = lines if parsed.log else sys.stdin
+    rows = lines_of_request(source, parsed.request_id)
+    if not rows:
+        text = f"no line of request {parsed.request_id} in these logs"
+        return Report(text, {"lines": []}, Exit.REFUSED)
+    return Report("\n".join(tell(rows)), {"lines": rows}, Exit.DONE)
+
+
+async def quarantine(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """List quarantined requests, or let one run again."""
+    if parsed.action == "release":
+        text = json.dumps({"fingerprint": parsed.fingerprint})
+        answer = await ask(
+            settings.addresses, settings.token, "POST", "quarantine/release", text
+        )
+        if answer.status != 200:
+            return refusal_report(answer)
+        released = ", ".join(answer.body["released"]) or "no data centre"
+        return with_missing(f"released in {released}", answer.body)
+    answer = await get(settings, "quarantine")
+    if answer.status != 200:
+        return refusal_report(answer)
+    rows = [
+        (
+            row["fingerprint"],
+            row["service"],
+            row["data_centre"],
+            row["n_crashes"],
+            row["is_quarantined"],
+            time_text(row["recorded_at_s"]),
+        )
+        for row in answer.body["quarantine"]
+    ]
+    headings = ("fingerprint", "service", "data centre", "crashes", "refused", "last")
+    return with_missing(format_table(headings, rows), answer.body)
+
+
+def _host_state(row: dict[str, Any]) -> str:
+    if not row["is_reachable"]:
+        return "unreachable"
+    if row["is_stopping"]:
+        return "stopping"
+    return "ready" if row["is_ready"] else "not ready"
+
+
+def _groups_text(hosts: list[dict[str, Any]]) -> str:
+    views = [
+        (group["group"], host["host"], group)
+        for host in hosts
+        for group in host.get("groups", [])
+    ]
+    rows = []
+    for name in sorted({name for name, _, _ in views}):
+        mine = [(host, group) for known, host, group in views if known == name]
+        leaders = [host for host, group in mine if group["role"] == "leader"]
+        latest = max((group for _, group in mine), key=lambda row: row["commit_index"])
+        voters: list[str] = next(
+            (group["voters"] for _, group in mine if group["voters"]), []
+        )
+        n_behind = sum(
+            group["applied_index"] < latest["commit_index"] for _, group in mine
+        )
+        rows.append((name, leaders, latest["commit_index"], voters, n_behind))
+    headings = ("group", "leader", "committed", "voters", "hosts behind")
+    return format_table(headings, rows)
+
+
+def _owner_text(body: dict[str, Any]) -> str:
+    shard, home, grant = body["shard"], body["home"], body["grant"]
+    domain = shard["domain"]
+    name = f"{shard['service']} {domain} {shard['number']}".replace("  ", " ")
+    lines = [f"shard        {name}", f"data centre  {home['data_centre']}"]
+    if domain:
+        lines.append(f"bound by     home region {domain}")
+    if home["next_data_centre"]:
+        lines.append(f"moving to    {home['next_data_centre']}")
+    if grant is None:
+        lines.append("upstream     not known: no host of the data centre answered")
+        return "\n".join(lines)
+    since = time_text(grant["held_since_s"]) if grant["held_since_s"] else "before"
+    if since == "before":
+        since = f"before {grant['host']} started"
+    lines += [
+        f"upstream     {grant['upstream'] or '-'}  {grant['state']}",
+        f"epoch        {grant['epoch']}",
+        f"since        {since if grant['upstream'] else '-'}",
+        f"why          {grant['reason']}",
+        f"through      {grant['dispatcher'] or '-'}",
+    ]
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/bergamotferry_ctl/tests/test_parser.py
@@ -0,0 +1,55 @@
+"""Flags, their variables, and all bad settings at once."""
+
+import pytest
+
+from bergamotferry_ctl.exits import EXIT_MEANINGS, Exit
+from bergamotferry_ctl.main import main
+from bergamotferry_ctl.parser import parse
+
+GOOD = {"BERGAMOTFERRY_OPERATOR_TOKEN": "operator"}
+
+
+def test_flag_goes_before_its_variable_on_either_side_of_the_command():
+    environment = {**GOOD, "BERGAMOTFERRY_CONTROL_ADDRESSES": "10.0.0.1:1"}
+    _, settings, errors = parse(["status"], environment)
+    assert (settings.addresses, settings.token, errors) == (
+        ("10.0.0.1:1",),
+        "operator",
+        [],
+    )
+    for line in (["--addresses", "10.0.0.2:2", "status"], ["status", "--json"]):
+        _, settings, errors = parse(line, environment)
+        assert errors == []
+        assert (settings.addresses[0] == "10.0.0.2:2") != settings.is_json
+
+
+def test_every_bad_setting_is_told_at_once():
+    environment = {
+        "BERGAMOTFERRY_CONTROL_ADDRESSES": "10.0.0.1,10.0.0.2:99999",
+        "BERGAMOTFERRY_WAIT_S": "soon",
+        "BERGAMOTFERRY_JSON": "yes",
+    }
+    _, _, errors = parse(["status"], environment)
+    flags = [error.flag for error in errors]
+    assert flags == ["addresses", "addresses", "token", "wait-s", "json"]
+
+
+def test_bad_settings_end_the_run_with_status_2(capsys, monkeypatch):
+    monkeypatch.delenv("BERGAMOTFERRY_OPERATOR_TOKEN", raising=False)
+    with pytest.raises(SystemExit) as caught:
+        main(["status", "--wait-s", "-1"])
+    assert caught.value.code == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert [line.split(":")[1] for line in lines] == [
+        " --token (BERGAMOTFERRY_OPERATOR_TOKEN)",
+        " --wait-s (BERGAMOTFERRY_WAIT_S)",
+    ]
+
+
+def test_help_shows_examples_and_every_exit_status(capsys):
+    with pytest.raises(SystemExit):
+        main(["--help"])
+    text = capsys.readouterr().out
+    assert "bergamotferryctl apply note-7.json" in text
+    assert set(EXIT_MEANINGS) == set(Exit)
+    assert all(meaning in text for meaning in EXIT_MEANINGS.values())
