--- a/packages/bergamotferry/src/bergamotferry/global_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/global_placement.py
@@ -2,31 +2,136 @@
 
 Shards are placed by the slots that the data centres report. A data centre that is taken
 out hands its shards over; under a cut nothing moves, because a handover needs the old
-data centre's own release.
+data centre's own release. One that joins or comes back gets its share little by little,
+and only once the unevenness has lasted, so that an upstream's restart moves nothing.
 """
 
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from .commands import BeginHandover, FinishHandover, GlobalCommand, PlaceShards
 from .global_tables import GlobalTables, regions_allowed_for_shard, unplaced_shards
-from .messages import CapacityReport
-from .placement import choose_targets
+from .messages import CapacityAfterOut, CapacityReport
+from .placement import choose_targets, shards_over_share
 from .records import ShardId
 
-N_HANDOVERS_PER_TICK = 64
+N_HANDOVERS_PER_TICK = 128
+N_REBALANCED_PER_TICK = 8
+N_REBALANCING_MAX = 16
+# Rebalancing begins when a data centre holds this much over its share for a while, and
+# goes on until none is over the limit of placement, which is lower.
+REBALANCE_SLACK = 1.25
+REBALANCE_WAIT_NS = 2_000_000_000
+
+
+@dataclass(slots=True)
+class RebalanceState:
+    """Since when shards of a service and home domain are unevenly spread."""
+
+    uneven_since_ns: dict[tuple[str, str], int] = field(default_factory=dict)
 
 
 def run_global_placement(
-    tables: GlobalTables, reports: Mapping[str, CapacityReport]
+    tables: GlobalTables,
+    reports: Mapping[str, CapacityReport],
+    rebalance: RebalanceState,
+    now_ns: int,
 ) -> list[GlobalCommand]:
     """Run every system once and return the commands to commit."""
     commands: list[GlobalCommand] = []
     commands += place_shards(tables, reports)
     commands += begin_handovers(tables, reports)
     commands += finish_handovers(tables, reports)
+    commands += rebalance_shards(tables, reports, rebalance, now_ns)
     return commands
 
 
+def capacity_after_out(
+    tables: GlobalTables, reports: Mapping[str, CapacityReport], name: str
+) -> list[CapacityAfterOut]:
+    """Return what each service and home domain would have left without a data centre.
+
+    Shards without a place are those that the data centre holds and that no other one
+    may take: their requests would be refused.
+    """
+    rows: list[CapacityAfterOut] = []
+    for service, domain in _spaces(tables):
+        weights = _weights(tables, reports, service, domain)
+        n_slots_after = sum(n for other, n in weights.items() if other != name)
+        n_held = sum(
+            home.data_centre == name
+            for shard, home in tables.shard_homes.items()
+            if (shard.service, shard.domain) == (service, domain)
+        )
+        rows.append(
+            CapacityAfterOut(
+                service,
+                domain,
+                sum(weights.values()),
+                n_slots_after,
+                0 if n_slots_after else n_held,
+            )
+        )
+    return rows
+
+
+def rebalance_shards(
+    tables: GlobalTables,
+    reports: Mapping[str, CapacityReport],
+    rebalance: RebalanceState,
+    now_ns: int,
+) -> list[GlobalCommand]:
+    """Hand some shards over from data centres that hold too many for their slots."""
+    n_moving = sum(bool(home.next_data_centre) for home in tables.shard_homes.values())
+    commands: list[GlobalCommand] = []
+    for space in _spaces(tables):
+        n_moves = min(
+            N_REBALANCED_PER_TICK, N_REBALANCING_MAX - n_moving - len(commands)
+        )
+        weights = _weights(tables, reports, *space)
+        owned = _movable_homes(tables, space, weights)
+        if not _is_due(rebalance, space, owned, weights, now_ns) or n_moves <= 0:
+            continue
+        moves = shards_over_share(owned, weights, n_moves)
+        staying = {s: name for s, name in owned.items() if s not in moves}
+        for shard, name in choose_targets(moves, staying, weights).items():
+            if name != owned[shard]:
+                epoch = tables.shard_homes[shard].epoch
+                commands.append(BeginHandover(shard, epoch, name))
+    return commands
+
+
+def _is_due(
+    rebalance: RebalanceState,
+    space: tuple[str, str],
+    owned: Mapping[ShardId, str],
+    weights: Mapping[str, int],
+    now_ns: int,
+) -> bool:
+    since_ns = rebalance.uneven_since_ns.setdefault(space, now_ns)
+    has_begun = now_ns - since_ns >= REBALANCE_WAIT_NS
+    if has_begun:
+        is_uneven = bool(shards_over_share(owned, weights, 1))
+    else:
+        is_uneven = bool(shards_over_share(owned, weights, 1, REBALANCE_SLACK))
+    if not is_uneven:
+        del rebalance.uneven_since_ns[space]
+    return has_begun and is_uneven
+
+
+def _movable_homes(
+    tables: GlobalTables, space: tuple[str, str], weights: Mapping[str, int]
+) -> dict[ShardId, str]:
+    # A data centre that does not report may be cut off and keeps what it has.
+    return {
+        shard: home.next_data_centre or home.data_centre
+        for shard, home in tables.shard_homes.items()
+        if (shard.service, shard.domain) == space
+        and weights.get(home.next_data_centre or home.data_centre, 0)
+        and not home.next_data_centre
+    }
+
+
 def place_shards(
     tables: GlobalTables, reports: Mapping[str, CapacityReport]
 ) -> list[GlobalCommand]:
@@ -57,8 +162,17 @@
 def finish_handovers(
     tables: GlobalTables, reports: Mapping[str, CapacityReport]
 ) -> list[GlobalCommand]:
-    """Complete the handovers whose old data centre has committed the release."""
-    commands: list[GlobalCommand] = []
+    """Complete the handovers whose old data centre has committed the release.
+
+    For one that operators have declared fenced, that declaration is the release.
+    """
+    commands: list[GlobalCommand] = [
+        FinishHandover(shard, home.epoch)
+        for shard, home in tables.shard_homes.items()
+        if home.next_data_centre
+        and home.data_centre in tables.data_centres
+        and tables.data_centres[home.data_centre].state == "fenced"
+    ]
     for report in reports.values():
         for shard, epoch in report.released:
             home = tables.shard_homes.get(shard)
@@ -89,14 +203,7 @@
     spaces = sorted({(shard.service, shard.domain) for shard in shards})
     for service, domain in spaces:
         mine = [s for s in shards if (s.service, s.domain) == (service, domain)]
-        regions = regions_allowed_for_shard(tables, mine[0])
-        weights = {
-            name: dict(report.n_slots).get(service, 0)
-            for name, report in reports.items()
-            if name in tables.data_centres
-            and tables.data_centres[name].state == "in"
-            and tables.data_centres[name].region in regions
-        }
+        weights = _weights(tables, reports, service, domain)
         owned = {
             shard: home.data_centre
             for shard, home in tables.shard_homes.items()
@@ -104,3 +211,24 @@
         }
         chosen.update(choose_targets(mine, owned, weights))
     return chosen
+
+
+def _spaces(tables: GlobalTables) -> list[tuple[str, str]]:
+    return sorted({(shard.service, shard.domain) for shard in tables.shard_homes})
+
+
+def _weights(
+    tables: GlobalTables,
+    reports: Mapping[str, CapacityReport],
+    service: str,
+    domain: str,
+) -> dict[str, int]:
+    """Return the slots of each data centre that may hold these shards."""
+    regions = regions_allowed_for_shard(tables, ShardId(service, domain, 0))
+    return {
+        name: dict(report.n_slots).get(service, 0)
+        for name, report in reports.items()
+        if name in tables.data_centres
+        and tables.data_centres[name].state == "in"
+        and tables.data_centres[name].region in regions
+    }
--- a/packages/bergamotferry/src/bergamotferry/leases.py
+++ b/packages/bergamotferry/src/bergamotferry/leases.py
@@ -49,6 +49,7 @@
     drained: dict[str, int] = field(default_factory=dict)
     released: set[tuple[ShardId, int]] = field(default_factory=set)
     out_since_ns: int | None = None
+    fill_checked_ns: int = 0
 
 
 def assume_all_granted(
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -198,6 +198,30 @@
     released: tuple[tuple[ShardId, int], ...]
 
 
+class CapacityQuestion(NamedTuple):
+    """Ask the global leader what would be left without a data centre."""
+
+    data_centre: str
+
+
+class CapacityAfterOut(NamedTuple):
+    """What a service would have left if a data centre were taken out."""
+
+    service: str
+    domain: str
+    n_slots_now: int
+    n_slots_after: int
+    n_shards_without_place: int
+
+
+class CapacityAnswer(NamedTuple):
+    """The answer to a question; ``leader`` is a hint where to ask instead."""
+
+    is_leader: bool
+    leader: str
+    rows: tuple[CapacityAfterOut, ...]
+
+
 class HostStatusRequest(NamedTuple):
     """Ask a host for its state."""
 
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -31,11 +31,12 @@
     is_session_expired,
     live_hosts,
 )
-from .placement import choose_targets, shards_over_share
+from .placement import choose_targets, shards_over_share, shards_to_fill
 from .records import Dispatcher, Grant, ShardId
 
 N_MOVES_PER_TICK = 8
 N_MOVES_IN_FLIGHT = 16
+FILL_INTERVAL_MS = 300
 # How long a data centre that is taken out goes on with shards that no other may take.
 OUT_GRACE_MS = 1500
 
@@ -58,7 +59,7 @@
     commands += revoke_leaving(tables)
     if not _is_out(global_tables, data_centre):
         commands += grant_free_shards(tables, global_tables, data_centre)
-        commands += move_shards(tables, global_tables, leases)
+        commands += move_shards(tables, global_tables, leases, now_ns)
     return commands
 
 
@@ -224,19 +225,30 @@
 
 
 def move_shards(
-    tables: DataCentreTables, global_tables: GlobalTables, leases: LeaseTable
+    tables: DataCentreTables,
+    global_tables: GlobalTables,
+    leases: LeaseTable,
+    now_ns: int,
 ) -> list[DataCentreCommand]:
-    """Revoke some shards of upstreams that hold more than their share."""
+    """Revoke some shards of upstreams that hold more than their share.
+
+    Now and then, some go to upstreams that hold far less, such as one that has joined.
+    """
     n_moving = sum(grant.state == "revoking" for grant in tables.grants.values())
     n_moves = min(N_MOVES_PER_TICK, N_MOVES_IN_FLIGHT - n_moving)
     if n_moves <= 0:
         return []
+    is_fill_due = now_ns - leases.fill_checked_ns >= FILL_INTERVAL_MS * NS_PER_MS
+    if is_fill_due:
+        leases.fill_checked_ns = now_ns
     shards: list[ShardId] = []
     for service in global_tables.services:
         weights = _serving_slots(tables, service)
         if weights:
             owned = _owners(tables, service)
             shards += shards_over_share(owned, weights, n_moves)
+            if is_fill_due and not shards:
+                shards += shards_to_fill(owned, weights, n_moves)
     held = [
         tables.grants[shard] for shard in shards if _is_movable(tables, leases, shard)
     ][:n_moves]
--- a/packages/bergamotferry/src/bergamotferry/placement.py
+++ b/packages/bergamotferry/src/bergamotferry/placement.py
@@ -14,6 +14,7 @@
 from .records import ShardId
 
 LOAD_SLACK = 1.1
+FILL_SHARE = 0.8
 
 
 def choose_targets(
@@ -54,14 +55,17 @@
 
 
 def shards_over_share(
-    owned: Mapping[ShardId, str], weights: Mapping[str, int], n_moves_max: int
+    owned: Mapping[ShardId, str],
+    weights: Mapping[str, int],
+    n_moves_max: int,
+    slack: float = LOAD_SLACK,
 ) -> list[ShardId]:
     """Return shards to move away from targets that hold more than their limit.
 
     Of a target's shards, those that rank it lowest go first, since they are the ones
     that belong elsewhere.
     """
-    limits = load_limits(len(owned), weights)
+    limits = load_limits(len(owned), weights, slack)
     loads = Counter(owned.values())
     moves: list[ShardId] = []
     for target in sorted(loads, key=lambda name: -loads[name]):
@@ -74,11 +78,46 @@
     return moves[:n_moves_max]
 
 
-def load_limits(n_shards: int, weights: Mapping[str, int]) -> dict[str, int]:
+def shards_to_fill(
+    owned: Mapping[ShardId, str], weights: Mapping[str, int], n_moves_max: int
+) -> list[ShardId]:
+    """Return shards to move to targets that hold far less than their share.
+
+    With few shards each, a target that joins may find all others within their limits.
+    Only shards that rank such a target first among those that are not full are moved,
+    so that each goes there and none comes back.
+    """
+    limits = load_limits(len(owned), weights)
+    shares = load_limits(len(owned), weights, 1.0)
+    loads = Counter(owned.values())
+    wanting = {
+        name: int(share * FILL_SHARE) - loads[name] for name, share in shares.items()
+    }
+    moves: list[ShardId] = []
+    if not any(n > 0 for n in wanting.values()):
+        return moves
+    open_targets = {n: w for n, w in weights.items() if loads[n] < limits[n]}
+    for shard, name in sorted(owned.items()):
+        if name not in weights or loads[name] < shares[name]:
+            continue
+        best = min(
+            {**open_targets, name: weights[name]},
+            key=lambda other: _score(shard, other) / weights[other],
+        )
+        if wanting[best] > 0 and len(moves) < n_moves_max:
+            moves.append(shard)
+            wanting[best] -= 1
+            loads[name] -= 1
+    return moves
+
+
+def load_limits(
+    n_shards: int, weights: Mapping[str, int], slack: float = LOAD_SLACK
+) -> dict[str, int]:
     """Return how many shards each target may hold, with some slack over its share."""
     total = sum(weights.values()) or 1
     return {
-        name: math.ceil(n_shards * weight / total * LOAD_SLACK)
+        name: math.ceil(n_shards * weight / total * slack)
         for name, weight in weights.items()
     }
 
--- a/packages/bergamotferry/src/bergamotferry/routing.py
+++ b/packages/bergamotferry/src/bergamotferry/routing.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from .data_centre_tables import DataCentreTables
-from .global_tables import GlobalTables, region_rule
+from .global_tables import GlobalTables, region_rule, regions_allowed_for_shard
 from .outcomes import Refused
 from .records import Account, Dispatcher, Grant, Route, ShardId, UpstreamSession
 from .result_codes import ResultCode
@@ -91,17 +91,39 @@
     if rule is not None and own_region not in rule.regions:
         regions = ", ".join(sorted(rule.regions))
         return Refused(ResultCode.OUTSIDE_HOME_REGION, f"ask a host in {regions}")
+    data_centre = home_of_shard(tables, shard, account.name)
+    if isinstance(data_centre, Refused):
+        return data_centre
+    return RoutedRequest(account, route, shard, data_centre, rule is not None)
+
+
+def home_of_shard(tables: GlobalTables, shard: ShardId, account: str) -> str | Refused:
+    """Return the data centre that holds a shard just now, if the account may go there.
+
+    It is asked again for every attempt, since a shard may be handed over meanwhile.
+    """
     home = tables.shard_homes.get(shard)
     if home is None:
         return Refused(ResultCode.NO_OWNER, "the shard has no data centre yet")
     data_centre = tables.data_centres.get(home.data_centre)
     if data_centre is None:
         return Refused(ResultCode.NO_OWNER, "the shard's data centre is withdrawn")
+    rule = region_rule(tables, shard.service, shard.domain, account)
     if rule is not None and data_centre.region not in rule.regions:
         return Refused(
             ResultCode.OUTSIDE_HOME_REGION, "the key's owner is outside the home region"
         )
-    return RoutedRequest(account, route, shard, data_centre.name, rule is not None)
+    if data_centre.state != "in" and not home.next_data_centre:
+        regions = regions_allowed_for_shard(tables, shard)
+        if not any(
+            row.state == "in" and row.region in regions
+            for row in tables.data_centres.values()
+        ):
+            return Refused(
+                ResultCode.DATA_CENTRE_OUT,
+                f"{data_centre.name} is out, and no other may hold the key",
+            )
+    return data_centre.name
 
 
 def find_owner(tables: DataCentreTables, shard: ShardId) -> Owner | Refused:
--- /dev/null
+++ b/packages/bergamotferry/tests/test_global_placement.py
@@ -0,0 +1,156 @@
+"""Which data centre holds which shard, as readable cases."""
+
+from collections import Counter
+
+from bergamotferry.commands import BeginHandover, FinishHandover
+from bergamotferry.global_placement import (
+    REBALANCE_WAIT_NS,
+    RebalanceState,
+    capacity_after_out,
+    run_global_placement,
+)
+from bergamotferry.global_tables import GlobalTables, apply_global_command
+from bergamotferry.messages import CapacityReport
+from bergamotferry.outcomes import Refused
+from bergamotferry.records import DataCentre, HomeRegion, Service, ShardId
+from bergamotferry.result_codes import ResultCode
+from bergamotferry.routing import home_of_shard
+
+TICK_NS = 200_000_000
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+
+def _tables() -> GlobalTables:
+    tables = GlobalTables(revision=1)
+    tables.services["s"] = Service("s", 120)
+    for name, region in REGIONS.items():
+        tables.data_centres[name] = DataCentre(name, region, "in")
+    tables.home_regions["bound"] = HomeRegion("bound", "s", "b-", (), ("b",))
+    return tables
+
+
+def _report(name: str, n_slots: int, released: tuple = ()) -> CapacityReport:
+    return CapacityReport(name, (("s", n_slots),), released)
+
+
+class Run:
+    """Ticks over tables, where every data centre releases what it is asked for."""
+
+    def __init__(self) -> None:
+        self.tables = _tables()
+        self.slots = dict.fromkeys(REGIONS, 8)
+        self.silent: set[str] = set()
+        self.rebalance = RebalanceState()
+        self.now_ns = 0
+        self.n_moved = 0
+
+    def reports(self) -> dict[str, CapacityReport]:
+        released = {
+            name: tuple(
+                (shard, home.epoch)
+                for shard, home in self.tables.shard_homes.items()
+                if home.data_centre == name and home.next_data_centre
+            )
+            for name in self.slots
+        }
+        return {
+            name: _report(name, n, released[name])
+            for name, n in self.slots.items()
+            if name not in self.silent
+        }
+
+    def tick(self, n_ticks: int) -> None:
+        for _ in range(n_ticks):
+            commands = run_global_placement(
+                self.tables, self.reports(), self.rebalance, self.now_ns
+            )
+            for command in commands:
+                apply_global_command(self.tables, command)
+                self.n_moved += isinstance(command, FinishHandover)
+            self.now_ns += TICK_NS
+
+    def counts(self, domain: str = "") -> Counter[str]:
+        return Counter(
+            home.data_centre
+            for shard, home in self.tables.shard_homes.items()
+            if shard.domain == domain
+        )
+
+    def set_state(self, name: str, state: str) -> None:
+        row = self.tables.data_centres[name]
+        self.tables.data_centres[name] = row._replace(state=state)
+
+
+def test_late_data_centre_gets_its_share_with_little_churn() -> None:
+    run = Run()
+    del run.slots["a2"]
+    run.tick(5)
+    assert run.counts()["a2"] == 0
+    run.slots["a2"] = 8
+    run.tick(100)
+    assert 24 <= run.counts()["a2"] <= 33
+    assert run.n_moved <= 33
+    run.n_moved = 0
+    run.tick(100)
+    assert run.n_moved == 0
+
+
+def test_short_loss_of_slots_moves_nothing() -> None:
+    run = Run()
+    run.tick(5)
+    before = dict(run.tables.shard_homes)
+    run.slots["a1"] = 4
+    run.tick(REBALANCE_WAIT_NS // TICK_NS - 1)
+    run.slots["a1"] = 8
+    run.tick(50)
+    assert run.tables.shard_homes == before
+
+
+def test_home_bound_shards_stay_in_their_regions_and_are_refused_when_out() -> None:
+    run = Run()
+    run.tick(5)
+    assert set(run.counts("bound")) == {"b1", "b2"}
+    run.set_state("b1", "out")
+    run.tick(20)
+    assert set(run.counts("bound")) == {"b2"}
+    assert set(run.counts()) == {"a1", "a2", "b2"}
+    run.set_state("b2", "out")
+    run.tick(20)
+    assert set(run.counts()) == {"a1", "a2"}
+    refusal = home_of_shard(run.tables, ShardId("s", "bound", 0), "any")
+    assert isinstance(refusal, Refused)
+    assert refusal.code is ResultCode.DATA_CENTRE_OUT
+    run.set_state("b1", "in")
+    run.tick(100)
+    assert set(run.counts("bound")) == {"b1"}
+
+
+def test_cut_off_data_centre_keeps_its_shards() -> None:
+    run = Run()
+    run.tick(5)
+    before = run.counts()["a1"]
+    run.silent = {"a1"}
+    run.tick(100)
+    assert run.counts()["a1"] == before
+    run.set_state("a1", "out")
+    commands = run_global_placement(
+        run.tables, run.reports(), run.rebalance, run.now_ns
+    )
+    assert any(isinstance(command, BeginHandover) for command in commands)
+    run.tick(100)
+    assert run.counts()["a1"] == before
+    run.set_state("a1", "fenced")
+    run.tick(20)
+    assert run.counts()["a1"] == 0
+
+
+def test_capacity_after_out_names_what_would_have_no_place() -> None:
+    run = Run()
+    run.tick(5)
+    run.set_state("b2", "out")
+    run.tick(20)
+    rows = {
+        row.domain: row for row in capacity_after_out(run.tables, run.reports(), "b1")
+    }
+    assert rows[""]._replace(n_slots_now=0) == ("s", "", 0, 16, 0)
+    assert rows["bound"] == ("s", "bound", 8, 0, 120)
--- /dev/null
+++ b/packages/bergamotferry/tests/test_leases.py
@@ -0,0 +1,178 @@
+"""Leases and the commands that their ends allow, as cases."""
+
+import pytest
+
+from bergamotferry.commands import (
+    AssignDispatcher,
+    CloseSession,
+    DrainSession,
+    GrantShards,
+    OpenSession,
+    RetireDispatcher,
+)
+from bergamotferry.data_centre_tables import (
+    N_INCARNATIONS_MAX,
+    DataCentreTables,
+    apply_data_centre_command,
+)
+from bergamotferry.leases import (
+    HOST_LEASE_MS,
+    NS_PER_MS,
+    SESSION_LEASE_MS,
+    LeaseTable,
+    follow_sessions,
+    forget_reports,
+    granted_ns,
+    note_reports,
+    renew_host,
+    renew_session,
+)
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.ownership import assign_dispatchers, close_sessions
+from bergamotferry.records import ShardId
+
+SHARD = ShardId("s", "", 0)
+
+
+def _apply(tables: DataCentreTables, *commands: object) -> Accepted | Refused:
+    outcome: Accepted | Refused = Accepted(0)
+    for command in commands:
+        outcome = apply_data_centre_command(tables, command)  # type: ignore[arg-type]
+    return outcome
+
+
+def _open(incarnation: int = 1) -> OpenSession:
+    return OpenSession("u", "s", "127.0.0.1:1", incarnation, 2, 9, False)
+
+
+def _served() -> DataCentreTables:
+    """Return tables in which h1 dispatches for u, which owns the shard."""
+    tables = DataCentreTables()
+    _apply(tables, _open(), AssignDispatcher("u", "h1", 0))
+    _apply(tables, GrantShards("u", 1, (SHARD,), (1,)))
+    return tables
+
+
+def _leases(tables: DataCentreTables) -> LeaseTable:
+    leases = LeaseTable()
+    for host in ("h1", "h2"):
+        renew_host(leases, host, "1", False, 0, 0)
+    follow_sessions(leases, tables.sessions, 0)
+    return leases
+
+
+def test_lease_that_ran_out_is_not_renewed_before_the_session_is_drained() -> None:
+    tables = _served()
+    leases = _leases(tables)
+    session = tables.sessions["u"]
+    just_in_time_ns = granted_ns(SESSION_LEASE_MS) - 1
+    assert renew_session(leases, session, just_in_time_ns)
+    late_ns = just_in_time_ns + granted_ns(SESSION_LEASE_MS)
+    assert not renew_session(leases, session, late_ns)
+    assert close_sessions(tables, leases, late_ns) == [DrainSession("u", 1, True, 1)]
+
+
+def test_late_commands_leave_a_session_alone_that_was_opened_again() -> None:
+    tables = _served()
+    stale = (DrainSession("u", 1, True, 1), CloseSession("u", 1, "lease expired", 1))
+    _apply(tables, *stale, _open())
+    again = tables.sessions["u"]
+    assert again.opened_epoch > 1
+    _apply(tables, *stale)
+    assert tables.sessions["u"] == again
+
+
+def test_expired_session_does_not_go_back_to_draining() -> None:
+    tables = _served()
+    _apply(tables, DrainSession("u", 1, True, 1), DrainSession("u", 1, False))
+    assert tables.sessions["u"].state == "expired"
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "now_ms", "expected_index"),
+    [
+        ("1", HOST_LEASE_MS // 2, 5),
+        ("1", 2 * HOST_LEASE_MS, 9),
+        ("2", HOST_LEASE_MS // 2, 9),
+    ],
+    ids=["goes on", "ran out", "new incarnation"],
+)
+def test_lease_that_begins_anew_begins_at_the_end_of_the_log(
+    incarnation: str, now_ms: int, expected_index: int
+) -> None:
+    leases = LeaseTable()
+    renew_host(leases, "h1", "1", False, 5, 0)
+    lease = renew_host(leases, "h1", incarnation, False, 9, now_ms * NS_PER_MS)
+    assert lease.since_index == expected_index
+
+
+def test_new_incarnation_frees_nothing_before_its_dispatcher_has_stopped() -> None:
+    tables = _served()
+    old = tables.dispatchers["u"]
+    _apply(tables, _open(2))
+    assert tables.grants[SHARD].state == "revoking"
+    assert tables.dispatchers["u"].state == "retiring"
+    leases = _leases(tables)
+    assert assign_dispatchers(tables, leases, 1) == []
+    note_reports(leases, [("u", old.epoch)], [])
+    (command,) = assign_dispatchers(tables, leases, 1)
+    assert isinstance(command, AssignDispatcher)
+    _apply(tables, command)
+    assert SHARD not in tables.grants
+
+
+def test_upstream_that_leaves_closes_after_its_last_shard_is_given_back() -> None:
+    tables = _served()
+    leases = _leases(tables)
+    _apply(tables, DrainSession("u", 1, False))
+    assert close_sessions(tables, leases, 1) == []
+    del tables.grants[SHARD]
+    epoch = tables.dispatchers["u"].epoch
+    assert close_sessions(tables, leases, 1) == [RetireDispatcher("u", epoch)]
+
+
+def test_new_leader_keeps_dispatchers_of_hosts_it_has_not_heard_from() -> None:
+    tables = _served()
+    leases = _leases(tables)
+    leases.hosts["h1"] = leases.hosts["h1"]._replace(incarnation="")
+    assert assign_dispatchers(tables, leases, 1) == []
+    renew_host(leases, "h2", "1", False, 0, granted_ns(HOST_LEASE_MS))
+    (command,) = assign_dispatchers(tables, leases, granted_ns(HOST_LEASE_MS))
+    assert command == AssignDispatcher("u", "h2", tables.dispatchers["u"].epoch)
+
+
+def test_host_that_stops_retires_and_hands_over() -> None:
+    tables = _served()
+    leases = _leases(tables)
+    renew_host(leases, "h1", "1", True, 0, 0)
+    epoch = tables.dispatchers["u"].epoch
+    retire = RetireDispatcher("u", epoch)
+    assert assign_dispatchers(tables, leases, 1) == [retire]
+    _apply(tables, retire)
+    assert assign_dispatchers(tables, leases, 1) == []
+    note_reports(leases, [("u", epoch)], [])
+    expected = [AssignDispatcher("u", "h2", epoch)]
+    assert assign_dispatchers(tables, leases, 1) == expected
+
+
+def test_reports_of_what_was_replaced_are_forgotten() -> None:
+    tables = _served()
+    leases = _leases(tables)
+    dispatcher, grant = tables.dispatchers["u"], tables.grants[SHARD]
+    note_reports(
+        leases,
+        [("u", dispatcher.epoch), ("u", dispatcher.epoch - 1), ("gone", 7)],
+        [(SHARD, grant.epoch), (SHARD, grant.epoch - 1)],
+    )
+    forget_reports(leases, tables.dispatchers, tables.grants)
+    assert leases.drained == {"u": dispatcher.epoch}
+    assert leases.released == {(SHARD, grant.epoch)}
+
+
+def test_incarnations_of_closed_sessions_are_bounded() -> None:
+    tables = DataCentreTables()
+    for number in range(N_INCARNATIONS_MAX + 5):
+        tables.incarnations[f"gone-{number}"] = 1
+    _apply(tables, _open())
+    assert len(tables.incarnations) == N_INCARNATIONS_MAX
+    assert "u" in tables.incarnations
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -32,7 +32,8 @@
         return await _handle(state, http, request)
 
     async def is_ready(request: web.Request) -> web.Response:
-        is_open = not state.is_stopping and state.global_tables.revision > 0
+        row = state.global_tables.data_centres.get(state.host.data_centre)
+        is_open = not state.is_stopping and row is not None and row.state == "in"
         return web.Response(status=200 if is_open else 503)
 
     app = web.Application(client_max_size=1 << 31)
@@ -61,7 +62,7 @@
 
 
 def _route(state: HostState, request: web.Request) -> RoutedRequest | Refused:
-    if state.is_stopping:
+    if state.is_refusing:
         return Refused(ResultCode.HOST_STOPPING, "ask another host")
     tables = state.global_tables
     account = find_account(tables, bearer_token(request))
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -14,6 +14,7 @@
 )
 from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import (
+    CapacityQuestion,
     CapacityReport,
     FetchLog,
     HostStatusRequest,
@@ -30,6 +31,7 @@
     groups_of_host,
 )
 from .caller_edge import build_caller_app
+from .clock import now_ns
 from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
@@ -38,6 +40,7 @@
 from .host_state import HostState
 from .leader_duties import (
     answer_capacity,
+    answer_capacity_question,
     answer_renewal,
     run_capacity_reports,
     run_ownership_duty,
@@ -54,8 +57,10 @@
 from .upstream_edge import add_upstream_routes
 from .write_guard import guarded_client
 
-DRAIN_NOTICE_S = 0.5
+DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.02
+REFUSE_NOTICE_S = 0.3
+SUCCESSOR_WAIT_NS = 1_000_000_000
 EDGE_STOP_TIMEOUT_S = 1.0
 
 
@@ -144,6 +149,8 @@
                 return await answer_fetch(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
+            case CapacityQuestion():
+                return answer_capacity_question(state, message)
             case HostStatusRequest():
                 return await answer_status(state, message)
         return None
@@ -209,15 +216,43 @@
 
 
 async def _drain(state: HostState) -> None:
-    """Hand over what this host holds, and let work in flight finish."""
+    """Hand over what this host holds, and let work in flight finish.
+
+    The host goes on serving while it is no longer ready, until the balancer has seen
+    that and its upstreams have other dispatchers; only then does it refuse.
+    """
     log("stopping", n_in_flight=state.n_in_flight)
+    deadline_ns = now_ns() + int(state.settings.stop_grace_s * 1e9)
     state.is_stopping = True
     await asyncio.sleep(DRAIN_NOTICE_S)
-    grace_s = state.settings.stop_grace_s
-    for _ in range(int(grace_s / DRAIN_POLL_S)):
+    await _wait_handed_over(state, deadline_ns)
+    await _hand_over_leadership(state)
+    state.is_refusing = True
+    await asyncio.sleep(REFUSE_NOTICE_S)
+    while now_ns() < deadline_ns:
         is_dispatching = any(
             work.in_flight for work in state.dispatchers.works.values()
         )
         if not state.n_in_flight and not is_dispatching:
             return
         await asyncio.sleep(DRAIN_POLL_S)
+
+
+async def _wait_handed_over(state: HostState, deadline_ns: int) -> None:
+    started_ns = now_ns()
+    while now_ns() < deadline_ns:
+        mine = [
+            row
+            for row in state.own_tables.dispatchers.values()
+            if row.host == state.host.name
+        ]
+        # Without another host to take over, the leader retires none.
+        is_alone = all(row.state == "serving" for row in mine)
+        if not mine or (is_alone and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
+            return
+        await asyncio.sleep(DRAIN_POLL_S)
+
+
+async def _hand_over_leadership(state: HostState) -> None:
+    """Hand the leadership of every group that this host leads to another member."""
+    # The replicated log's part goes here, once it offers leadership transfer.
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, field
 
 from bergamotferry.data_centre_tables import DataCentreTables
+from bergamotferry.global_placement import RebalanceState
 from bergamotferry.global_tables import GlobalTables
 from bergamotferry.leases import LeaseTable
 from bergamotferry.messages import CapacityReport
 from bergamotferry.outcomes import Accepted, Refused
-from bergamotferry.records import HostAddress
+from bergamotferry.records import HostAddress, ShardId
 
 from .bootstrap import GLOBAL_GROUP, data_centre_group
 from .clock import now_ns
@@ -35,6 +36,8 @@
     leases: LeaseTable = field(default_factory=LeaseTable)
     reports: dict[str, CapacityReport] = field(default_factory=dict)
     report_times_ns: dict[str, int] = field(default_factory=dict)
+    rebalance: RebalanceState = field(default_factory=RebalanceState)
+    exported_homes: dict[ShardId, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -50,6 +53,7 @@
     host_lease_until_ns: int = 0
     host_lease_since_index: int = 0
     is_stopping: bool = False
+    is_refusing: bool = False
     n_in_flight: int = 0
     renewals: dict[str, SessionRenewal] = field(default_factory=dict)
     leaders: dict[str, LeaderState] = field(default_factory=dict)
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 
 from bergamotferry.commands import Command
-from bergamotferry.global_placement import run_global_placement
+from bergamotferry.global_placement import capacity_after_out, run_global_placement
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     SESSION_LEASE_MS,
@@ -19,7 +19,13 @@
     renew_host,
     renew_session,
 )
-from bergamotferry.messages import CapacityReport, RenewLeases, RenewLeasesReply
+from bergamotferry.messages import (
+    CapacityAnswer,
+    CapacityQuestion,
+    CapacityReport,
+    RenewLeases,
+    RenewLeasesReply,
+)
 from bergamotferry.ownership import run_ownership
 from bergamotferry.replication import last_index, term_at
 
@@ -28,6 +34,7 @@
 from .group import Group, append_here, wait_committed
 from .host_state import HostState, LeaderState
 from .logs import log
+from .outcome_transfer import handed_over, send_outcomes
 from .peer_link import PeerUnreachable
 from .peer_network import hosts_of_data_centre
 
@@ -59,26 +66,35 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
-        fresh = {
-            name: report
-            for name, report in leader.reports.items()
-            if now_ns() - leader.report_times_ns[name] < REPORT_MAX_AGE_NS
-        }
-        await _commit_all(group, run_global_placement(group.tables, fresh))
+        commands = run_global_placement(
+            group.tables, fresh_reports(leader), leader.rebalance, now_ns()
+        )
+        await _commit_all(group, commands)
+
+
+def fresh_reports(leader: LeaderState) -> dict[str, CapacityReport]:
+    """Return the capacity reports that are not too old to go by."""
+    return {
+        name: report
+        for name, report in leader.reports.items()
+        if now_ns() - leader.report_times_ns[name] < REPORT_MAX_AGE_NS
+    }
 
 
 async def run_capacity_reports(state: HostState, group: Group) -> None:
     """Tell the global leader what a data centre can serve, while leading its group."""
     while True:
         await asyncio.sleep(PLACEMENT_TICK_S)
-        if leader_state(state, group) is None:
+        leader = leader_state(state, group)
+        if leader is None:
             continue
+        await send_outcomes(state, group, leader)
         target = state.global_group.leader
         if not target:
             continue
         try:
             await state.network.call(
-                target, capacity_report(state, group), REPORT_TIMEOUT_S
+                target, capacity_report(state, group, leader), REPORT_TIMEOUT_S
             )
         except PeerUnreachable:
             continue
@@ -145,7 +161,40 @@
     return True
 
 
-def capacity_report(state: HostState, group: Group) -> CapacityReport:
+def answer_capacity_question(
+    state: HostState, message: CapacityQuestion
+) -> CapacityAnswer:
+    """Tell what would be left without a data centre, if this host leads globally."""
+    leader = leader_state(state, state.global_group)
+    if leader is None:
+        return CapacityAnswer(False, state.global_group.leader, ())
+    rows = capacity_after_out(
+        state.global_tables, fresh_reports(leader), message.data_centre
+    )
+    return CapacityAnswer(True, state.host.name, tuple(rows))
+
+
+async def ask_capacity(state: HostState, data_centre: str) -> CapacityAnswer | None:
+    """Ask the global leader, wherever it is; None if it can't be reached."""
+    host = state.global_group.leader
+    for _ in range(2):
+        if not host:
+            return None
+        try:
+            reply = await state.network.call(
+                host, CapacityQuestion(data_centre), REPORT_TIMEOUT_S
+            )
+        except PeerUnreachable:
+            return None
+        if not isinstance(reply, CapacityAnswer) or reply.is_leader:
+            return reply if isinstance(reply, CapacityAnswer) else None
+        host = reply.leader
+    return None
+
+
+def capacity_report(
+    state: HostState, group: Group, leader: LeaderState
+) -> CapacityReport:
     """Return what the leader of a data centre's group reports."""
     data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
     n_slots: dict[str, int] = {}
@@ -155,10 +204,8 @@
             n_slots[session.service] = known + session.n_slots
     released = tuple(
         (shard, home.epoch)
-        for shard, home in state.global_tables.shard_homes.items()
-        if home.data_centre == data_centre
-        and home.next_data_centre
-        and group.tables.released_homes.get(shard, 0) >= home.epoch
+        for shard, home in handed_over(state, group).items()
+        if leader.exported_homes.get(shard) == home.epoch
     )
     return CapacityReport(data_centre, tuple(sorted(n_slots.items())), released)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
@@ -22,6 +22,7 @@
 from .group import commit, group_status, wait_applied
 from .host_state import HostState
 from .http_answers import bearer_token, refusal_response
+from .leader_duties import ask_capacity
 from .logs import log
 from .peer_link import PeerUnreachable
 
@@ -48,6 +49,7 @@
     app.router.add_get("/operators/v1/status", guarded(_status))
     app.router.add_get("/operators/v1/upstreams", guarded(_upstreams))
     app.router.add_get("/operators/v1/owner", guarded(_owner))
+    app.router.add_get("/operators/v1/capacity", guarded(_capacity))
 
 
 async def answer_status(state: HostState, message: HostStatusRequest) -> HostStatus:
@@ -159,6 +161,19 @@
     return web.json_response(body)
 
 
+async def _capacity(state: HostState, request: web.Request) -> web.Response:
+    name = request.query.get("data_centre", "")
+    if name not in state.global_tables.data_centres:
+        refusal = Refused(ResultCode.BAD_REQUEST, "needs a known data_centre")
+        return refusal_response(refusal, "")
+    answer = await ask_capacity(state, name)
+    if answer is None or not answer.is_leader:
+        refusal = Refused(ResultCode.NO_LEADER, "the global leader is unreachable")
+        return refusal_response(refusal, "")
+    rows = [row._asdict() for row in answer.rows]
+    return web.json_response({"data_centre": name, "services": rows})
+
+
 async def _ask_all(
     state: HostState, revision: int, wait_ms: int
 ) -> dict[str, HostStatus | None]:
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -119,6 +119,10 @@
         except asyncio.QueueFull:
             return
 
+    def note_unreachable(self, host: str) -> None:
+        """Prefer other hosts for requests for a while: this one is stopping."""
+        self.failed_ns[(host, "request")] = now_ns()
+
     def is_reachable(self, host: str) -> bool:
         """Return whether the last dial of a peer did not fail just now."""
         if host == self.own_name:
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -13,7 +13,7 @@
 from bergamotferry.messages import RequestHead, ResponseHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.routing import find_owner
+from bergamotferry.routing import find_owner, home_of_shard
 
 from .clock import now_ns
 from .dispatch import dispatch_here
@@ -60,6 +60,10 @@
         if left_ms <= 0:
             break
         attempt = head._replace(deadline_ms=left_ms)
+        home = home_of_shard(state.global_tables, head.shard, head.account)
+        if isinstance(home, Refused):
+            return home
+        data_centre = home
         outcome = await _attempt(state, http, data_centre, attempt, body, sink)
         if isinstance(outcome, Served) or sink.has_head:
             return outcome
@@ -79,7 +83,10 @@
     """Dispatch a request that another host forwarded."""
     body = RequestBody(_stream_body(stream))
     sink = _PeerSink(stream)
-    outcome = await dispatch_here(state, http, head, body, sink)
+    if state.is_refusing:
+        outcome: Served | Refused = Refused(ResultCode.HOST_STOPPING, "")
+    else:
+        outcome = await dispatch_here(state, http, head, body, sink)
     if isinstance(outcome, Refused):
         dispatcher = ""
         if outcome.code is ResultCode.NOT_DISPATCHER:
@@ -189,6 +196,8 @@
         async with asyncio.timeout(head.deadline_ms / 1000 + 0.5):
             response: ResponseHead = await stream.receive_head()
             if response.status == 0:
+                if response.code == ResultCode.HOST_STOPPING:
+                    state.network.note_unreachable(host)
                 detail = response.dispatcher or response.detail
                 return Refused(ResultCode(response.code), detail)
             return await _pass_on(stream, response, sink)
--- a/packages/bergamotferry_host/tests/test_orders.py
+++ b/packages/bergamotferry_host/tests/test_orders.py
@@ -11,6 +11,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -21,7 +22,14 @@
     rule,
 )
 
-from bergamotferry.commands import DrainSession, OpenSession
+from bergamotferry.commands import (
+    AssignDispatcher,
+    DrainSession,
+    GrantShards,
+    OpenSession,
+    RetireDispatcher,
+    RevokeShards,
+)
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.global_tables import GlobalTables
 from bergamotferry.leases import (
@@ -512,3 +520,51 @@
     max_examples=400, stateful_step_count=12, deadline=None
 )
 TestOwnership = OwnershipMachine.TestCase
+
+
+def _host_with_work(**changes: Any) -> HostModel:
+    host = HostModel("h1", Clock())
+    tables = host.own_tables
+    open_session = OpenSession("u1", "s", "127.0.0.1:1", 1, 2, 9, True)
+    for command in (open_session, AssignDispatcher("u1", "h1", 0)):
+        apply_data_centre_command(tables, command)
+    host.follow()
+    work = host.dispatchers.works["u1"]
+    for name, value in changes.items():
+        setattr(work, name, value)
+    host.lease_until_ns = 1
+    return host
+
+
+@pytest.mark.parametrize(
+    ("command", "changes", "is_drained"),
+    [
+        (RetireDispatcher("u1", 2), {}, True),
+        (RetireDispatcher("u1", 2), {"is_ordering": True}, False),
+        (RetireDispatcher("u1", 2), {"in_flight": {SHARDS[0]: 1}}, False),
+        (DrainSession("u1", 1, False), {}, False),
+        (DrainSession("u1", 1, True, 1), {}, True),
+    ],
+    ids=["retired", "still orders", "in flight", "upstream leaves", "lease ran out"],
+)
+def test_drained_is_said_only_of_what_holds_for_ever(
+    command: Any, changes: dict[str, Any], is_drained: bool
+) -> None:
+    host = _host_with_work(**changes)
+    assert _may_order(host, host.dispatchers.works["u1"])
+    apply_data_centre_command(host.own_tables, command)
+    assert drained_upstreams(host) == ((("u1", 2),) if is_drained else ())
+    if is_drained:
+        assert not _may_order(host, host.dispatchers.works["u1"])
+
+
+def test_release_is_ordered_only_when_nothing_of_the_shard_is_in_flight() -> None:
+    host = _host_with_work(in_flight={SHARDS[0]: 1})
+    tables = host.own_tables
+    apply_data_centre_command(tables, GrantShards("u1", 1, (SHARDS[0],), (1,)))
+    epoch = tables.grants[SHARDS[0]].epoch
+    apply_data_centre_command(tables, RevokeShards((SHARDS[0],), (epoch,)))
+    work = host.dispatchers.works["u1"]
+    assert _orders_due(host, work) == ([], [])
+    work.in_flight.clear()
+    assert _orders_due(host, work) == ([], [(SHARDS[0], epoch)])
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/balanced_load.py
@@ -0,0 +1,103 @@
+"""Steady load through whichever hosts are ready, as behind the platform's balancer.
+
+A poller asks every host whether it is ready; requests go to ready hosts only. What
+fails is kept with its time, so that a test can tell which fault a failure belongs to.
+"""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import aiohttp
+
+from .deployments import DeploymentShape
+from .load import LoadResult, PlannedRequest, plan_load, run_load
+from .local_deployment import HostProcess
+
+POLL_S = 0.1
+PROBE_TIMEOUT_S = 0.5
+
+
+class Failure(NamedTuple):
+    """A request that was not answered as it must be."""
+
+    at_s: float
+    request: PlannedRequest
+    outcome: str
+
+
+@dataclass(slots=True)
+class BalancedLoad:
+    """Requests that go on until stopped, and what became of them."""
+
+    shape: DeploymentShape
+    hosts: list[HostProcess]
+    rate_per_s: float
+    archive_bytes: int
+    rng: random.Random
+    ready: set[str] = field(default_factory=set)
+    failures: list[Failure] = field(default_factory=list)
+    acknowledged: set[str] = field(default_factory=set)
+    refused_not_run: set[str] = field(default_factory=set)
+    n_sent: int = 0
+    is_stopping: bool = False
+
+    async def run(self) -> None:
+        """Send requests until stopped, then wait for the answers."""
+        poller = asyncio.create_task(self._poll())
+        tasks: list[asyncio.Task[None]] = []
+        while not self.is_stopping:
+            await asyncio.sleep(self.rng.expovariate(self.rate_per_s))
+            if self.ready:
+                tasks.append(asyncio.create_task(self._send_one()))
+        await asyncio.gather(*tasks)
+        poller.cancel()
+
+    def failures_since(self, start_s: float) -> list[Failure]:
+        """Return the failures of requests that were sent after a time."""
+        return [failure for failure in self.failures if failure.at_s >= start_s]
+
+    async def _send_one(self) -> None:
+        self.n_sent += 1
+        sent_s = time.monotonic()
+        by_region: dict[str, list[str]] = {}
+        for host in self.hosts:
+            if host.name in self.ready:
+                by_region.setdefault(host.region, []).append(host.caller_address)
+        seed = self.rng.getrandbits(48)
+        planned = plan_load(self.shape, by_region, 1.0, 1e9, 400, seed, 1)
+        request = planned[0]._replace(at_s=0.0)
+        result = await run_load([request], self.archive_bytes)
+        self.acknowledged |= result.acknowledged
+        self.refused_not_run |= result.refused_not_run
+        outcome = _failure(result)
+        if outcome:
+            self.failures.append(Failure(sent_s, request, outcome))
+
+    async def _poll(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as http:
+            while True:
+                await asyncio.gather(*(self._probe(http, host) for host in self.hosts))
+                await asyncio.sleep(POLL_S)
+
+    async def _probe(self, http: aiohttp.ClientSession, host: HostProcess) -> None:
+        try:
+            async with http.get(f"http://{host.caller_address}/ready") as response:
+                is_ready = response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            is_ready = False
+        if is_ready:
+            self.ready.add(host.name)
+        else:
+            self.ready.discard(host.name)
+
+
+def _failure(result: LoadResult) -> str:
+    for row in result.routes.values():
+        if row.n_answered != row.n_sent:
+            codes = ",".join(str(code) for code in row.refused)
+            return f"refused {codes}" if codes else f"broken {row.n_broken}"
+    return ""
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
@@ -69,6 +69,7 @@
     duration_s: float,
     n_keys: int,
     seed: int,
+    n_requests_max: int | None = None,
 ) -> list[PlannedRequest]:
     """Plan requests with exponential gaps; home-bound callers ask in their region."""
     rng = random.Random(seed)
@@ -76,6 +77,8 @@
     everywhere = [a for rows in addresses_by_region.values() for a in rows]
     at_s = 0.0
     while (at_s := at_s + rng.expovariate(rate_per_s)) < duration_s:
+        if n_requests_max is not None and len(planned) >= n_requests_max:
+            break
         route = rng.choices(shape.routes, [r.share for r in shape.routes])[0]
         is_home = route.service == shape.services[0].name and rng.random() < 0.1
         key = f"key-{rng.randrange(n_keys)}"
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
@@ -0,0 +1,217 @@
+"""Real processes: lost upstreams and hosts, planned stops, a data centre out and in.
+
+One deployment goes through all of it under load, and the stand-ins' own records tell
+afterwards whether a shard ever had two owners or an upstream two dispatchers.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.demo import (
+    READY_TIMEOUT_S,
+    _apply_first_note,
+    _control,
+    wait_owned,
+)
+from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN, ServiceShape
+from bergamotferry_testkit.local_deployment import (
+    OPERATOR_TOKEN,
+    UPSTREAM_TOKEN,
+    HostProcess,
+    LocalDeployment,
+    free_ports,
+    wait_ready,
+)
+from bergamotferry_testkit.records_check import check_runs, read_records
+
+SHAPE = EZO_LUMEN._replace(
+    services=(
+        ServiceShape("testlog", 12, 2, 64, 5.0),
+        ServiceShape("archive", 4, 2, 16, 10.0),
+    )
+)
+NO_NEW_WORK_S = 3.0
+SHARE_WAIT_S = 15.0
+
+
+def test_ownership_under_faults(tmp_path: Path) -> None:
+    asyncio.run(_run(LocalDeployment.from_config(SHAPE, tmp_path, 1 << 17)))
+
+
+async def _run(deployment: LocalDeployment) -> None:
+    load = BalancedLoad(SHAPE, deployment.hosts, 40.0, 1 << 17, random.Random(7))
+    extra = _start_extra_upstream(deployment)
+    try:
+        deployment.start()
+        await _apply_first_note(deployment)
+        assert await wait_ready(deployment.hosts, READY_TIMEOUT_S)
+        await wait_owned(deployment, READY_TIMEOUT_S)
+        running = asyncio.create_task(load.run())
+        await asyncio.sleep(1.0)
+        await _kill_upstream(deployment, extra)
+        await _kill_dispatcher_host(deployment, load)
+        await asyncio.sleep(1.0)
+        start_s = time.monotonic()
+        await _stop_host(deployment, load)
+        out_s, in_s = await _data_centre_out_and_in(deployment)
+        load.is_stopping = True
+        await running
+        assert load.failures_since(start_s) == []
+        assert load.n_sent > 300
+    finally:
+        load.is_stopping = True
+        deployment.stop()
+        extra.kill()
+        extra.wait()
+    paths = sorted(deployment.folder.glob("records-*.jsonl"))
+    assert check_runs(paths, load.acknowledged, load.refused_not_run) == (0, 0, 0)
+    _check_owners(paths)
+    records = read_records([deployment.records_path("kamikawa-a")])
+    late = [
+        record
+        for record in records
+        if record["event"] == "run" and out_s + NO_NEW_WORK_S < record["at_s"] < in_s
+    ]
+    assert late == []
+
+
+def _start_extra_upstream(deployment: LocalDeployment) -> "subprocess.Popen[bytes]":
+    controls = ",".join(h.control_address for h in deployment.hosts_of("ishikari-a"))
+    command = [sys.executable, "-m", "bergamotferry_testkit.stand_in"]
+    command += ["--data-centre", "ishikari-a", "--controls", controls]
+    command += ["--token", UPSTREAM_TOKEN]
+    command += ["--records", str(deployment.folder / "records-extra.jsonl")]
+    command += ["--upstreams", f"testlog-99,testlog,{free_ports(1)[0]},2,5.0"]
+    return subprocess.Popen(command)
+
+
+async def _kill_upstream(
+    deployment: LocalDeployment, extra: "subprocess.Popen[bytes]"
+) -> None:
+    host = deployment.hosts_of("ishikari-a")[0]
+    keys = await _keys_of(host, lambda row: row.get("upstream") == "testlog-99")
+    extra.send_signal(signal.SIGKILL)
+    took_s = await _time_until_served(deployment.hosts_of("ishikari-b")[0], keys)
+    print(f"upstream killed: served again after {took_s:.3f} s, {len(keys)} keys")
+
+
+async def _kill_dispatcher_host(
+    deployment: LocalDeployment, load: BalancedLoad
+) -> None:
+    victim = deployment.hosts_of("ishikari-a")[1]
+    host = deployment.hosts_of("ishikari-a")[0]
+    keys = await _keys_of(host, lambda row: row.get("dispatcher") == victim.name)
+    assert victim.process is not None
+    victim.process.send_signal(signal.SIGKILL)
+    took_s = await _time_until_served(deployment.hosts_of("ishikari-b")[0], keys)
+    print(f"dispatcher killed: served again after {took_s:.3f} s, {len(keys)} keys")
+    victim.process.wait()
+    deployment.start_host(victim)
+    assert await wait_ready([victim], READY_TIMEOUT_S)
+
+
+async def _stop_host(deployment: LocalDeployment, load: BalancedLoad) -> None:
+    host = deployment.hosts_of("kamikawa-b")[1]
+    assert host.process is not None
+    started_s = time.monotonic()
+    host.process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(host.process.wait, 25.0)
+    print(f"planned stop took {time.monotonic() - started_s:.3f} s")
+    deployment.start_host(host)
+    assert await wait_ready([host], READY_TIMEOUT_S)
+
+
+async def _data_centre_out_and_in(deployment: LocalDeployment) -> tuple[float, float]:
+    name = "kamikawa-a"
+    await _apply(deployment, 2, name, "out")
+    out_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    await asyncio.sleep(NO_NEW_WORK_S + 1.0)
+    in_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    await _apply(deployment, 3, name, "in")
+    deadline_s = time.monotonic() + SHARE_WAIT_S
+    n_shards = 0
+    while time.monotonic() < deadline_s and n_shards < 10:
+        host = deployment.hosts_of(name)[0]
+        body = await _control(deployment, host.control_address, "upstreams")
+        n_shards = sum(row["n_shards"] for row in body["upstreams"])
+        await asyncio.sleep(0.2)
+    assert n_shards >= 10
+    return out_s, in_s
+
+
+async def _apply(
+    deployment: LocalDeployment, number: int, name: str, state: str
+) -> None:
+    note = {
+        "number": number,
+        "based_on": number - 1,
+        "changed": {
+            "data_centres": [{"name": name, "region": "kamikawa", "state": state}]
+        },
+    }
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    address = deployment.hosts[0].control_address
+    async with aiohttp.ClientSession(headers=headers) as http:
+        url = f"http://{address}/operators/v1/notes"
+        async with http.post(url, data=json.dumps(note)) as response:
+            assert response.status == 200, await response.text()
+
+
+async def _keys_of(host: HostProcess, is_wanted: Any) -> list[str]:
+    keys: list[str] = []
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    async with aiohttp.ClientSession(headers=headers) as http:
+        while not keys and time.monotonic() < deadline_s:
+            for number in range(200):
+                query = f"service=testlog&key=key-{number}"
+                url = f"http://{host.control_address}/operators/v1/owner?{query}"
+                async with http.get(url) as response:
+                    if is_wanted(await response.json()):
+                        keys.append(f"key-{number}")
+    assert keys
+    return keys[:20]
+
+
+async def _time_until_served(host: HostProcess, keys: list[str]) -> float:
+    started_s = time.monotonic()
+    headers = {"Authorization": f"Bearer {CALLER_TOKENS['inspectors']}"}
+
+    async def ask(http: aiohttp.ClientSession, key: str) -> None:
+        url = f"http://{host.caller_address}/v1/testlog/lookup/{key}"
+        async with http.get(url) as response:
+            assert response.headers["Bergamotferry-Code"] == "0", await response.text()
+
+    async with aiohttp.ClientSession(headers=headers) as http:
+        await asyncio.gather(*(ask(http, key) for key in keys))
+    return time.monotonic() - started_s
+
+
+def _check_owners(paths: list[Path]) -> None:
+    """Epochs of a shard's runs, and of an upstream's orders, never fall."""
+    records = sorted(read_records(paths), key=lambda record: record["at_s"])
+    epochs: dict[str, int] = defaultdict(int)
+    owners: dict[tuple[str, int], tuple[str, int]] = {}
+    senders: dict[tuple[str, int], int] = defaultdict(int)
+    for record in records:
+        if record["event"] not in ("run", "order"):
+            continue
+        process = (record["upstream"], record["incarnation"])
+        assert record["dispatcher_epoch"] >= senders[process], record
+        senders[process] = record["dispatcher_epoch"]
+        if record["event"] == "run":
+            shard, epoch = record["shard"], record["epoch"]
+            assert epoch >= epochs[shard], record
+            epochs[shard] = epoch
+            assert owners.setdefault((shard, epoch), process) == process, record
