Split the models of hosts and upstreams from the state machine

Cause: the test module had grown to 570 lines, with three jobs in it.

Ruled out: a conftest of fixtures, which hides where the models are.

Change: the models are a testkit module, the state machine is its test, and the cases of orders stay with the host's tests. No test has changed.

--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/ownership_model.py
@@ -0,0 +1,124 @@
+"""Models of hosts and upstreams for the state machine over ownership.
+
+The host is what `bergamotferry_host.orders` reads of a host's state, without any I/O;
+the upstream keeps the rules that the interface sets it.
+"""
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+from bergamotferry.data_centre_tables import DataCentreTables
+from bergamotferry.outcomes import Refused
+from bergamotferry.records import ShardId
+from bergamotferry.routing import find_owner
+
+
+@dataclass(slots=True)
+class Clock:
+    """The time of a run."""
+
+    now_ns: int = 0
+
+
+@dataclass(slots=True)
+class ProcessModel:
+    """An upstream's process, which keeps the rules of the interface."""
+
+    name: str
+    checks_epochs: bool
+    incarnation: int = 1
+    lease_until_ns: int = 0
+    session_epoch: int = 0
+    dispatcher_epoch: int = 0
+    last_order: int = 0
+    grants: dict[ShardId, int] = field(default_factory=dict)
+    running: list[ShardId] = field(default_factory=list)
+
+    def adopt(self, session_epoch: int) -> None:
+        """Drop what belongs to earlier sessions."""
+        if session_epoch > self.session_epoch:
+            self.session_epoch = session_epoch
+            self.grants.clear()
+            # An upstream ends the work of a session before it opens another.
+            self.running.clear()
+
+    def take_order(self, order: dict[str, Any]) -> set[tuple[ShardId, int]] | None:
+        """Return the shards that it gave back, or None if it refused the order."""
+        place = (order["dispatcher_epoch"], order["order"])
+        is_stale = place <= (self.dispatcher_epoch, self.last_order)
+        is_stale = is_stale or order["session_epoch"] < self.session_epoch
+        is_other = order["incarnation"] != self.incarnation
+        if self.checks_epochs and (is_stale or is_other):
+            return None
+        self.dispatcher_epoch, self.last_order = place
+        self.adopt(order["session_epoch"])
+        self.grants.update(order["granted"])
+        released: set[tuple[ShardId, int]] = set()
+        for shard, epoch in order["released"]:
+            if shard not in self.running:
+                released.add((shard, epoch))
+                if self.grants.get(shard) == epoch:
+                    del self.grants[shard]
+        return released
+
+
+class HostModel:
+    """A host: what `orders` reads of its state, without any I/O."""
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        self.host = SimpleNamespace(name=name)
+        self.clock = clock
+        self.n_starts = 0
+        self.n_renewals = 0
+        self.faults: set[str] = set()
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin as a new process with empty tables."""
+        self.n_starts += 1
+        self.own_tables = DataCentreTables()
+        self.applied_index = 0
+        self.lease_until_ns = 0
+        self.since_index = 0
+        self.is_stopping = False
+        self.dispatchers = SimpleNamespace(works={})
+
+    @property
+    def has_host_lease(self) -> bool:
+        """Whether this host may send, as `HostState` has it."""
+        is_current = self.applied_index >= self.since_index
+        return is_current and self.clock.now_ns < self.lease_until_ns
+
+    def follow(self) -> None:
+        """Do as `run_dispatcher` does with the tables."""
+        works = self.dispatchers.works
+        tables = self.own_tables
+        for name, row in tables.dispatchers.items():
+            session = tables.sessions.get(name)
+            if session is None or row.host != self.host.name:
+                continue
+            if name not in works or works[name].epoch != row.epoch:
+                works[name] = SimpleNamespace(
+                    session=session,
+                    epoch=row.epoch,
+                    confirmed={},
+                    released=set(),
+                    in_flight={},
+                    is_ordering=False,
+                    n_orders=0,
+                )
+            is_replaced = session.opened_epoch != works[name].session.opened_epoch
+            if session.state == "expired" or is_replaced:
+                works[name].in_flight.clear()
+        for name in list(works):
+            known = tables.dispatchers.get(name)
+            if known is None or known.host != self.host.name:
+                del works[name]
+
+    def may_send(self, shard: ShardId) -> str | None:
+        """Return the upstream that this host would write a request for a shard to."""
+        owner = find_owner(self.own_tables, shard)
+        if isinstance(owner, Refused) or owner.dispatcher.host != self.host.name:
+            return None
+        return owner.session.name if self.has_host_lease else None
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_ownership_model.py
@@ -0,0 +1,413 @@
+"""Safety of ownership, by a state machine over tables, leases and orders.
+
+Hosts lag in applying the log, lose their leases, pause between a check and a write, and
+restart; renewals, orders and replies are lost, late or repeated; upstreams restart,
+leave and freeze; leaders change and lose what they had not committed. Whatever happens,
+a shard has one owner, and an upstream one host that may give it orders.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from bergamotferry.commands import (
+    DrainSession,
+    OpenSession,
+)
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.global_tables import GlobalTables
+from bergamotferry.leases import (
+    HOST_LEASE_MS,
+    NS_PER_MS,
+    SESSION_LEASE_MS,
+    LeaseTable,
+    assume_all_granted,
+    note_reports,
+    renew_host,
+    renew_session,
+)
+from bergamotferry.outcomes import Refused
+from bergamotferry.ownership import run_ownership
+from bergamotferry.records import DataCentre, Service, ShardHome, ShardId
+from bergamotferry.routing import find_owner
+from bergamotferry_host.orders import (
+    _may_order,
+    _orders_due,
+    drained_upstreams,
+    released_shards,
+)
+from bergamotferry_testkit.ownership_model import Clock, HostModel, ProcessModel
+
+HOSTS = ("h1", "h2", "h3")
+UPSTREAMS = ("u1", "u2", "u3")
+CHECKING = frozenset({"u1", "u2"})
+SHARDS = tuple(ShardId("s", "", number) for number in range(4))
+ROUND_NS = 50 * NS_PER_MS
+HOST_FAULTS = ("lags", "applies slowly", "is cut", "renews late")
+UPSTREAM_FAULTS = ("is cut", "renews late", "is slow")
+EVENTS = (
+    "nothing",
+    "upstream restarts",
+    "upstream leaves",
+    "upstream announces",
+    "host restarts",
+    "host stops",
+    "leader changes",
+    "orders time out",
+)
+host_names = st.sampled_from(HOSTS)
+upstream_names = st.sampled_from(UPSTREAMS)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """One data centre's group with its hosts and upstreams, in simulated time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = Clock()
+        self.log: list[Any] = []
+        self.tables = DataCentreTables()
+        self.n_committed = 0
+        self.leases = LeaseTable()
+        self.hosts = {name: HostModel(name, self.clock) for name in HOSTS}
+        self.processes = {
+            name: ProcessModel(name, name in CHECKING) for name in UPSTREAMS
+        }
+        self.upstream_faults: dict[str, set[str]] = {name: set() for name in UPSTREAMS}
+        self.late: list[Any] = []
+        self.commits_late = False
+        self.global_tables = GlobalTables(revision=1)
+        self.global_tables.services["s"] = Service("s", len(SHARDS))
+        self.global_tables.data_centres["a"] = DataCentre("a", "r", "in")
+        for shard in SHARDS:
+            self.global_tables.shard_homes[shard] = ShardHome("a", 1, "")
+
+    @initialize()
+    def begin(self) -> None:
+        assume_all_granted(self.leases, HOSTS, {}, self.clock.now_ns)
+        for name in UPSTREAMS:
+            self.announce(name)
+        self.settle(14)
+
+    def settle(self, n_rounds: int) -> None:
+        """Let everything go on for a while, but for what faults hold up."""
+        for _ in range(n_rounds):
+            if self.commits_late:
+                self.commit_all()
+            self.leader_tick()
+            if not self.commits_late:
+                self.commit_all()
+            for name, host in self.hosts.items():
+                if "lags" not in host.faults:
+                    is_slow = "applies slowly" in host.faults
+                    self.apply(name, 1 if is_slow else len(self.log))
+                if "is cut" not in host.faults:
+                    self.renew_host(name, "renews late" in host.faults)
+            for name in UPSTREAMS:
+                faults = self.upstream_faults[name]
+                if "is cut" not in faults:
+                    self.renew_upstream(name, "renews late" in faults)
+                for host_name in HOSTS:
+                    self.order(host_name, name, "is slow" in faults)
+            self.check()
+            self.clock.now_ns += ROUND_NS
+            self.check()
+
+    @rule(
+        host_name=host_names,
+        host_faults=st.sets(st.sampled_from(HOST_FAULTS)),
+        name=upstream_names,
+        faults=st.sets(st.sampled_from(UPSTREAM_FAULTS)),
+        event=st.sampled_from(EVENTS),
+        n_before=st.sampled_from((0, 1, 14)),
+        n_after=st.sampled_from((0, 1, 14)),
+        commits_late=st.booleans(),
+    )
+    def disturb(
+        self,
+        host_name: str,
+        host_faults: set[str],
+        name: str,
+        faults: set[str],
+        event: str,
+        n_before: int,
+        n_after: int,
+        commits_late: bool,
+    ) -> None:
+        """Put faults on a host and an upstream, and let something happen meanwhile."""
+        self.write_requests()
+        self.hosts[host_name].faults = host_faults
+        self.upstream_faults[name] = faults
+        self.commits_late = commits_late
+        self.settle(n_before)
+        match event:
+            case "upstream restarts":
+                incarnation = self.processes[name].incarnation + 1
+                self.processes[name] = ProcessModel(name, name in CHECKING, incarnation)
+                self.announce(name)
+            case "upstream leaves":
+                incarnation = self.processes[name].incarnation
+                self.log.append(DrainSession(name, incarnation, False))
+            case "upstream announces":
+                self.announce(name)
+            case "host restarts":
+                self.hosts[host_name].restart()
+            case "host stops":
+                self.hosts[host_name].is_stopping = True
+            case "leader changes":
+                self.change_leader()
+            case "orders time out":
+                self.time_out_orders()
+        self.settle(n_after)
+
+    @rule(name=host_names, n_rounds=st.sampled_from((0, 1, 14)))
+    def heal_host(self, name: str, n_rounds: int) -> None:
+        self.hosts[name].faults = set()
+        self.settle(n_rounds)
+
+    @rule(name=upstream_names, n_rounds=st.sampled_from((0, 1, 14)))
+    def heal_upstream(self, name: str, n_rounds: int) -> None:
+        self.upstream_faults[name] = set()
+        self.settle(n_rounds)
+
+    def write_requests(self) -> None:
+        for host_name in HOSTS:
+            for shard in SHARDS:
+                self.write_request(host_name, shard)
+
+    def leader_tick(self) -> None:
+        self.log += run_ownership(
+            self.tables, self.global_tables, self.leases, "a", self.clock.now_ns
+        )
+
+    def commit_all(self) -> None:
+        while self.n_committed < len(self.log):
+            apply_data_centre_command(self.tables, self.log[self.n_committed])
+            self.n_committed += 1
+
+    def change_leader(self) -> None:
+        # What was not committed is lost, at times.
+        if self.commits_late:
+            del self.log[self.n_committed :]
+        self.commit_all()
+        hosts = set(HOSTS)
+        assume_all_granted(self.leases, hosts, self.tables.sessions, self.clock.now_ns)
+
+    def apply(self, name: str, n_entries: int) -> None:
+        host = self.hosts[name]
+        until = min(self.n_committed, host.applied_index + n_entries)
+        while host.applied_index < until:
+            apply_data_centre_command(host.own_tables, self.log[host.applied_index])
+            host.applied_index += 1
+            host.follow()
+
+    def renew_host(self, name: str, is_late: bool) -> None:
+        host, sent_ns = self.hosts[name], self.clock.now_ns
+        host.n_renewals += 1
+        identity = (host.n_starts, host.n_renewals)
+        reports = (drained_upstreams(host), released_shards(host))
+        is_stopping = host.is_stopping
+
+        def receive() -> None:
+            lease = renew_host(
+                self.leases,
+                name,
+                str(identity[0]),
+                is_stopping,
+                len(self.log),
+                self.clock.now_ns,
+            )
+            note_reports(self.leases, *reports)
+            self.deliver(lambda: answer(lease.since_index), is_late)
+
+        def answer(since_index: int) -> None:
+            if (host.n_starts, host.n_renewals) == identity:
+                host.since_index = since_index
+                host.lease_until_ns = sent_ns + HOST_LEASE_MS * NS_PER_MS
+
+        self.deliver(receive, is_late)
+
+    def renew_upstream(self, name: str, is_late: bool) -> None:
+        process, sent_ns = self.processes[name], self.clock.now_ns
+
+        def receive() -> None:
+            session = self.tables.sessions.get(name)
+            is_known = (
+                session is not None and session.incarnation == process.incarnation
+            )
+            is_renewed = is_known and renew_session(
+                self.leases, session, self.clock.now_ns
+            )
+            self.deliver(lambda: answer(bool(is_renewed)), is_late)
+
+        def answer(is_renewed: bool) -> None:
+            if self.processes[name] is not process:
+                return
+            if is_renewed:
+                lease_until_ns = sent_ns + SESSION_LEASE_MS * NS_PER_MS
+                process.lease_until_ns = max(process.lease_until_ns, lease_until_ns)
+            elif not is_late:
+                self.announce(name)
+
+        self.deliver(receive, is_late)
+
+    def announce(self, name: str) -> None:
+        process, sent_ns = self.processes[name], self.clock.now_ns
+        command = OpenSession(
+            name, "s", f"{name}:1", process.incarnation, 2, 9, name in CHECKING
+        )
+        self.log.append(command)
+        self.commit_all()
+        session = self.tables.sessions[name]
+        if session.incarnation == process.incarnation:
+            if renew_session(self.leases, session, self.clock.now_ns):
+                process.adopt(session.opened_epoch)
+                process.lease_until_ns = sent_ns + SESSION_LEASE_MS * NS_PER_MS
+
+    def order(self, host_name: str, name: str, is_late: bool) -> None:
+        host = self.hosts[host_name]
+        work = host.dispatchers.works.get(name)
+        if work is None or work.is_ordering:
+            return
+        granted, released = _orders_due(host, work)
+        if not granted and not released:
+            return
+        work.n_orders += 1
+        work.is_ordering = True
+        order = {
+            "dispatcher_epoch": work.epoch,
+            "session_epoch": work.session.opened_epoch,
+            "order": work.n_orders,
+            "incarnation": work.session.incarnation,
+            "granted": granted,
+            "released": released,
+        }
+        process = self.processes[name]
+
+        def receive() -> None:
+            if self.processes[name] is process:
+                given_back = process.take_order(order)
+                answer(given_back)
+
+        def answer(given_back: set[Any] | None) -> None:
+            work.is_ordering = False
+            if given_back is not None:
+                work.confirmed.update(granted)
+                work.released.update(given_back)
+
+        # An order to an upstream that does not check is not late: nothing protects
+        # against a process that is frozen between its last check and the write.
+        self.deliver(receive, is_late and name in CHECKING)
+
+    def time_out_orders(self) -> None:
+        """Give up waiting for orders, which upstreams that check may still get."""
+        for host in self.hosts.values():
+            for work in host.dispatchers.works.values():
+                work.is_ordering = False
+
+    def write_request(self, host_name: str, shard: ShardId) -> None:
+        host = self.hosts[host_name]
+        owner = find_owner(host.own_tables, shard)
+        if host.may_send(shard) is None or isinstance(owner, Refused):
+            return
+        name = owner.session.name
+        work = host.dispatchers.works[name]
+        if work.confirmed.get(shard) != owner.grant.epoch:
+            return
+        work.in_flight[shard] = work.in_flight.get(shard, 0) + 1
+        process = self.processes[name]
+
+        def receive() -> None:
+            if self.processes[name] is not process:
+                return
+            is_fit = process.lease_until_ns > self.clock.now_ns
+            if name in CHECKING:
+                is_fit = is_fit and process.grants.get(shard) == owner.grant.epoch
+                is_fit = is_fit and process.dispatcher_epoch <= work.epoch
+            if is_fit:
+                process.running.append(shard)
+
+        is_late = "is slow" in self.upstream_faults[name]
+        self.deliver(receive, is_late and name in CHECKING)
+
+    @rule(name=upstream_names)
+    def finish_requests(self, name: str) -> None:
+        self.processes[name].running.clear()
+        for host in self.hosts.values():
+            if name in host.dispatchers.works:
+                host.dispatchers.works[name].in_flight.clear()
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def deliver_late(self, data: Any) -> None:
+        place = data.draw(st.integers(0, len(self.late) - 1))
+        self.late.pop(place)()
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def deliver_all_late(self) -> None:
+        late, self.late = self.late, []
+        for action in late:
+            action()
+
+    def deliver(self, action: Callable[[], None], is_late: bool) -> None:
+        if is_late:
+            self.late.append(action)
+        else:
+            action()
+
+    @invariant()
+    def check(self) -> None:
+        self.one_upstream_believes_that_it_owns_a_shard()
+        self.one_host_may_order_an_upstream()
+        self.one_upstream_may_be_sent_work_for_a_shard()
+        self.no_other_upstream_is_sent_a_shard_that_still_runs()
+
+    def one_upstream_believes_that_it_owns_a_shard(self) -> None:
+        for shard in SHARDS:
+            owners = [
+                process.name
+                for process in self.processes.values()
+                if process.name in CHECKING
+                and shard in process.grants
+                and process.lease_until_ns > self.clock.now_ns
+            ]
+            assert len(owners) <= 1, (shard, owners)
+
+    def one_host_may_order_an_upstream(self) -> None:
+        for name in UPSTREAMS:
+            senders = [
+                host.host.name
+                for host in self.hosts.values()
+                if name in host.dispatchers.works
+                and _may_order(host, host.dispatchers.works[name])
+            ]
+            assert len(senders) <= 1, (name, senders)
+
+    def one_upstream_may_be_sent_work_for_a_shard(self) -> None:
+        for shard in SHARDS:
+            targets = {host.may_send(shard) for host in self.hosts.values()} - {None}
+            assert len(targets) <= 1, (shard, targets)
+
+    def no_other_upstream_is_sent_a_shard_that_still_runs(self) -> None:
+        for process in self.processes.values():
+            if process.lease_until_ns <= self.clock.now_ns:
+                continue
+            for shard in process.running:
+                targets = {host.may_send(shard) for host in self.hosts.values()}
+                assert targets <= {None, process.name}, (shard, targets)
+
+
+OwnershipMachine.TestCase.settings = settings(
+    max_examples=400, stateful_step_count=12, deadline=None
+)
+TestOwnership = OwnershipMachine.TestCase
