--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -9,7 +9,6 @@
 from .commands import Command
 from .records import (
     HostAddress,
-    OutcomeRecord,
     QuarantineRecord,
     ShardId,
     UpstreamSession,
@@ -204,22 +203,28 @@
     released: tuple[tuple[ShardId, int], ...]
 
 
-class FetchOutcomes(NamedTuple):
-    """Ask a data centre for outcomes of shards that it released under these epochs."""
+class CapacityQuestion(NamedTuple):
+    """Ask the global leader what would be left without a data centre."""
 
     data_centre: str
-    shards: tuple[ShardId, ...]
-    released_epochs: tuple[int, ...]
-    after: tuple[str, str]
 
 
-class OutcomesReply(NamedTuple):
-    """Outcomes of those ``shards`` that were released here; more follow if not last."""
+class CapacityAfterOut(NamedTuple):
+    """What a service would have left if a data centre were taken out."""
+
+    service: str
+    domain: str
+    n_slots_now: int
+    n_slots_after: int
+    n_shards_without_place: int
+
+
+class CapacityAnswer(NamedTuple):
+    """The answer to a question; ``leader`` is a hint where to ask instead."""
 
-    shards: tuple[ShardId, ...]
-    outcomes: tuple[OutcomeRecord, ...]
-    is_last: bool
     is_leader: bool
+    leader: str
+    rows: tuple[CapacityAfterOut, ...]
 
 
 class HostStatusRequest(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -18,7 +18,7 @@
 from .host_state import HostState
 from .http_answers import bearer_token, outcome_headers, refusal_response
 from .logs import log
-from .readiness import is_ready
+from .readiness import has_configuration, is_ready
 from .request_path import CountingSink, serve_request
 
 KEY_MAX_LENGTH = 512
@@ -63,7 +63,7 @@
 
 
 def _route(state: HostState, request: web.Request) -> RoutedRequest | Refused:
-    if not is_ready(state):
+    if state.is_refusing or not has_configuration(state):
         return _not_ready(state)
     tables = state.global_tables
     account = find_account(tables, bearer_token(request))
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -14,9 +14,9 @@
 )
 from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import (
+    CapacityQuestion,
     CapacityReport,
     FetchLog,
-    FetchOutcomes,
     FindGrant,
     HostStatusRequest,
     LiftQuarantine,
@@ -35,6 +35,7 @@
     groups_of_host,
 )
 from .caller_edge import build_caller_app
+from .clock import now_ns
 from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
@@ -44,6 +45,7 @@
 from .host_state import HostState
 from .leader_duties import (
     answer_capacity,
+    answer_capacity_question,
     answer_renewal,
     run_capacity_reports,
     run_ownership_duty,
@@ -54,7 +56,6 @@
 from .metrics import metrics_from_config
 from .operator_edge import add_operator_routes, answer_status
 from .operator_queries import answer_query
-from .outcome_transfer import answer_outcomes, run_outcome_imports
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
 from .readiness import run_readiness
@@ -63,8 +64,10 @@
 from .upstream_edge import add_upstream_routes
 from .write_guard import guarded_client
 
-DRAIN_NOTICE_S = 0.5
+DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.02
+REFUSE_NOTICE_S = 0.3
+SUCCESSOR_WAIT_NS = 1_000_000_000
 EDGE_STOP_TIMEOUT_S = 1.0
 
 
@@ -156,8 +159,8 @@
                 return await answer_fetch(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
-            case FetchOutcomes():
-                return answer_outcomes(state, message)
+            case CapacityQuestion():
+                return answer_capacity_question(state, message)
             case HostStatusRequest():
                 return await answer_status(state, message)
             case ListUpstreams() | FindGrant() | ListQuarantine() | LiftQuarantine():
@@ -195,7 +198,6 @@
             duties += [
                 run_ownership_duty(state, group),
                 run_capacity_reports(state, group),
-                run_outcome_imports(state, group),
             ]
     return duties
 
@@ -227,15 +229,43 @@
 
 
 async def _drain(state: HostState) -> None:
-    """Hand over what this host holds, and let work in flight finish."""
+    """Hand over what this host holds, and let work in flight finish.
+
+    The host goes on serving while it is no longer ready, until the balancer has seen
+    that and its upstreams have other dispatchers; only then does it refuse.
+    """
     log("stopping", n_in_flight=state.n_in_flight)
+    deadline_ns = now_ns() + int(state.settings.stop_grace_s * 1e9)
     state.is_stopping = True
     await asyncio.sleep(DRAIN_NOTICE_S)
-    grace_s = state.settings.stop_grace_s
-    for _ in range(int(grace_s / DRAIN_POLL_S)):
+    await _wait_handed_over(state, deadline_ns)
+    await _hand_over_leadership(state)
+    state.is_refusing = True
+    await asyncio.sleep(REFUSE_NOTICE_S)
+    while now_ns() < deadline_ns:
         is_dispatching = any(
             work.in_flight for work in state.dispatchers.works.values()
         )
         if not state.n_in_flight and not is_dispatching:
             return
         await asyncio.sleep(DRAIN_POLL_S)
+
+
+async def _wait_handed_over(state: HostState, deadline_ns: int) -> None:
+    started_ns = now_ns()
+    while now_ns() < deadline_ns:
+        mine = [
+            row
+            for row in state.own_tables.dispatchers.values()
+            if row.host == state.host.name
+        ]
+        # Without another host to take over, the leader retires none.
+        is_alone = all(row.state == "serving" for row in mine)
+        if not mine or (is_alone and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
+            return
+        await asyncio.sleep(DRAIN_POLL_S)
+
+
+async def _hand_over_leadership(state: HostState) -> None:
+    """Hand the leadership of every group that this host leads to another member."""
+    # The replicated log's part goes here, once it offers leadership transfer.
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
@@ -37,6 +37,7 @@
 from .host_state import HostState
 from .http_answers import bearer_token, refusal_response
 from .http_body import read_json_object, read_text
+from .leader_duties import ask_capacity
 from .logs import log
 from .operator_queries import ask_data_centre, ask_data_centres
 from .peer_link import PeerUnreachable
@@ -70,6 +71,7 @@
     router.add_get("/operators/v1/owner", guarded(_owner))
     router.add_get("/operators/v1/quarantine", guarded(_quarantine))
     router.add_post("/operators/v1/quarantine/release", guarded(_release))
+    router.add_get("/operators/v1/capacity", guarded(_capacity))
 
 
 async def answer_status(state: HostState, message: HostStatusRequest) -> HostStatus:
@@ -224,6 +226,19 @@
     return ShardId(service, request.query.get("domain", ""), int(number))
 
 
+async def _capacity(state: HostState, request: web.Request) -> web.Response:
+    name = request.query.get("data_centre", "")
+    if name not in state.global_tables.data_centres:
+        refusal = Refused(ResultCode.BAD_REQUEST, "needs a known data_centre")
+        return refusal_response(refusal, "")
+    answer = await ask_capacity(state, name)
+    if answer is None or not answer.is_leader:
+        refusal = Refused(ResultCode.NO_LEADER, "the global leader is unreachable")
+        return refusal_response(refusal, "")
+    rows = [row._asdict() for row in answer.rows]
+    return web.json_response({"data_centre": name, "services": rows})
+
+
 async def _ask_all(
     state: HostState, revision: int, wait_ms: int
 ) -> dict[str, HostStatus | None]:
--- a/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
@@ -56,9 +56,15 @@
 
 
 def is_ready(state: HostState) -> bool:
-    """Return whether the host takes requests of callers."""
-    has_configuration = state.is_caught_up and state.global_tables.revision > 0
-    return has_configuration and not state.is_stopping
+    """Return whether the platform's balancer should send callers here."""
+    row = state.global_tables.data_centres.get(state.host.data_centre)
+    is_in = row is not None and row.state == "in"
+    return has_configuration(state) and is_in and not state.is_stopping
+
+
+def has_configuration(state: HostState) -> bool:
+    """Return whether the host knows the configuration in force."""
+    return state.is_caught_up and state.global_tables.revision > 0
 
 
 async def _ask_target(state: HostState) -> CatchUpTarget | None:
