--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -58,6 +58,10 @@
     if route is None:
         return Refused(ResultCode.UNKNOWN_ROUTE, "the route was withdrawn")
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
+    # Asked before the body is read, and again after: it may come slowly.
+    owner = check_owner(state, head.shard)
+    if isinstance(owner, Refused):
+        return owner
     content = None
     if not route.is_idempotent:
         # Read first, so that a slow caller holds no slot of the upstream.
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -147,7 +147,9 @@
                 return
             self.requests.append(head)
             action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
-            if action == "reset":
+            if action == "end":
+                self.server.close()
+            if action in ("reset", "end"):
                 writer.transport.abort()
                 return
             if action == "silent":
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -1,10 +1,14 @@
 """Work that is aborted, callers that leave, and filings that go on without them."""
 
 import asyncio
+import time
 
 from request_fakes import SHARD, KeepingSink, RawUpstream, make_head
 
 from bergamotferry.admission import UpstreamQueue
+from bergamotferry.commands import RecordCrash
+from bergamotferry.messages import Propose
+from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.result_codes import ResultCode as Code
 from bergamotferry.slow_start import SlowStart
 from bergamotferry_host import dispatch
@@ -107,6 +111,45 @@
     assert seen == ["done"]
 
 
+def test_only_an_upstream_that_ended_makes_its_requests_suspected():
+    async def run(script, heads):
+        async with RawUpstream(*script) as upstream:
+            add_work(upstream)
+            tasks = [start(upstream, head) for head in heads]
+            outcomes = await asyncio.gather(*tasks)
+            rows = upstream.state.own_tables.quarantine.values()
+            codes = {row.code for row in outcomes}
+            return codes, sorted(row.n_crashes for row in rows)
+
+    other = make_head(key="other")
+    assert asyncio.run(run(["reset"], [LOOKUP])) == ({Code.UPSTREAM_FAILED}, [])
+    assert asyncio.run(run(["end"], [LOOKUP])) == ({Code.UPSTREAM_FAILED}, [1])
+    assert asyncio.run(run(["end"], [FILING])) == ({Code.OUTCOME_UNKNOWN}, [1])
+    both = asyncio.run(run(["end", "reset"], [LOOKUP, other]))
+    assert both == ({Code.UPSTREAM_FAILED}, [1, 1])
+
+
+def test_a_suspected_request_runs_alone_and_a_good_run_clears_it():
+    async def run():
+        async with RawUpstream("silent", "whole") as upstream:
+            work = add_work(upstream)
+            beside = start(upstream, make_head(key="other"))
+            await wait_until(lambda: upstream.requests)
+            parts = ("testlog", "lookup", "k", "", None)
+            fingerprint = request_fingerprint(*parts)
+            crash = RecordCrash(fingerprint, "testlog", int(time.time()), "u9", 1, True)
+            await upstream.state.network.call("h1", Propose("dc", crash), 1.0)
+            suspected = start(upstream, LOOKUP)
+            await asyncio.sleep(0.05)
+            n_before = len(upstream.requests)
+            beside.cancel()
+            outcome = await suspected
+            await wait_until(lambda: not upstream.state.own_tables.quarantine)
+            return n_before, outcome, work.queue.running
+
+    assert asyncio.run(run()) == (1, Served(200, 4, "u1"), {})
+
+
 def test_lost_leader_at_each_commit_of_a_filing():
     # What becomes of the proposals in turn, and what the caller and a resend are told.
     table = [
