--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -302,7 +302,8 @@
             _drop_work(state, name)
             queue = _new_queue(state, session)
             works[name] = UpstreamWork(session, dispatcher.epoch, queue)
-        if session.state == "expired":
+        is_replaced = session.opened_epoch != works[name].session.opened_epoch
+        if session.state == "expired" or is_replaced:
             _abort_work(works[name])
         elif session.state != "serving" or dispatcher.state != "serving":
             _refuse_waiting(works[name])
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -35,6 +35,7 @@
     fingerprints: dict[str, str] = field(default_factory=dict)
     has_crashed: bool = False
     is_ordering: bool = False
+    n_orders: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -1,6 +1,7 @@
 """What the parts of one running host share."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bergamotferry.data_centre_tables import DataCentreTables
@@ -13,6 +14,7 @@
 from .bootstrap import GLOBAL_GROUP, data_centre_group
 from .clock import now_ns
 from .dispatcher_table import DispatcherTable
+from .grant_history import GrantHistory
 from .group import Group
 from .metrics import Metrics
 from .peer_network import PeerNetwork
@@ -48,8 +50,12 @@
     metrics: Metrics
     dispatchers: DispatcherTable
     host_lease_until_ns: int = 0
+    host_lease_since_index: int = 0
     is_stopping: bool = False
+    is_caught_up: bool = False
     n_in_flight: int = 0
+    in_flight_by_account: Counter[str] = field(default_factory=Counter)
+    grant_history: GrantHistory = field(default_factory=GrantHistory)
     renewals: dict[str, SessionRenewal] = field(default_factory=dict)
     leaders: dict[str, LeaderState] = field(default_factory=dict)
     dispatcher_hints: dict[tuple[str, object], str] = field(default_factory=dict)
@@ -83,5 +89,10 @@
 
     @property
     def has_host_lease(self) -> bool:
-        """Whether this host may send orders and work to upstreams just now."""
-        return now_ns() < self.host_lease_until_ns
+        """Whether this host may send orders and work to upstreams just now.
+
+        A lease that began anew holds only once everything is applied that was decided
+        while this host had none, since an upstream may have another dispatcher by then.
+        """
+        is_current = self.own_group.applied_index >= self.host_lease_since_index
+        return is_current and now_ns() < self.host_lease_until_ns
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -33,6 +33,7 @@
 )
 from .host_state import HostState
 from .orders import shard_text
+from .write_guard import WriteRefusedError, check_write
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -122,14 +123,16 @@
     sink: AnswerSink,
     progress_s: float | None,
 ) -> Served | Refused:
-    again = check_owner(state, request.head.shard)
-    if isinstance(again, Refused):
-        return again
-    if again.grant.epoch != request.owner.grant.epoch:
-        return Refused(ResultCode.STALE_EPOCH, "the grant was replaced")
+    def guard() -> Refused | None:
+        return _check_again(state, request.owner, request.head.shard)
+
+    refusal = guard()
+    if refusal is not None:
+        return refusal
     if left_s(request.deadline_ns) <= 0:
         return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
     head = request.head
+    request.progress.guard = guard
     timeout = aiohttp.ClientTimeout(
         total=left_s(request.give_up_ns),
         sock_connect=CONNECT_TIMEOUT_S,
@@ -149,10 +152,23 @@
             if refusal is not None:
                 return refusal
             return await _pass_answer(state, request, response, sink)
+    except WriteRefusedError as error:
+        return error.refusal
     except (aiohttp.ClientError, OSError) as error:
         return _failure(request, error)
 
 
+def _check_again(state: HostState, owner: Owner, shard: ShardId) -> Refused | None:
+    again = check_owner(state, shard)
+    if isinstance(again, Refused):
+        return again
+    if again.grant.epoch != owner.grant.epoch:
+        return Refused(ResultCode.STALE_EPOCH, "the grant was replaced")
+    if again.dispatcher.epoch != owner.dispatcher.epoch:
+        return Refused(ResultCode.NOT_DISPATCHER, "")
+    return None
+
+
 def _failure(request: UpstreamRequest, error: Exception) -> Refused:
     progress = request.progress
     if not progress.is_sent:
@@ -285,6 +301,7 @@
             if progress.is_sent:
                 # The library sends again by itself when a kept connection closes.
                 raise SentAlready("sent once already")
+            check_write(progress.guard)
             progress.is_sent = True
 
     trace.on_connection_reuseconn.append(on_reuse)
