Refuse a filing without a key at the dispatcher as well

Cause: an entry host with an older revision may take the route for idempotent; all such filings would have shared one record. Ruled out: trusting the entry host's view of the route. Change: the dispatcher asks for the key under its own revision. Measured: the test fails without the check and passes with it. Conclusion: holds.

--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -57,6 +57,9 @@
     route = state.global_tables.routes.get(f"{head.service}/{head.route}")
     if route is None:
         return Refused(ResultCode.UNKNOWN_ROUTE, "the route was withdrawn")
+    if not route.is_idempotent and not head.idempotency_key:
+        # The entry host may know an older revision, in which the route was idempotent.
+        return Refused(ResultCode.MISSING_IDEMPOTENCY_KEY, "send Idempotency-Key")
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
     # Asked before the body is read, and again after: it may come slowly.
     owner = check_owner(state, head.shard)
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -111,6 +111,17 @@
     assert seen == ["done"]
 
 
+def test_a_filing_without_a_key_is_not_run():
+    async def run():
+        async with RawUpstream("whole") as upstream:
+            add_work(upstream)
+            outcome = await start(upstream, FILING._replace(idempotency_key=""))
+            return outcome, len(upstream.requests)
+
+    outcome, n_runs = asyncio.run(run())
+    assert (outcome.code, n_runs) == (Code.MISSING_IDEMPOTENCY_KEY, 0)
+
+
 def test_only_an_upstream_that_ended_makes_its_requests_suspected():
     async def run(script, heads):
         async with RawUpstream(*script) as upstream:
