--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -57,14 +57,17 @@
     route = state.global_tables.routes.get(f"{head.service}/{head.route}")
     if route is None:
         return Refused(ResultCode.UNKNOWN_ROUTE, "the route was withdrawn")
+    if not route.is_idempotent and not head.idempotency_key:
+        # The entry host may know an older revision, in which the route was idempotent.
+        return Refused(ResultCode.MISSING_IDEMPOTENCY_KEY, "send Idempotency-Key")
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
-    content = None
-    if not route.is_idempotent:
-        # Read first, so that a slow caller holds no slot of the upstream.
-        read = await read_content(body, route.max_body_bytes, deadline_ns)
-        if isinstance(read, Refused):
-            return read
-        content = read
+    # Asked before the body is read, and again after: it may come slowly.
+    owner = check_owner(state, head.shard)
+    if isinstance(owner, Refused):
+        return owner
+    content = await read_content(body, route, deadline_ns)
+    if isinstance(content, Refused):
+        return content
     owner = check_owner(state, head.shard)
     if isinstance(owner, Refused):
         return owner
