Measure slopes and work out the capacity page from them

Cause: the users ask for docs/CAPACITY.md: per role its state, messages, processor time and memory at 2,300 nodes, each a measured coefficient times a stated count. Ruled out: figures typed into the page (they go stale unseen); one run at one size (a fixed cost would be taken for a slope); counting bytes inside the daemon (leaves out TCP and HTTP headers, which are most of a renewal).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo test lint types format clean
+.PHONY: demo test lint types format clean slopes overhead capacity-page
 
 $(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -32,5 +32,14 @@
 	$(BIN)/ruff format packages
 	$(BIN)/ruff check --fix packages
 
+slopes: $(READY)
+	$(BIN)/python -m bergamotferry_testkit.slopes
+
+overhead: $(READY)
+	$(BIN)/python -m bergamotferry_testkit.overhead --keep
+
+capacity-page: $(READY)
+	$(BIN)/python -m bergamotferry_testkit.capacity_page
+
 clean:
 	rm -rf build .mypy_cache .ruff_cache
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -0,0 +1,316 @@
+"""What the letter asks against what the model gives: one row each, with its factor."""
+
+from typing import NamedTuple
+
+from bergamotferry.data_centre_tables import N_OUTCOMES_MAX, OUTCOME_KEPT_S
+from bergamotferry.replication import LEADER_LEASE_NS, NS_PER_MS
+from bergamotferry_host.group import FETCH_WAIT_MS
+from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S, PLACEMENT_TICK_S
+
+from .capacity_counts import (
+    BETWEEN_REGIONS_MS,
+    CONTROL_BYTES_PER_S,
+    CONTROL_CPU_PERCENT,
+    CONTROL_MEMORY_MB,
+    CUT_S,
+    IN_FORCE_TARGET_MS,
+    N_CONTROL_HOSTS_MAX,
+    N_NODES,
+    N_REQUESTS_PER_S,
+    N_SHARDS,
+    N_SLOTS_PER_UPSTREAM,
+    REQUEST_TARGET_MS,
+    SERVE_AGAIN_TARGET_MS,
+    SERVICE_TIME_MS,
+    Counts,
+)
+from .capacity_model import Resource, Slopes, build_terms, commits_per_s, total
+from .capacity_steps import (
+    handover_ms,
+    host_lost,
+    in_force,
+    in_force_after_silence,
+    leader_lost,
+    regrant_all_ms,
+    total_ms,
+    upstream_lost,
+)
+
+TAKEN_OUT_TARGET_MS = 3000.0
+CORE_US_PER_S = 1e6
+MB = 1e6
+CONTROL_CPU_US_PER_S = CONTROL_CPU_PERCENT / 100 * CORE_US_PER_S
+
+
+class Check(NamedTuple):
+    """A requirement, what it takes at the letter's size, and what there is."""
+
+    what: str
+    takes: float
+    limit: float
+    unit: str
+    change: str
+
+    @property
+    def factor(self) -> float:
+        """How many times the limit it takes; above 1 it does not fit."""
+        return self.takes / self.limit
+
+
+def build_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    """Return every requirement with its figures."""
+    return [
+        *_request_checks(slopes, counts),
+        *_control_checks(slopes, counts),
+        *_leader_checks(slopes, counts),
+        *_time_checks(slopes, counts),
+        *_store_checks(slopes, counts),
+    ]
+
+
+def request_cpu_us_per_s(slopes: Slopes, counts: Counts) -> float:
+    """Return the processor time of a host for requests, in both of its roles."""
+    terms = build_terms(counts)
+    roles = ("entry", "dispatcher")
+    return sum(total(terms, slopes, role, "cpu_us_per_s", False) for role in roles)
+
+
+def _request_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    all_hosts = Counts(N_NODES)
+    busy_slots = N_REQUESTS_PER_S * SERVICE_TIME_MS / 1000
+    return [
+        Check(
+            "cores per host for requests; a process uses one",
+            request_cpu_us_per_s(slopes, counts) / CORE_US_PER_S,
+            1,
+            "cores",
+            "the request path leaves Python (a compiled data plane that reads the "
+            "same tables), several processes per host, one HTTP hop less",
+        ),
+        Check(
+            "the same if all nodes were hosts",
+            request_cpu_us_per_s(slopes, all_hosts) / CORE_US_PER_S,
+            1,
+            "cores",
+            "as above: the reading of 'node' does not decide it",
+        ),
+        Check(
+            "slots busy at once",
+            busy_slots,
+            counts.n_upstreams * N_SLOTS_PER_UPSTREAM,
+            "slots",
+            "not ours: upstreams with more slots, or a service time of "
+            f"{_service_time_ms(counts):.2f} ms",
+        ),
+        Check(
+            "a lookup whose owner is in another region",
+            2 * BETWEEN_REGIONS_MS,
+            REQUEST_TARGET_MS,
+            "ms",
+            "callers ask in the region that holds the key; placement by the region "
+            "of a key's callers",
+        ),
+    ]
+
+
+def _service_time_ms(counts: Counts) -> float:
+    return 1000 * counts.n_upstreams * N_SLOTS_PER_UPSTREAM / N_REQUESTS_PER_S
+
+
+def _control_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    terms = build_terms(counts)
+
+    def of_host(resource: Resource) -> float:
+        roles = ("entry", "dispatcher")
+        return sum(total(terms, slopes, role, resource, True) for role in roles)
+
+    return [
+        Check(
+            "control, a host's processor time",
+            of_host("cpu_us_per_s") / CORE_US_PER_S * 100,
+            CONTROL_CPU_PERCENT,
+            "% of a core",
+            "wake on events in place of ticks of 20 and 30 ms; an index of grants by "
+            "upstream in place of a scan for each upstream",
+        ),
+        Check(
+            "control, a host that votes, at rest",
+            slopes["idle_voter_cpu"].intercept / CORE_US_PER_S * 100,
+            CONTROL_CPU_PERCENT,
+            "% of a core",
+            "one heartbeat for all groups that two hosts share; ticks only while a "
+            "timer is due",
+        ),
+        Check(
+            "control, a host's memory",
+            of_host("memory_bytes") / MB,
+            CONTROL_MEMORY_MB,
+            "MB",
+            "shard homes as two arrays for each service in place of a tuple each",
+        ),
+        Check(
+            "control, a host's bytes",
+            of_host("bytes_per_s"),
+            CONTROL_BYTES_PER_S,
+            "B/s",
+            "renewals every 200 ms as fixed records of 32 bytes without names, over "
+            "UDP; logs pushed in place of two polls a second; pings only when silent",
+        ),
+        Check(
+            "control, an upstream's bytes",
+            total(terms, slopes, "upstream", "bytes_per_s", True),
+            CONTROL_BYTES_PER_S,
+            "B/s",
+            "renew with HTTP headers of a few bytes less often, or let the "
+            "dispatcher's own traffic and probes carry the renewal",
+        ),
+        Check(
+            "hosts set aside for control",
+            0,
+            N_CONTROL_HOSTS_MAX,
+            "hosts",
+            "none is needed by today's shape: voters are entry hosts",
+        ),
+    ]
+
+
+def _leader_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    terms = build_terms(counts)
+
+    def cpu_percent(role: str) -> float:
+        us_per_s = total(terms, slopes, role, "cpu_us_per_s", True)
+        return us_per_s / CORE_US_PER_S * 100
+
+    commit_us = slopes["commit_leader_cpu"].slope
+    return [
+        Check(
+            "control, the leader of a data centre",
+            cpu_percent("data-centre leader"),
+            CONTROL_CPU_PERCENT,
+            "% of a core",
+            "rows of the data centre and of those in motion kept by index, so that a "
+            "tick costs what has changed and not all shards",
+        ),
+        Check(
+            "one ownership tick within its interval",
+            slopes["ownership_tick_cpu_per_shard"].slope * N_SHARDS / 1000,
+            OWNERSHIP_TICK_S * 1000,
+            "ms",
+            "as above",
+        ),
+        Check(
+            "control, the global leader",
+            cpu_percent("global leader"),
+            CONTROL_CPU_PERCENT,
+            "% of a core",
+            "unplaced shards kept as a set; run when a report or a note changes",
+        ),
+        Check(
+            "one placement tick within its interval",
+            slopes["placement_tick_cpu_per_shard"].slope * N_SHARDS / 1000,
+            PLACEMENT_TICK_S * 1000,
+            "ms",
+            "as above",
+        ),
+        Check(
+            "control, the voter that all hosts read the global log from",
+            cpu_percent("global voter"),
+            CONTROL_CPU_PERCENT,
+            "% of a core",
+            "a tree: one relay per data centre reads, its hosts read from it",
+        ),
+        Check(
+            "control, bytes of that voter",
+            total(terms, slopes, "global voter", "bytes_per_s", True),
+            CONTROL_BYTES_PER_S,
+            "B/s",
+            f"as above, and polls longer than {FETCH_WAIT_MS} ms",
+        ),
+        Check(
+            "cores of a data centre's leader for commits of filings",
+            commits_per_s(counts) * commit_us / CORE_US_PER_S,
+            1,
+            "cores",
+            "many groups per data centre, by ranges of shards; many commands to an "
+            "entry; outcomes in files of their own",
+        ),
+        Check(
+            "all shards granted in one tick, within the leader lease",
+            regrant_all_ms(slopes, counts),
+            LEADER_LEASE_NS / NS_PER_MS,
+            "ms",
+            "rank targets once per upstream set; grant in parts over several ticks",
+        ),
+    ]
+
+
+def _time_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    return [
+        Check(
+            "serve again, a dispatching host lost",
+            total_ms(host_lost(slopes, counts)),
+            SERVE_AGAIN_TARGET_MS,
+            "ms",
+            "nothing, while ticks keep their intervals",
+        ),
+        Check(
+            "serve again, the leader's host lost, which dispatches too",
+            total_ms(leader_lost(slopes, counts)),
+            SERVE_AGAIN_TARGET_MS,
+            "ms",
+            "leaders dispatch for no upstream; or followers hear renewals too, so "
+            "that a new leader need not wait for them again",
+        ),
+        Check(
+            "serve again, an upstream lost",
+            total_ms(upstream_lost(slopes, counts)),
+            SERVE_AGAIN_TARGET_MS,
+            "ms",
+            "drain report at once in place of the next renewal; one command that "
+            "closes the session and grants its shards",
+        ),
+        Check(
+            "a data centre taken out gives up its last shard",
+            handover_ms(slopes, counts),
+            TAKEN_OUT_TARGET_MS,
+            "ms",
+            "one command for many shards; entry hosts refuse by the state of the data "
+            "centre, not by each shard's home",
+        ),
+        Check(
+            "in force everywhere",
+            total_ms(in_force(slopes)),
+            IN_FORCE_TARGET_MS,
+            "ms",
+            "nothing",
+        ),
+        Check(
+            "in force everywhere, a reader's source silent",
+            total_ms(in_force_after_silence(slopes)),
+            IN_FORCE_TARGET_MS,
+            "ms",
+            "three silent sources one after another would not fit",
+        ),
+    ]
+
+
+def _store_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    kept = counts.filings_per_data_centre_s * OUTCOME_KEPT_S
+    log_bytes = commits_per_s(counts) * CUT_S * slopes["commit_log_bytes"].slope
+    return [
+        Check(
+            "outcomes kept for a day in a data centre",
+            kept,
+            N_OUTCOMES_MAX,
+            "rows",
+            "outcomes on disk, in segments by hour, found by an index of 16 bytes a "
+            "row; a shorter time, agreed with the callers",
+        ),
+        Check(
+            "a data centre's log after an hour without truncation",
+            log_bytes / MB,
+            CONTROL_MEMORY_MB,
+            "MB",
+            "snapshots bound the log by their interval, whatever the cut",
+        ),
+    ]
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
@@ -28,7 +28,7 @@
     try:
         _say(f"starting {len(deployment.hosts)} hosts and the stand-ins")
         deployment.start()
-        await _apply_first_note(deployment)
+        await apply_first_note(deployment)
         if not await wait_ready(deployment.hosts, READY_TIMEOUT_S):
             raise RuntimeError("the hosts did not become ready in time")
         n_owned = await wait_owned(deployment, READY_TIMEOUT_S)
@@ -144,7 +144,8 @@
     raise SystemExit(0 if is_good(report) else 1)
 
 
-async def _apply_first_note(deployment: LocalDeployment) -> None:
+async def apply_first_note(deployment: LocalDeployment) -> None:
+    """Apply the first release note, trying again while the groups elect leaders."""
     path = deployment.folder / "note-1.json"
     path.write_text(json.dumps(first_note(deployment.shape), indent=2))
     addresses = ",".join(host.control_address for host in deployment.hosts)
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
@@ -22,6 +22,7 @@
 UPSTREAM_TOKEN = "upstream-token-on-loopback"
 PEER_TOKEN = "peer-token-on-loopback"
 STOP_TIMEOUT_S = 30.0
+HOST_MODULE = "bergamotferry_host.main"
 
 
 @dataclass(slots=True)
@@ -48,6 +49,7 @@
     stand_ins: dict[str, "subprocess.Popen[bytes]"] = field(default_factory=dict)
     stand_in_words: dict[str, list[str]] = field(default_factory=dict)
     archive_bytes: int = 1 << 20
+    host_module: str = HOST_MODULE
 
     @classmethod
     def from_config(
@@ -100,7 +102,7 @@
             "BERGAMOTFERRY_PEER_TOKEN": PEER_TOKEN,
         }
         host.process = self._start(
-            host.name, ["-m", "bergamotferry_host.main", *arguments], environment
+            host.name, ["-m", self.host_module, *arguments], environment
         )
 
     def start_stand_ins(self, data_centre: str) -> None:
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/overhead.py
@@ -0,0 +1,146 @@
+"""``make overhead``: what one host and two hosts add to a direct request.
+
+The same lookups go straight to a stand-in, through one host and through two, in one
+run. The result is printed and written to ``build/overhead.json``.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any, get_args
+
+import aiohttp
+
+from .local_deployment import HostProcess
+from .paced_load import run_paced
+from .process_usage import cpu_time_s
+from .slopes import keep_in_document
+from .two_host_bench import (
+    Bench,
+    BenchPath,
+    daemon_pids,
+    lookups_of,
+    start_bench,
+)
+
+WARM_UP_S = 1.0
+PERCENTS = (50.0, 99.0)
+POLL_S = 0.002
+FIRST_ANSWER_TIMEOUT_S = 20.0
+
+
+async def measure_overhead(
+    folder: Path, rate_per_s: float, duration_s: float
+) -> dict[str, Any]:
+    """Run the three paths one after another and return the report."""
+    bench = await start_bench(folder)
+    try:
+        paths = {
+            path: await _measure_path(bench, path, rate_per_s, duration_s)
+            for path in get_args(BenchPath)
+        }
+        restart_ms = await _first_answer_ms(bench, bench.entry)
+    finally:
+        bench.deployment.stop()
+    for row in paths.values():
+        for percent in PERCENTS:
+            name = f"p{percent:.0f}_ms"
+            row[f"added_{name}"] = round(row[name] - paths["direct"][name], 2)
+    return {
+        "rate_per_s": rate_per_s,
+        "seconds": duration_s,
+        "paths": paths,
+        "start_to_first_answer_ms": round(restart_ms, 1),
+    }
+
+
+def print_overhead(report: dict[str, Any]) -> None:
+    """Print the report as a table."""
+    print(
+        f"{'path':<11}{'answered':>9}{'failed':>8}{'p50 ms':>9}{'p99 ms':>9}"
+        f"{'added p50':>11}{'added p99':>11}{'host CPU µs':>13}{'req/s per core':>16}"
+    )
+    for path, row in report["paths"].items():
+        print(
+            f"{path:<11}{row['answered']:>9}{row['failed']:>8}{row['p50_ms']:>9.2f}"
+            f"{row['p99_ms']:>9.2f}{row['added_p50_ms']:>11.2f}"
+            f"{row['added_p99_ms']:>11.2f}{row['host_cpu_us']:>13.0f}"
+            f"{row['per_core'] or '-':>16}"
+        )
+    print(
+        "host process started again to its first served request: "
+        f"{report['start_to_first_answer_ms']} ms"
+    )
+
+
+def main() -> None:
+    """Measure from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rate", type=float, default=200.0, help="requests per second")
+    parser.add_argument("--seconds", type=float, default=8.0, help="for each path")
+    parser.add_argument(
+        "--keep", action="store_true", help="write the result to docs/capacity.json too"
+    )
+    arguments = parser.parse_args()
+    folder = Path("build/overhead")
+    report = asyncio.run(measure_overhead(folder, arguments.rate, arguments.seconds))
+    report["command"] = (
+        "python -m bergamotferry_testkit.overhead "
+        f"--rate {arguments.rate:g} --seconds {arguments.seconds:g}"
+    )
+    Path("build/overhead.json").write_text(json.dumps(report, indent=2) + "\n")
+    if arguments.keep:
+        keep_in_document("overhead", report)
+    print_overhead(report)
+
+
+async def _measure_path(
+    bench: Bench, path: BenchPath, rate_per_s: float, duration_s: float
+) -> dict[str, Any]:
+    lookup_of = lookups_of(bench, path)
+    pids = daemon_pids(bench)
+    await run_paced(lookup_of, rate_per_s, WARM_UP_S)
+    idle_s = sum(map(cpu_time_s, pids))
+    await asyncio.sleep(duration_s)
+    before_s = sum(map(cpu_time_s, pids))
+    result = await run_paced(lookup_of, rate_per_s, duration_s)
+    busy_s = sum(map(cpu_time_s, pids)) - before_s
+    n_answered = len(result.latencies_ms)
+    # What the idle hosts use anyway is not charged to the requests.
+    cpu_us = max(0.0, busy_s - (before_s - idle_s)) * 1e6 / max(1, n_answered)
+    return {
+        "answered": n_answered,
+        "failed": result.n_failed,
+        **{f"p{p:.0f}_ms": round(result.percentile_ms(p), 2) for p in PERCENTS},
+        "host_cpu_us": round(cpu_us, 1),
+        "per_core": 0 if path == "direct" else round(1e6 / max(cpu_us, 1.0)),
+    }
+
+
+async def _first_answer_ms(bench: Bench, host: HostProcess) -> float:
+    """Stop a host, start it again, and time it to its first served request."""
+    if host.process is None:
+        raise RuntimeError("the host was not started")
+    host.process.terminate()
+    await asyncio.to_thread(host.process.wait)
+    lookup = lookups_of(bench, "two_hosts")(0)
+    started_s = time.monotonic()
+    bench.deployment.start_host(host)
+    async with aiohttp.ClientSession() as http:
+        while time.monotonic() - started_s < FIRST_ANSWER_TIMEOUT_S:
+            try:
+                async with http.get(lookup.url, headers=lookup.headers) as response:
+                    if response.status == 200 and (
+                        await response.read() == lookup.expected
+                    ):
+                        return (time.monotonic() - started_s) * 1000
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(POLL_S)
+    raise RuntimeError("the host served nothing after its start")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slope_fit.py
@@ -0,0 +1,95 @@
+"""A measured slope: what one more host, shard or request costs.
+
+Each measurement is taken at three sizes or more and fitted with a straight line, so
+that a fixed cost (the intercept) is told apart from the cost that grows.
+"""
+
+import math
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+import numpy as np
+
+N_POINTS_MIN = 3
+N_DIGITS = 4
+N_POINT_DIGITS = 6
+
+
+class Slope(NamedTuple):
+    """Points of one measurement and the line through them; ``y = a + slope x``."""
+
+    name: str
+    unit: str
+    per: str
+    method: str
+    points: tuple[tuple[float, float], ...]
+    slope: float
+    intercept: float
+    r_squared: float
+
+
+def fit_slope(
+    name: str,
+    unit: str,
+    per: str,
+    method: str,
+    points: Sequence[tuple[float, float]],
+) -> Slope:
+    """Fit a line by least squares.
+
+    Parameters
+    ----------
+    name : str
+        Name under which the capacity page finds the slope.
+    unit, per : str
+        The slope is in ``unit`` per ``per``.
+    method : str
+        What was run, in one line.
+    points : sequence of (float, float)
+        Size and cost, at three sizes at least.
+
+    Raises
+    ------
+    ValueError
+        If there are fewer than three different sizes.
+    """
+    if len({x for x, _ in points}) < N_POINTS_MIN:
+        raise ValueError(f"{name}: needs {N_POINTS_MIN} different sizes")
+    x, y = np.array(points, dtype=float).T
+    slope, intercept = np.polyfit(x, y, 1)
+    residual = float(np.sum((y - (slope * x + intercept)) ** 2))
+    total = float(np.sum((y - y.mean()) ** 2))
+    r_squared = 1.0 - residual / total if total else 1.0
+    rounded = tuple(
+        (round_digits(a, N_POINT_DIGITS), round_digits(b, N_POINT_DIGITS))
+        for a, b in points
+    )
+    return Slope(
+        name,
+        unit,
+        per,
+        method,
+        rounded,
+        round_digits(float(slope)),
+        round_digits(float(intercept)),
+        round(r_squared, 4),
+    )
+
+
+def round_digits(value: float, n_digits: int = N_DIGITS) -> float:
+    """Round to a number of significant digits."""
+    if value == 0 or not math.isfinite(value):
+        return value
+    n_decimals = n_digits - 1 - math.floor(math.log10(abs(value)))
+    return round(value, n_decimals)
+
+
+def slope_to_json(slope: Slope) -> dict[str, Any]:
+    """Return a slope as JSON values."""
+    return {**slope._asdict(), "points": [list(point) for point in slope.points]}
+
+
+def slope_from_json(values: dict[str, Any]) -> Slope:
+    """Return the slope that JSON values describe."""
+    points = tuple((point[0], point[1]) for point in values["points"])
+    return Slope(**{**values, "points": points})
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes.py
@@ -0,0 +1,82 @@
+"""``make slopes``: measures what one more of each thing costs on this machine.
+
+The results go to ``docs/capacity.json``, from which ``docs/CAPACITY.md`` is made (see
+``capacity_page``). A run of some parts only replaces just their slopes.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import platform
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from .slope_fit import Slope, slope_to_json
+from .slopes_commits import measure_commit_slopes
+from .slopes_hosts import (
+    measure_idle_slopes,
+    measure_peer_slopes,
+    measure_reader_slopes,
+    measure_upstream_slopes,
+)
+from .slopes_links import measure_link_slopes
+from .slopes_requests import (
+    measure_connection_slopes,
+    measure_held_slopes,
+    measure_request_slopes,
+)
+from .slopes_tables import measure_table_slopes, print_slopes
+
+JSON_PATH = Path("docs/capacity.json")
+COMMAND = "python -m bergamotferry_testkit.slopes"
+
+# Each part takes less than a minute.
+PARTS: dict[str, Callable[[Path], list[Slope]]] = {
+    "tables": lambda folder: measure_table_slopes(),
+    "commits": measure_commit_slopes,
+    "links": lambda folder: asyncio.run(measure_link_slopes(folder)),
+    "peers": lambda folder: asyncio.run(measure_peer_slopes(folder)),
+    "readers": lambda folder: asyncio.run(measure_reader_slopes(folder)),
+    "idle": lambda folder: asyncio.run(measure_idle_slopes(folder)),
+    "upstreams": lambda folder: asyncio.run(measure_upstream_slopes(folder)),
+    "connections": lambda folder: asyncio.run(measure_connection_slopes(folder)),
+    "held": lambda folder: asyncio.run(measure_held_slopes(folder)),
+    "requests": lambda folder: asyncio.run(measure_request_slopes(folder)),
+}
+
+
+def main() -> None:
+    """Measure from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", choices=PARTS, nargs="+", default=list(PARTS))
+    parser.add_argument("--json", type=Path, default=JSON_PATH)
+    arguments = parser.parse_args()
+    for part in arguments.only:
+        slopes = PARTS[part](Path("build/slopes"))
+        print_slopes(slopes)
+        rows = {row.name: {"part": part, **slope_to_json(row)} for row in slopes}
+        keep_in_document("slopes", rows, arguments.json)
+
+
+def keep_in_document(
+    section: str, values: dict[str, Any], path: Path = JSON_PATH
+) -> None:
+    """Put measurements into a section of the document, in place of older ones."""
+    document: dict[str, Any] = {}
+    if path.exists():
+        document = json.loads(path.read_text())
+    document["command"] = COMMAND
+    document["machine"] = {
+        "n_cpus": os.cpu_count(),
+        "system": platform.system(),
+        "python": platform.python_version(),
+    }
+    document.setdefault(section, {}).update(values)
+    text = json.dumps(document, indent=1, sort_keys=True, ensure_ascii=False)
+    path.write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
@@ -0,0 +1,199 @@
+"""Slopes of a commit: three real replicas with real disk logs in one process.
+
+Messages pass through the hosts' codec but no socket, so that the processor time of
+leader and follower can be told apart. The commands are those of a filing.
+"""
+
+import hashlib
+import random
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from bergamotferry.commands import DataCentreCommand, RecordIntent, RecordOutcome
+from bergamotferry.data_centre_tables import (
+    DataCentreTables,
+    apply_data_centre_command,
+)
+from bergamotferry.messages import LogEntry, Member, Membership
+from bergamotferry.records import ShardId
+from bergamotferry.replication import (
+    Replica,
+    Unpersisted,
+    entries_from,
+    last_index,
+    mark_persisted,
+    propose,
+    receive,
+    start_replica,
+    take_messages,
+    take_unpersisted,
+    tick,
+)
+from bergamotferry_host.codec import decode, encode
+from bergamotferry_host.disk_log import DiskLog, append_record
+
+from .slope_fit import Slope, fit_slope
+from .slopes_tables import US_PER_S
+
+COMMIT_COUNTS = (100, 200, 400)
+BATCH_SIZES = (1, 16, 64, 256)
+N_SYNCS = 25
+N_VOTERS = 3
+TICK_NS = 10_000_000
+
+
+@dataclass(slots=True)
+class Voter:
+    """A replica, its tables and its disk, and what it has used so far."""
+
+    replica: Replica
+    tables: DataCentreTables
+    disk_log: DiskLog
+    n_applied: int = 0
+    cpu_s: float = 0.0
+    n_bytes_sent: int = 0
+    outbox: list[tuple[str, bytes]] = field(default_factory=list)
+
+
+def measure_commit_slopes(folder: Path) -> list[Slope]:
+    """Measure all slopes of this module; logs are written below ``folder``."""
+    leader_cpu: list[tuple[float, float]] = []
+    follower_cpu: list[tuple[float, float]] = []
+    sent: list[tuple[float, float]] = []
+    on_disk: list[tuple[float, float]] = []
+    for n_commits in COMMIT_COUNTS:
+        voters = _start_voters(folder / f"commits-{n_commits}")
+        leader = _elect(voters)
+        follower = next(v for v in voters.values() if v is not leader)
+        _reset(voters)
+        size_before = leader.disk_log.path.stat().st_size
+        for number in range(n_commits):
+            _commit(voters, leader, _command(number))
+        leader_cpu.append((n_commits, leader.cpu_s * US_PER_S))
+        follower_cpu.append((n_commits, follower.cpu_s * US_PER_S))
+        sent.append((n_commits, leader.n_bytes_sent))
+        size_bytes = leader.disk_log.path.stat().st_size - size_before
+        on_disk.append((n_commits, size_bytes))
+    method = "intents and outcomes of filings, one at a time, 3 voters with disks"
+    return [
+        fit_slope("commit_leader_cpu", "µs", "commit", method, leader_cpu),
+        fit_slope("commit_follower_cpu", "µs", "commit", method, follower_cpu),
+        fit_slope("commit_leader_sent", "B", "commit", method, sent),
+        fit_slope("commit_log_bytes", "B", "commit", method, on_disk),
+        sync_time_per_entry(folder),
+    ]
+
+
+def sync_time_per_entry(folder: Path) -> Slope:
+    """Measure the time of `append_record` against the entries in one record."""
+    folder.mkdir(parents=True, exist_ok=True)
+    disk_log = DiskLog.from_path(folder / f"sync-{time.time_ns()}.log")
+    points: list[tuple[float, float]] = []
+    for n_entries in BATCH_SIZES:
+        entries = tuple(LogEntry(n + 1, 1, _command(n)) for n in range(n_entries))
+        record = Unpersisted(1, None, 1, entries)
+        times = []
+        for _ in range(N_SYNCS):
+            started_s = time.perf_counter()
+            append_record(disk_log, record)
+            times.append((time.perf_counter() - started_s) * US_PER_S)
+        points.append((n_entries, statistics.median(times)))
+    return fit_slope(
+        "sync_time",
+        "µs",
+        "entry in one record",
+        "append_record with its fsync, median of 25; the intercept is one fsync",
+        points,
+    )
+
+
+def _command(number: int) -> DataCentreCommand:
+    key = f"{number // 2:032x}"
+    if number % 2:
+        return RecordOutcome(
+            "account-17", key, "done", 200, "application/json", bytes(128)
+        )
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    shard = ShardId("testlog", "", number % 256)
+    return RecordIntent("account-17", key, shard, digest, 1_700_000_000)
+
+
+def _start_voters(folder: Path) -> dict[str, Voter]:
+    folder.mkdir(parents=True, exist_ok=True)
+    members = tuple(Member(f"host-{n}", "1", True) for n in range(N_VOTERS))
+    membership = Membership(members, ())
+    voters: dict[str, Voter] = {}
+    for member in members:
+        path = folder / f"{member.host}-{time.time_ns()}.log"
+        rng = random.Random(member.host)
+        replica = Replica("dc:a", member, membership, rng)
+        start_replica(replica, 0)
+        voter = Voter(replica, DataCentreTables(), DiskLog.from_path(path))
+        voters[member.host] = voter
+    return voters
+
+
+def _elect(voters: dict[str, Voter]) -> Voter:
+    now_ns = 0
+    while True:
+        now_ns += TICK_NS
+        for voter in voters.values():
+            _work(voter, partial(tick, now_ns=now_ns), now_ns)
+        _deliver(voters, now_ns)
+        for voter in voters.values():
+            if voter.replica.role == "leader":
+                return voter
+
+
+def _commit(
+    voters: dict[str, Voter], leader: Voter, command: DataCentreCommand
+) -> None:
+    _work(leader, lambda replica: propose(replica, command, 0), 0)
+    _deliver(voters, 0)
+    if leader.n_applied != last_index(leader.replica):
+        raise RuntimeError("the command was not committed")
+
+
+def _deliver(voters: dict[str, Voter], now_ns: int) -> None:
+    while any(voter.outbox for voter in voters.values()):
+        for voter in voters.values():
+            outbox, voter.outbox = voter.outbox, []
+            for host, data in outbox:
+                _receive(voters[host], data, now_ns)
+
+
+def _receive(voter: Voter, data: bytes, now_ns: int) -> None:
+    _work(voter, lambda replica: receive(replica, decode(data), now_ns), now_ns)
+
+
+def _work(voter: Voter, step: Callable[[Replica], Any], now_ns: int) -> None:
+    """Run a step as `run_group` does: persist, send, apply; charge it to the voter."""
+    started_s = time.process_time()
+    replica = voter.replica
+    step(replica)
+    unpersisted = take_unpersisted(replica)
+    if unpersisted is not None:
+        append_record(voter.disk_log, unpersisted)
+        mark_persisted(replica, last_index(replica), now_ns)
+    for outgoing in take_messages(replica):
+        data = encode(outgoing.message)
+        voter.n_bytes_sent += len(data)
+        voter.outbox.append((outgoing.host, data))
+    for entry in entries_from(replica, voter.n_applied + 1):
+        if entry.log_index > replica.commit_index:
+            break
+        if not isinstance(entry.payload, Membership):
+            apply_data_centre_command(voter.tables, entry.payload)
+        voter.n_applied = entry.log_index
+    voter.cpu_s += time.process_time() - started_s
+
+
+def _reset(voters: dict[str, Voter]) -> None:
+    for voter in voters.values():
+        voter.cpu_s = 0.0
+        voter.n_bytes_sent = 0
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_hosts.py
@@ -0,0 +1,281 @@
+"""Slopes of hosts and upstreams at rest: real daemons, and fake peers of a real leader.
+
+Bytes are those of loopback with TCP and IP headers, so nothing else may use it while
+this runs.
+"""
+
+import asyncio
+import statistics
+import time
+from pathlib import Path
+
+from bergamotferry.leases import RENEW_INTERVAL_MS
+from bergamotferry.messages import FetchLog, RenewLeases
+from bergamotferry.records import HostAddress
+from bergamotferry_host.bootstrap import GLOBAL_GROUP, data_centre_group
+from bergamotferry_host.group import FETCH_WAIT_MS
+from bergamotferry_host.peer_link import PeerHandlers, PeerStream, PeerUnreachable
+from bergamotferry_host.peer_network import PeerNetwork
+
+from .deployments import EZO_LUMEN, DeploymentShape, ServiceShape
+from .local_deployment import (
+    PEER_TOKEN,
+    HostProcess,
+    LocalDeployment,
+    free_ports,
+)
+from .process_usage import cpu_time_s, loopback_bytes, resident_bytes
+from .slope_fit import Slope, fit_slope
+from .slopes_tables import US_PER_S
+from .two_host_bench import SETTLE_S, start_settled
+
+HOSTS_PER_DATA_CENTRE = (2, 3, 4)
+UPSTREAM_COUNTS = (8, 24, 48)
+FAKE_HOST_COUNTS = (20, 50, 80)
+
+Points = list[tuple[float, float]]
+N_SHARDS_AT_REST = 64
+WINDOW_S = 2.0
+N_WINDOWS = 3
+CANCEL_PAUSE_S = 0.2
+CALL_TIMEOUT_S = 2 * FETCH_WAIT_MS / 1000
+
+
+async def measure_idle_slopes(folder: Path) -> list[Slope]:
+    """Measure hosts that have nothing to do, in deployments of three sizes."""
+    bytes_per_s: Points = []
+    reader_cpu: Points = []
+    voter_cpu: Points = []
+    memory: Points = []
+    for n_hosts in HOSTS_PER_DATA_CENTRE:
+        shape = _shape(EZO_LUMEN.regions, n_hosts, 0)
+        deployment = await start_settled(shape, folder)
+        try:
+            cpu, moved_per_s = await _use_at_rest(deployment.hosts)
+            total = len(deployment.hosts)
+            bytes_per_s.append((total, moved_per_s))
+            readers = [h.name for h in deployment.hosts if not h.is_durable]
+            voters = [h.name for h in deployment.hosts if h.is_durable]
+            reader_cpu.append((total, statistics.mean(cpu[n] for n in readers)))
+            voter_cpu.append((total, statistics.mean(cpu[n] for n in voters)))
+            resident = [resident_bytes(_pid(host)) for host in deployment.hosts]
+            memory.append((total, statistics.mean(resident)))
+        finally:
+            deployment.stop()
+    method = "daemons at rest, 4 data centres, 8, 12 and 16 hosts, no upstreams"
+    return [
+        fit_slope("idle_host_bytes", "B/s", "host", method, bytes_per_s),
+        fit_slope(
+            "idle_reader_cpu", "µs/s", "host of the deployment", method, reader_cpu
+        ),
+        fit_slope(
+            "idle_voter_cpu", "µs/s", "host of the deployment", method, voter_cpu
+        ),
+        fit_slope("idle_host_memory", "B", "host of the deployment", method, memory),
+    ]
+
+
+async def measure_upstream_slopes(folder: Path) -> list[Slope]:
+    """Measure one host, leader of its group, against upstreams that only renew."""
+    cpu_points: Points = []
+    byte_points: Points = []
+    for n_upstreams in UPSTREAM_COUNTS:
+        shape = _shape({"ishikari": ("ishikari-a",)}, 1, n_upstreams)
+        deployment = await start_settled(shape, folder)
+        try:
+            cpu, moved_per_s = await _use_at_rest(deployment.hosts)
+        finally:
+            deployment.stop()
+        cpu_points.append((n_upstreams, cpu[deployment.hosts[0].name]))
+        byte_points.append((n_upstreams, moved_per_s))
+    method = "stand-ins that renew by HTTP at one daemon, which leads and dispatches"
+    return [
+        fit_slope("upstream_host_cpu", "µs/s", "upstream", method, cpu_points),
+        fit_slope("upstream_bytes", "B/s", "upstream", method, byte_points),
+    ]
+
+
+async def measure_peer_slopes(folder: Path) -> list[Slope]:
+    """Measure a real leader against fake hosts that renew leases and read its logs."""
+    cpu_points, byte_points = await _use_by_fakes(folder, has_renewals=True)
+    method = "fake hosts renew leases and read two logs at one real leader"
+    return [
+        fit_slope("peer_leader_cpu", "µs/s", "host", method, cpu_points),
+        fit_slope("peer_leader_bytes", "B/s", "host", method, byte_points),
+    ]
+
+
+async def measure_reader_slopes(folder: Path) -> list[Slope]:
+    """Measure a real voter against fake hosts that only read its logs."""
+    cpu_points, byte_points = await _use_by_fakes(folder, has_renewals=False)
+    method = "fake hosts read two logs, in which nothing happens, at one real voter"
+    return [
+        fit_slope("reader_source_cpu", "µs/s", "reader", method, cpu_points),
+        fit_slope("reader_source_bytes", "B/s", "reader", method, byte_points),
+    ]
+
+
+async def _use_by_fakes(folder: Path, has_renewals: bool) -> tuple[Points, Points]:
+    cpu_points: Points = []
+    byte_points: Points = []
+    for n_fakes in FAKE_HOST_COUNTS:
+        cpu_us_per_s, moved_per_s = await _use_with_fakes(folder, n_fakes, has_renewals)
+        cpu_points.append((n_fakes, cpu_us_per_s))
+        byte_points.append((n_fakes, moved_per_s))
+    return cpu_points, byte_points
+
+
+async def _use_with_fakes(
+    folder: Path, n_fakes: int, has_renewals: bool
+) -> tuple[float, float]:
+    shape = _shape({"ishikari": ("ishikari-a",)}, 1, 0)
+    deployment = LocalDeployment.from_config(shape, folder / str(time.time_ns()))
+    leader = deployment.hosts[0]
+    fakes = _fake_hosts(deployment, n_fakes)
+    deployment.hosts += fakes
+    deployment.start_host(leader, is_bootstrap=True)
+    networks: list[PeerNetwork] = []
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        await asyncio.sleep(SETTLE_S)
+        for fake in fakes:
+            network, work = _run_fake(deployment, fake, leader, has_renewals)
+            networks.append(network)
+            tasks += work
+        await asyncio.sleep(SETTLE_S)
+        cpu, moved_per_s = await _use_at_rest([leader])
+    finally:
+        await _cancel_all(tasks)
+        await asyncio.gather(*(network.stop() for network in networks))
+        deployment.hosts = [leader]
+        deployment.stop()
+    return cpu[leader.name], moved_per_s
+
+
+def _shape(
+    regions: dict[str, tuple[str, ...]], n_hosts: int, n_upstreams: int
+) -> DeploymentShape:
+    service = ServiceShape("testlog", n_upstreams, 2, N_SHARDS_AT_REST, 5.0)
+    region = next(iter(regions))
+    return DeploymentShape(
+        "rest", regions, n_hosts, (service,), (), EZO_LUMEN.home_prefix, region
+    )
+
+
+async def _use_at_rest(hosts: list[HostProcess]) -> tuple[dict[str, float], float]:
+    """Return processor time in µs per s by host, and loopback bytes per s.
+
+    Of several windows the least bytes count, since other programs may use loopback too.
+    """
+    before_s = {host.name: cpu_time_s(_pid(host)) for host in hosts}
+    started_s = time.monotonic()
+    moved_per_s = [await _loopback_bytes_per_s() for _ in range(N_WINDOWS)]
+    took_s = time.monotonic() - started_s
+    cpu = {
+        host.name: (cpu_time_s(_pid(host)) - before_s[host.name]) * US_PER_S / took_s
+        for host in hosts
+    }
+    return cpu, min(moved_per_s)
+
+
+async def _loopback_bytes_per_s() -> float:
+    before_bytes = loopback_bytes()
+    started_s = time.monotonic()
+    await asyncio.sleep(WINDOW_S)
+    return (loopback_bytes() - before_bytes) / (time.monotonic() - started_s)
+
+
+async def _cancel_all(tasks: list["asyncio.Task[None]"]) -> None:
+    # Python 3.11's `wait_for` loses a cancellation that meets an answer.
+    while waiting := [task for task in tasks if not task.done()]:
+        for task in waiting:
+            task.cancel()
+        await asyncio.wait(waiting, timeout=CANCEL_PAUSE_S)
+
+
+def _fake_hosts(deployment: LocalDeployment, n_fakes: int) -> list[HostProcess]:
+    real = deployment.hosts[0]
+    ports = free_ports(n_fakes)
+    return [
+        HostProcess(
+            f"fake-{number:03d}",
+            real.data_centre,
+            real.region,
+            f"127.0.0.1:{port}",
+            real.caller_address,
+            real.control_address,
+            False,
+        )
+        for number, port in enumerate(ports)
+    ]
+
+
+def _run_fake(
+    deployment: LocalDeployment,
+    fake: HostProcess,
+    leader: HostProcess,
+    has_renewals: bool,
+) -> tuple[PeerNetwork, list["asyncio.Task[None]"]]:
+    seeds = tuple(_address(host) for host in deployment.hosts)
+    network = PeerNetwork.from_config(
+        _address(fake),
+        seeds,
+        PEER_TOKEN,
+        PeerHandlers(_answer_nothing, _ignore_notice, _ignore_stream),
+    )
+    group = data_centre_group(fake.data_centre)
+    work = [
+        asyncio.create_task(_read(network, leader.name, GLOBAL_GROUP)),
+        asyncio.create_task(_read(network, leader.name, group)),
+    ]
+    if has_renewals:
+        renewal = _renew(network, _address(fake), leader.name)
+        work.append(asyncio.create_task(renewal))
+    return network, work
+
+
+async def _renew(network: PeerNetwork, own: HostAddress, leader: str) -> None:
+    message = RenewLeases(own, "1", own.data_centre, False, (), (), ())
+    while True:
+        try:
+            await network.call(leader, message, CALL_TIMEOUT_S)
+        except PeerUnreachable:
+            pass
+        await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
+
+
+async def _read(network: PeerNetwork, leader: str, group: str) -> None:
+    after_index = 0
+    while True:
+        message = FetchLog(group, after_index, FETCH_WAIT_MS)
+        try:
+            reply = await network.call(leader, message, CALL_TIMEOUT_S)
+        except PeerUnreachable:
+            await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
+            continue
+        if reply is not None:
+            after_index += len(reply.entries)
+
+
+def _address(host: HostProcess) -> HostAddress:
+    return HostAddress(
+        host.name, host.data_centre, host.region, host.peer_address, host.is_durable
+    )
+
+
+async def _answer_nothing(message: object, peer: str) -> None:
+    return None
+
+
+def _ignore_notice(message: object, peer: str) -> None:
+    return None
+
+
+async def _ignore_stream(stream: PeerStream, head: object, peer: str) -> None:
+    return None
+
+
+def _pid(host: HostProcess) -> int:
+    if host.process is None:
+        raise RuntimeError(f"{host.name} is not running")
+    return host.process.pid
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_links.py
@@ -0,0 +1,185 @@
+"""Slopes of control messages and log lines, by the real functions in this process.
+
+`answer_renewal` is asked by many fake hosts over the tables of a real leader, with the
+codec on both ends of each message and no socket between.
+"""
+
+import asyncio
+import logging
+import os
+import secrets
+import time
+from pathlib import Path
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+from bergamotferry.commands import OpenSession
+from bergamotferry.messages import RenewLeases, RenewLeasesReply
+from bergamotferry.records import HostAddress, ShardId
+from bergamotferry_host.bootstrap import data_centre_group
+from bergamotferry_host.codec import decode, encode
+from bergamotferry_host.daemon import build_host
+from bergamotferry_host.group import commit, run_group
+from bergamotferry_host.host_state import HostState
+from bergamotferry_host.leader_duties import answer_renewal, leader_state
+from bergamotferry_host.settings import Settings
+
+from .slope_fit import Slope, fit_slope
+from .slopes_tables import time_us
+
+DATA_CENTRE = "ishikari-a"
+HOST_COUNTS = (50, 200, 800)
+SESSION_COUNTS = (4, 16, 64)
+LINE_COUNTS = (500, 1000, 2000)
+LEADER_TIMEOUT_S = 5.0
+POLL_S = 0.02
+
+
+async def measure_link_slopes(folder: Path) -> list[Slope]:
+    """Measure all slopes of this module."""
+    state = _build_leader(folder / f"leader-{time.time_ns()}")
+    group = state.groups[data_centre_group(DATA_CENTRE)]
+    task = asyncio.create_task(run_group(group))
+    try:
+        await _wait_leader(state)
+        names = [f"testlog-{number:04d}" for number in range(SESSION_COUNTS[-1])]
+        for number, name in enumerate(names):
+            address = f"10.0.0.1:{number + 1}"
+            await commit(group, OpenSession(name, "testlog", address, 1, 2, 130, True))
+        return [
+            _renewals_per_host(state),
+            _renewals_per_session(state, names),
+            _log_lines(),
+        ]
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def _renewals_per_host(state: HostState) -> Slope:
+    points: list[tuple[float, float]] = []
+    for n_hosts in HOST_COUNTS:
+        requests = [encode(_renewal(number, ())) for number in range(n_hosts)]
+
+        def answer_all(rows: list[bytes] = requests) -> None:
+            for row in rows:
+                _answer(state, row)
+
+        points.append((n_hosts, time_us(answer_all)))
+    return fit_slope(
+        "renewal_cpu_per_host",
+        "µs",
+        "renewal of a host",
+        "codec, answer_renewal, codec; one renewal each of many fake hosts, no socket",
+        points,
+    )
+
+
+def _renewals_per_session(state: HostState, names: list[str]) -> Slope:
+    points: list[tuple[float, float]] = []
+    for n_sessions in SESSION_COUNTS:
+        sessions = tuple((name, 1) for name in names[:n_sessions])
+        request = encode(_renewal(0, sessions))
+        reply = _answer(state, request)
+        if not reply.is_leader or reply.lost_sessions:
+            raise RuntimeError("the leader does not know the sessions")
+
+        def answer(row: bytes = request) -> None:
+            _answer(state, row)
+
+        points.append((n_sessions, time_us(answer, 100)))
+    return fit_slope(
+        "renewal_cpu_per_session",
+        "µs",
+        "renewal of a session, within its host's message",
+        "codec, answer_renewal, codec; one host, no socket",
+        points,
+    )
+
+
+def _log_lines() -> Slope:
+    """Measure a decision line as the host writes it, with its formatter."""
+    formatter = JsonFormatter(
+        "%(asctime)s %(levelname)s %(message)s",
+        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+        static_fields={"host": "ishikari-a-1", "data_centre": DATA_CENTRE},
+    )
+    handler = logging.FileHandler(os.devnull)
+    handler.setFormatter(formatter)
+    logger = logging.getLogger("bergamotferry_testkit.slopes")
+    logger.propagate = False
+    logger.setLevel(logging.INFO)
+    logger.addHandler(handler)
+    fields: dict[str, Any] = {
+        "request_id": secrets.token_hex(8),
+        "code": 0,
+        "took_ms": 3.25,
+        "to_data_centre": DATA_CENTRE,
+        "shard": 117,
+        "route": "testlog/lookup",
+    }
+    points: list[tuple[float, float]] = []
+    for n_lines in LINE_COUNTS:
+
+        def write(count: int = n_lines) -> None:
+            for _ in range(count):
+                logger.info("routed", extra=fields)
+
+        points.append((n_lines, time_us(write)))
+    logger.removeHandler(handler)
+    handler.close()
+    return fit_slope(
+        "log_line_cpu",
+        "µs",
+        "decision line",
+        "JsonFormatter over the fields of a routed request, written to the null device",
+        points,
+    )
+
+
+def _renewal(number: int, sessions: tuple[tuple[str, int], ...]) -> RenewLeases:
+    host = _address(f"{DATA_CENTRE}-{number + 1}", False)
+    released: tuple[tuple[ShardId, int], ...] = ()
+    return RenewLeases(host, "1", DATA_CENTRE, False, sessions, (), released)
+
+
+def _answer(state: HostState, request: bytes) -> RenewLeasesReply:
+    reply = answer_renewal(state, decode(request))
+    decoded: RenewLeasesReply = decode(encode(reply))
+    return decoded
+
+
+def _build_leader(folder: Path) -> HostState:
+    own = _address(f"{DATA_CENTRE}-1", True)
+    token = "peer-token-of-slopes"
+    settings = Settings(
+        host=own,
+        seeds=(own,),
+        caller_address="127.0.0.1:1",
+        control_address="127.0.0.1:2",
+        peer_address=own.peer_address,
+        data_dir=folder,
+        is_bootstrap=True,
+        operator_token=token,
+        upstream_token=token,
+        peer_token=token,
+        statsd_address="",
+        log_level="warning",
+        stop_grace_s=0.0,
+    )
+    # Nothing here sends HTTP, so the client session is never used.
+    return build_host(settings, None)  # type: ignore[arg-type]
+
+
+def _address(name: str, is_durable: bool) -> HostAddress:
+    return HostAddress(name, DATA_CENTRE, "ishikari", "127.0.0.1:3", is_durable)
+
+
+async def _wait_leader(state: HostState) -> None:
+    group = state.groups[data_centre_group(DATA_CENTRE)]
+    for _ in range(int(LEADER_TIMEOUT_S / POLL_S)):
+        if leader_state(state, group) is not None:
+            return
+        await asyncio.sleep(POLL_S)
+    raise RuntimeError("the group elected no leader")
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_capacity_page.py
@@ -0,0 +1,108 @@
+"""The capacity page says what the measurements and the code's constants give."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from bergamotferry_testkit.capacity_checks import build_checks
+from bergamotferry_testkit.capacity_counts import COUNTS
+from bergamotferry_testkit.capacity_model import build_terms, coefficient_value, total
+from bergamotferry_testkit.capacity_page import figure, read_slopes, render_page
+from bergamotferry_testkit.slope_fit import Slope, fit_slope
+
+ROOT = Path(__file__).parents[3]
+DOCUMENT = json.loads((ROOT / "docs/capacity.json").read_text())
+PAGE = (ROOT / "docs/CAPACITY.md").read_text()
+SLOPES = read_slopes(DOCUMENT)
+ROLES = {
+    "entry",
+    "dispatcher",
+    "data-centre leader",
+    "data-centre voter",
+    "global leader",
+    "global voter",
+    "relay between data centres",
+    "upstream",
+}
+
+
+def test_page_is_what_the_measurements_give():
+    assert render_page(PAGE, DOCUMENT) == PAGE, "run make capacity-page"
+
+
+def test_page_follows_each_measurement():
+    for name in sorted(_used_slopes()):
+        changed = json.loads(json.dumps(DOCUMENT))
+        changed["slopes"][name]["slope"] *= 3
+        changed["slopes"][name]["intercept"] *= 3
+        assert render_page(PAGE, changed) != PAGE, name
+
+
+def test_page_has_every_table_and_every_role():
+    assert set(re.findall(r"<!-- table: ([a-z-]+) -->", PAGE)) == {
+        "counts",
+        "slopes",
+        "roles",
+        "checks",
+        "latency",
+        "overhead",
+        "serve-again",
+        "in-force",
+        "hot-keys",
+        "day",
+        "cut",
+    }
+    assert {term.role for term in build_terms(COUNTS)} == ROLES
+
+
+def test_each_slope_is_the_fit_of_its_points():
+    for name, slope in SLOPES.items():
+        again = fit_slope(name, slope.unit, slope.per, slope.method, slope.points)
+        assert again.slope == pytest.approx(slope.slope, rel=0.01), name
+        assert len(slope.points) >= 3
+
+
+def test_a_sum_is_each_coefficient_times_its_count():
+    mine = [
+        term
+        for term in build_terms(COUNTS)
+        if (term.role, term.resource, term.is_control)
+        == ("data-centre leader", "cpu_us_per_s", True)
+    ]
+    expected = sum(coefficient_value(t, SLOPES) * t.multiplier for t in mine)
+    value = total(
+        build_terms(COUNTS), SLOPES, "data-centre leader", "cpu_us_per_s", True
+    )
+    assert value == pytest.approx(expected)
+    assert value > 0
+
+
+def test_a_factor_is_what_it_takes_over_the_limit():
+    for check in build_checks(SLOPES, COUNTS):
+        assert check.factor == pytest.approx(check.takes / check.limit)
+
+
+def test_fit_finds_slope_and_fixed_part():
+    points = [(1, 12.0), (2, 14.0), (4, 18.0)]
+    expected = Slope("n", "B", "row", "m", ((1, 12), (2, 14), (4, 18)), 2.0, 10.0, 1.0)
+    assert fit_slope("n", "B", "row", "m", points) == expected
+
+
+def test_fit_needs_three_sizes():
+    with pytest.raises(ValueError, match="3 different sizes"):
+        fit_slope("n", "B", "row", "m", [(1, 1.0), (1, 2.0), (2, 3.0)])
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [(0, "0"), (0.012345, "0.0123"), (12.345, "12.3"), (1234567, "1,230,000")],
+)
+def test_figures_have_three_significant_digits(value, text):
+    assert figure(value) == text
+
+
+def _used_slopes():
+    used = {term.coefficient for term in build_terms(COUNTS) if term.coefficient}
+    return used | {"sync_time", "regrant_cpu_per_shard"}
