--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -18,6 +18,7 @@
     N_NODES,
     N_REQUESTS_PER_S,
     N_SHARDS,
+    N_SHARDS_TODAY,
     N_SLOTS_PER_UPSTREAM,
     REQUEST_TARGET_MS,
     SERVE_AGAIN_TARGET_MS,
@@ -32,6 +33,7 @@
     in_force_after_silence,
     leader_lost,
     regrant_all_ms,
+    request_stranded,
     total_ms,
     upstream_lost,
 )
@@ -271,12 +273,27 @@
         ),
         Check(
             "a data centre taken out gives up its last shard",
-            handover_ms(slopes, counts),
+            handover_ms(slopes, counts.shards_per_data_centre),
             TAKEN_OUT_TARGET_MS,
             "ms",
             "one command for many shards; entry hosts refuse by the state of the data "
             "centre, not by each shard's home",
         ),
+        Check(
+            f"the same at a first user's size, {N_SHARDS_TODAY} shards",
+            handover_ms(slopes, N_SHARDS_TODAY),
+            TAKEN_OUT_TARGET_MS,
+            "ms",
+            "as above",
+        ),
+        Check(
+            "a request sent to a host just before its loss is sent elsewhere",
+            total_ms(request_stranded()),
+            SERVE_AGAIN_TARGET_MS,
+            "ms",
+            "break links to a host as soon as the tables take its dispatching away; "
+            "shorter pings",
+        ),
         Check(
             "in force everywhere",
             total_ms(in_force(slopes)),
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_counts.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_counts.py
@@ -29,6 +29,8 @@
 N_SLOTS_PER_UPSTREAM = 2
 SERVICE_TIME_MS = 5.0
 N_SHARDS = 32_768
+# Of a data centre in `make demo`: 256 + 256 + 64 shards over four data centres.
+N_SHARDS_TODAY = 144
 FILING_SHARE = 0.12
 N_ENTRIES_PER_NOTE = 2
 N_ACCOUNTS = 1000
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_page.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_page.py
@@ -30,6 +30,7 @@
     in_force_after_silence,
     leader_lost,
     request_kinds,
+    request_stranded,
     total_ms,
     upstream_lost,
 )
@@ -183,6 +184,7 @@
             "dispatching host lost": host_lost(slopes, counts),
             "leader's host lost": leader_lost(slopes, counts),
             "upstream lost": upstream_lost(slopes, counts),
+            "lookup already sent to the lost host": request_stranded(),
         }
     )
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
@@ -17,6 +17,7 @@
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
 from bergamotferry_host.group import FETCH_WAIT_MS, PROPOSE_PAUSE_S, TICK_S
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S
+from bergamotferry_host.peer_network import PING_INTERVAL_S, PING_TIMEOUT_S
 from bergamotferry_host.request_path import RETRY_PAUSE_MAX_MS
 
 from .capacity_counts import (
@@ -118,11 +119,24 @@
     ]
 
 
+def request_stranded() -> list[Step]:
+    """Return the steps of a lookup that was sent to a host just before it was lost."""
+    return [
+        Step("the next ping is due", "peer_network", PING_INTERVAL_S * 1000),
+        Step(
+            "no pong comes, the link is closed", "peer_network", PING_TIMEOUT_S * 1000
+        ),
+        Step("the request tries again", "request_path", RETRY_PAUSE_MAX_MS),
+    ]
+
+
 def in_force(slopes: Slopes) -> list[Step]:
     """Return the steps of a release note until all hosts have applied it."""
     return [
         Step("commit between regions", "replication", _far_commit_ms(slopes)),
-        Step("readers are answered", "group", TICK_MS + BETWEEN_REGIONS_MS),
+        Step("the voter that is read from learns of it", "group", BETWEEN_REGIONS_MS),
+        Step("a read on its way comes back empty", "group", 2 * BETWEEN_REGIONS_MS),
+        Step("the next read is answered", "group", TICK_MS + BETWEEN_REGIONS_MS),
         Step("applied over all shards", "global_tables", _apply_ms(slopes)),
         Step("every host reports it", "operator_edge", 2 * BETWEEN_REGIONS_MS),
     ]
@@ -161,13 +175,12 @@
     ]
 
 
-def handover_ms(slopes: Slopes, counts: Counts) -> float:
+def handover_ms(slopes: Slopes, n_shards: int) -> float:
     """Return how long a data centre that is taken out keeps some of its shards.
 
     The global leader commits the beginning and the end of each handover by itself.
     """
-    n_commits = 2 * counts.shards_per_data_centre
-    return n_commits * commit_ms(slopes, BETWEEN_REGIONS_MS)
+    return 2 * n_shards * commit_ms(slopes, BETWEEN_REGIONS_MS)
 
 
 def regrant_all_ms(slopes: Slopes, counts: Counts) -> float:
