Count what each host pays to read its own group's log

Change: slope reader_entry_cpu; outcomes at their bound stand at the entry host, with the log's bytes.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -148,7 +148,8 @@
             of_host("memory_bytes") / MB,
             CONTROL_MEMORY_MB,
             "MB",
-            "shard homes as two arrays for each service in place of a tuple each",
+            "outcomes on the hosts that dispatch for their shard only; shard homes as "
+            "two arrays for each service in place of a tuple each",
         ),
         Check(
             "control, a host's bytes",
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_model.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_model.py
@@ -102,12 +102,14 @@
     rate = counts.requests_per_host_s
     note_rate = notes_per_s()
     n_own = counts.shards_per_data_centre
+    commits = commits_per_s(counts)
     polls_per_s = N_LOGS_READ * 1000 / FETCH_WAIT_MS
     request_cpu = partial(Term, "entry", "cpu_us_per_s", False)
     cpu = partial(Term, "entry", "cpu_us_per_s", True)
     request_memory = partial(Term, "entry", "memory_bytes", False)
     memory = partial(Term, "entry", "memory_bytes", True)
     sent = partial(Term, "entry", "bytes_per_s", True)
+    request_sent = partial(Term, "entry", "bytes_per_s", False)
     messages = partial(Term, "entry", "messages_per_s", True)
     scan = rate * N_ACCOUNTS / 2
     n_entries = note_rate * N_ENTRIES_PER_NOTE
@@ -119,6 +121,7 @@
         request_cpu(
             "home regions", "routing", rate * N_REGIONS, "route_cpu_per_home_region"
         ),
+        request_cpu("own group's log", "group", commits, "reader_entry_cpu"),
         cpu(
             "ticks, renewals, log reading", "daemon", 1, "idle_reader_cpu", "intercept"
         ),
@@ -133,6 +136,12 @@
         memory("shard homes", "global_tables", N_SHARDS, "shard_home_row_memory"),
         memory("own grants", "data_centre_tables", n_own, "grant_row_memory"),
         memory("accounts", "global_tables", N_ACCOUNTS, "account_row_memory"),
+        memory(
+            "outcomes, at their bound",
+            "data_centre_tables",
+            N_OUTCOMES_MAX,
+            "outcome_row_memory",
+        ),
         request_memory(
             "requests held", "request_path", counts.held_per_host, "held_entry_memory"
         ),
@@ -143,6 +152,7 @@
             "idle_connection_memory",
         ),
         sent("renewals, log reading", "lease_renewal, group", 1, "idle_host_bytes"),
+        request_sent("own group's log", "group", commits, "commit_log_bytes"),
         messages("renewals", "lease_renewal", 1000 / RENEW_INTERVAL_MS),
         messages("reads of two logs", "group", polls_per_s),
     ]
@@ -208,7 +218,6 @@
     renewals = n_upstreams * 1000 / RENEW_EVERY_MS
     commits = commits_per_s(counts)
     cpu = partial(Term, role, "cpu_us_per_s", True)
-    memory = partial(Term, role, "memory_bytes", True)
     request_sent = partial(Term, role, "bytes_per_s", False)
     return [
         cpu("hosts' renewals and reads", "leader_duties", n_hosts, "peer_leader_cpu"),
@@ -234,12 +243,6 @@
             commits,
             "commit_leader_cpu",
         ),
-        memory(
-            "outcomes, at the bound",
-            "data_centre_tables",
-            N_OUTCOMES_MAX,
-            "outcome_row_memory",
-        ),
         Term(
             role,
             "bytes_per_s",
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
@@ -19,7 +19,7 @@
     DataCentreTables,
     apply_data_centre_command,
 )
-from bergamotferry.messages import LogEntry, Member, Membership
+from bergamotferry.messages import FetchLogReply, LogEntry, Member, Membership
 from bergamotferry.records import ShardId
 from bergamotferry.replication import (
     Replica,
@@ -38,10 +38,11 @@
 from bergamotferry_host.disk_log import DiskLog, append_record
 
 from .slope_fit import Slope, fit_slope
-from .slopes_tables import US_PER_S
+from .slopes_tables import US_PER_S, time_us
 
 COMMIT_COUNTS = (100, 200, 400)
 BATCH_SIZES = (1, 16, 64, 256)
+READ_COUNTS = (64, 256, 512)
 N_SYNCS = 25
 N_VOTERS = 3
 TICK_NS = 10_000_000
@@ -85,6 +86,7 @@
         fit_slope("commit_follower_cpu", "µs", "commit", method, follower_cpu),
         fit_slope("commit_leader_sent", "B", "commit", method, sent),
         fit_slope("commit_log_bytes", "B", "commit", method, on_disk),
+        reader_cpu_per_entry(),
         sync_time_per_entry(folder),
     ]
 
@@ -112,6 +114,28 @@
     )
 
 
+def reader_cpu_per_entry() -> Slope:
+    """Measure what a host that only reads a group's log pays for each entry."""
+    points: list[tuple[float, float]] = []
+    for n_entries in READ_COUNTS:
+        entries = tuple(LogEntry(n + 1, 1, _command(n)) for n in range(n_entries))
+        data = encode(FetchLogReply("dc:a", entries, 0, b"", n_entries, "host-0"))
+        points.append((n_entries, time_us(partial(_read_reply, data))))
+    return fit_slope(
+        "reader_entry_cpu",
+        "µs",
+        "entry of a log, at each reader",
+        "decode of a reply to FetchLog and apply_data_centre_command of its entries",
+        points,
+    )
+
+
+def _read_reply(data: bytes) -> None:
+    tables = DataCentreTables()
+    for entry in decode(data).entries:
+        apply_data_centre_command(tables, entry.payload)
+
+
 def _command(number: int) -> DataCentreCommand:
     key = f"{number // 2:032x}"
     if number % 2:
