Say each slope's sizes and cost once

Cause: sixteen measurements each built their list of points by hand. Change: measure_slope takes the sizes and a function of the size.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slope_fit.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slope_fit.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
 import numpy as np
@@ -76,6 +76,19 @@
     )
 
 
+def measure_slope(
+    name: str,
+    unit: str,
+    per: str,
+    method: str,
+    sizes: Iterable[int],
+    cost_of: Callable[[int], float],
+) -> Slope:
+    """Measure the cost at each size and fit it; see `fit_slope`."""
+    points = [(size, cost_of(size)) for size in sizes]
+    return fit_slope(name, unit, per, method, points)
+
+
 def round_digits(value: float, n_digits: int = N_DIGITS) -> float:
     """Round to a number of significant digits."""
     if value == 0 or not math.isfinite(value):
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
@@ -12,8 +12,9 @@
 
 from bergamotferry.admission import UpstreamQueue
 from bergamotferry.commands import ApplyNote
+from bergamotferry.data_centre_tables import DataCentreTables
 from bergamotferry.global_placement import run_global_placement
-from bergamotferry.global_tables import apply_global_command
+from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import LogEntry
 from bergamotferry.ownership import grant_free_shards, run_ownership
 from bergamotferry.records import Grant, OutcomeRecord, ShardHome, ShardId
@@ -23,7 +24,7 @@
 from bergamotferry_host.dispatcher_table import UpstreamWork
 from bergamotferry_host.orders import order_grants
 
-from .slope_fit import Slope, fit_slope
+from .slope_fit import Slope, measure_slope
 from .table_worlds import (
     NOW_NS,
     SERVICE,
@@ -35,6 +36,7 @@
 )
 
 N_DATA_CENTRES = 17
+OWN_DATA_CENTRE = "centre-00"
 N_HOSTS = 27
 N_REPEATS = 5
 US_PER_S = 1e6
@@ -81,239 +83,229 @@
 
 def ownership_tick_per_shard() -> Slope:
     """Measure a tick of `run_ownership` against all shards of the deployment."""
-    points: list[tuple[float, float]] = []
-    for n_shards in SHARD_COUNTS:
-        global_tables = make_global_tables(n_shards, N_DATA_CENTRES)
-        tables = make_sessions(UPSTREAM_COUNTS[-1])
-        leases = settle(tables, global_tables, "centre-00", N_HOSTS)
 
-        def tick(t: Any = tables, g: Any = global_tables, le: Any = leases) -> None:
-            run_ownership(t, g, le, "centre-00", NOW_NS)
+    def cost_us(n_shards: int) -> float:
+        global_tables = make_global_tables(n_shards, N_DATA_CENTRES)
+        return _ownership_tick_us(global_tables, UPSTREAM_COUNTS[-1], 1)
 
-        points.append((n_shards, time_us(tick)))
-    return fit_slope(
+    return measure_slope(
         "ownership_tick_cpu_per_shard",
         "µs",
         "shard of the deployment, each tick",
         "run_ownership on settled tables, 108 upstreams, 1 of 17 data centres",
-        points,
+        SHARD_COUNTS,
+        cost_us,
     )
 
 
 def ownership_tick_per_upstream() -> Slope:
     """Measure a tick of `run_ownership` against the upstreams of a data centre."""
-    points: list[tuple[float, float]] = []
     global_tables = make_global_tables(N_SHARDS_SMALL, 1)
-    for n_upstreams in UPSTREAM_COUNTS:
-        tables = make_sessions(n_upstreams)
-        leases = settle(tables, global_tables, "centre-00", N_HOSTS)
-
-        def tick(t: Any = tables, le: Any = leases) -> None:
-            run_ownership(t, global_tables, le, "centre-00", NOW_NS)
-
-        points.append((n_upstreams, time_us(tick, 60)))
-    return fit_slope(
+    return measure_slope(
         "ownership_tick_cpu_per_upstream",
         "µs",
         "upstream of the data centre, each tick",
         "run_ownership on settled tables, 512 shards, one data centre",
-        points,
+        UPSTREAM_COUNTS,
+        lambda n_upstreams: _ownership_tick_us(global_tables, n_upstreams, 60),
     )
 
 
 def orders_tick_per_grant() -> Slope:
     """Measure a dispatcher's look for due orders of one upstream, each tick."""
-    points: list[tuple[float, float]] = []
-    for n_shards in (512, 1024, 2048):
+
+    def cost_us(n_shards: int) -> float:
         global_tables = make_global_tables(n_shards, 1)
         tables = make_sessions(UPSTREAM_COUNTS[-1])
-        settle(tables, global_tables, "centre-00", N_HOSTS)
+        settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
         name = next(iter(tables.sessions))
         work = UpstreamWork(tables.sessions[name], 1, UpstreamQueue(2))
         mine = [g for g in tables.grants.values() if g.upstream == name]
         work.confirmed = {grant.shard: grant.epoch for grant in mine}
         state = SimpleNamespace(own_tables=tables)
-        points.append((n_shards, time_us(partial(_look_for_orders, state, work))))
-    return fit_slope(
+        return time_us(partial(_look_for_orders, state, work))
+
+    return measure_slope(
         "orders_tick_cpu_per_grant",
         "µs",
         "grant of the data centre, for each upstream dispatched for, each tick",
         "order_grants for one of 108 upstreams when no order is due",
-        points,
+        (512, 1024, 2048),
+        cost_us,
     )
 
 
-def _look_for_orders(state: Any, work: UpstreamWork) -> None:
-    # With no order due, neither the HTTP client nor the event loop is used.
-    client: Any = None
-    try:
-        order_grants(state, client, work).send(None)
-    except StopIteration:
-        return
-    raise RuntimeError("an order was due")
-
-
 def regrant_per_shard() -> Slope:
     """Measure the choice of new owners for shards that lost theirs."""
-    points: list[tuple[float, float]] = []
     global_tables = make_global_tables(SHARD_COUNTS[0], 1)
     tables = make_sessions(UPSTREAM_COUNTS[-1])
-    settle(tables, global_tables, "centre-00", N_HOSTS)
+    settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
     shards = sorted(tables.grants)
-    for n_free in (32, 128, 512):
-        kept = {s: g for s, g in tables.grants.items() if s not in shards[:n_free]}
-        lost = type(tables)(sessions=tables.sessions, grants=kept)
 
-        def grant(t: Any = lost) -> None:
-            grant_free_shards(t, global_tables, "centre-00")
+    def cost_us(n_free: int) -> float:
+        kept = {shard: tables.grants[shard] for shard in shards[n_free:]}
+        lost = DataCentreTables(sessions=tables.sessions, grants=kept)
+        return time_us(partial(grant_free_shards, lost, global_tables, OWN_DATA_CENTRE))
 
-        points.append((n_free, time_us(grant)))
-    return fit_slope(
+    return measure_slope(
         "regrant_cpu_per_shard",
         "µs",
         "shard that lost its owner",
         "grant_free_shards among 108 upstreams, 2,048 shards",
-        points,
+        (32, 128, 512),
+        cost_us,
     )
 
 
 def placement_tick_per_shard() -> Slope:
     """Measure a tick of `run_global_placement` against all shards."""
-    points: list[tuple[float, float]] = []
     reports = make_reports(N_DATA_CENTRES)
-    for n_shards in SHARD_COUNTS:
-        tables = make_global_tables(n_shards, N_DATA_CENTRES)
 
-        def tick(t: Any = tables) -> None:
-            run_global_placement(t, reports)
+    def cost_us(n_shards: int) -> float:
+        tables = make_global_tables(n_shards, N_DATA_CENTRES)
+        return time_us(partial(run_global_placement, tables, reports))
 
-        points.append((n_shards, time_us(tick)))
-    return fit_slope(
+    return measure_slope(
         "placement_tick_cpu_per_shard",
         "µs",
         "shard of the deployment, each tick",
         "run_global_placement on settled tables, 17 reports",
-        points,
+        SHARD_COUNTS,
+        cost_us,
     )
 
 
 def memory_per_row(name: str, make_row: Callable[[int], Any]) -> Slope:
     """Measure the memory of a table's row, with its key, as CPython holds it."""
-    points: list[tuple[float, float]] = []
-    for n_rows in ROW_COUNTS:
+
+    def size_bytes(n_rows: int) -> float:
         tracemalloc.start()
         table = {row_key(row): row for row in map(make_row, range(n_rows))}
-        size_bytes, _ = tracemalloc.get_traced_memory()
+        size, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
-        points.append((len(table), size_bytes))
+        return size if len(table) == n_rows else 0.0
+
     method = f"tracemalloc around a table of {name} rows"
-    return fit_slope(f"{name}_row_memory", "B", "row", method, points)
+    return measure_slope(
+        f"{name}_row_memory", "B", "row", method, ROW_COUNTS, size_bytes
+    )
 
 
 def snapshot_bytes_per_row(name: str, make_row: Callable[[int], Any]) -> Slope:
     """Measure the bytes of a row, with its key, in the codec of the hosts."""
-    points: list[tuple[float, float]] = []
-    for n_rows in ROW_COUNTS:
-        rows = [make_row(number) for number in range(n_rows)]
-        points.append((n_rows, len(encode(rows))))
     method = f"codec.encode of a table of {name} rows"
-    return fit_slope(f"{name}_snapshot_bytes", "B", "row", method, points)
+    return measure_slope(
+        f"{name}_snapshot_bytes",
+        "B",
+        "row",
+        method,
+        ROW_COUNTS,
+        lambda n_rows: len(encode([make_row(number) for number in range(n_rows)])),
+    )
 
 
 def note_cpu_per_entry() -> Slope:
     """Measure the application of a release note against its entries."""
-    points: list[tuple[float, float]] = []
-    for n_entries in ENTRY_COUNTS:
-        command = _note(n_entries)
-        times = []
-        for _ in range(N_REPEATS):
-            tables = make_global_tables(N_SHARDS_SMALL, 1)
-            started_s = time.process_time()
-            apply_global_command(tables, command)
-            times.append((time.process_time() - started_s) * US_PER_S)
-        points.append((n_entries, min(times)))
-    return fit_slope(
+    return measure_slope(
         "note_apply_cpu_per_entry",
         "µs",
         "entry of a release note, on each host",
         "apply_global_command of a note that adds accounts, 512 shards",
-        points,
+        ENTRY_COUNTS,
+        lambda n_entries: _apply_note_us(N_SHARDS_SMALL, n_entries),
     )
 
 
 def note_cpu_per_shard() -> Slope:
     """Measure the application of a note of one entry against the shards."""
-    points: list[tuple[float, float]] = []
-    command = _note(1)
-    for n_shards in SHARD_COUNTS:
-        tables = make_global_tables(n_shards, N_DATA_CENTRES)
-        times = []
-        for _ in range(N_REPEATS):
-            tables.revision, tables.notes = 1, {}
-            tables.accounts.pop("account-1000", None)
-            started_s = time.process_time()
-            apply_global_command(tables, command)
-            times.append((time.process_time() - started_s) * US_PER_S)
-        points.append((n_shards, min(times)))
-    return fit_slope(
+    return measure_slope(
         "note_apply_cpu_per_shard",
         "µs",
         "shard of the deployment, each note, on each host",
         "apply_global_command of a note that adds one account",
-        points,
+        SHARD_COUNTS,
+        lambda n_shards: _apply_note_us(n_shards, 1),
     )
 
 
 def note_bytes_per_entry() -> Slope:
     """Measure the bytes of a note in the log, which every reader is sent as well."""
-    points = [
-        (n_entries, len(encode(LogEntry(1, 1, _note(n_entries)))))
-        for n_entries in ENTRY_COUNTS
-    ]
-    method = "codec.encode of the log entry of a note that adds accounts"
-    return fit_slope("note_bytes_per_entry", "B", "entry", method, points)
+    return measure_slope(
+        "note_bytes_per_entry",
+        "B",
+        "entry",
+        "codec.encode of the log entry of a note that adds accounts",
+        ENTRY_COUNTS,
+        lambda n_entries: len(encode(LogEntry(1, 1, _note(n_entries)))),
+    )
 
 
 def token_lookup_per_account() -> Slope:
     """Measure `find_account` for the last of the accounts."""
-    points: list[tuple[float, float]] = []
-    for n_accounts in (100, 1000, 4000):
-        tables = make_global_tables(1, 1, n_accounts)
-        token = f"token-{n_accounts - 1}"
 
-        def find(t: Any = tables, to: str = token) -> None:
-            find_account(t, to)
+    def cost_us(n_accounts: int) -> float:
+        tables = make_global_tables(1, 1, n_accounts)
+        return time_us(partial(find_account, tables, f"token-{n_accounts - 1}"), 200)
 
-        points.append((n_accounts, time_us(find, 200)))
-    return fit_slope(
+    return measure_slope(
         "token_lookup_cpu_per_account",
         "µs",
         "account, each request",
         "find_account for the last account of the table",
-        points,
+        (100, 1000, 4000),
+        cost_us,
     )
 
 
 def route_per_home_region() -> Slope:
     """Measure `route_request` against the number of home regions."""
-    points: list[tuple[float, float]] = []
-    for n_homes in (1, 50, 200):
-        tables = make_global_tables(1024, 1, 300, n_homes)
-        account = make_account(299)
+    account = make_account(299)
+    request = (account, SERVICE, "lookup", "GET", "key-17", "region-0")
 
-        def route(t: Any = tables, a: Any = account) -> None:
-            route_request(t, a, SERVICE, "lookup", "GET", "key-17", "region-0")
+    def cost_us(n_homes: int) -> float:
+        tables = make_global_tables(1024, 1, 300, n_homes)
+        return time_us(partial(route_request, tables, *request), 200)
 
-        points.append((n_homes, time_us(route, 200)))
-    return fit_slope(
+    return measure_slope(
         "route_cpu_per_home_region",
         "µs",
         "home region, each request",
         "route_request for an account that no home region binds",
-        points,
+        (1, 50, 200),
+        cost_us,
     )
 
 
+def _ownership_tick_us(
+    global_tables: GlobalTables, n_upstreams: int, n_runs: int
+) -> float:
+    tables = make_sessions(n_upstreams)
+    leases = settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
+    arguments = (tables, global_tables, leases, OWN_DATA_CENTRE, NOW_NS)
+    return time_us(partial(run_ownership, *arguments), n_runs)
+
+
+def _look_for_orders(state: Any, work: UpstreamWork) -> None:
+    # With no order due, neither the HTTP client nor the event loop is used.
+    client: Any = None
+    try:
+        order_grants(state, client, work).send(None)
+    except StopIteration:
+        return
+    raise RuntimeError("an order was due")
+
+
+def _apply_note_us(n_shards: int, n_entries: int) -> float:
+    command = _note(n_entries)
+    times: list[float] = []
+    for _ in range(N_REPEATS):
+        tables = make_global_tables(n_shards, N_DATA_CENTRES)
+        started_s = time.process_time()
+        apply_global_command(tables, command)
+        times.append((time.process_time() - started_s) * US_PER_S)
+    return min(times)
+
+
 def row_key(row: Any) -> Any:
     """Return the key under which a row stands in its table."""
     if isinstance(row, tuple) and isinstance(row[0], ShardId):
