--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_deployment.py
@@ -24,6 +24,7 @@
 UPSTREAM_TOKEN = "upstream-token-on-loopback"
 PEER_TOKEN = "peer-token-on-loopback"
 STOP_TIMEOUT_S = 30.0
+HOST_MODULE = "bergamotferry_host.main"
 
 
 @dataclass(slots=True)
@@ -56,6 +57,7 @@
     proxy_control_port: int = 0
     has_capture: bool = False
     proxy: "subprocess.Popen[bytes] | None" = None
+    host_module: str = HOST_MODULE
 
     @classmethod
     def from_config(
@@ -126,7 +128,7 @@
             **self.environment,
         }
         host.process = self._start(
-            host.name, ["-m", "bergamotferry_host.main", *arguments], environment
+            host.name, ["-m", self.host_module, *arguments], environment
         )
 
     def start_stand_ins(self, data_centre: str) -> None:
