--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -59,6 +59,7 @@
     DEADLINE_EXPIRED_RUNNING = 3003
     CALLER_GONE = 3004
     INTERNAL_ERROR = 3005
+    BODY_BROKEN = 3006
 
 
 class ResultCodeRow(NamedTuple):
@@ -174,4 +175,7 @@
     ),
     ResultCode.CALLER_GONE: ResultCodeRow(499, False, "The caller hung up."),
     ResultCode.INTERNAL_ERROR: ResultCodeRow(500, False, "A fault of the host itself."),
+    ResultCode.BODY_BROKEN: ResultCodeRow(
+        400, False, "The body broke a limit after part of it was sent on."
+    ),
 }
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -3,6 +3,7 @@
 Everything that can refuse a request is asked before its body is read.
 """
 
+import asyncio
 import secrets
 
 import aiohttp
@@ -10,20 +11,21 @@
 
 from bergamotferry.messages import RequestHead, ResponseHead
 from bergamotferry.outcomes import Refused
+from bergamotferry.records import Account
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.routing import RoutedRequest, find_account, route_request
 
+from .caller_body import BodyBroken, CallerBody, begin_body
+from .caller_request import CallerRequest, read_caller_request
 from .clock import now_ns
-from .exchange import RequestBody, Served
+from .decision_log import RequestDecision, log_request
+from .exchange import Served
 from .host_state import HostState
 from .http_answers import bearer_token, outcome_headers, refusal_response
-from .logs import log
 from .readiness import is_ready
 from .request_path import CountingSink, serve_request
 
-KEY_MAX_LENGTH = 512
-IDEMPOTENCY_KEY_MAX_LENGTH = 128
-_DEADLINE_HEADER = "Bergamotferry-Deadline-Ms"
+_BODY_POLL_S = 0.05
 
 
 def build_caller_app(state: HostState, http: aiohttp.ClientSession) -> web.Application:
@@ -39,114 +41,187 @@
 
     app = web.Application(client_max_size=1 << 31)
     app.router.add_get("/ready", ready)
-    app.router.add_route("*", "/v1/{service}/{route}/{key:.+}", handle)
+    # The body is asked for only once nothing else stands against the request.
+    app.router.add_route("*", "/{path:.*}", handle, expect_handler=_expect_nothing)
     return app
 
 
+async def _expect_nothing(request: web.Request) -> None:
+    return None
+
+
 async def _handle(
     state: HostState, http: aiohttp.ClientSession, request: web.Request
 ) -> web.StreamResponse:
-    request_id = secrets.token_hex(8)
+    decision = RequestDecision(
+        secrets.token_hex(8), revision=state.global_tables.revision
+    )
     started_ns = now_ns()
     state.n_in_flight += 1
-    sink = CountingSink(_CallerSink(request, request_id))
+    sink = CountingSink(_CallerSink(request, decision))
+    outcome: Served | Refused = Refused(ResultCode.INTERNAL_ERROR, "a fault")
     try:
-        routed = _route(state, request)
-        if isinstance(routed, Refused):
-            outcome: Served | Refused = routed
-        else:
-            outcome = await _serve(state, http, request, request_id, routed, sink)
-        _log_outcome(state, request, request_id, routed, outcome, started_ns)
-        return await _finish(request, request_id, sink, outcome)
+        outcome = await _answer(state, http, request, decision, sink)
+        return await _finish(request, decision.request_id, sink, outcome)
+    except asyncio.CancelledError:
+        outcome = Refused(ResultCode.CALLER_GONE, "the caller hung up")
+        raise
+    except ConnectionError:
+        outcome = Refused(ResultCode.CALLER_GONE, "the caller hung up")
+        return refusal_response(outcome, decision.request_id)
     finally:
         state.n_in_flight -= 1
+        took_ms = (now_ns() - started_ns) / 1e6
+        refusal = outcome if isinstance(outcome, Refused) else None
+        status = outcome.status if isinstance(outcome, Served) else 0
+        log_request(decision, refusal, status, took_ms, state.metrics)
 
 
-def _route(state: HostState, request: web.Request) -> RoutedRequest | Refused:
+async def _answer(
+    state: HostState,
+    http: aiohttp.ClientSession,
+    request: web.Request,
+    decision: RequestDecision,
+    sink: CountingSink,
+) -> Served | Refused:
     if not is_ready(state):
         return _not_ready(state)
-    tables = state.global_tables
-    account = find_account(tables, bearer_token(request))
+    asked = read_caller_request(request)
+    if isinstance(asked, Refused):
+        return asked
+    account = find_account(state.global_tables, bearer_token(request))
     if isinstance(account, Refused):
         return account
-    key = request.match_info["key"]
-    if len(key) > KEY_MAX_LENGTH:
-        return Refused(ResultCode.BAD_REQUEST, f"key is over {KEY_MAX_LENGTH}")
+    decision.account = account.name
+    routed = _route(state, asked, account, decision)
+    if isinstance(routed, Refused):
+        return routed
+    n_running = state.in_flight_by_account[account.name]
+    if n_running >= account.max_in_flight:
+        text = f"{account.max_in_flight} requests are in flight on this host"
+        return Refused(ResultCode.ACCOUNT_OVER_LIMIT, text)
+    state.in_flight_by_account[account.name] += 1
+    try:
+        return await _serve(state, http, request, asked, routed, decision, sink)
+    finally:
+        state.in_flight_by_account[account.name] -= 1
+        if not state.in_flight_by_account[account.name]:
+            del state.in_flight_by_account[account.name]
+
+
+def _not_ready(state: HostState) -> Refused:
+    if state.is_stopping:
+        return Refused(ResultCode.HOST_STOPPING, "ask another host")
+    return Refused(ResultCode.HOST_NOT_READY, "the host is catching up")
+
+
+def _route(
+    state: HostState,
+    asked: CallerRequest,
+    account: Account,
+    decision: RequestDecision,
+) -> RoutedRequest | Refused:
+    target = asked.target
+    tables = state.global_tables
     routed = route_request(
         tables,
         account,
-        request.match_info["service"],
-        request.match_info["route"],
-        request.method,
-        key,
+        target.service,
+        target.route,
+        asked.method,
+        target.key,
         state.host.region,
     )
+    if f"{target.service}/{target.route}" in tables.routes:
+        decision.route = f"{target.service}/{target.route}"
     if isinstance(routed, Refused):
         return routed
-    idempotency_key = request.headers.get("Idempotency-Key", "")
-    if not routed.route.is_idempotent and not idempotency_key:
+    decision.shard = routed.shard
+    decision.to_data_centre = routed.data_centre
+    decision.is_home_bound = routed.is_home_bound
+    limit_ms = routed.route.deadline_ms
+    decision.deadline_ms = min(limit_ms, asked.deadline_ms or limit_ms)
+    if not routed.route.is_idempotent and not asked.idempotency_key:
         return Refused(ResultCode.MISSING_IDEMPOTENCY_KEY, "send Idempotency-Key")
-    if len(idempotency_key) > IDEMPOTENCY_KEY_MAX_LENGTH:
-        return Refused(ResultCode.BAD_REQUEST, "Idempotency-Key is too long")
-    if (request.content_length or 0) > routed.route.max_body_bytes:
-        return Refused(
-            ResultCode.BODY_TOO_LARGE, f"limit is {routed.route.max_body_bytes} bytes"
-        )
     return routed
 
 
-def _not_ready(state: HostState) -> Refused:
-    if state.is_stopping:
-        return Refused(ResultCode.HOST_STOPPING, "ask another host")
-    return Refused(ResultCode.HOST_NOT_READY, "the host is catching up")
-
-
 async def _serve(
     state: HostState,
     http: aiohttp.ClientSession,
     request: web.Request,
-    request_id: str,
+    asked: CallerRequest,
     routed: RoutedRequest,
+    decision: RequestDecision,
     sink: CountingSink,
 ) -> Served | Refused:
-    deadline_ms = _deadline_ms(request, routed.route.deadline_ms)
-    if isinstance(deadline_ms, Refused):
-        return deadline_ms
-    head = RequestHead(
-        request_id,
+    started_ns = now_ns()
+    begun = await begin_body(
+        request, routed.route.max_body_bytes, decision.deadline_ms / 1000
+    )
+    if isinstance(begun, Refused):
+        return begun
+    caller_body, body = begun
+    spent_ms = (now_ns() - started_ns) // 1_000_000
+    head = _request_head(
+        asked, routed, decision, max(1, decision.deadline_ms - spent_ms)
+    )
+    work = serve_request(
+        state, http, routed.data_centre, routed.route.is_idempotent, head, body, sink
+    )
+    try:
+        if caller_body.is_whole:
+            return await work
+        return await _serve_streamed(asyncio.ensure_future(work), caller_body)
+    finally:
+        decision.n_bytes_in = caller_body.n_bytes
+
+
+async def _serve_streamed(
+    work: "asyncio.Future[Served | Refused]", body: CallerBody
+) -> Served | Refused:
+    """Serve while the body still comes; stop as soon as it breaks a limit."""
+    try:
+        while not body.is_whole and not work.done():
+            if body.failure is not None:
+                return _broken_body(body.failure)
+            await asyncio.wait([work], timeout=_BODY_POLL_S)
+        outcome = await work
+    except BodyBroken:
+        outcome = Refused(ResultCode.BODY_BROKEN, "the body broke")
+    finally:
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+    return outcome if body.failure is None else _broken_body(body.failure)
+
+
+def _broken_body(failure: Refused) -> Refused:
+    # Part of the body was sent on, so "not run" can no longer be promised.
+    return Refused(ResultCode.BODY_BROKEN, f"{failure.code.name}: {failure.detail}")
+
+
+def _request_head(
+    asked: CallerRequest,
+    routed: RoutedRequest,
+    decision: RequestDecision,
+    deadline_ms: int,
+) -> RequestHead:
+    return RequestHead(
+        decision.request_id,
         routed.account.name,
         routed.route.service,
         routed.route.name,
-        request.match_info["key"],
+        asked.target.key,
         routed.shard,
-        request.method,
+        asked.method,
         deadline_ms,
-        request.headers.get("Idempotency-Key", ""),
-        request.headers.get("Content-Type", ""),
-        request.headers.get("Range", ""),
-        request.headers.get("If-Match", ""),
+        asked.idempotency_key,
+        asked.content_type,
+        asked.range_header,
+        asked.if_match,
         1,
-        state.global_tables.revision,
+        decision.revision,
     )
-    body = RequestBody(request.content.iter_any())
-    return await serve_request(
-        state,
-        http,
-        routed.data_centre,
-        routed.route.is_idempotent,
-        head,
-        body,
-        sink,
-    )
-
-
-def _deadline_ms(request: web.Request, limit_ms: int) -> int | Refused:
-    text = request.headers.get(_DEADLINE_HEADER)
-    if text is None:
-        return limit_ms
-    if not text.isdigit() or int(text) == 0:
-        return Refused(ResultCode.BAD_REQUEST, f"{_DEADLINE_HEADER} is not a number")
-    return min(limit_ms, int(text))
 
 
 async def _finish(
@@ -166,51 +241,26 @@
     return response  # type: ignore[no-any-return]
 
 
-def _log_outcome(
-    state: HostState,
-    request: web.Request,
-    request_id: str,
-    routed: RoutedRequest | Refused,
-    outcome: Served | Refused,
-    started_ns: int,
-) -> None:
-    took_ms = (now_ns() - started_ns) / 1e6
-    code = outcome.code if isinstance(outcome, Refused) else ResultCode.SERVED
-    service = request.match_info["service"]
-    route = request.match_info["route"]
-    fields: dict[str, object] = {
-        "request_id": request_id,
-        "code": int(code),
-        "took_ms": round(took_ms, 2),
-    }
-    if isinstance(routed, RoutedRequest):
-        fields["to_data_centre"] = routed.data_centre
-        fields["shard"] = routed.shard.number
-        fields["route"] = f"{service}/{route}"
-    if isinstance(outcome, Refused):
-        fields["why"] = outcome.detail
-    log("routed", **fields)
-    state.metrics.incr(f"requests.code.{int(code)}")
-    state.metrics.timing("requests.took_ms", took_ms)
-
-
 class _CallerSink:
-    def __init__(self, request: web.Request, request_id: str) -> None:
+    def __init__(self, request: web.Request, decision: RequestDecision) -> None:
         self.request = request
-        self.request_id = request_id
+        self.decision = decision
         self.response = web.StreamResponse()
 
     async def head(self, head: ResponseHead) -> None:
+        self.decision.dispatcher = head.dispatcher
+        self.decision.epoch = head.epoch
         self.response.set_status(head.status)
         for name, value in head.headers:
             self.response.headers[name] = value
-        headers = outcome_headers(ResultCode(head.code), self.request_id)
+        headers = outcome_headers(ResultCode(head.code), self.decision.request_id)
         self.response.headers.update(headers)
         if head.is_replayed:
             self.response.headers["Bergamotferry-Replayed"] = "true"
         await self.response.prepare(self.request)
 
     async def data(self, data: bytes) -> None:
+        self.decision.n_bytes_out += len(data)
         await self.response.write(data)
 
     async def end(self) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -41,6 +41,7 @@
 from .group import Group, answer_fetch, answer_propose, post, run_group
 from .group_start import start_member
 from .host_state import HostState
+from .http_edge import EdgeLimits, edge_runner
 from .leader_duties import (
     answer_capacity,
     answer_renewal,
@@ -63,6 +64,7 @@
 DRAIN_NOTICE_S = 0.5
 DRAIN_POLL_S = 0.02
 EDGE_STOP_TIMEOUT_S = 1.0
+LISTEN_BACKLOG = 1024
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -204,21 +206,20 @@
     add_upstream_routes(control, state)
     add_operator_routes(control, state)
     callers = build_caller_app(state, http)
+    settings = state.settings
     edges = (
-        (callers, state.settings.caller_address),
-        (control, state.settings.control_address),
+        (callers, settings.caller_address, settings.n_caller_connections_max),
+        (control, settings.control_address, settings.n_control_connections_max),
     )
     runners = []
-    for app, address in edges:
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=EDGE_STOP_TIMEOUT_S,
-        )
+    for app, address, n_connections_max in edges:
+        limits = EdgeLimits(n_connections_max)
+        runner = edge_runner(app, limits, EDGE_STOP_TIMEOUT_S)
         await runner.setup()
         ip, port = split_address(address)
-        await web.TCPSite(runner, ip, port, reuse_address=True).start()
+        await web.TCPSite(
+            runner, ip, port, reuse_address=True, backlog=LISTEN_BACKLOG
+        ).start()
         runners.append(runner)
     return runners
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_answers.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_answers.py
@@ -20,21 +20,25 @@
     }
 
 
-def refusal_response(
-    refusal: Refused, request_id: str, **details: object
-) -> web.Response:
-    """Return a refusal as a response; details are further fields of its body."""
-    row = RESULT_CODE_TABLE[refusal.code]
-    body = {
+def refusal_body(refusal: Refused, request_id: str) -> dict[str, object]:
+    """Return the JSON body that tells a refusal."""
+    return {
         "code": int(refusal.code),
         "name": refusal.code.name,
-        "not_run": row.is_not_run,
+        "not_run": refusal.is_not_run,
         "detail": refusal.detail,
         "request_id": request_id,
-        **details,
     }
+
+
+def refusal_response(
+    refusal: Refused, request_id: str, **details: object
+) -> web.Response:
+    """Return a refusal as a response; details are further fields of its body."""
+    status = RESULT_CODE_TABLE[refusal.code].http_status
+    body = {**refusal_body(refusal, request_id), **details}
     headers = outcome_headers(refusal.code, request_id)
-    return web.json_response(body, status=row.http_status, headers=headers)
+    return web.json_response(body, status=status, headers=headers)
 
 
 def bearer_token(request: web.Request) -> str:
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -0,0 +1,232 @@
+"""Limits of an HTTP edge that hold before any handler runs.
+
+The library parses; this adds what it leaves open: a bound on connections, a time within
+which the head of a request must be whole, and numbered result codes in place of the
+library's own error pages. A connection that breaks a limit is closed, and no other one
+notices.
+"""
+
+import asyncio
+import json
+from http import HTTPStatus
+from typing import Any, NamedTuple, cast
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_server import Server
+
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
+
+from .http_answers import outcome_headers, refusal_body, refusal_response
+from .logs import log_warning
+
+HEADER_LINE_MAX_BYTES = 8190
+N_HEADERS_MAX = 64
+HEADER_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 120.0
+LINGERING_S = 2.0
+REFUSED_LINGER_S = 0.5
+N_REFUSED_LINGERING_MAX = 256
+
+_CODES_OF_STATUS = {
+    404: ResultCode.UNKNOWN_ROUTE,
+    405: ResultCode.UNKNOWN_ROUTE,
+    413: ResultCode.BODY_TOO_LARGE,
+}
+
+
+class EdgeLimits(NamedTuple):
+    """Limits of one edge."""
+
+    n_connections_max: int
+    header_timeout_s: float = HEADER_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
+def edge_runner(
+    app: web.Application, limits: EdgeLimits, shutdown_timeout_s: float
+) -> web.AppRunner:
+    """Return a runner that serves an application within limits."""
+    app.middlewares.append(_numbered_errors)
+    return _EdgeRunner(
+        app,
+        limits=limits,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=shutdown_timeout_s,
+        keepalive_timeout=limits.idle_timeout_s,
+        lingering_time=LINGERING_S,
+        auto_decompress=False,
+        max_line_size=HEADER_LINE_MAX_BYTES,
+        max_field_size=HEADER_LINE_MAX_BYTES,
+        max_headers=N_HEADERS_MAX,
+    )
+
+
+@web.middleware
+async def _numbered_errors(request: web.Request, handler: Any) -> web.StreamResponse:
+    try:
+        response: web.StreamResponse = await handler(request)
+        return response
+    except web.HTTPException as error:
+        code = _CODES_OF_STATUS.get(error.status, ResultCode.BAD_REQUEST)
+        return refusal_response(Refused(code, error.reason), "")
+    except (ConnectionError, TimeoutError):
+        raise
+    except Exception as error:
+        return internal_error(error)
+
+
+def internal_error(error: BaseException) -> web.Response:
+    """Return the answer to a fault of our own; the log gets its place, no values."""
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    place = ""
+    if trace is not None:
+        place = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}"
+    log_warning("internal error", error=type(error).__name__, place=place)
+    refusal = Refused(ResultCode.INTERNAL_ERROR, type(error).__name__)
+    return refusal_response(refusal, "")
+
+
+class _EdgeConnection(RequestHandler):
+    """One connection; refused at once when there are too many."""
+
+    __slots__ = ("_header_timer", "_limits")
+
+    def __init__(self, manager: "_EdgeServer", **settings: Any) -> None:
+        super().__init__(manager, **settings)
+        self._limits = manager.limits
+        self._header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        server = cast(_EdgeServer, self._manager)
+        if server.n_connections < self._limits.n_connections_max:
+            super().connection_made(transport)
+            return
+        self._force_close = True
+        server.refuse(cast(asyncio.Transport, transport))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        n_requests = self._request_count
+        super().data_received(data)
+        if self._request_count > n_requests:
+            self._stop_header_timer()
+        elif self._header_timer is None and self._is_idle():
+            # The head has begun to come; an idle connection may wait longer.
+            self._header_timer = self._loop.call_later(
+                self._limits.header_timeout_s, self._on_header_timeout
+            )
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what the parser refused, or a fault, with a numbered code."""
+        if status >= 500:
+            response = internal_error(exc or RuntimeError("no cause"))
+        else:
+            response = refusal_response(_parser_refusal(exc), "")
+        response.force_close()
+        return response
+
+    def _is_idle(self) -> bool:
+        return not self._messages and self._current_request is None
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _on_header_timeout(self) -> None:
+        self._header_timer = None
+        if self.transport is not None and self._is_idle():
+            text = "the head came too slowly"
+            refusal = Refused(ResultCode.SENDER_TOO_SLOW, text)
+            self.transport.write(raw_refusal(refusal))
+            self.force_close()
+
+
+class _EdgeServer(Server):
+    """Makes connections, and counts them."""
+
+    def __init__(self, base: Server, limits: EdgeLimits) -> None:
+        super().__init__(
+            base.request_handler,
+            request_factory=base.request_factory,
+            handler_cancellation=base.handler_cancellation,
+            loop=base._loop,
+            **base._kwargs,
+        )
+        self.limits = limits
+        self.n_refused_lingering = 0
+
+    def __call__(self) -> RequestHandler:
+        return _EdgeConnection(self, loop=self._loop, **self._kwargs)
+
+    @property
+    def n_connections(self) -> int:
+        """Connections that are open now."""
+        return len(self._connections)
+
+    def refuse(self, transport: asyncio.Transport) -> None:
+        """Tell a connection that there are too many, and close it."""
+        if self.n_refused_lingering >= N_REFUSED_LINGERING_MAX:
+            transport.abort()
+            return
+        refusal = Refused(
+            ResultCode.TOO_MANY_CONNECTIONS, f"limit is {self.limits.n_connections_max}"
+        )
+        transport.write(raw_refusal(refusal))
+        # Closing at once, with a request unread, would reset the answer away.
+        self.n_refused_lingering += 1
+        self._loop.call_later(REFUSED_LINGER_S, self._end_refused, transport)
+
+    def _end_refused(self, transport: asyncio.Transport) -> None:
+        self.n_refused_lingering -= 1
+        transport.close()
+
+
+class _EdgeRunner(web.AppRunner):
+    __slots__ = ("_limits",)
+
+    def __init__(
+        self, app: web.Application, limits: EdgeLimits, **settings: Any
+    ) -> None:
+        super().__init__(app, **settings)
+        self._limits = limits
+
+    async def _make_server(self) -> Server:
+        return _EdgeServer(await super()._make_server(), self._limits)
+
+
+def raw_refusal(refusal: Refused) -> bytes:
+    """Return a refusal as the bytes of a whole response, for use without a request."""
+    body = json.dumps(refusal_body(refusal, "")).encode()
+    status = RESULT_CODE_TABLE[refusal.code].http_status
+    headers = {
+        **outcome_headers(refusal.code, ""),
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    }
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def _parser_refusal(error: BaseException | None) -> Refused:
+    if isinstance(error, LineTooLong) or "Too many" in str(error):
+        text = f"limits: {HEADER_LINE_MAX_BYTES} bytes a line, {N_HEADERS_MAX} lines"
+        return Refused(ResultCode.HEADERS_TOO_LARGE, text)
+    return Refused(ResultCode.BAD_REQUEST, "not HTTP/1.1")
--- a/packages/bergamotferry_host/src/bergamotferry_host/logs.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/logs.py
@@ -35,8 +35,10 @@
 ) -> logging.handlers.QueueListener:
     """Start writing logs to standard output; stop the listener to flush them."""
     formatter = JsonFormatter(
-        "%(asctime)s %(levelname)s %(message)s",
-        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+        "%(levelname)s %(message)s",
+        rename_fields={"levelname": "level", "message": "event"},
+        # Lines of several hosts are joined, so their time is in UTC.
+        timestamp="time",
         static_fields={"host": host, "data_centre": data_centre},
     )
     output = logging.StreamHandler(sys.stdout)
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -5,7 +5,9 @@
 """
 
 import argparse
+import ipaddress
 import os
+import re
 import sys
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -16,6 +18,9 @@
 
 ENVIRONMENT_PREFIX = "BERGAMOTFERRY_"
 TOKEN_MIN_LENGTH = 16
+_TOKENS = ("operator-token", "upstream-token", "peer-token")
+_COUNTS = ("n-caller-connections-max", "n-control-connections-max")
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}\Z")
 
 
 class Settings(NamedTuple):
@@ -34,6 +39,8 @@
     statsd_address: str
     log_level: str
     stop_grace_s: float
+    n_caller_connections_max: int = 12_000
+    n_control_connections_max: int = 2_000
 
 
 class SettingError(NamedTuple):
@@ -66,6 +73,8 @@
     _Flag("statsd-address", "", "IP:PORT of statsd; empty sends no metrics"),
     _Flag("log-level", "info", "debug, info, warning or error"),
     _Flag("stop-grace-s", "20", "longest wait for work in flight at a planned stop"),
+    _Flag("n-caller-connections-max", "12000", "connections of callers at one time"),
+    _Flag("n-control-connections-max", "2000", "connections to the control address"),
 )
 
 
@@ -116,31 +125,22 @@
         errors.append(SettingError("bootstrap", "the variable must be 0 or 1"))
     is_bootstrap = bool(parsed["bootstrap"]) or bootstrap_text == "1"
     seeds = _read_seeds(values["seeds"], errors)
-    own = [seed for seed in seeds if seed.name == values["host-name"]]
-    if values["host-name"] and seeds and not own:
-        errors.append(SettingError("host-name", "is not one of the seeds"))
+    own = _own_seed(values, seeds, errors)
     for name in ("caller-address", "control-address", "statsd-address"):
         _check_address(name, values[name], errors)
-    for name in ("operator-token", "upstream-token", "peer-token"):
-        if values[name] and len(values[name]) < TOKEN_MIN_LENGTH:
-            errors.append(
-                SettingError(name, f"must have at least {TOKEN_MIN_LENGTH} characters")
-            )
+    _check_tokens(values, errors)
     if values["log-level"] not in ("debug", "info", "warning", "error"):
         errors.append(SettingError("log-level", "must be debug, info, warning, error"))
     stop_grace_s = _read_seconds("stop-grace-s", values["stop-grace-s"], errors)
-    if own and own[0].is_durable != bool(values["data-dir"]):
-        errors.append(
-            SettingError("data-dir", "must be given just where the seed says durable")
-        )
-    if errors:
+    limits = [_read_count(name, values[name], errors) for name in _COUNTS]
+    if own is None or errors:
         return None, errors
     settings = Settings(
-        own[0],
+        own,
         seeds,
         values["caller-address"],
         values["control-address"],
-        own[0].peer_address,
+        own.peer_address,
         Path(values["data-dir"]) if values["data-dir"] else None,
         is_bootstrap,
         values["operator-token"],
@@ -149,6 +149,7 @@
         values["statsd-address"],
         values["log-level"],
         stop_grace_s,
+        *limits,
     )
     return settings, []
 
@@ -185,12 +186,45 @@
     value = parsed[flag.name.replace("-", "_")]
     if value is None:
         value = environment.get(_variable(flag.name), flag.default)
-    if value is None:
+    # An empty token would let everybody in.
+    if value is None or (flag.default is None and not value):
         errors.append(SettingError(flag.name, "is required"))
         return ""
     return str(value)
 
 
+def _own_seed(
+    values: Mapping[str, str],
+    seeds: tuple[HostAddress, ...],
+    errors: list[SettingError],
+) -> HostAddress | None:
+    own = next((seed for seed in seeds if seed.name == values["host-name"]), None)
+    if own is None:
+        if values["host-name"] and seeds:
+            errors.append(SettingError("host-name", "is not one of the seeds"))
+        return None
+    if own.is_durable != bool(values["data-dir"]):
+        errors.append(
+            SettingError("data-dir", "must be given just where the seed says durable")
+        )
+    return own
+
+
+def _check_tokens(values: Mapping[str, str], errors: list[SettingError]) -> None:
+    for position, name in enumerate(_TOKENS):
+        token = values[name]
+        if not token:
+            continue
+        if len(token) < TOKEN_MIN_LENGTH:
+            text = f"must have at least {TOKEN_MIN_LENGTH} characters"
+            errors.append(SettingError(name, text))
+        if not token.isascii() or not token.isprintable() or " " in token:
+            errors.append(SettingError(name, "must be printable ASCII without spaces"))
+        # A token that is shared would give the one role the rights of the other.
+        if token in [values[other] for other in _TOKENS[:position]]:
+            errors.append(SettingError(name, "must differ from the other tokens"))
+
+
 def _read_seeds(text: str, errors: list[SettingError]) -> tuple[HostAddress, ...]:
     seeds: list[HostAddress] = []
     for word in text.split():
@@ -204,9 +238,15 @@
             )
             continue
         _check_address("seeds", parts[3], errors)
+        if not all(_NAME.match(name) for name in parts[:3]):
+            text = f"{word!r}: names are of a-z, 0-9 and -, up to 63"
+            errors.append(SettingError("seeds", text))
         seeds.append(HostAddress(parts[0], parts[1], parts[2], parts[3], is_durable))
     if len({seed.name for seed in seeds}) != len(seeds):
         errors.append(SettingError("seeds", "a host is named twice"))
+    places = {(seed.data_centre, seed.region) for seed in seeds}
+    if len({data_centre for data_centre, _ in places}) != len(places):
+        errors.append(SettingError("seeds", "a data centre is in two regions"))
     return tuple(seeds)
 
 
@@ -214,10 +254,28 @@
     if not text:
         return
     ip, _, port = text.rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) < 65536:
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    is_port = is_number and 0 < int(port) < 65536
+    if not is_port or not _is_ip(ip):
         errors.append(SettingError(flag, f"{text!r} is not IP:PORT"))
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _read_count(flag: str, text: str, errors: list[SettingError]) -> int:
+    is_number = text.isascii() and text.isdigit() and len(text) <= 6
+    if not is_number or int(text) == 0:
+        errors.append(SettingError(flag, "must be a whole number from 1 to 999999"))
+        return 1
+    return int(text)
+
+
 def _read_seconds(flag: str, text: str, errors: list[SettingError]) -> float:
     try:
         value = float(text)
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -17,6 +17,7 @@
 from .exchange import AnswerSink, RequestBody, Served
 from .host_state import HostState
 from .orders import shard_text
+from .upstream_url import upstream_url
 
 CHUNK_BYTES = 64 * 1024
 _PASSED_HEADERS = ("Content-Type", "ETag", "Content-Range", "Accept-Ranges")
@@ -40,7 +41,7 @@
         return Refused(ResultCode.STALE_EPOCH, "the grant was replaced")
     if left_s(deadline_ns) <= 0:
         return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
-    url = f"http://{owner.session.address}/{head.route}/{head.key}"
+    url = upstream_url(owner.session.address, head.route, head.key)
     timeout = aiohttp.ClientTimeout(total=left_s(deadline_ns), sock_connect=1.0)
     has_head = False
     try:
@@ -72,6 +73,7 @@
     owner: Owner, head: RequestHead, deadline_ns: int
 ) -> dict[str, str]:
     headers = {
+        "Accept-Encoding": "identity",
         "Bergamotferry-Request-Id": head.request_id,
         "Bergamotferry-Account": head.account,
         "Bergamotferry-Shard": shard_text(head.shard),
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -1,6 +1,7 @@
 """Upstreams' HTTP: announce, renew and leave, at any host of their data centre."""
 
 import hmac
+import re
 from typing import Any
 
 from aiohttp import web
@@ -21,6 +22,9 @@
 ANNOUNCE_MAX_BYTES = 4096
 SLOTS_MAX = 1024
 CONNECTIONS_MAX = 10_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}\Z")
+_ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}\Z")
+_TEXT_FIELDS = (("name", _NAME), ("service", _NAME), ("address", _ADDRESS))
 
 
 def add_upstream_routes(app: web.Application, state: HostState) -> None:
@@ -101,8 +105,8 @@
 def _read_announcement(body: dict[str, Any]) -> OpenSession | Refused:
     wrong = [
         field
-        for field in ("name", "service", "address")
-        if not isinstance(body.get(field), str) or not 0 < len(body[field]) <= 128
+        for field, pattern in _TEXT_FIELDS
+        if not isinstance(body.get(field), str) or not pattern.match(body[field])
     ]
     wrong += [
         field
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_caller_edge.py
@@ -0,0 +1,316 @@
+"""Callers' limits: each fault gets its number, and harms nothing else."""
+
+import asyncio
+import io
+import json
+import logging
+
+import pytest
+from pythonjsonlogger.json import JsonFormatter
+
+from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
+from bergamotferry_host import caller_body, caller_edge
+from bergamotferry_host.http_edge import EdgeLimits
+
+TOKEN = "token-of-a-caller"
+
+
+def raw(path, *headers, method="GET", token=TOKEN, body=b""):
+    lines = [f"{method} {path} HTTP/1.1", "Host: h"]
+    lines += [f"Authorization: Bearer {token}"] if token else []
+    return "\r\n".join([*lines, *headers, "", ""]).encode("latin-1") + body
+
+
+def chunked(*sizes):
+    parts = [f"{size:x}\r\n".encode() + b"x" * size + b"\r\n" for size in sizes]
+    return b"".join(parts) + b"0\r\n\r\n"
+
+
+GOOD = raw("/v1/log/read/key")
+CHUNKED = "Transfer-Encoding: chunked"
+FAULTS = [
+    ("no token", raw("/v1/log/read/k", token=""), "MISSING_TOKEN"),
+    ("wrong token", raw("/v1/log/read/k", token="no"), "UNKNOWN_TOKEN"),
+    ("token outside ASCII", raw("/v1/log/read/k", token="\xff"), "BAD_REQUEST"),
+    ("service not allowed", raw("/v1/other/read/k"), "ACCOUNT_NOT_ALLOWED"),
+    ("unknown route", raw("/v1/log/none/k"), "UNKNOWN_ROUTE"),
+    ("other method", raw("/v1/log/read/k", method="POST"), "UNKNOWN_ROUTE"),
+    ("other path", raw("/favicon.ico"), "UNKNOWN_ROUTE"),
+    ("no key", raw("/v1/log/read"), "UNKNOWN_ROUTE"),
+    ("empty key", raw("/v1/log/read/"), "BAD_REQUEST"),
+    ("long key", raw("/v1/log/read/" + "k" * 513), "BAD_REQUEST"),
+    ("dots", raw("/v1/log/read/a/../b"), "BAD_REQUEST"),
+    ("encoded dots", raw("/v1/log/read/%2e%2E"), "BAD_REQUEST"),
+    ("control character", raw("/v1/log/read/a%00b"), "BAD_REQUEST"),
+    ("key outside UTF-8", raw("/v1/log/read/%ff"), "BAD_REQUEST"),
+    ("path that is not encoded", raw("/v1/log/read/caf\xc3\xa9"), "BAD_REQUEST"),
+    ("query", raw("/v1/log/read/k?page=2"), "BAD_REQUEST"),
+    ("outside its home region", raw("/v1/log/read/south-1"), "OUTSIDE_HOME_REGION"),
+    (
+        "long header line",
+        raw("/v1/log/read/k", "X: " + "x" * 9000),
+        "HEADERS_TOO_LARGE",
+    ),
+    ("long path", raw("/v1/log/read/" + "k" * 9000), "HEADERS_TOO_LARGE"),
+    (
+        "many headers",
+        raw("/v1/log/read/k", *(f"X{n}: 1" for n in range(99))),
+        "HEADERS_TOO_LARGE",
+    ),
+    ("not HTTP", b"\x16\x03\x01 hello\r\n\r\n", "BAD_REQUEST"),
+    (
+        "two lengths",
+        raw("/v1/log/read/k", "Content-Length: 1", CHUNKED, body=b"0\r\n\r\n"),
+        "BAD_REQUEST",
+    ),
+    (
+        "bad deadline",
+        raw("/v1/log/read/k", "Bergamotferry-Deadline-Ms: -1"),
+        "BAD_REQUEST",
+    ),
+    (
+        "two idempotency keys",
+        raw("/v1/log/read/k", "Idempotency-Key: a", "Idempotency-Key: b"),
+        "BAD_REQUEST",
+    ),
+    (
+        "no idempotency key",
+        raw("/v1/log/file/k", method="POST"),
+        "MISSING_IDEMPOTENCY_KEY",
+    ),
+    (
+        "compressed body",
+        raw("/v1/log/store/k", "Content-Encoding: gzip", method="PUT"),
+        "BAD_REQUEST",
+    ),
+    (
+        "stated length over the limit",
+        raw("/v1/log/store/k", "Content-Length: 200001", method="PUT"),
+        "BODY_TOO_LARGE",
+    ),
+    (
+        "chunks over a small limit",
+        raw("/v1/log/file/k", CHUNKED, "Idempotency-Key: 1", method="POST",
+            body=chunked(60, 60)),
+        "BODY_TOO_LARGE",
+    ),
+    ("body where none is allowed", raw("/v1/log/read/k", CHUNKED, body=chunked(1)),
+     "BODY_TOO_LARGE"),
+    (
+        "bad chunk",
+        raw("/v1/log/store/k", CHUNKED, method="PUT", body=b"zz\r\n"),
+        "BAD_REQUEST",
+    ),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("name", "request_bytes", "code"), FAULTS)
+def test_fault_gets_its_number_and_harms_nothing_else(
+    name, request_bytes, code, state, served, edge, exchange
+):
+    async def scenario():
+        async with edge() as port:
+            answers = await asyncio.gather(
+                exchange(port, request_bytes), exchange(port, GOOD)
+            )
+            return [*answers, await exchange(port, GOOD)]
+
+    fault, beside, after = asyncio.run(scenario())
+    expected = ResultCode[code]
+    assert fault[:2] == (RESULT_CODE_TABLE[expected].http_status, expected)
+    assert json.loads(fault[2])["not_run"] == RESULT_CODE_TABLE[expected].is_not_run
+    assert beside[:2] == after[:2] == (200, 0)
+    if RESULT_CODE_TABLE[expected].is_not_run:
+        assert len(served) == 2, "nothing of a refused request is passed on"
+    assert state.n_in_flight == 0
+    assert not state.in_flight_by_account
+
+
+KEYS = [
+    ("/v1/log/read/a/b", "a/b"),
+    ("/v1/log/read/a%2Fb", "a/b"),
+    ("/v1/log/read/a//b/", "a//b/"),
+    ("/v1/log/read/%C3%A9%20%25%3F%23+", "é %?#+"),
+    ("/v1/log/read/...", "..."),
+    ("/v1/%6Cog/read/%2541", "%41"),
+    ("/v1/log/read/a;b=c&d", "a;b=c&d"),
+]
+
+
+@pytest.mark.parametrize(("path", "key"), KEYS)
+def test_key_is_the_decoded_path(path, key, served, edge, exchange):
+    async def scenario():
+        async with edge() as port:
+            return await exchange(port, raw(path))
+
+    assert asyncio.run(scenario())[:2] == (200, 0)
+    assert [head.key for head in served] == [key]
+
+
+def test_body_that_breaks_its_limit_after_part_was_sent_on(served, edge):
+    first = raw("/v1/log/store/k", CHUNKED, method="PUT") + chunked(150_000)[:-5]
+
+    async def scenario():
+        async with edge() as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(first)
+            await asyncio.wait_for(served.came.wait(), 10)
+            writer.write(chunked(60_000))
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            return head.decode()
+
+    head = asyncio.run(scenario())
+    assert head.startswith("HTTP/1.1 400 ")
+    assert f"Bergamotferry-Code: {int(ResultCode.BODY_BROKEN)}\r\n" in head
+    assert "Bergamotferry-Not-Run: false\r\n" in head
+
+
+def test_slow_body_is_refused_and_never_passed_on(served, edge, exchange, monkeypatch):
+    monkeypatch.setattr(caller_edge, "begin_body", _begin_body_with_gap(0.05))
+    request = raw("/v1/log/store/k", "Content-Length: 9", method="PUT", body=b"12")
+
+    async def scenario():
+        async with edge() as port:
+            return await exchange(port, request)
+
+    assert asyncio.run(scenario())[:2] == (408, ResultCode.SENDER_TOO_SLOW)
+    assert served == []
+
+
+def _begin_body_with_gap(gap_timeout_s):
+    async def begin(request, most_bytes, total_timeout_s):
+        return await caller_body.begin_body(
+            request, most_bytes, total_timeout_s, gap_timeout_s
+        )
+
+    return begin
+
+
+def test_slow_head_is_refused_while_idle_connections_stay(served, edge, exchange):
+    async def scenario():
+        async with edge(EdgeLimits(100, header_timeout_s=0.05)) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            slow = await exchange(port, b"GET /v1/log/read/k HTTP/1.1\r\nHo")
+            again = await exchange(port, GOOD[:9], GOOD[9:])
+            writer.write(GOOD)
+            line = await reader.readline()
+            writer.close()
+            return slow, again, line
+
+    slow, again, line = asyncio.run(scenario())
+    assert slow[:2] == (408, ResultCode.SENDER_TOO_SLOW)
+    assert again[:2] == (200, 0)
+    assert line == b"HTTP/1.1 200 OK\r\n"
+
+
+def test_body_is_asked_for_only_when_nothing_else_is_wrong(served, edge, exchange):
+    expect = ("Content-Length: 3", "Expect: 100-continue")
+    good = raw("/v1/log/store/k", *expect, method="PUT")
+    bad = raw("/v1/log/none/k", *expect, method="PUT")
+
+    async def scenario():
+        async with edge() as port:
+            return await exchange(port, good), await exchange(port, bad)
+
+    good_answer, bad_answer = asyncio.run(scenario())
+    assert good_answer[0] == 100
+    assert bad_answer[:2] == (404, ResultCode.UNKNOWN_ROUTE)
+
+
+def test_flood_of_one_account_is_bounded(state, served, edge, exchange):
+    slow = raw("/v1/log/slow/k", "Bergamotferry-Deadline-Ms: 300")
+
+    async def scenario():
+        async with edge() as port:
+            return await asyncio.gather(*(exchange(port, slow) for _ in range(8)))
+
+    codes = sorted(code for _, code, _ in asyncio.run(scenario()))
+    assert codes == [0] * 3 + [ResultCode.ACCOUNT_OVER_LIMIT] * 5
+    assert not state.in_flight_by_account
+
+
+def test_connections_over_the_limit_are_told_so(served, edge, exchange):
+    async def scenario():
+        async with edge(EdgeLimits(3)) as port:
+            held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+            refused = await exchange(port, GOOD)
+            held[0][1].write(GOOD)
+            line = await held[0][0].readline()
+            for _, writer in held:
+                writer.close()
+            await asyncio.sleep(0.05)
+            return refused, line, await exchange(port, GOOD)
+
+    refused, line, after = asyncio.run(scenario())
+    assert refused[:2] == (503, ResultCode.TOO_MANY_CONNECTIONS)
+    assert line == b"HTTP/1.1 200 OK\r\n"
+    assert after[:2] == (200, 0)
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "code"),
+    [
+        ("is_caught_up", False, ResultCode.HOST_NOT_READY),
+        ("is_stopping", True, ResultCode.HOST_STOPPING),
+    ],
+)
+def test_host_that_is_not_ready(state, served, edge, exchange, field, value, code):
+    setattr(state, field, value)
+
+    async def scenario():
+        async with edge() as port:
+            return await exchange(port, GOOD), await exchange(port, raw("/ready"))
+
+    for answer in asyncio.run(scenario()):
+        assert answer[:2] == (503, code)
+    assert served == []
+
+
+def test_log_lines_hold_no_key_or_content(served, edge, exchange):
+    marker = "marker"
+    requests = [
+        raw(f"/v1/log/read/north-{marker}"),
+        raw(f"/v1/log/read/south-{marker}"),
+        raw(f"/v1/log/{marker}/k"),
+        raw(f"/v1/{marker}/read/k"),
+        raw(f"/{marker}"),
+        raw(f"/v1/log/read/{marker}/.."),
+        raw(f"/v1/log/read/k?{marker}"),
+        raw("/v1/log/file/k", f"Idempotency-Key: {marker}", "Content-Length: 6",
+            method="POST", body=marker.encode()),
+        raw("/v1/log/read/k", f"Range: {marker}", f"If-Match: {marker}"),
+        raw("/v1/log/read/k", token=marker),
+    ]  # fmt: skip
+    output = io.StringIO()
+    handler = logging.StreamHandler(output)
+    handler.setFormatter(JsonFormatter("%(message)s"))
+    logger = logging.getLogger("bergamotferry")
+    logger.addHandler(handler)
+    logger.setLevel("INFO")
+
+    async def scenario():
+        async with edge() as port:
+            for request in requests:
+                await exchange(port, request)
+
+    try:
+        asyncio.run(scenario())
+    finally:
+        logger.removeHandler(handler)
+    lines = [json.loads(line) for line in output.getvalue().splitlines()]
+    assert len([row for row in lines if row["message"] == "routed"]) == len(requests)
+    assert marker not in output.getvalue()
+    assert (
+        lines[0].items()
+        >= {
+            "account": "ann",
+            "route": "log/read",
+            "to_data_centre": "a",
+            "domain": "north-home",
+            "is_home_bound": True,
+            "dispatcher": "a-2",
+            "epoch": 7,
+            "code": 0,
+        }.items()
+    )
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_control_edge.py
@@ -0,0 +1,143 @@
+"""Limits towards operators and upstreams, in tables."""
+
+import asyncio
+import json
+
+import pytest
+
+from bergamotferry.release_note import NOTE_MAX_BYTES
+from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
+from bergamotferry_host import http_body
+
+OPERATOR = "operator-token-16"
+UPSTREAM = "upstream-token-16"
+NOTES = "/operators/v1/notes"
+ANNOUNCE = "/upstreams/v1/announce"
+ANNOUNCEMENT = {
+    "name": "log-1",
+    "service": "log",
+    "data_centre": "a",
+    "address": "127.0.0.1:1",
+    "incarnation": 1,
+    "n_slots": 2,
+    "max_connections": 10,
+    "checks_epochs": True,
+}
+
+
+def post(path, body, token, *headers):
+    lines = [f"POST {path} HTTP/1.1", "Host: h"]
+    lines += [f"Authorization: Bearer {token}"] if token else []
+    lines += headers or [f"Content-Length: {len(body)}"]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def announce(**changes):
+    return post(ANNOUNCE, json.dumps({**ANNOUNCEMENT, **changes}).encode(), UPSTREAM)
+
+
+def chunks(n_bytes):
+    part = b"fff\r\n" + b" " * 0xFFF + b"\r\n"
+    return part * (n_bytes // 0xFFF + 1) + b"0\r\n\r\n"
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+FAULTS = [
+    ("no token", post(NOTES, b"{}", ""), "MISSING_TOKEN"),
+    ("an upstream's token", post(NOTES, b"{}", UPSTREAM), "UNKNOWN_TOKEN"),
+    ("an operator's token", post(ANNOUNCE, b"{}", OPERATOR), "UNKNOWN_TOKEN"),
+    ("unknown path", post("/operators/v1/none", b"{}", OPERATOR), "UNKNOWN_ROUTE"),
+    ("note that is no JSON", post(NOTES, b"{", OPERATOR), "NOTE_INVALID"),
+    ("note outside UTF-8", post(NOTES, b"\xff", OPERATOR), "BAD_JSON"),
+    (
+        "note over the limit in chunks",
+        post(NOTES, chunks(NOTE_MAX_BYTES), OPERATOR, CHUNKED),
+        "BODY_TOO_LARGE",
+    ),
+    (
+        "note of a stated length over the limit",
+        post(NOTES, b"", OPERATOR, f"Content-Length: {NOTE_MAX_BYTES + 1}"),
+        "BODY_TOO_LARGE",
+    ),
+    (
+        "data centre in another region than its hosts",
+        post(
+            NOTES,
+            b'{"number": 2, "based_on": 1, "added": {"data_centres": '
+            b'[{"name": "a", "region": "south"}]}}',
+            OPERATOR,
+        ),
+        "NOTE_INVALID",
+    ),
+    ("announcement that is no JSON", post(ANNOUNCE, b"nul", UPSTREAM), "BAD_JSON"),
+    ("announcement that is no object", post(ANNOUNCE, b"[]", UPSTREAM), "BAD_JSON"),
+    (
+        "deeply nested",
+        post(ANNOUNCE, b"[" * 4000, UPSTREAM),
+        "BAD_JSON",
+    ),
+    (
+        "announcement over the limit in chunks",
+        post(ANNOUNCE, chunks(5000), UPSTREAM, CHUNKED),
+        "BODY_TOO_LARGE",
+    ),
+    ("no slots", announce(n_slots=0), "BAD_REQUEST"),
+    ("slots that are no number", announce(n_slots=True), "BAD_REQUEST"),
+    ("bad address", announce(address="localhost"), "BAD_REQUEST"),
+    ("name that no table takes", announce(name="\ud800"), "BAD_REQUEST"),
+    ("other data centre", announce(data_centre="b"), "SESSION_WRONG_DATA_CENTRE"),
+    ("unknown service", announce(service="none"), "SESSION_WRONG_SERVICE"),
+    ("no leader", announce(), "NO_LEADER"),
+]
+
+
+@pytest.mark.parametrize(("name", "request_bytes", "code"), FAULTS)
+def test_fault_gets_its_number(name, request_bytes, code, edge, exchange):
+    async def scenario():
+        async with edge(is_control=True) as port:
+            return await exchange(port, request_bytes)
+
+    status, number, body = asyncio.run(scenario())
+    expected = ResultCode[code]
+    assert (status, number) == (RESULT_CODE_TABLE[expected].http_status, expected)
+    assert json.loads(body)["not_run"] is True
+
+
+def test_errors_of_a_note_come_with_their_places(edge, exchange):
+    note = {"number": 2, "based_on": 1, "withdrawn": {"services": ["other"]}}
+
+    async def scenario():
+        async with edge(is_control=True) as port:
+            return await exchange(
+                port, post(NOTES, json.dumps(note).encode(), OPERATOR)
+            )
+
+    _, number, body = asyncio.run(scenario())
+    assert number == ResultCode.NOTE_INVALID
+    assert json.loads(body)["errors"] == [
+        {
+            "place": "withdrawn.services other",
+            "message": "routes other/read still refer to it",
+        }
+    ]
+
+
+def test_slow_note_is_refused(edge, exchange, monkeypatch):
+    monkeypatch.setattr(http_body, "BODY_GAP_TIMEOUT_S", 0.05)
+    request = post(NOTES, b"{", OPERATOR, "Content-Length: 9")
+
+    async def scenario():
+        async with edge(is_control=True) as port:
+            return await exchange(port, request)
+
+    assert asyncio.run(scenario())[:2] == (408, ResultCode.SENDER_TOO_SLOW)
+
+
+def test_service_is_not_called_unknown_before_the_host_caught_up(state, edge, exchange):
+    state.is_caught_up = False
+
+    async def scenario():
+        async with edge(is_control=True) as port:
+            return await exchange(port, announce(service="none"))
+
+    assert asyncio.run(scenario())[1] == ResultCode.HOST_NOT_READY
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -0,0 +1,73 @@
+"""A peer's bad frame closes its own link and no other."""
+
+import asyncio
+
+import pytest
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed, InvalidStatus
+
+from bergamotferry.messages import HostStatusRequest
+from bergamotferry.records import HostAddress
+from bergamotferry_host.codec import encode
+from bergamotferry_host.peer_link import FrameKind, PeerHandlers
+from bergamotferry_host.peer_network import PeerNetwork
+from bergamotferry_testkit.local_deployment import free_ports
+
+TOKEN = "peer-token-of-16"
+CALL = encode((7, int(FrameKind.CALL), HostStatusRequest(0, 0)))
+BAD_FRAMES = [
+    b"",
+    b"\xff\xff\xff",
+    CALL[:-1],
+    encode("no frame"),
+    encode((1, 2)),
+    encode((1, 99, None)),
+    encode((1, "x", None)),
+    encode({"kind": 7}),
+    b"\x83\x00\x05\xd9\x9c\xa4\x82\x64None\x01",
+    "text",
+]
+
+
+async def run(work):
+    own = HostAddress("a", "a", "r", f"127.0.0.1:{free_ports(1)[0]}", False)
+
+    async def on_call(message, peer):
+        return True
+
+    handlers = PeerHandlers(on_call, lambda message, peer: None, on_call)
+    network = PeerNetwork.from_config(own, (own,), TOKEN, handlers)
+    await network.start()
+    try:
+        return await work(f"ws://{own.peer_address}/control")
+    finally:
+        await network.stop()
+
+
+def dial(url, token=TOKEN):
+    headers = {"Authorization": f"Bearer {token}"}
+    return connect(url, additional_headers=headers, proxy=None)
+
+
+@pytest.mark.parametrize("frame", BAD_FRAMES)
+def test_bad_frame_closes_its_own_link_only(frame):
+    async def work(url):
+        async with dial(url) as good, dial(url) as bad:
+            await bad.send(frame)
+            with pytest.raises(ConnectionClosed):
+                await asyncio.wait_for(bad.recv(), 5)
+            await good.send(CALL)
+            return await asyncio.wait_for(good.recv(), 5)
+
+    assert asyncio.run(run(work)) == encode((7, int(FrameKind.REPLY), True))
+
+
+@pytest.mark.parametrize("token", ["", "wrong", "\xe9"])
+def test_peer_without_the_token_is_refused(token):
+    async def work(url):
+        with pytest.raises(InvalidStatus) as caught:
+            async with dial(url, token):
+                pass
+        return caught.value.response.status_code
+
+    assert asyncio.run(run(work)) == 401
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_settings.py
@@ -0,0 +1,97 @@
+"""Settings: flags before variables, and all errors at once."""
+
+import pytest
+
+from bergamotferry_host.settings import (
+    build_parser,
+    read_settings,
+    settings_from_process,
+)
+
+GOOD = {
+    "BERGAMOTFERRY_HOST_NAME": "a-1",
+    "BERGAMOTFERRY_SEEDS": "a-1,a,north,10.0.0.1:7000,durable "
+    "b-1,b,north,10.0.0.2:7000",
+    "BERGAMOTFERRY_DATA_DIR": "data",
+    "BERGAMOTFERRY_OPERATOR_TOKEN": "operator-token-16",
+    "BERGAMOTFERRY_UPSTREAM_TOKEN": "upstream-token-16",
+    "BERGAMOTFERRY_PEER_TOKEN": "peer-token-of-16",
+}
+
+# What is changed in good settings, and every error that it gives.
+BAD = [
+    ({"HOST_NAME": "c-1"}, ["host-name"]),
+    ({"DATA_DIR": ""}, ["data-dir"]),
+    ({"SEEDS": "a-1,a,north"}, ["seeds"]),
+    ({"SEEDS": "a-1,a,north,10.0.0.1:7000,durable,x"}, ["seeds"]),
+    ({"SEEDS": "a-1,a,north,host:7000,durable"}, ["seeds"]),
+    ({"SEEDS": "a-1,A,north,10.0.0.1:7000,durable"}, ["seeds"]),
+    (
+        {"SEEDS": "a-1,a,north,10.0.0.1:7000,durable a-2,a,south,10.0.0.2:7000"},
+        ["seeds"],
+    ),
+    (
+        {"SEEDS": "a-1,a,north,10.0.0.1:7000,durable a-1,a,north,10.0.0.2:7000"},
+        ["seeds"],
+    ),
+    ({"CALLER_ADDRESS": "0.0.0.0:0"}, ["caller-address"]),
+    ({"PEER_TOKEN": "short"}, ["peer-token"]),
+    ({"PEER_TOKEN": "operator-token-16"}, ["peer-token"]),
+    ({"PEER_TOKEN": "with a space in the text"}, ["peer-token"]),
+    ({"STOP_GRACE_S": "nan"}, ["stop-grace-s"]),
+    ({"N_CALLER_CONNECTIONS_MAX": "0"}, ["n-caller-connections-max"]),
+    (
+        {
+            "BOOTSTRAP": "yes",
+            "CONTROL_ADDRESS": "x",
+            "STATSD_ADDRESS": "127.0.0.1",
+            "OPERATOR_TOKEN": "",
+            "LOG_LEVEL": "loud",
+            "N_CONTROL_CONNECTIONS_MAX": "many",
+        },
+        [
+            "operator-token",
+            "bootstrap",
+            "control-address",
+            "statsd-address",
+            "log-level",
+            "n-control-connections-max",
+        ],
+    ),
+]
+
+
+@pytest.mark.parametrize(("changes", "flags"), BAD)
+def test_every_bad_setting_is_told_at_once(changes, flags):
+    changed = {f"BERGAMOTFERRY_{name}": value for name, value in changes.items()}
+    settings, errors = read_settings([], {**GOOD, **changed})
+    assert settings is None
+    assert [error.flag for error in errors] == flags
+
+
+def test_flag_goes_before_its_variable():
+    settings, errors = read_settings(["--log-level", "debug"], GOOD)
+    assert errors == []
+    assert (settings.log_level, settings.host.name) == ("debug", "a-1")
+
+
+def test_bad_settings_end_the_start_with_status_2(capsys, monkeypatch):
+    for name in GOOD:
+        monkeypatch.delenv(name, raising=False)
+    with pytest.raises(SystemExit) as caught:
+        settings_from_process([])
+    assert caught.value.code == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert [line.split(" ")[1] for line in lines] == [
+        "--host-name",
+        "--seeds",
+        "--operator-token",
+        "--upstream-token",
+        "--peer-token",
+    ]
+
+
+def test_help_names_the_variable_of_every_flag():
+    text = build_parser().format_help()
+    for name in GOOD:
+        assert name in text
