--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -37,6 +37,7 @@
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
+from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
 from .group import Group, answer_fetch, answer_propose, post, run_group
 from .group_start import start_member
@@ -189,6 +190,7 @@
         run_dispatcher(state, http),
         run_placement_duty(state),
         run_readiness(state),
+        run_gauges(state),
     ]
     for name, group in state.groups.items():
         if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
@@ -0,0 +1,37 @@
+"""Reports the levels of this host to statsd once a second."""
+
+import asyncio
+
+from .host_state import HostState
+from .logs import n_lines_dropped
+from .readiness import is_ready
+
+GAUGE_INTERVAL_S = 1.0
+
+
+async def run_gauges(state: HostState) -> None:
+    """Report until cancelled."""
+    while True:
+        for name, value in gauge_values(state).items():
+            state.metrics.gauge(name, value)
+        await asyncio.sleep(GAUGE_INTERVAL_S)
+
+
+def gauge_values(state: HostState) -> dict[str, float]:
+    """Return every gauge by name; docs/OPERATING.md lists them."""
+    works = state.dispatchers.works.values()
+    values: dict[str, float] = {
+        "host.n_in_flight": state.n_in_flight,
+        "host.is_ready": int(is_ready(state)),
+        "host.revision": state.global_tables.revision,
+        "dispatch.n_upstreams": len(works),
+        "dispatch.n_waiting": sum(len(work.queue.waiting) for work in works),
+        "dispatch.n_running": sum(len(work.queue.running) for work in works),
+        "logs.n_dropped": n_lines_dropped(),
+    }
+    for group in state.groups.values():
+        # A colon would end the name in statsd's protocol.
+        name = group.name.replace(":", ".")
+        values[f"group.{name}.is_leader"] = int(group.is_leader)
+        values[f"group.{name}.applied_index"] = group.applied_index
+    return values
--- a/packages/bergamotferry_host/src/bergamotferry_host/logs.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/logs.py
@@ -53,6 +53,15 @@
     return listener
 
 
+def n_lines_dropped() -> int:
+    """Return how many lines were dropped since the start."""
+    return sum(
+        handler.n_dropped
+        for handler in _LOGGER.handlers
+        if isinstance(handler, _DroppingHandler)
+    )
+
+
 def log(event: str, **fields: Any) -> None:
     """Write one line at level info."""
     _LOGGER.info(event, extra=fields)
