--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from itertools import islice
 
 from .commands import (
     AssignDispatcher,
@@ -25,7 +26,15 @@
     RetireDispatcher,
     RevokeShards,
 )
+from .outcome_tables import (
+    HOME_EPOCH_SHIFT,
+    forget_intent,
+    import_outcomes,
+    record_intent,
+    record_outcome,
+)
 from .outcomes import Accepted, Refused
+from .quarantine import record_crash
 from .records import (
     Dispatcher,
     Grant,
@@ -36,12 +45,7 @@
 )
 from .result_codes import ResultCode
 
-N_OUTCOMES_MAX = 100_000
-OUTCOME_BODY_MAX_BYTES = 4096
-OUTCOME_KEPT_S = 24 * 3600
-N_QUARANTINE_MAX = 10_000
-QUARANTINE_CRASHES = 2
-HOME_EPOCH_SHIFT = 40
+N_INCARNATIONS_MAX = 10_000
 
 
 @dataclass(slots=True)
@@ -56,6 +60,8 @@
     outcomes: dict[tuple[str, str], OutcomeRecord] = field(default_factory=dict)
     released_homes: dict[ShardId, int] = field(default_factory=dict)
     quarantine: dict[str, QuarantineRecord] = field(default_factory=dict)
+    outcome_body_bytes: int = 0
+    imported_homes: dict[ShardId, int] = field(default_factory=dict)
 
 
 def apply_data_centre_command(
@@ -88,15 +94,15 @@
         case AssignDispatcher():
             return _assign_dispatcher(tables, command)
         case RecordIntent():
-            return _record_intent(tables, command)
+            return record_intent(tables, command)
         case RecordOutcome():
-            return _record_outcome(tables, command)
+            return record_outcome(tables, command)
         case ForgetIntent():
-            return _forget_intent(tables, command)
+            return forget_intent(tables, command)
         case ImportOutcomes():
-            return _import_outcomes(tables, command)
+            return import_outcomes(tables, command)
         case RecordCrash():
-            return _record_crash(tables, command)
+            return record_crash(tables, command)
         case ReleaseQuarantine():
             tables.quarantine.pop(command.fingerprint, None)
     return Accepted(tables.last_epoch)
@@ -119,12 +125,39 @@
             ResultCode.SESSION_NAME_TAKEN, f"the name is held at {known.address}"
         )
     if known is not None and known.incarnation == command.incarnation:
-        return Accepted(known.incarnation)
-    # A new incarnation at the same address proves that the old process has ended.
-    _drop_session(tables, command.name)
+        return Accepted(known.opened_epoch)
+    _supersede(tables, command.name)
+    tables.last_epoch += 1
+    _note_incarnation(tables, command)
+    tables.sessions[command.name] = UpstreamSession(
+        *command, "serving", tables.last_epoch
+    )
+    return Accepted(tables.last_epoch)
+
+
+def _supersede(tables: DataCentreTables, name: str) -> None:
+    # A new incarnation at the same address proves that the old process has ended, but
+    # not that its dispatcher knows: until that one has stopped, it may send work for
+    # the old grants to the new process. They are freed with the next dispatcher.
+    dispatcher = tables.dispatchers.get(name)
+    if dispatcher is None:
+        _drop_session(tables, name)
+        return
+    tables.dispatchers[name] = dispatcher._replace(state="retiring")
+    for shard, grant in tables.grants.items():
+        if grant.upstream == name:
+            tables.grants[shard] = grant._replace(state="revoking")
+
+
+def _note_incarnation(tables: DataCentreTables, command: OpenSession) -> None:
+    tables.incarnations.pop(command.name, None)
     tables.incarnations[command.name] = command.incarnation
-    tables.sessions[command.name] = UpstreamSession(*command, "serving")
-    return Accepted(command.incarnation)
+    n_excess = len(tables.incarnations) - N_INCARNATIONS_MAX
+    if n_excess > 0:
+        closed = (name for name in tables.incarnations if name not in tables.sessions)
+        for name in list(islice(closed, n_excess)):
+            if name != command.name:
+                del tables.incarnations[name]
 
 
 def _drain_session(
@@ -133,15 +166,18 @@
     known = tables.sessions.get(command.name)
     if known is None or known.incarnation != command.incarnation:
         return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
-    tables.sessions[command.name] = known._replace(
-        state="expired" if command.is_expired else "draining"
-    )
+    if command.is_expired:
+        if known.opened_epoch != command.opened_epoch:
+            return Refused(ResultCode.SESSION_UNKNOWN, "the session was opened again")
+        tables.sessions[command.name] = known._replace(state="expired")
+    elif known.state == "serving":
+        tables.sessions[command.name] = known._replace(state="draining")
     return Accepted(known.incarnation)
 
 
 def _close_session(tables: DataCentreTables, command: CloseSession) -> Accepted:
     known = tables.sessions.get(command.name)
-    if known is not None and known.incarnation == command.incarnation:
+    if known is not None and known.opened_epoch == command.opened_epoch:
         _drop_session(tables, command.name)
     return Accepted(command.incarnation)
 
@@ -205,7 +241,8 @@
 def _assign_dispatcher(
     tables: DataCentreTables, command: AssignDispatcher
 ) -> Accepted | Refused:
-    if command.upstream not in tables.sessions:
+    session = tables.sessions.get(command.upstream)
+    if session is None:
         return Refused(ResultCode.SESSION_UNKNOWN, "no such session")
     known = tables.dispatchers.get(command.upstream)
     epoch = known.epoch if known else 0
@@ -215,92 +252,8 @@
     tables.dispatchers[command.upstream] = Dispatcher(
         command.upstream, command.host, tables.last_epoch, "serving"
     )
+    # The old dispatcher has stopped, so nobody sends under an old incarnation's grants.
+    for shard, grant in list(tables.grants.items()):
+        if grant.upstream == session.name and grant.incarnation != session.incarnation:
+            del tables.grants[shard]
     return Accepted(tables.last_epoch)
-
-
-def _record_intent(
-    tables: DataCentreTables, command: RecordIntent
-) -> Accepted | Refused:
-    key = (command.account, command.idempotency_key)
-    known = tables.outcomes.get(key)
-    if known is not None:
-        if known.request_sha256 != command.request_sha256:
-            return Refused(
-                ResultCode.IDEMPOTENCY_KEY_REUSED, "the key names another request"
-            )
-        return Refused(ResultCode.OUTCOME_PENDING, "the request was sent before")
-    _expire_outcomes(tables, command.recorded_at_s)
-    if len(tables.outcomes) >= N_OUTCOMES_MAX:
-        return Refused(ResultCode.OUTCOME_STORE_FULL, "no room for another outcome")
-    tables.outcomes[key] = OutcomeRecord(
-        command.account,
-        command.idempotency_key,
-        command.shard,
-        command.request_sha256,
-        "intent",
-        0,
-        "",
-        b"",
-        command.recorded_at_s,
-    )
-    return Accepted(tables.last_epoch)
-
-
-def _expire_outcomes(tables: DataCentreTables, now_s: int) -> None:
-    # Records stand in the order of their time, so the oldest come first.
-    while tables.outcomes:
-        key, record = next(iter(tables.outcomes.items()))
-        if record.recorded_at_s + OUTCOME_KEPT_S > now_s:
-            return
-        del tables.outcomes[key]
-
-
-def _record_outcome(
-    tables: DataCentreTables, command: RecordOutcome
-) -> Accepted | Refused:
-    key = (command.account, command.idempotency_key)
-    known = tables.outcomes.get(key)
-    if known is None:
-        return Refused(ResultCode.BAD_REQUEST, "no intent was recorded")
-    if known.state != "done":
-        tables.outcomes[key] = known._replace(
-            state=command.state,
-            status=command.status,
-            content_type=command.content_type,
-            body=command.body[:OUTCOME_BODY_MAX_BYTES],
-        )
-    return Accepted(tables.last_epoch)
-
-
-def _forget_intent(tables: DataCentreTables, command: ForgetIntent) -> Accepted:
-    key = (command.account, command.idempotency_key)
-    known = tables.outcomes.get(key)
-    if (
-        known is not None
-        and known.state == "intent"
-        and known.request_sha256 == command.request_sha256
-    ):
-        del tables.outcomes[key]
-    return Accepted(tables.last_epoch)
-
-
-def _import_outcomes(tables: DataCentreTables, command: ImportOutcomes) -> Accepted:
-    for record in command.outcomes:
-        tables.outcomes.setdefault((record.account, record.idempotency_key), record)
-    return Accepted(tables.last_epoch)
-
-
-def _record_crash(tables: DataCentreTables, command: RecordCrash) -> Accepted | Refused:
-    known = tables.quarantine.get(command.fingerprint)
-    if known is None and len(tables.quarantine) >= N_QUARANTINE_MAX:
-        oldest = min(tables.quarantine.values(), key=lambda row: row.recorded_at_s)
-        del tables.quarantine[oldest.fingerprint]
-    n_crashes = (known.n_crashes if known else 0) + 1
-    tables.quarantine[command.fingerprint] = QuarantineRecord(
-        command.fingerprint,
-        command.service,
-        n_crashes,
-        n_crashes >= QUARANTINE_CRASHES,
-        command.recorded_at_s,
-    )
-    return Accepted(n_crashes)
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,7 +7,13 @@
 from typing import NamedTuple
 
 from .commands import Command
-from .records import HostAddress, QuarantineRecord, ShardId, UpstreamSession
+from .records import (
+    HostAddress,
+    OutcomeRecord,
+    QuarantineRecord,
+    ShardId,
+    UpstreamSession,
+)
 
 
 class Member(NamedTuple):
@@ -177,13 +183,17 @@
 
 
 class RenewLeasesReply(NamedTuple):
-    """Remaining lease times, counted by the holder from sending the renewal."""
+    """Remaining lease times, counted by the holder from sending the renewal.
+
+    The holder acts only once it has applied its data centre's log to ``since_index``.
+    """
 
     is_leader: bool
     leader: str
     host_lease_ms: int
     session_lease_ms: int
     lost_sessions: tuple[str, ...]
+    since_index: int
 
 
 class CapacityReport(NamedTuple):
@@ -194,6 +204,24 @@
     released: tuple[tuple[ShardId, int], ...]
 
 
+class FetchOutcomes(NamedTuple):
+    """Ask a data centre for outcomes of shards that it released under these epochs."""
+
+    data_centre: str
+    shards: tuple[ShardId, ...]
+    released_epochs: tuple[int, ...]
+    after: tuple[str, str]
+
+
+class OutcomesReply(NamedTuple):
+    """Outcomes of those ``shards`` that were released here; more follow if not last."""
+
+    shards: tuple[ShardId, ...]
+    outcomes: tuple[OutcomeRecord, ...]
+    is_last: bool
+    is_leader: bool
+
+
 class HostStatusRequest(NamedTuple):
     """Ask a host for its state."""
 
--- a/packages/bergamotferry/src/bergamotferry/records.py
+++ b/packages/bergamotferry/src/bergamotferry/records.py
@@ -99,7 +99,11 @@
 
 
 class UpstreamSession(NamedTuple):
-    """The session of one incarnation of an upstream with its data centre's group."""
+    """The session of one incarnation of an upstream with its data centre's group.
+
+    ``opened_epoch`` tells a session that was closed and opened again from its
+    predecessor; every epoch given under a session is above it.
+    """
 
     name: str
     service: str
@@ -109,6 +113,7 @@
     max_connections: int
     checks_epochs: bool
     state: SessionState
+    opened_epoch: int = 0
 
 
 class Grant(NamedTuple):
@@ -146,13 +151,23 @@
     content_type: str
     body: bytes
     recorded_at_s: int
+    attempt_id: str
+    grant_epoch: int
+    dispatcher_epoch: int
+    size_bytes: int
+    body_sha256: str
 
 
 class QuarantineRecord(NamedTuple):
-    """A request, by fingerprint, that was running when upstreams ended."""
+    """A request, by fingerprint, that was running when upstreams ended.
+
+    It is suspected until it is quarantined, or is cleared by running well alone.
+    """
 
     fingerprint: str
     service: str
     n_crashes: int
     is_quarantined: bool
     recorded_at_s: int
+    upstream: str
+    incarnation: int
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_body.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_body.py
@@ -18,7 +18,7 @@
 from .http_body import BODY_GAP_TIMEOUT_S, too_large
 
 
-class BodyBroken(Exception):  # noqa: N818 - says what happened to a body
+class BodyBroken(ConnectionError):  # noqa: N818 - says what happened to a body
     """A body broke a limit while it was passed on."""
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -6,7 +6,6 @@
 import asyncio
 import secrets
 
-import aiohttp
 from aiohttp import web
 
 from bergamotferry.messages import RequestHead, ResponseHead
@@ -28,11 +27,11 @@
 _BODY_POLL_S = 0.05
 
 
-def build_caller_app(state: HostState, http: aiohttp.ClientSession) -> web.Application:
+def build_caller_app(state: HostState) -> web.Application:
     """Return the application that serves callers."""
 
     async def handle(request: web.Request) -> web.StreamResponse:
-        return await _handle(state, http, request)
+        return await _handle(state, request)
 
     async def ready(request: web.Request) -> web.Response:
         if is_ready(state):
@@ -50,9 +49,7 @@
     return None
 
 
-async def _handle(
-    state: HostState, http: aiohttp.ClientSession, request: web.Request
-) -> web.StreamResponse:
+async def _handle(state: HostState, request: web.Request) -> web.StreamResponse:
     decision = RequestDecision(
         secrets.token_hex(8), revision=state.global_tables.revision
     )
@@ -61,7 +58,7 @@
     sink = CountingSink(_CallerSink(request, decision))
     outcome: Served | Refused = Refused(ResultCode.INTERNAL_ERROR, "a fault")
     try:
-        outcome = await _answer(state, http, request, decision, sink)
+        outcome = await _answer(state, request, decision, sink)
         return await _finish(request, decision.request_id, sink, outcome)
     except asyncio.CancelledError:
         outcome = Refused(ResultCode.CALLER_GONE, "the caller hung up")
@@ -79,7 +76,6 @@
 
 async def _answer(
     state: HostState,
-    http: aiohttp.ClientSession,
     request: web.Request,
     decision: RequestDecision,
     sink: CountingSink,
@@ -102,7 +98,7 @@
         return Refused(ResultCode.ACCOUNT_OVER_LIMIT, text)
     state.in_flight_by_account[account.name] += 1
     try:
-        return await _serve(state, http, request, asked, routed, decision, sink)
+        return await _serve(state, request, asked, routed, decision, sink)
     finally:
         state.in_flight_by_account[account.name] -= 1
         if not state.in_flight_by_account[account.name]:
@@ -148,7 +144,6 @@
 
 async def _serve(
     state: HostState,
-    http: aiohttp.ClientSession,
     request: web.Request,
     asked: CallerRequest,
     routed: RoutedRequest,
@@ -167,7 +162,7 @@
         asked, routed, decision, max(1, decision.deadline_ms - spent_ms)
     )
     work = serve_request(
-        state, http, routed.data_centre, routed.route.is_idempotent, head, body, sink
+        state, routed.data_centre, routed.route.is_idempotent, head, body, sink
     )
     try:
         if caller_body.is_whole:
@@ -192,7 +187,10 @@
     finally:
         work.cancel()
         await asyncio.gather(work, return_exceptions=True)
-    return outcome if body.failure is None else _broken_body(body.failure)
+    if body.failure is None:
+        return outcome
+    is_not_run = isinstance(outcome, Refused) and outcome.is_not_run
+    return body.failure if is_not_run else _broken_body(body.failure)
 
 
 def _broken_body(failure: Refused) -> Refused:
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -16,6 +16,7 @@
 from bergamotferry.messages import (
     CapacityReport,
     FetchLog,
+    FetchOutcomes,
     FindGrant,
     HostStatusRequest,
     LiftQuarantine,
@@ -34,7 +35,7 @@
     groups_of_host,
 )
 from .caller_edge import build_caller_app
-from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
+from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
 from .gauges import run_gauges
@@ -55,12 +56,14 @@
 from .metrics import metrics_from_config
 from .operator_edge import add_operator_routes, answer_status
 from .operator_queries import answer_query
+from .outcome_transfer import answer_outcomes, run_outcome_imports
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
 from .readiness import run_readiness
 from .request_path import serve_peer
 from .settings import Settings, split_address
 from .upstream_edge import add_upstream_routes
+from .write_guard import guarded_client
 
 DRAIN_NOTICE_S = 0.5
 DRAIN_POLL_S = 0.02
@@ -74,12 +77,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-    ) as http:
+    async with guarded_client() as http:
         state = build_host(settings, http)
         await state.network.start()
-        runners = await _start_edges(state, http)
+        runners = await _start_edges(state)
         tasks = [asyncio.create_task(work) for work in _duties(state, http)]
         log("started", incarnation=state.incarnation)
         stop_task = asyncio.create_task(stopping.wait())
@@ -130,12 +131,11 @@
             me = Member(settings.host.name, incarnation, True)
             start_member(group, me, settings.seeds, folder)
         groups[name] = group
-    process_incarnation = (
-        secrets.token_hex(8) if incarnation == BOOTSTRAP_INCARNATION else incarnation
-    )
     state = HostState(
         settings,
-        process_incarnation,
+        # Leases belong to a process, not to a data folder: this one starts with none
+        # of what the last one knew of its dispatchers.
+        secrets.token_hex(8),
         network,
         groups,
         metrics_from_config(settings.statsd_address, settings.host.name),
@@ -159,6 +159,8 @@
                 return await answer_fetch(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
+            case FetchOutcomes():
+                return answer_outcomes(state, message)
             case HostStatusRequest():
                 return await answer_status(state, message)
             case ListUpstreams() | FindGrant() | ListQuarantine() | LiftQuarantine():
@@ -172,7 +174,7 @@
 
     async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
         if isinstance(head, RequestHead):
-            await serve_peer(state, http, stream, head)
+            await serve_peer(state, stream, head)
 
     handlers.on_call = on_call
     handlers.on_notice = on_notice
@@ -197,17 +199,16 @@
             duties += [
                 run_ownership_duty(state, group),
                 run_capacity_reports(state, group),
+                run_outcome_imports(state, group),
             ]
     return duties
 
 
-async def _start_edges(
-    state: HostState, http: aiohttp.ClientSession
-) -> list[web.AppRunner]:
+async def _start_edges(state: HostState) -> list[web.AppRunner]:
     control = web.Application()
     add_upstream_routes(control, state)
     add_operator_routes(control, state)
-    callers = build_caller_app(state, http)
+    callers = build_caller_app(state)
     settings = state.settings
     edges = (
         (callers, settings.caller_address, settings.n_caller_connections_max),
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -1,15 +1,27 @@
 """What this host holds in memory for each upstream that it dispatches for."""
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 
+import aiohttp
+
 from bergamotferry.admission import UpstreamQueue
+from bergamotferry.link_budget import LinkBudget
+from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId, UpstreamSession
+from bergamotferry.retry_budget import RetryBudget
+from bergamotferry.stragglers import LatencyTable
 
 
 @dataclass(slots=True)
 class UpstreamWork:
-    """Queue, confirmed grants and work in flight of one upstream's incarnation."""
+    """Queue, confirmed grants and work in flight of one upstream's incarnation.
+
+    ``sends`` are the tasks that talk to the upstream; they are cancelled when the host
+    loses it. ``attempts`` names the filings that this host may still resolve, and
+    ``fingerprints`` tells what runs by the id of its ticket.
+    """
 
     session: UpstreamSession
     epoch: int
@@ -17,13 +29,29 @@
     confirmed: dict[ShardId, int] = field(default_factory=dict)
     released: set[tuple[ShardId, int]] = field(default_factory=set)
     in_flight: dict[ShardId, int] = field(default_factory=dict)
-    started: dict[str, "asyncio.Future[bool]"] = field(default_factory=dict)
-    tasks: set["asyncio.Task[object]"] = field(default_factory=set)
+    started: dict[str, "asyncio.Future[Refused | None]"] = field(default_factory=dict)
+    sends: set["asyncio.Task[object]"] = field(default_factory=set)
+    attempts: set[str] = field(default_factory=set)
+    fingerprints: dict[str, str] = field(default_factory=dict)
+    has_crashed: bool = False
     is_ordering: bool = False
+    n_orders: int = 0
 
 
 @dataclass(slots=True)
 class DispatcherTable:
-    """All upstreams that this host dispatches for, by name."""
+    """All upstreams that this host dispatches for, by name.
+
+    Requests go over these two sessions only, whose tracing "not run" rests on.
+    """
 
     works: dict[str, UpstreamWork] = field(default_factory=dict)
+    kept_http: aiohttp.ClientSession | None = None
+    fresh_http: aiohttp.ClientSession | None = None
+    filings: set["asyncio.Task[object]"] = field(default_factory=set)
+    first_seen_ns: dict[tuple[str, int], int] = field(default_factory=dict)
+    policies_off: frozenset[str] = frozenset()
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    link_budget: LinkBudget | None = None
+    latencies: LatencyTable = field(default_factory=LatencyTable)
+    ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
@@ -25,7 +25,7 @@
         "host.is_ready": int(is_ready(state)),
         "host.revision": state.global_tables.revision,
         "dispatch.n_upstreams": len(works),
-        "dispatch.n_waiting": sum(len(work.queue.waiting) for work in works),
+        "dispatch.n_waiting": sum(work.queue.n_waiting for work in works),
         "dispatch.n_running": sum(len(work.queue.running) for work in works),
         "logs.n_dropped": n_lines_dropped(),
     }
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -21,6 +21,7 @@
 _TOKENS = ("operator-token", "upstream-token", "peer-token")
 _COUNTS = ("n-caller-connections-max", "n-control-connections-max")
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}\Z")
+REQUEST_POLICIES = ("early-refusal", "isolation", "retry-budget", "slow-start")
 
 
 class Settings(NamedTuple):
@@ -39,6 +40,8 @@
     statsd_address: str
     log_level: str
     stop_grace_s: float
+    request_policies_off: frozenset[str]
+    link_mbit_per_s: float
     n_caller_connections_max: int = 12_000
     n_control_connections_max: int = 2_000
 
@@ -75,6 +78,18 @@
     _Flag("stop-grace-s", "20", "longest wait for work in flight at a planned stop"),
     _Flag("n-caller-connections-max", "12000", "connections of callers at one time"),
     _Flag("n-control-connections-max", "2000", "connections to the control address"),
+    _Flag(
+        "link-mbit-per-s",
+        "0",
+        "rate of the link between regions, each way; bulk keeps to a share of it; "
+        "0 paces nothing",
+    ),
+    _Flag(
+        "request-policies-off",
+        "",
+        "policies to switch off for a comparison, by commas, of "
+        + ", ".join(REQUEST_POLICIES),
+    ),
 )
 
 
@@ -131,7 +146,11 @@
     _check_tokens(values, errors)
     if values["log-level"] not in ("debug", "info", "warning", "error"):
         errors.append(SettingError("log-level", "must be debug, info, warning, error"))
-    stop_grace_s = _read_seconds("stop-grace-s", values["stop-grace-s"], errors)
+    link_mbit_per_s = _read_number("link-mbit-per-s", values, 1_000_000, errors)
+    policies_off = frozenset(values["request-policies-off"].split(",")) - {""}
+    for name in sorted(policies_off.difference(REQUEST_POLICIES)):
+        errors.append(SettingError("request-policies-off", f"no policy {name!r}"))
+    stop_grace_s = _read_number("stop-grace-s", values, 3600, errors)
     limits = [_read_count(name, values[name], errors) for name in _COUNTS]
     if own is None or errors:
         return None, errors
@@ -149,6 +168,8 @@
         values["statsd-address"],
         values["log-level"],
         stop_grace_s,
+        policies_off,
+        link_mbit_per_s,
         *limits,
     )
     return settings, []
@@ -276,11 +297,13 @@
     return int(text)
 
 
-def _read_seconds(flag: str, text: str, errors: list[SettingError]) -> float:
+def _read_number(
+    flag: str, values: Mapping[str, str], largest: float, errors: list[SettingError]
+) -> float:
     try:
-        value = float(text)
+        value = float(values[flag])
     except ValueError:
         value = -1.0
-    if not 0 <= value <= 3600:
-        errors.append(SettingError(flag, "must be a number of seconds from 0 to 3600"))
+    if not 0 <= value <= largest:
+        errors.append(SettingError(flag, f"must be a number from 0 to {largest:.0f}"))
     return value
--- a/packages/bergamotferry_host/tests/conftest.py
+++ b/packages/bergamotferry_host/tests/conftest.py
@@ -128,7 +128,7 @@
     """Take the place of the request path; return what it was asked to serve."""
     heads = Heads()
 
-    async def serve(state, http, data_centre, is_idempotent, head, body, sink):
+    async def serve(state, data_centre, is_idempotent, head, body, sink):
         heads.append(head)
         heads.came.set()
         content = b"".join([part async for part in body.chunks()])
@@ -149,7 +149,7 @@
 
     @asynccontextmanager
     async def run(limits=EdgeLimits(100), is_control=False):  # noqa: B008
-        app = caller_edge.build_caller_app(state, None)
+        app = caller_edge.build_caller_app(state)
         if is_control:
             app = web.Application()
             add_operator_routes(app, state)
--- a/packages/bergamotferry_host/tests/test_upstream_url.py
+++ b/packages/bergamotferry_host/tests/test_upstream_url.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from bergamotferry_host.caller_request import Target, read_target
-from bergamotferry_host.upstream_url import upstream_url
+from bergamotferry_host.upstream_call import upstream_url
 
 KEYS = st.text(
     st.characters(exclude_categories=("Cs", "Cc"))
