--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -39,10 +39,12 @@
 from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
+from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
 from .group import Group, answer_fetch, answer_propose, post, run_group
 from .group_start import start_member
 from .host_state import HostState
+from .http_edge import EdgeLimits, edge_runner
 from .leader_duties import (
     answer_capacity,
     answer_capacity_question,
@@ -69,6 +71,7 @@
 REFUSE_NOTICE_S = 0.3
 SUCCESSOR_WAIT_NS = 1_000_000_000
 EDGE_STOP_TIMEOUT_S = 1.0
+LISTEN_BACKLOG = 1024
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -80,7 +83,7 @@
     async with guarded_client() as http:
         state = build_host(settings, http)
         await state.network.start()
-        runners = await _start_edges(state, http)
+        runners = await _start_edges(state)
         tasks = [asyncio.create_task(work) for work in _duties(state, http)]
         log("started", incarnation=state.incarnation)
         stop_task = asyncio.create_task(stopping.wait())
@@ -192,6 +195,7 @@
         run_dispatcher(state, http),
         run_placement_duty(state),
         run_readiness(state),
+        run_gauges(state),
     ]
     for name, group in state.groups.items():
         if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
@@ -202,28 +206,25 @@
     return duties
 
 
-async def _start_edges(
-    state: HostState, http: aiohttp.ClientSession
-) -> list[web.AppRunner]:
+async def _start_edges(state: HostState) -> list[web.AppRunner]:
     control = web.Application()
     add_upstream_routes(control, state)
     add_operator_routes(control, state)
-    callers = build_caller_app(state, http)
+    callers = build_caller_app(state)
+    settings = state.settings
     edges = (
-        (callers, state.settings.caller_address),
-        (control, state.settings.control_address),
+        (callers, settings.caller_address, settings.n_caller_connections_max),
+        (control, settings.control_address, settings.n_control_connections_max),
     )
     runners = []
-    for app, address in edges:
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=EDGE_STOP_TIMEOUT_S,
-        )
+    for app, address, n_connections_max in edges:
+        limits = EdgeLimits(n_connections_max)
+        runner = edge_runner(app, limits, EDGE_STOP_TIMEOUT_S)
         await runner.setup()
         ip, port = split_address(address)
-        await web.TCPSite(runner, ip, port, reuse_address=True).start()
+        await web.TCPSite(
+            runner, ip, port, reuse_address=True, backlog=LISTEN_BACKLOG
+        ).start()
         runners.append(runner)
     return runners
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from bergamotferry.data_centre_tables import N_OUTCOMES_MAX, OUTCOME_KEPT_S
+from bergamotferry.outcome_tables import N_OUTCOMES_MAX, OUTCOME_KEPT_S
 from bergamotferry.replication import LEADER_LEASE_NS, NS_PER_MS
 from bergamotferry_host.group import FETCH_WAIT_MS
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S, PLACEMENT_TICK_S
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_model.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_model.py
@@ -8,8 +8,8 @@
 from functools import partial
 from typing import Literal, NamedTuple
 
-from bergamotferry.data_centre_tables import N_OUTCOMES_MAX
 from bergamotferry.leases import RENEW_INTERVAL_MS
+from bergamotferry.outcome_tables import N_OUTCOMES_MAX
 from bergamotferry.replication import HEARTBEAT_NS
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
 from bergamotferry_host.group import FETCH_WAIT_MS
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
@@ -14,11 +14,11 @@
     SESSION_LEASE_MS,
 )
 from bergamotferry.replication import ELECTION_MAX_NS, NS_PER_MS
+from bergamotferry.retry_budget import PAUSE_MAX_MS
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
 from bergamotferry_host.group import FETCH_WAIT_MS, PROPOSE_PAUSE_S, TICK_S
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S
 from bergamotferry_host.peer_network import PING_INTERVAL_S, PING_TIMEOUT_S
-from bergamotferry_host.request_path import RETRY_PAUSE_MAX_MS
 
 from .capacity_counts import (
     BETWEEN_DATA_CENTRES_MS,
@@ -115,7 +115,7 @@
         Step("ownership tick", "leader_duties", OWNERSHIP_TICK_MS),
         Step(f"{n_grants} commits of GrantShards", "leader_duties", grant_ms),
         Step("dispatcher reads and orders", "orders", 3 * NEAR_MS + DISPATCHER_TICK_MS),
-        Step("a waiting request tries again", "request_path", RETRY_PAUSE_MAX_MS),
+        Step("a waiting request tries again", "retry_budget", PAUSE_MAX_MS),
     ]
 
 
@@ -126,7 +126,7 @@
         Step(
             "no pong comes, the link is closed", "peer_network", PING_TIMEOUT_S * 1000
         ),
-        Step("the request tries again", "request_path", RETRY_PAUSE_MAX_MS),
+        Step("the request tries again", "retry_budget", PAUSE_MAX_MS),
     ]
 
 
@@ -198,7 +198,7 @@
         Step(f"{n_commits} commits of AssignDispatcher", "leader_duties", assign_ms),
         Step("new dispatcher reads it", "group", NEAR_MS + DISPATCHER_TICK_MS),
         Step("it orders the grants again", "orders", 2 * NEAR_MS),
-        Step("a waiting request tries again", "request_path", RETRY_PAUSE_MAX_MS),
+        Step("a waiting request tries again", "retry_budget", PAUSE_MAX_MS),
     ]
 
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_links.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_links.py
@@ -167,6 +167,8 @@
         statsd_address="",
         log_level="warning",
         stop_grace_s=0.0,
+        request_policies_off=frozenset(),
+        link_mbit_per_s=0.0,
     )
     # Nothing here sends HTTP, so the client session is never used.
     return build_host(settings, None)  # type: ignore[arg-type]
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/table_worlds.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/table_worlds.py
@@ -91,9 +91,9 @@
     """Run the ownership systems until they have nothing more to commit."""
     leases = LeaseTable()
     for number in range(n_hosts):
-        renew_host(leases, f"host-{number}", "1", False, NOW_NS)
-    for name in tables.sessions:
-        renew_session(leases, name, NOW_NS)
+        renew_host(leases, f"host-{number}", "1", False, 1, NOW_NS)
+    for session in tables.sessions.values():
+        renew_session(leases, session, NOW_NS)
     for _ in range(N_ROUNDS_MAX):
         commands = run_ownership(tables, global_tables, leases, data_centre, NOW_NS)
         if not commands:
