--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -150,7 +150,7 @@
 
 
 class FetchLogReply(NamedTuple):
-    """Committed entries, or a whole snapshot when the entries are gone."""
+    """Committed entries, or the index of a snapshot when the entries are gone."""
 
     group: str
     entries: tuple[LogEntry, ...]
@@ -160,6 +160,41 @@
     leader: str
 
 
+class FetchSnapshot(NamedTuple):
+    """A host whose entries are gone asks for a part of a group's snapshot."""
+
+    group: str
+    last_index: int
+    offset_bytes: int
+
+
+class FetchSnapshotReply(NamedTuple):
+    """A part of the newest snapshot, which may be another than was asked for."""
+
+    group: str
+    last_index: int
+    last_term: int
+    membership: Membership
+    size_bytes: int
+    offset_bytes: int
+    data: bytes
+
+
+class JoinGroup(NamedTuple):
+    """A host that is no voter, or hears no leader, names itself to the leader."""
+
+    group: str
+    member: Member
+
+
+class JoinReply(NamedTuple):
+    """Whether the leader noted it, else who leads, and when to ask again."""
+
+    is_leader: bool
+    leader: str
+    retry_ms: int
+
+
 class RenewLeases(NamedTuple):
     """A host renews its own lease and those of the sessions it heard from.
 
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/replication_snapshot.py
@@ -0,0 +1,118 @@
+"""Snapshots on their way from the leader to a member whose entries are gone.
+
+A snapshot goes in parts; the next one is sent when the last was acknowledged, and the
+current one again with each heartbeat, so a lost part costs one heartbeat.
+"""
+
+from .messages import InstallSnapshot, Member, SnapshotReply
+from .replication_state import (
+    SNAPSHOT_CHUNK_BYTES,
+    IncomingSnapshot,
+    Peer,
+    Replica,
+    Snapshot,
+    become_follower,
+    compact_log,
+    send,
+    term_at,
+)
+
+
+def send_snapshot(replica: Replica, member: Member, peer: Peer, now_ns: int) -> None:
+    """Send the part of the snapshot that a member needs next."""
+    snapshot = replica.snapshot
+    if snapshot is None:
+        return
+    if peer.snapshot_index != snapshot.last_index:
+        peer.snapshot_index = snapshot.last_index
+        peer.snapshot_offset_bytes = 0
+    start = peer.snapshot_offset_bytes
+    end = start + SNAPSHOT_CHUNK_BYTES
+    message = InstallSnapshot(
+        replica.group,
+        replica.term,
+        replica.me,
+        snapshot.last_index,
+        snapshot.last_term,
+        snapshot.membership,
+        start,
+        snapshot.data[start:end],
+        end >= len(snapshot.data),
+        now_ns,
+    )
+    send(replica, member.host, message)
+
+
+def on_install_snapshot(
+    replica: Replica, message: InstallSnapshot, now_ns: int
+) -> None:
+    """Keep a part of a snapshot, and put the snapshot in force after its last part."""
+    if message.term < replica.term:
+        refused = message._replace(sent_ns=0)
+        _reply(replica, refused, 0, is_installed=False)
+        return
+    become_follower(replica, message.term, now_ns)
+    replica.leader = message.leader
+    replica.heard_leader_ns = now_ns
+    if message.last_index <= replica.commit_index:
+        replica.incoming = None
+        _reply(replica, message, 0, is_installed=True)
+        return
+    incoming = replica.incoming
+    place = (message.last_index, message.last_term)
+    if incoming is None or (incoming.last_index, incoming.last_term) != place:
+        incoming = replica.incoming = IncomingSnapshot(*place)
+    if message.offset_bytes != len(incoming.data):
+        _reply(replica, message, len(incoming.data), is_installed=False)
+        return
+    incoming.data += message.data
+    if not message.is_last:
+        _reply(replica, message, len(incoming.data), is_installed=False)
+        return
+    snapshot = Snapshot(*place, message.membership, bytes(incoming.data))
+    install_snapshot(replica, snapshot, now_ns)
+    _reply(replica, message, 0, is_installed=True)
+
+
+def install_snapshot(replica: Replica, snapshot: Snapshot, now_ns: int) -> None:
+    """Put a whole snapshot in the place of the log that it covers."""
+    replica.incoming = None
+    if snapshot.last_index <= replica.commit_index:
+        return
+    if snapshot.last_term > replica.term:
+        # Fetched by a host that had not heard of the term.
+        become_follower(replica, snapshot.last_term, now_ns)
+    if term_at(replica, snapshot.last_index) != snapshot.last_term:
+        # The whole log is replaced; nothing of it is written any more.
+        replica.dirty_from = 0
+    compact_log(replica, snapshot)
+    replica.is_snapshot_dirty = True
+
+
+def on_snapshot_reply(replica: Replica, peer: Peer, message: SnapshotReply) -> bool:
+    """Note how much of a snapshot a member holds; return whether to send on."""
+    if message.is_installed:
+        peer.match_index = max(peer.match_index, message.last_index)
+        peer.next_index = max(peer.next_index, peer.match_index + 1)
+        peer.snapshot_offset_bytes = 0
+        return True
+    if message.last_index != peer.snapshot_index:
+        return False
+    is_progress = message.received_bytes > peer.snapshot_offset_bytes
+    peer.snapshot_offset_bytes = message.received_bytes
+    return is_progress
+
+
+def _reply(
+    replica: Replica, request: InstallSnapshot, received_bytes: int, is_installed: bool
+) -> None:
+    reply = SnapshotReply(
+        replica.group,
+        replica.term,
+        replica.me,
+        request.last_index,
+        received_bytes,
+        is_installed,
+        request.sent_ns,
+    )
+    send(replica, request.leader.host, reply)
--- /dev/null
+++ b/packages/bergamotferry/tests/test_replication_rules.py
@@ -0,0 +1,220 @@
+"""Single rules of the replicated log, each with the message that would break it."""
+
+import random
+
+import pytest
+
+from bergamotferry.commands import Noop
+from bergamotferry.messages import (
+    AppendEntries,
+    AppendReply,
+    LogEntry,
+    Member,
+    Membership,
+    RequestVote,
+    VoteReply,
+)
+from bergamotferry.records import HostAddress
+from bergamotferry.replication import (
+    ELECTION_MIN_NS,
+    Replica,
+    begin_transfer,
+    can_change_membership,
+    leader_lease_until_ns,
+    mark_persisted,
+    propose,
+    receive,
+    start_replica,
+    take_messages,
+    take_unpersisted,
+    tick,
+)
+from bergamotferry.replication_membership import Joiner, choose_target, plan_membership
+
+A, B, C = (Member(name, "1", name != "c") for name in "abc")
+THREE = Membership((A, B, C), ())
+START_NS = 10**10
+
+
+def make_replica(me=A, membership=THREE, terms=()):
+    log = [LogEntry(index, term, Noop()) for index, term in enumerate(terms, 1)]
+    replica = Replica("g", me, membership, random.Random(1), log=log)
+    replica.term = max(terms, default=0)
+    start_replica(replica, START_NS)
+    return replica
+
+
+def make_leader(now_ns, terms=(), membership=THREE):
+    """Return a leader whose votes came from b, with its entries on disk."""
+    replica = make_replica(membership=membership, terms=terms)
+    for term_step in (1, 0):
+        tick(replica, now_ns)
+        request = take_messages(replica)[-1].message
+        assert isinstance(request, RequestVote) and request.is_pre_vote == bool(
+            term_step
+        )
+        vote = request_reply(request, membership.voters[1])
+        receive(replica, vote, now_ns)
+    assert replica.role == "leader"
+    take_unpersisted(replica)
+    mark_persisted(replica, replica.term, replica.log[-1].log_index, now_ns)
+    tick(replica, now_ns)
+    take_messages(replica)
+    return replica
+
+
+def request_reply(request, voter):
+    return VoteReply("g", request.term, voter, True, request.is_pre_vote)
+
+
+def acknowledge(leader, follower, match_index, sent_ns, now_ns):
+    reply = AppendReply("g", leader.term, follower, True, match_index, sent_ns)
+    receive(leader, reply, now_ns)
+
+
+@pytest.mark.parametrize(
+    ("age_ns", "is_transfer", "is_granted"),
+    [
+        (ELECTION_MIN_NS - 1, False, False),
+        (ELECTION_MIN_NS, False, True),
+        (0, True, True),
+    ],
+)
+def test_vote_is_refused_while_a_leader_was_heard(age_ns, is_transfer, is_granted):
+    voter = make_replica(me=B)
+    receive(voter, AppendEntries("g", 1, A, 0, 0, (), 0, 5), START_NS)
+    take_messages(voter)
+    request = RequestVote("g", 2, C, 0, 0, False, is_transfer)
+    receive(voter, request, START_NS + age_ns)
+    (reply,) = take_messages(voter)
+    assert reply.message.is_granted == is_granted
+
+
+def test_restarted_voter_keeps_the_patience_that_it_promised():
+    voter = make_replica(me=B)
+    receive(voter, RequestVote("g", 2, C, 0, 0, False, False), START_NS + 1)
+    assert not take_messages(voter)[0].message.is_granted
+
+
+def test_second_candidate_of_a_term_gets_no_vote():
+    voter = make_replica(me=B)
+    late_ns = START_NS + ELECTION_MIN_NS
+    for candidate, is_granted in ((A, True), (C, False), (A, True)):
+        receive(voter, RequestVote("g", 2, candidate, 0, 0, False, False), late_ns)
+        assert take_messages(voter)[0].message.is_granted == is_granted
+    assert take_unpersisted(voter).voted_for == A
+
+
+def test_entry_of_an_earlier_term_is_committed_only_with_one_of_this_term():
+    now_ns = START_NS + 10**9
+    leader = make_leader(now_ns, terms=(1, 1))
+    acknowledge(leader, B, 2, now_ns, now_ns)
+    assert leader.commit_index == 0
+    acknowledge(leader, B, 3, now_ns, now_ns)
+    assert leader.commit_index == 3
+
+
+def test_commit_needs_a_voter_with_a_disk():
+    now_ns = START_NS + 10**9
+    b = B._replace(is_durable=False)
+    leader = make_leader(now_ns, membership=Membership((A, b, C), ()))
+    index = propose(leader, Noop(), now_ns)
+    # The leader's own disk is slow; the others have none.
+    for follower in (b, C):
+        acknowledge(leader, follower, index, now_ns, now_ns)
+    assert leader.commit_index < index
+    take_unpersisted(leader)
+    mark_persisted(leader, leader.term, index, now_ns)
+    assert leader.commit_index == index
+
+
+@pytest.mark.parametrize("sent_ns", [0, START_NS])
+def test_reply_to_an_earlier_term_does_not_extend_the_lease(sent_ns):
+    now_ns = START_NS + 10**9
+    leader = make_leader(now_ns)
+    for follower in (B, C):
+        reply = AppendReply("g", leader.term, follower, False, 0, sent_ns)
+        receive(leader, reply, now_ns)
+    assert leader_lease_until_ns(leader) == 0
+
+
+def test_refusal_of_an_old_leader_is_no_acknowledgement():
+    follower = make_replica(me=B, terms=(3,))
+    receive(follower, AppendEntries("g", 2, A, 0, 0, (), 0, START_NS), START_NS)
+    (reply,) = take_messages(follower)
+    assert (reply.message.term, reply.message.sent_ns) == (3, 0)
+
+
+def test_handing_over_ends_the_lease_for_the_rest_of_the_term():
+    now_ns = START_NS + 10**9
+    leader = make_leader(now_ns)
+    acknowledge(leader, B, 2, now_ns, now_ns)
+    assert leader_lease_until_ns(leader) > now_ns
+    assert begin_transfer(leader, now_ns) == B
+    acknowledge(leader, B, 2, now_ns, now_ns)
+    assert leader_lease_until_ns(leader) == 0
+    assert propose(leader, Noop(), now_ns) is None
+
+
+def test_membership_changes_wait_for_an_entry_of_the_term_and_for_each_other():
+    now_ns = START_NS + 10**9
+    leader = make_leader(now_ns, terms=(1,))
+    two = Membership((A, B), ())
+    assert not can_change_membership(leader)
+    assert propose(leader, two, now_ns) is None
+    acknowledge(leader, B, 3, now_ns, now_ns)
+    assert propose(leader, Membership((A,), ()), now_ns) is None
+    assert propose(leader, two, now_ns) is not None
+    assert propose(leader, THREE, now_ns) is None
+
+
+HOSTS = {
+    name: HostAddress(name, data_centre, "r", "", is_durable)
+    for name, data_centre, is_durable in (
+        ("a1", "a", True),
+        ("a2", "a", False),
+        ("a3", "a", False),
+        ("b1", "b", True),
+        ("b2", "b", False),
+    )
+}
+
+
+@pytest.mark.parametrize(
+    ("live", "current", "target"),
+    [
+        ("a1 a2 a3 b1 b2", "", "a1 b1 a2"),
+        ("a1 a2 a3 b1 b2", "a3", "a1 b1 a3"),
+        ("a1 a2 b2", "", "a1 a2 b2"),
+        ("a2 a3 b1", "a2", "b1 a2 a3"),
+        ("a1", "", "a1"),
+    ],
+)
+def test_target_of_a_data_centre_group(live, current, target):
+    rows = [HOSTS[name] for name in live.split()]
+    chosen = choose_target("dc:a", rows, frozenset(current.split()))
+    assert chosen == tuple(target.split())
+
+
+def test_host_that_lost_its_memory_is_removed_first_and_promoted_when_caught_up():
+    now_ns = START_NS + 10**9
+    leader = make_leader(now_ns)
+    leader.group = "dc:x"
+    seeds = [HostAddress(name, "x", "r", "", name != "c") for name in "abc"]
+    new_c = C._replace(incarnation="2")
+    joiners = {"c": Joiner(new_c, now_ns)}
+    acknowledge(leader, B, 2, now_ns, now_ns)
+    steps = [Membership((A, B), ()), Membership((A, B), (new_c,))]
+    for expected in steps:
+        planned = plan_membership(leader, joiners, seeds, now_ns)
+        assert planned == expected
+        index = propose(leader, planned, now_ns)
+        take_unpersisted(leader)
+        mark_persisted(leader, leader.term, index, now_ns)
+        acknowledge(leader, B, index, now_ns, now_ns)
+    # The learner has acknowledged nothing yet.
+    assert plan_membership(leader, joiners, seeds, now_ns) is None
+    leader.won_at_ns -= 1
+    acknowledge(leader, new_c, leader.commit_index, now_ns, now_ns)
+    planned = plan_membership(leader, joiners, seeds, now_ns)
+    assert planned == Membership((A, B, new_c), ())
--- a/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
@@ -3,19 +3,20 @@
 The global group begins with an odd number of hosts that have disks, spread over the
 data centres. A data centre's group begins with its own hosts that have disks and, where
 there are fewer than three, with one of the sibling data centre of the same region, so
-that no home-bound record leaves the region. Hosts without a disk are added by the
-leader.
+that no home-bound record leaves the region. The leader adds others, see
+``bergamotferry.replication_membership``.
 """
 
 from collections.abc import Iterable
 
 from bergamotferry.messages import Member, Membership
 from bergamotferry.records import HostAddress
+from bergamotferry.replication_membership import DATA_CENTRE_PREFIX, GLOBAL_GROUP
 
 from .data_folder import BOOTSTRAP_INCARNATION
 
-GLOBAL_GROUP = "global"
-DATA_CENTRE_PREFIX = "dc:"
+__all__ = ["DATA_CENTRE_PREFIX", "GLOBAL_GROUP"]
+
 N_GLOBAL_VOTERS = 3
 N_DATA_CENTRE_VOTERS = 3
 
@@ -40,16 +41,14 @@
 
 
 def groups_of_host(host: HostAddress, seeds: Iterable[HostAddress]) -> list[str]:
-    """Return the groups a host takes part in, as member or as reader."""
+    """Return the groups a host takes part in: as member, as reader or as a spare.
+
+    Its region is as far as the records of a data centre may go.
+    """
     region_centres = {s.data_centre for s in seeds if s.region == host.region}
     siblings = sorted(region_centres - {host.data_centre})
     names = [GLOBAL_GROUP, data_centre_group(host.data_centre)]
-    for sibling in siblings:
-        group = data_centre_group(sibling)
-        voters = first_membership(group, seeds).voters
-        if host.name in [voter.host for voter in voters]:
-            names.append(group)
-    return names
+    return names + [data_centre_group(sibling) for sibling in siblings]
 
 
 def _data_centre_voters(
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -8,33 +8,26 @@
 import aiohttp
 from aiohttp import web
 
-from bergamotferry.data_centre_tables import (
-    DataCentreTables,
-    apply_data_centre_command,
-)
-from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import (
     CapacityReport,
     FetchLog,
+    FetchSnapshot,
     HostStatusRequest,
-    Member,
+    JoinGroup,
     Propose,
     RenewLeases,
     RequestHead,
 )
 
-from .bootstrap import (
-    DATA_CENTRE_PREFIX,
-    GLOBAL_GROUP,
-    first_membership,
-    groups_of_host,
-)
+from .bootstrap import DATA_CENTRE_PREFIX, groups_of_host
 from .caller_edge import build_caller_app
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
-from .group import Group, answer_fetch, answer_propose, post, run_group
-from .group_start import start_member
+from .group import Group, answer_propose, hand_over_leadership, post
+from .group_members import answer_join, run_group
+from .group_reader import answer_fetch, answer_fetch_snapshot
+from .group_start import start_group
 from .host_state import HostState
 from .leader_duties import (
     answer_capacity,
@@ -105,19 +98,9 @@
     )
     groups: dict[str, Group] = {}
     for name in groups_of_host(settings.host, settings.seeds):
-        voters = [voter.host for voter in first_membership(name, settings.seeds).voters]
-        is_global = name == GLOBAL_GROUP
-        group = Group(
-            name,
-            GlobalTables() if is_global else DataCentreTables(),
-            apply_global_command if is_global else apply_data_centre_command,
-            network,
-            voters,
+        groups[name] = start_group(
+            name, settings.host, settings.seeds, network, folder, incarnation
         )
-        if folder is not None and settings.host.name in voters:
-            me = Member(settings.host.name, incarnation, True)
-            start_member(group, me, settings.seeds, folder)
-        groups[name] = group
     process_incarnation = (
         secrets.token_hex(8) if incarnation == BOOTSTRAP_INCARNATION else incarnation
     )
@@ -144,6 +127,10 @@
                 return await answer_propose(state.groups[message.group], message)
             case FetchLog() if message.group in state.groups:
                 return await answer_fetch(state.groups[message.group], message)
+            case FetchSnapshot() if message.group in state.groups:
+                return answer_fetch_snapshot(state.groups[message.group], message)
+            case JoinGroup() if message.group in state.groups:
+                return answer_join(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
             case HostStatusRequest():
@@ -152,7 +139,7 @@
 
     def on_notice(message: Any, peer: str) -> None:
         group = state.groups.get(getattr(message, "group", ""))
-        if group is not None and group.replica is not None:
+        if group is not None:
             post(group, message)
 
     async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
@@ -176,7 +163,7 @@
         run_placement_duty(state),
     ]
     for name, group in state.groups.items():
-        if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
+        if name.startswith(DATA_CENTRE_PREFIX):
             duties += [
                 run_ownership_duty(state, group),
                 run_capacity_reports(state, group),
@@ -214,6 +201,7 @@
     """Hand over what this host holds, and let work in flight finish."""
     log("stopping", n_in_flight=state.n_in_flight)
     state.is_stopping = True
+    await asyncio.gather(*map(hand_over_leadership, state.groups.values()))
     await asyncio.sleep(DRAIN_NOTICE_S)
     grace_s = state.settings.stop_grace_s
     for _ in range(int(grace_s / DRAIN_POLL_S)):
--- a/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .disk_log import DiskLog, sync_folder
+from .disk_log import DiskLog, write_file
 
 BOOTSTRAP_INCARNATION = "bootstrap"
 _IDENTITY_NAME = "identity.json"
@@ -52,22 +52,21 @@
 
     def open_log(self, group: str) -> DiskLog:
         """Open the log of a group."""
-        return DiskLog.from_path(self.path / f"{group.replace(':', '_')}.log")
+        return DiskLog.from_path(self.path, group.replace(":", "_"))
 
 
 def _read_or_make_identity(path: Path, host: str, is_bootstrap: bool) -> str:
     identity_path = path / _IDENTITY_NAME
     if identity_path.exists():
-        identity = json.loads(identity_path.read_text())
-        if identity["host"] != host:
-            raise DataFolderError(f"{path}: belongs to host {identity['host']}")
-        return str(identity["incarnation"])
+        try:
+            identity = json.loads(identity_path.read_text())
+            owner, incarnation = str(identity["host"]), str(identity["incarnation"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise DataFolderError(f"{identity_path}: damaged") from error
+        if owner != host:
+            raise DataFolderError(f"{path}: belongs to host {owner}")
+        return incarnation
     incarnation = BOOTSTRAP_INCARNATION if is_bootstrap else secrets.token_hex(8)
-    temporary_path = path / f"{_IDENTITY_NAME}.new"
-    with temporary_path.open("w") as file:
-        json.dump({"host": host, "incarnation": incarnation}, file)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary_path.rename(identity_path)
-    sync_folder(path)
+    identity = {"host": host, "incarnation": incarnation}
+    write_file(identity_path, json.dumps(identity).encode())
     return incarnation
--- a/packages/bergamotferry_host/src/bergamotferry_host/disk_log.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/disk_log.py
@@ -1,8 +1,13 @@
-"""Durable state of one group's member: an append-only file of checksummed records.
+"""Durable state of one group's member: numbered log files of checksummed records.
 
-A record is its length, a CRC-32 and CBOR bytes. A torn record at the very end is cut
-off, since nothing in it was acknowledged; damage anywhere else stops the start with an
-error. Every append ends with ``fsync``.
+A record is a header (length, checksum of the payload, checksum of these two), CBOR
+bytes and an end mark. A torn record at the very end is cut off, since nothing in it was
+acknowledged; damage anywhere else stops the start with an error. Every append ends with
+``fsync``, however many entries it holds.
+
+A snapshot begins a new log file: first ``GROUP.NUMBER.snapshot`` is written, synced and
+renamed into place, then ``GROUP.NUMBER.log``, and only then is the file before removed.
+The highest numbered log file is therefore always whole.
 """
 
 import os
@@ -10,19 +15,21 @@
 import zlib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from bergamotferry.messages import LogEntry, Member
-from bergamotferry.replication import Unpersisted
+from bergamotferry.replication import Snapshot, Unpersisted
 
-from .codec import decode, encode
+from .codec import DecodeError, decode, encode
 
-_HEADER = struct.Struct("<II")
-RECORD_MAX_BYTES = 64 * 1024 * 1024
+_HEADER = struct.Struct("<III")
+_CHECKED = struct.Struct("<II")
+_END_MARK = b"\xa5"
+FIRST_NUMBER = 1
 
 
 class DiskLogDamaged(OSError):  # noqa: N818 - names the state of the file
-    """A record before the end of the file is damaged."""
+    """A file is damaged otherwise than by a write that was cut short."""
 
 
 class RecoveredLog(NamedTuple):
@@ -31,64 +38,86 @@
     term: int
     voted_for: Member | None
     entries: tuple[LogEntry, ...]
+    snapshot: Snapshot | None
 
 
 @dataclass(slots=True)
 class DiskLog:
-    """An open log file."""
+    """The open log file of a group."""
 
-    path: Path
+    folder: Path
+    name: str
+    number: int
     descriptor: int
+    n_syncs: int = 0
+    n_entries: int = 0
 
     @classmethod
-    def from_path(cls, path: Path) -> "DiskLog":
-        """Open a log for appending, creating it if there is none."""
+    def from_path(cls, folder: Path, name: str) -> "DiskLog":
+        """Open the newest log file of a group, creating the first if there is none."""
+        numbers = [_number(path) for path in folder.glob(f"{name}.*.log")]
+        number = max(numbers, default=FIRST_NUMBER)
         flags = os.O_RDWR | os.O_CREAT | os.O_APPEND
-        descriptor = os.open(path, flags, 0o600)
-        sync_folder(path.parent)
-        return cls(path, descriptor)
+        descriptor = os.open(_log_path(folder, name, number), flags, 0o600)
+        sync_folder(folder)
+        return cls(folder, name, number, descriptor)
+
+    @property
+    def path(self) -> Path:
+        """Path of the log file."""
+        return _log_path(self.folder, self.name, self.number)
+
+    @property
+    def snapshot_path(self) -> Path:
+        """Path of the snapshot that the log file begins with."""
+        return self.folder / f"{self.name}.{self.number:08}.snapshot"
 
 
 def recover_log(disk_log: DiskLog) -> RecoveredLog:
-    """Read every record, cutting off a torn one at the end.
+    """Read snapshot and records, cutting off a torn record at the end.
 
     Raises
     ------
     DiskLogDamaged
-        If a record is damaged that is not the last.
+        If anything else is damaged or missing.
     """
+    snapshot = _read_snapshot(disk_log)
     data = disk_log.path.read_bytes()
     term = 0
     voted_for: Member | None = None
     entries: list[LogEntry] = []
     offset = 0
     while offset < len(data):
-        record, end = _read_record(data, offset)
-        if record is None:
-            _cut_torn_tail(disk_log, data, offset)
+        payload, end = _read_record(disk_log.path, data, offset)
+        if payload is None:
+            os.ftruncate(disk_log.descriptor, offset)
+            os.fsync(disk_log.descriptor)
             break
-        term, voted_for, truncate_from, new_entries = decode(record)
-        if truncate_from:
-            entries = [e for e in entries if e.log_index < truncate_from]
+        term, voted_for, first, new_entries = _decode(disk_log.path, payload, offset)
+        if first:
+            entries = [e for e in entries if e.log_index < first]
         entries.extend(new_entries)
         offset = end
-    return RecoveredLog(term, voted_for, tuple(entries))
+    _check_order(disk_log.path, snapshot, entries)
+    _remove_other_files(disk_log)
+    return RecoveredLog(term, voted_for, tuple(entries), snapshot)
 
 
-def append_record(disk_log: DiskLog, unpersisted: Unpersisted) -> None:
-    """Write a record and sync it.
+def persist(disk_log: DiskLog, unpersisted: Unpersisted) -> None:
+    """Write and sync a vote, entries or a snapshot.
 
     Raises
     ------
     OSError
-        If writing or syncing fails; the file can't be relied on afterwards.
+        If writing or syncing fails; the files can't be relied on afterwards.
     """
-    payload = encode(tuple(unpersisted))
-    record = _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
-    view = memoryview(record)
-    while view:
-        view = view[os.write(disk_log.descriptor, view) :]
+    if unpersisted.snapshot is not None:
+        _begin_next_file(disk_log, unpersisted)
+        return
+    _write_all(disk_log.descriptor, _record(tuple(unpersisted)[:4]))
     os.fsync(disk_log.descriptor)
+    disk_log.n_syncs += 1
+    disk_log.n_entries += len(unpersisted.entries)
 
 
 def sync_folder(folder: Path) -> None:
@@ -100,23 +129,110 @@
         os.close(descriptor)
 
 
-def _read_record(data: bytes, offset: int) -> tuple[bytes | None, int]:
+def write_file(path: Path, data: bytes) -> None:
+    """Put a whole file in place: written, synced, renamed, and its name synced."""
+    temporary_path = path.with_name(path.name + ".new")
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    descriptor = os.open(temporary_path, flags, 0o600)
+    try:
+        _write_all(descriptor, data)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    temporary_path.rename(path)
+    sync_folder(path.parent)
+
+
+def _begin_next_file(disk_log: DiskLog, unpersisted: Unpersisted) -> None:
+    if unpersisted.snapshot is None:
+        raise ValueError("a new log file begins with a snapshot")
+    disk_log.number += 1
+    write_file(disk_log.snapshot_path, _record(tuple(unpersisted.snapshot)))
+    first = _record((unpersisted.term, unpersisted.voted_for, 0, unpersisted.entries))
+    write_file(disk_log.path, first)
+    old_descriptor = disk_log.descriptor
+    disk_log.descriptor = os.open(disk_log.path, os.O_RDWR | os.O_APPEND)
+    os.close(old_descriptor)
+    disk_log.n_syncs += 4
+    disk_log.n_entries += len(unpersisted.entries)
+    _remove_other_files(disk_log)
+
+
+def _remove_other_files(disk_log: DiskLog) -> None:
+    keep = {disk_log.path, disk_log.snapshot_path}
+    others = [p for p in disk_log.folder.glob(f"{disk_log.name}.*") if p not in keep]
+    for path in others:
+        path.unlink()
+    if others:
+        sync_folder(disk_log.folder)
+
+
+def _record(value: tuple[Any, ...]) -> bytes:
+    payload = encode(value)
+    checked = _CHECKED.pack(len(payload), zlib.crc32(payload))
+    header = checked + struct.pack("<I", zlib.crc32(checked))
+    return header + payload + _END_MARK
+
+
+def _read_record(path: Path, data: bytes, offset: int) -> tuple[bytes | None, int]:
+    """Return a record's payload and its end; None if it is torn."""
     start = offset + _HEADER.size
-    if start > len(data):
+    rest = data[offset:]
+    if len(rest) < _HEADER.size or not any(rest):
         return None, offset
-    length, checksum = _HEADER.unpack_from(data, offset)
+    length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
+    if zlib.crc32(data[offset : offset + _CHECKED.size]) != header_checksum:
+        raise DiskLogDamaged(f"{path}: damaged header at byte {offset}")
+    end = start + length + len(_END_MARK)
     payload = data[start : start + length]
-    if len(payload) < length or zlib.crc32(payload) != checksum:
+    if len(data) < end:
+        return None, offset
+    if zlib.crc32(payload) == checksum and data[end - 1 : end] == _END_MARK:
+        return payload, end
+    # The end of a torn record was never written, so it reads as zero or not at all.
+    if end == len(data) and data[end - 1] == 0:
         return None, offset
-    return payload, start + length
+    raise DiskLogDamaged(f"{path}: damaged record at byte {offset}")
 
 
-def _cut_torn_tail(disk_log: DiskLog, data: bytes, offset: int) -> None:
-    length = 0
-    if offset + _HEADER.size <= len(data):
-        length, _ = _HEADER.unpack_from(data, offset)
-    is_tail = offset + _HEADER.size + length >= len(data)
-    if not is_tail or length > RECORD_MAX_BYTES:
-        raise DiskLogDamaged(f"{disk_log.path}: damaged record at byte {offset}")
-    os.ftruncate(disk_log.descriptor, offset)
-    os.fsync(disk_log.descriptor)
+def _read_snapshot(disk_log: DiskLog) -> Snapshot | None:
+    if disk_log.number == FIRST_NUMBER:
+        return None
+    path = disk_log.snapshot_path
+    if not path.exists():
+        raise DiskLogDamaged(f"{path}: missing, the log after it can't be used")
+    payload, _ = _read_record(path, path.read_bytes(), 0)
+    if payload is None:
+        raise DiskLogDamaged(f"{path}: cut short")
+    return Snapshot(*_decode(path, payload, 0))
+
+
+def _check_order(
+    path: Path, snapshot: Snapshot | None, entries: list[LogEntry]
+) -> None:
+    expected = snapshot.last_index + 1 if snapshot else 1
+    for entry in entries:
+        if entry.log_index != expected:
+            raise DiskLogDamaged(f"{path}: entry {expected} is missing")
+        expected += 1
+
+
+def _decode(path: Path, payload: bytes, offset: int) -> Any:
+    try:
+        return decode(payload)
+    except DecodeError as error:
+        raise DiskLogDamaged(f"{path}: unreadable record at {offset}") from error
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _log_path(folder: Path, name: str, number: int) -> Path:
+    return folder / f"{name}.{number:08}.log"
+
+
+def _number(path: Path) -> int:
+    return int(path.name.split(".")[-2])
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -1,20 +1,24 @@
-"""A group on this host: as a member it runs the replica, otherwise it reads the log.
+"""A group on this host: its replica, its tables, and commits through its leader.
 
-Both kinds end in the same place: committed entries are applied in order to the group's
-tables, and whoever waits for them is woken.
+Every host holds a replica. A member's is fed by the leader; that of a host that only
+reads is fed by fetching (see ``group_reader``). Both end in the same place: committed
+entries are applied in order to the group's tables, and whoever waits for them is woken.
+
+The disk is written by one task at a time while the loop goes on. What a message
+promises is on disk before it is sent; a leader's heartbeats don't wait for the disk.
 """
 
 import asyncio
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from bergamotferry.commands import Command
 from bergamotferry.messages import (
-    FetchLog,
-    FetchLogReply,
     GroupStatus,
     LogEntry,
+    Member,
     Membership,
     Propose,
     ProposeReply,
@@ -22,79 +26,118 @@
 )
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.replication import (
+    Outgoing,
     Replica,
+    Snapshot,
+    Unpersisted,
+    begin_transfer,
+    compact_log,
     entries_from,
+    is_voter,
+    last_index,
     leader_lease_until_ns,
     mark_persisted,
+    membership_at,
     propose,
     receive,
+    resign,
     start_replica,
     take_messages,
+    take_prompt_messages,
     take_unpersisted,
+    term_at,
     tick,
 )
+from bergamotferry.replication_membership import Joiner
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns
-from .disk_log import DiskLog, append_record
+from .disk_log import DiskLog, persist
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
+from .table_snapshot import encode_tables, freeze_tables, load_tables
 
 TICK_S = 0.02
-FETCH_WAIT_MS = 1000
-FETCH_ENTRIES_MAX = 512
+IDLE_TICK_S = 0.1
 PROPOSE_TIMEOUT_S = 2.0
 PROPOSE_PAUSE_S = 0.05
+HAND_OVER_TIMEOUT_S = 1.0
+# The log is cut when it outweighs the snapshot, within these bounds.
+LOG_MIN_BYTES = 64 * 1024
+LOG_MAX_BYTES = 8 * 1024 * 1024
+LOG_MAX_ENTRIES = 16_384
+LOG_PER_SNAPSHOT = 4
 
 ApplyCommand = Callable[[Any, Command], Accepted | Refused]
 
 
 @dataclass(slots=True)
 class Group:
-    """A group's tables on this host, and its replica if the host is a member."""
+    """A group's tables and replica on this host."""
 
     name: str
     tables: Any
     apply_command: ApplyCommand
     network: PeerNetwork
     sources: list[str]
-    replica: Replica | None = None
+    replica: Replica
     disk_log: DiskLog | None = None
+    reads_log: bool = True
+    may_join: bool = False
     inbox: list[ReplicationMessage] = field(default_factory=list)
     woken: asyncio.Event = field(default_factory=asyncio.Event)
+    writing: asyncio.Task[None] | None = None
+    compacting: asyncio.Task[None] | None = None
     applied_index: int = 0
     applied: asyncio.Condition = field(default_factory=asyncio.Condition)
-    fetched: list[LogEntry] = field(default_factory=list)
-    fetched_commit_index: int = 0
     leader_hint: str = ""
+    joiners: dict[str, Joiner] = field(default_factory=dict)
     waiters: dict[int, tuple[int, asyncio.Future[Accepted | Refused]]] = field(
         default_factory=dict
     )
     has_failed_disk: bool = False
+    is_stopping: bool = False
 
     @property
     def is_leader(self) -> bool:
         """Whether this host leads and its leader lease has not run out."""
-        replica = self.replica
-        if replica is None or replica.role != "leader":
-            return False
-        return now_ns() < leader_lease_until_ns(replica)
+        return now_ns() < leader_lease_until_ns(self.replica)
 
     @property
     def leader(self) -> str:
         """Name of the leader as far as this host knows, or empty."""
-        if self.replica is not None:
-            return self.replica.leader.host if self.replica.leader else ""
+        if self.replica.leader is not None:
+            return self.replica.leader.host
         return self.leader_hint
 
 
-async def run_group(group: Group) -> None:
-    """Run a group on this host until cancelled."""
-    if group.replica is not None:
-        await _run_member(group, group.replica)
-    else:
-        await _run_reader(group)
+async def run_replica(group: Group) -> None:
+    """Run a group's replica on this host until cancelled."""
+    replica = group.replica
+    start_replica(replica, now_ns())
+    if replica.snapshot is not None:
+        await _apply_committed(group, replica)
+    last_role = replica.role
+    while True:
+        tick_s = TICK_S if is_voter(replica) else IDLE_TICK_S
+        try:
+            await asyncio.wait_for(group.woken.wait(), tick_s)
+        except TimeoutError:
+            pass
+        group.woken.clear()
+        inbox, group.inbox = group.inbox, []
+        for message in inbox:
+            receive(replica, message, now_ns())
+        tick(replica, now_ns())
+        _send(group, take_prompt_messages(replica))
+        if group.writing is None:
+            _begin_write(group, replica)
+        if replica.role != last_role:
+            log("role changed", group=group.name, role=replica.role, term=replica.term)
+            last_role = replica.role
+        await _apply_committed(group, replica)
+        _compact_if_long(group, replica)
 
 
 def post(group: Group, message: ReplicationMessage) -> None:
@@ -103,6 +146,27 @@
     group.woken.set()
 
 
+async def hand_over_leadership(group: Group) -> bool:
+    """Before a planned stop: give up leadership, and don't stand for election again.
+
+    Returns
+    -------
+    bool
+        Whether this host does not lead any more.
+    """
+    group.is_stopping = True
+    group.replica.stands_for_election = False
+    successor = begin_transfer(group.replica, now_ns())
+    if successor is not None:
+        log("leadership handed over", group=group.name, successor=successor.host)
+    group.woken.set()
+    for _ in range(int(HAND_OVER_TIMEOUT_S / TICK_S)):
+        if group.replica.role != "leader":
+            break
+        await asyncio.sleep(TICK_S)
+    return group.replica.role != "leader"
+
+
 async def commit(
     group: Group, command: Command, timeout_s: float = PROPOSE_TIMEOUT_S
 ) -> Accepted | Refused:
@@ -126,7 +190,7 @@
 
 async def answer_propose(group: Group, message: Propose) -> ProposeReply:
     """Commit a command here if this host leads; a peer or this host asks."""
-    if group.replica is None or not group.is_leader:
+    if not group.is_leader:
         return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
     index = propose(group.replica, message.command, now_ns())
     if index is None:
@@ -141,27 +205,13 @@
     except TimeoutError:
         return ProposeReply(ResultCode.NO_LEADER, "not committed in time", 0, "")
     finally:
-        group.waiters.pop(index, None)
+        if group.waiters.get(index, (0, None))[1] is future:
+            del group.waiters[index]
     if isinstance(outcome, Accepted):
         return ProposeReply(0, "", outcome.revision, "")
     return ProposeReply(outcome.code, outcome.detail, 0, "")
 
 
-async def answer_fetch(group: Group, message: FetchLog) -> FetchLogReply:
-    """Return committed entries after an index, waiting a little for the first."""
-    commit_index = await wait_applied(
-        group, message.after_index + 1, message.wait_ms / 1000
-    )
-    if group.replica is not None:
-        entries = entries_from(group.replica, message.after_index + 1)
-    else:
-        entries = group.fetched[message.after_index :]
-    n_entries = min(FETCH_ENTRIES_MAX, max(0, commit_index - message.after_index))
-    return FetchLogReply(
-        group.name, tuple(entries[:n_entries]), 0, b"", commit_index, group.leader
-    )
-
-
 async def wait_applied(group: Group, index: int, timeout_s: float) -> int:
     """Wait until an index is applied here; return the index applied by then."""
     async with group.applied:
@@ -177,72 +227,92 @@
 def group_status(group: Group) -> GroupStatus:
     """Return the group as this host sees it."""
     replica = group.replica
-    if replica is None:
-        return GroupStatus(
-            group.name,
-            "reader",
-            0,
-            group.leader_hint,
-            group.fetched_commit_index,
-            group.applied_index,
-            (),
-        )
-    voters = tuple(voter.host for voter in replica.membership.voters)
+    role: str = replica.role if is_voter(replica) else "reader"
+    if replica.me in replica.membership.learners:
+        role = "learner"
     return GroupStatus(
         group.name,
-        replica.role,
+        role,
         replica.term,
         group.leader,
         replica.commit_index,
         group.applied_index,
-        voters,
+        tuple(voter.host for voter in replica.membership.voters),
     )
 
 
-async def _run_member(group: Group, replica: Replica) -> None:
-    start_replica(replica, now_ns())
-    last_role = replica.role
-    while not group.has_failed_disk:
-        try:
-            await asyncio.wait_for(group.woken.wait(), TICK_S)
-        except TimeoutError:
-            pass
-        group.woken.clear()
-        inbox, group.inbox = group.inbox, []
-        for message in inbox:
-            receive(replica, message, now_ns())
-        tick(replica, now_ns())
-        if not await _persist(group, replica):
-            return
-        for outgoing in take_messages(replica):
-            group.network.notify(outgoing.host, outgoing.message)
-        if replica.role != last_role:
-            log("role changed", group=group.name, role=replica.role, term=replica.term)
-            last_role = replica.role
-        await _apply_committed(group, replica)
+def _send(group: Group, messages: list[Outgoing]) -> None:
+    for outgoing in messages:
+        group.network.notify(outgoing.host, outgoing.message)
 
 
-async def _persist(group: Group, replica: Replica) -> bool:
+def _begin_write(group: Group, replica: Replica) -> None:
+    """Persist what changed, and then send what depends on it."""
     unpersisted = take_unpersisted(replica)
+    held = take_messages(replica)
     if unpersisted is None:
-        return True
-    last = replica.log[-1].log_index if replica.log else replica.snapshot_index
-    if group.disk_log is not None:
-        try:
-            await asyncio.to_thread(append_record, group.disk_log, unpersisted)
-        except OSError as error:
-            # After a failed sync nothing that was written can be relied on.
-            group.has_failed_disk = True
-            log_warning("disk failed, voting stopped", group=group.name, why=str(error))
-            return False
-    mark_persisted(replica, last, now_ns())
-    return True
+        _send(group, held)
+        return
+    index = last_index(replica)
+    if group.disk_log is None:
+        _finish_write(group, replica, unpersisted.term, index, held)
+        return
+    work = _write(group, replica, group.disk_log, unpersisted, index, held)
+    group.writing = asyncio.get_running_loop().create_task(work)
+
+
+async def _write(
+    group: Group,
+    replica: Replica,
+    disk_log: DiskLog,
+    unpersisted: Unpersisted,
+    index: int,
+    held: list[Outgoing],
+) -> None:
+    try:
+        await asyncio.to_thread(persist, disk_log, unpersisted)
+        _finish_write(group, replica, unpersisted.term, index, held)
+    except OSError as error:
+        _stop_voting(group, replica, error)
+    finally:
+        group.writing = None
+        group.woken.set()
+
+
+def _finish_write(
+    group: Group, replica: Replica, term: int, index: int, held: list[Outgoing]
+) -> None:
+    mark_persisted(replica, term, index, now_ns())
+    _send(group, held)
+    group.woken.set()
+
+
+def _stop_voting(group: Group, replica: Replica, error: OSError) -> None:
+    """Go on as a reader under a new identity; the old one may promise no more.
+
+    After a failed sync nothing that was written can be relied on, and a second sync
+    would say that all is well.
+    """
+    log_warning(
+        "disk failed, voting stopped until the host is restarted",
+        group=group.name,
+        why=str(error),
+    )
+    group.has_failed_disk = True
+    group.disk_log = None
+    resign(replica, Member(replica.me.host, secrets.token_hex(8), False), now_ns())
 
 
 async def _apply_committed(group: Group, replica: Replica) -> None:
     if group.applied_index >= replica.commit_index:
         return
     async with group.applied:
+        if replica.snapshot is not None and group.applied_index < (
+            replica.snapshot_index
+        ):
+            load_tables(group.tables, replica.snapshot.data)
+            group.applied_index = replica.snapshot_index
+            log("snapshot loaded", group=group.name, index=replica.snapshot_index)
         for entry in entries_from(replica, group.applied_index + 1):
             if entry.log_index > replica.commit_index:
                 break
@@ -268,33 +338,34 @@
         future.set_result(Refused(ResultCode.NO_LEADER, "leadership was lost"))
 
 
-async def _run_reader(group: Group) -> None:
-    position = 0
-    while True:
-        source = group.sources[position % len(group.sources)]
-        message = FetchLog(group.name, group.applied_index, FETCH_WAIT_MS)
-        try:
-            reply = await group.network.call(source, message, 2 * FETCH_WAIT_MS / 1000)
-        except PeerUnreachable:
-            position += 1
-            await asyncio.sleep(PROPOSE_PAUSE_S)
-            continue
-        if not isinstance(reply, FetchLogReply):
-            position += 1
-            await asyncio.sleep(PROPOSE_PAUSE_S)
-            continue
-        await _apply_fetched(group, reply)
+def _compact_if_long(group: Group, replica: Replica) -> None:
+    snapshot_bytes = len(replica.snapshot.data) if replica.snapshot else 0
+    limit_bytes = min(
+        LOG_MAX_BYTES, max(LOG_MIN_BYTES, LOG_PER_SNAPSHOT * snapshot_bytes)
+    )
+    n_entries = group.applied_index - replica.snapshot_index
+    is_long = replica.log_size_bytes > limit_bytes or n_entries > LOG_MAX_ENTRIES
+    if is_long and n_entries > 0 and group.compacting is None:
+        work = _compact(group, replica)
+        group.compacting = asyncio.get_running_loop().create_task(work)
 
 
-async def _apply_fetched(group: Group, reply: FetchLogReply) -> None:
-    async with group.applied:
-        for entry in reply.entries:
-            if entry.log_index == group.applied_index + 1:
-                group.fetched.append(entry)
-                _apply_entry(group, entry)
-        group.fetched_commit_index = reply.commit_index
-        group.leader_hint = reply.leader or group.leader_hint
-        group.applied.notify_all()
+async def _compact(group: Group, replica: Replica) -> None:
+    """Take a snapshot of the tables and cut the log; encoding is off the loop."""
+    try:
+        index = group.applied_index
+        term = term_at(replica, index)
+        membership = membership_at(replica, index)
+        frozen = freeze_tables(group.tables)
+        data = await asyncio.to_thread(encode_tables, frozen)
+        if term is None or index <= replica.snapshot_index:
+            return
+        compact_log(replica, Snapshot(index, term, membership, data))
+        replica.is_snapshot_dirty = group.disk_log is not None
+        log("log compacted", group=group.name, index=index, size_bytes=len(data))
+    finally:
+        group.compacting = None
+        group.woken.set()
 
 
 async def _try_commit(
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -87,7 +87,7 @@
 def leader_state(state: HostState, group: Group) -> LeaderState | None:
     """Return the leader's state if this host may act as the group's leader now."""
     replica = group.replica
-    if replica is None or not group.is_leader:
+    if not group.is_leader:
         return None
     if term_at(replica, group.applied_index) != replica.term:
         return None
