Test the disk log, the data folder and the group against faults

Cause: nothing caused the faults that the disk log is made for, and a group's loop could miss its cancellation: asyncio.wait_for in Python 3.11 returns the result when both come together, so a planned stop could wait for ever.

Ruled out: treating every bad checksum at the end as torn, which would cut an acknowledged record whose bits have flipped. A record ends with a mark; only one whose end was never written is cut. Logs without an identity file are refused.

--- a/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
@@ -50,6 +50,10 @@
         incarnation = _read_or_make_identity(path, host, is_bootstrap)
         return cls(path, incarnation, lock_descriptor)
 
+    def close(self) -> None:
+        """Unlock the folder."""
+        os.close(self.lock_descriptor)
+
     def open_log(self, group: str) -> DiskLog:
         """Open the log of a group."""
         return DiskLog.from_path(self.path, group.replace(":", "_"))
@@ -66,6 +70,9 @@
         if owner != host:
             raise DataFolderError(f"{path}: belongs to host {owner}")
         return incarnation
+    if any(path.glob("*.log")):
+        # A new incarnation must not speak for what another one promised.
+        raise DataFolderError(f"{path}: holds logs but no identity")
     incarnation = BOOTSTRAP_INCARNATION if is_bootstrap else secrets.token_hex(8)
     identity = {"host": host, "incarnation": incarnation}
     write_file(identity_path, json.dumps(identity).encode())
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -28,16 +28,13 @@
 from bergamotferry.replication import (
     Outgoing,
     Replica,
-    Snapshot,
     Unpersisted,
     begin_transfer,
-    compact_log,
     entries_from,
     is_voter,
     last_index,
     leader_lease_until_ns,
     mark_persisted,
-    membership_at,
     propose,
     receive,
     resign,
@@ -45,7 +42,6 @@
     take_messages,
     take_prompt_messages,
     take_unpersisted,
-    term_at,
     tick,
 )
 from bergamotferry.replication_membership import Joiner
@@ -53,21 +49,17 @@
 
 from .clock import now_ns
 from .disk_log import DiskLog, persist
+from .group_compaction import compact_if_long
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
-from .table_snapshot import encode_tables, freeze_tables, load_tables
+from .table_snapshot import load_tables
 
 TICK_S = 0.02
 IDLE_TICK_S = 0.1
 PROPOSE_TIMEOUT_S = 2.0
 PROPOSE_PAUSE_S = 0.05
 HAND_OVER_TIMEOUT_S = 1.0
-# The log is cut when it outweighs the snapshot, within these bounds.
-LOG_MIN_BYTES = 64 * 1024
-LOG_MAX_BYTES = 8 * 1024 * 1024
-LOG_MAX_ENTRIES = 16_384
-LOG_PER_SNAPSHOT = 4
 
 ApplyCommand = Callable[[Any, Command], Accepted | Refused]
 
@@ -121,11 +113,7 @@
     last_role = replica.role
     while True:
         tick_s = TICK_S if is_voter(replica) else IDLE_TICK_S
-        try:
-            await asyncio.wait_for(group.woken.wait(), tick_s)
-        except TimeoutError:
-            pass
-        group.woken.clear()
+        await _wait_woken(group, tick_s)
         inbox, group.inbox = group.inbox, []
         for message in inbox:
             receive(replica, message, now_ns())
@@ -137,7 +125,7 @@
             log("role changed", group=group.name, role=replica.role, term=replica.term)
             last_role = replica.role
         await _apply_committed(group, replica)
-        _compact_if_long(group, replica)
+        compact_if_long(group, replica)
 
 
 def post(group: Group, message: ReplicationMessage) -> None:
@@ -201,7 +189,8 @@
     group.waiters[index] = (group.replica.term, future)
     group.woken.set()
     try:
-        outcome = await asyncio.wait_for(future, PROPOSE_TIMEOUT_S)
+        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            outcome = await future
     except TimeoutError:
         return ProposeReply(ResultCode.NO_LEADER, "not committed in time", 0, "")
     finally:
@@ -216,9 +205,8 @@
     """Wait until an index is applied here; return the index applied by then."""
     async with group.applied:
         try:
-            await asyncio.wait_for(
-                group.applied.wait_for(lambda: group.applied_index >= index), timeout_s
-            )
+            async with asyncio.timeout(timeout_s):
+                await group.applied.wait_for(lambda: group.applied_index >= index)
         except TimeoutError:
             pass
     return group.applied_index
@@ -241,6 +229,16 @@
     )
 
 
+async def _wait_woken(group: Group, timeout_s: float) -> None:
+    """Wait for work; ``wait_for`` could swallow a cancellation that comes with it."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await group.woken.wait()
+    except TimeoutError:
+        pass
+    group.woken.clear()
+
+
 def _send(group: Group, messages: list[Outgoing]) -> None:
     for outgoing in messages:
         group.network.notify(outgoing.host, outgoing.message)
@@ -338,36 +336,6 @@
         future.set_result(Refused(ResultCode.NO_LEADER, "leadership was lost"))
 
 
-def _compact_if_long(group: Group, replica: Replica) -> None:
-    snapshot_bytes = len(replica.snapshot.data) if replica.snapshot else 0
-    limit_bytes = min(
-        LOG_MAX_BYTES, max(LOG_MIN_BYTES, LOG_PER_SNAPSHOT * snapshot_bytes)
-    )
-    n_entries = group.applied_index - replica.snapshot_index
-    is_long = replica.log_size_bytes > limit_bytes or n_entries > LOG_MAX_ENTRIES
-    if is_long and n_entries > 0 and group.compacting is None:
-        work = _compact(group, replica)
-        group.compacting = asyncio.get_running_loop().create_task(work)
-
-
-async def _compact(group: Group, replica: Replica) -> None:
-    """Take a snapshot of the tables and cut the log; encoding is off the loop."""
-    try:
-        index = group.applied_index
-        term = term_at(replica, index)
-        membership = membership_at(replica, index)
-        frozen = freeze_tables(group.tables)
-        data = await asyncio.to_thread(encode_tables, frozen)
-        if term is None or index <= replica.snapshot_index:
-            return
-        compact_log(replica, Snapshot(index, term, membership, data))
-        replica.is_snapshot_dirty = group.disk_log is not None
-        log("log compacted", group=group.name, index=index, size_bytes=len(data))
-    finally:
-        group.compacting = None
-        group.woken.set()
-
-
 async def _try_commit(
     group: Group, command: Command, deadline_ns: int
 ) -> ProposeReply | None:
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_data_folder.py
@@ -0,0 +1,60 @@
+"""The data folder's identity and lock, case by case."""
+
+import json
+
+import pytest
+
+from bergamotferry_host.data_folder import (
+    BOOTSTRAP_INCARNATION,
+    DataFolder,
+    DataFolderError,
+)
+
+
+@pytest.mark.parametrize(
+    ("is_first_bootstrap", "is_second_bootstrap"),
+    [(True, False), (True, True), (False, True), (False, False)],
+)
+def test_identity_stays_with_the_folder(
+    tmp_path, is_first_bootstrap, is_second_bootstrap
+):
+    first = DataFolder.from_config(tmp_path, "a", is_first_bootstrap)
+    assert (first.incarnation == BOOTSTRAP_INCARNATION) == is_first_bootstrap
+    first.close()
+    second = DataFolder.from_config(tmp_path, "a", is_second_bootstrap)
+    assert second.incarnation == first.incarnation
+    second.close()
+
+
+def test_lost_folder_comes_back_as_another_incarnation(tmp_path):
+    folders = [
+        DataFolder.from_config(tmp_path / name, "a", False) for name in ("x", "y")
+    ]
+    assert len({folder.incarnation for folder in folders}) == 2
+
+
+def test_second_process_is_refused(tmp_path):
+    DataFolder.from_config(tmp_path, "a", False)
+    with pytest.raises(DataFolderError, match="another process uses it"):
+        DataFolder.from_config(tmp_path, "a", False)
+
+
+@pytest.mark.parametrize(
+    ("content", "message"),
+    [
+        (json.dumps({"host": "b", "incarnation": "1"}), "belongs to host b"),
+        ("{", "damaged"),
+        ("[]", "damaged"),
+        (json.dumps({"host": "a"}), "damaged"),
+    ],
+)
+def test_folder_that_is_not_ours_is_refused(tmp_path, content, message):
+    (tmp_path / "identity.json").write_text(content)
+    with pytest.raises(DataFolderError, match=message):
+        DataFolder.from_config(tmp_path, "a", False)
+
+
+def test_logs_without_an_identity_are_refused(tmp_path):
+    (tmp_path / "global.00000001.log").write_bytes(b"")
+    with pytest.raises(DataFolderError, match="logs but no identity"):
+        DataFolder.from_config(tmp_path, "a", False)
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_disk_log.py
@@ -0,0 +1,178 @@
+"""The disk log against faults of the disk: each case says what a start must find."""
+
+import errno
+import os
+
+import pytest
+
+from bergamotferry.commands import FinishHandover, Noop
+from bergamotferry.messages import LogEntry, Member, Membership
+from bergamotferry.records import ShardId
+from bergamotferry.replication import Snapshot, Unpersisted
+from bergamotferry_host import disk_log as module
+from bergamotferry_host.disk_log import DiskLog, DiskLogDamaged, persist, recover_log
+
+ME = Member("a", "1", True)
+MEMBERSHIP = Membership((ME,), ())
+
+
+def entry(index, term=1):
+    return LogEntry(index, term, FinishHandover(ShardId("s", "", index), 1))
+
+
+def write_three(folder):
+    log = DiskLog.from_path(folder, "g")
+    persist(log, Unpersisted(1, ME, 1, (entry(1),)))
+    persist(log, Unpersisted(1, ME, 2, (entry(2), entry(3))))
+    persist(log, Unpersisted(2, None, 3, (entry(3, 2),)))
+    return log
+
+
+def write_snapshot(log):
+    snapshot = Snapshot(2, 1, MEMBERSHIP, b"tables")
+    persist(log, Unpersisted(2, None, 0, (entry(3, 2),), snapshot))
+    return snapshot
+
+
+def recover(folder):
+    return recover_log(DiskLog.from_path(folder, "g"))
+
+
+def test_vote_entries_and_overwritten_entries_come_back(tmp_path):
+    write_three(tmp_path)
+    assert recover(tmp_path) == (2, None, (entry(1), entry(2), entry(3, 2)), None)
+
+
+def damage_nothing(data):
+    return data
+
+
+def cut_a_byte(data):
+    return data[:-1]
+
+
+def cut_to_part_of_a_header(data):
+    return data + b"\x05\x00"
+
+
+def extend_with_zeros(data):
+    return data + bytes(4096)
+
+
+def leave_the_end_unwritten(data):
+    return data[:-8] + bytes(8)
+
+
+@pytest.mark.parametrize(
+    ("damage", "is_last_lost"),
+    [
+        (damage_nothing, False),
+        (cut_a_byte, True),
+        (cut_to_part_of_a_header, False),
+        (extend_with_zeros, False),
+        (leave_the_end_unwritten, True),
+    ],
+)
+def test_torn_tail_is_cut_and_the_log_goes_on(tmp_path, damage, is_last_lost):
+    log = write_three(tmp_path)
+    log.path.write_bytes(damage(log.path.read_bytes()))
+    recovered = recover(tmp_path)
+    last = entry(3) if is_last_lost else entry(3, 2)
+    assert recovered.entries == (entry(1), entry(2), last)
+    persist(DiskLog.from_path(tmp_path, "g"), Unpersisted(3, ME, 4, (entry(4, 3),)))
+    assert recover(tmp_path).entries == (entry(1), entry(2), last, entry(4, 3))
+
+
+@pytest.mark.parametrize("part", ["first header", "first payload", "last payload"])
+def test_other_damage_is_refused(tmp_path, part):
+    log = write_three(tmp_path)
+    data = bytearray(log.path.read_bytes())
+    position = {"first header": 1, "first payload": 20, "last payload": -9}[part]
+    data[position] ^= 0x40
+    log.path.write_bytes(data)
+    with pytest.raises(DiskLogDamaged, match="damaged"):
+        recover(tmp_path)
+
+
+def test_missing_entry_is_refused(tmp_path):
+    log = DiskLog.from_path(tmp_path, "g")
+    persist(log, Unpersisted(1, ME, 2, (entry(2),)))
+    with pytest.raises(DiskLogDamaged, match="entry 1 is missing"):
+        recover(tmp_path)
+
+
+def test_snapshot_begins_a_new_file_and_the_old_one_goes(tmp_path):
+    log = write_three(tmp_path)
+    snapshot = write_snapshot(log)
+    persist(log, Unpersisted(2, ME, 4, (entry(4, 2),)))
+    assert recover(tmp_path) == (2, ME, (entry(3, 2), entry(4, 2)), snapshot)
+    names = sorted(path.name for path in tmp_path.iterdir())
+    assert names == ["g.00000002.log", "g.00000002.snapshot"]
+
+
+@pytest.mark.parametrize("n_renames", [0, 1, 2])
+def test_crash_in_the_middle_of_a_snapshot_keeps_the_old_or_the_new(
+    tmp_path, monkeypatch, n_renames
+):
+    log = write_three(tmp_path)
+    before = recover(tmp_path)
+    n_left = [n_renames]
+    write_file = module.write_file
+
+    def crash_after(path, data):
+        if n_left[0] == 0:
+            path.with_name(path.name + ".new").write_bytes(data[:5])
+            raise OSError(errno.EIO, "crash")
+        n_left[0] -= 1
+        write_file(path, data)
+
+    monkeypatch.setattr(module, "write_file", crash_after)
+    monkeypatch.setattr(module, "_remove_other_files", lambda disk_log: None)
+    try:
+        write_snapshot(log)
+    except OSError:
+        assert n_renames < 2
+    monkeypatch.undo()
+    recovered = recover(tmp_path)
+    if n_renames < 2:
+        assert recovered == before
+    else:
+        assert recovered.snapshot == Snapshot(2, 1, MEMBERSHIP, b"tables")
+        assert recovered.entries == (entry(3, 2),)
+    assert len(list(tmp_path.glob("g.*"))) == (1 if n_renames < 2 else 2)
+
+
+@pytest.mark.parametrize("damage", ["missing", "cut", "flipped"])
+def test_damaged_snapshot_is_refused(tmp_path, damage):
+    log = write_three(tmp_path)
+    write_snapshot(log)
+    data = bytearray(log.snapshot_path.read_bytes())
+    if damage == "missing":
+        log.snapshot_path.unlink()
+    elif damage == "cut":
+        log.snapshot_path.write_bytes(data[:-3])
+    else:
+        data[15] ^= 1
+        log.snapshot_path.write_bytes(data)
+    with pytest.raises(DiskLogDamaged):
+        recover(tmp_path)
+
+
+@pytest.mark.parametrize("call", ["write", "fsync"])
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EROFS, errno.EIO])
+def test_failing_disk_raises_and_keeps_what_was_acknowledged(
+    tmp_path, monkeypatch, call, number
+):
+    log = write_three(tmp_path)
+    write = os.write
+
+    def fail(descriptor, *arguments):
+        if call == "write":
+            write(descriptor, bytes(arguments[0])[:7])
+        raise OSError(number, os.strerror(number))
+
+    monkeypatch.setattr(os, call, fail)
+    with pytest.raises(OSError, match=os.strerror(number)):
+        persist(log, Unpersisted(2, None, 4, (LogEntry(4, 2, Noop()),)))
+    monkeypatch.undo()
+    assert recover(tmp_path).entries[:3] == (entry(1), entry(2), entry(3, 2))
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_table_snapshot.py
@@ -0,0 +1,49 @@
+"""Tables survive the way through a snapshot, whole and in order."""
+
+from bergamotferry.commands import ApplyNote, PlaceShards
+from bergamotferry.data_centre_tables import DataCentreTables
+from bergamotferry.global_tables import GlobalTables, apply_global_command
+from bergamotferry.records import Grant, OutcomeRecord, ShardId
+from bergamotferry_host.table_snapshot import encode_tables, freeze_tables, load_tables
+
+NOTE = (
+    '{"added": {"services": [{"name": "s", "n_shards": 2}],'
+    ' "data_centres": [{"name": "a", "region": "r"}]},'
+    ' "based_on": 0, "number": 1}'
+)
+
+
+def restore(tables):
+    fresh = type(tables)()
+    load_tables(fresh, encode_tables(freeze_tables(tables)))
+    return fresh
+
+
+def test_global_tables_come_back():
+    tables = GlobalTables()
+    apply_global_command(tables, ApplyNote(1, 0, NOTE))
+    shards = (ShardId("s", "", 0), ShardId("s", "", 1))
+    apply_global_command(tables, PlaceShards(shards, ("a", "a")))
+    assert tables.revision == 1 and len(tables.shard_homes) == 2
+    assert restore(tables) == tables
+
+
+def test_data_centre_tables_come_back_in_order():
+    tables = DataCentreTables(last_epoch=7)
+    shard = ShardId("s", "home", 3)
+    tables.grants[shard] = Grant(shard, "u", 1, 7, "held")
+    for key in ("z", "a", "m"):
+        record = OutcomeRecord("x", key, shard, "00", "done", 200, "t", b"\x00\xff", 5)
+        tables.outcomes[("x", key)] = record
+    restored = restore(tables)
+    assert restored == tables
+    assert list(restored.outcomes) == [("x", "z"), ("x", "a"), ("x", "m")]
+
+
+def test_frozen_tables_do_not_follow_later_changes():
+    tables = GlobalTables()
+    frozen = freeze_tables(tables)
+    apply_global_command(tables, ApplyNote(1, 0, NOTE))
+    fresh = GlobalTables()
+    load_tables(fresh, encode_tables(frozen))
+    assert fresh == GlobalTables()
