Share the group of three in one process between tests and a measurement

Cause: the log's own rate was not measured, and the harness stood in a test file. Change: testkit gets local_group, used by the group's tests, and measure_log.

--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
@@ -0,0 +1,137 @@
+"""A group of three members in one process: real disks, a network in memory.
+
+For tests and measurements of the replicated log alone.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from bergamotferry.commands import Command, FinishHandover
+from bergamotferry.messages import (
+    FetchLog,
+    FetchSnapshot,
+    JoinGroup,
+    Member,
+    Membership,
+    Propose,
+)
+from bergamotferry.outcomes import Accepted
+from bergamotferry.records import HostAddress, ShardId
+from bergamotferry.replication import Replica
+from bergamotferry_host.disk_log import DiskLog
+from bergamotferry_host.group import Group, answer_propose, post
+from bergamotferry_host.group_members import answer_join, run_group
+from bergamotferry_host.group_reader import answer_fetch, answer_fetch_snapshot
+from bergamotferry_host.peer_link import PeerUnreachable
+
+NAMES = ("a", "b", "c")
+GROUP = "dc:x"
+WAIT_S = 10.0
+POLL_S = 0.02
+
+
+@dataclass(slots=True)
+class CountingTables:
+    """Tables that only count the commands that were applied."""
+
+    n_applied: int = 0
+
+
+@dataclass(slots=True)
+class LocalNetwork:
+    """Delivers within the process."""
+
+    own_name: str
+    groups: dict[str, Group]
+    addresses: dict[str, HostAddress]
+
+    def notify(self, host: str, message: Any) -> None:
+        """Deliver a message with the next turn of the loop."""
+        group = self.groups.get(host)
+        if group is not None:
+            asyncio.get_running_loop().call_soon(post, group, message)
+
+    async def call(self, host: str, message: Any, timeout_s: float) -> Any:
+        """Answer a call as the daemon does."""
+        group = self.groups.get(host)
+        if group is None:
+            raise PeerUnreachable(host)
+        match message:
+            case Propose():
+                return await answer_propose(group, message)
+            case FetchLog():
+                return await answer_fetch(group, message)
+            case FetchSnapshot():
+                return answer_fetch_snapshot(group, message)
+            case JoinGroup():
+                return answer_join(group, message)
+
+
+@dataclass(slots=True)
+class LocalGroup:
+    """Three groups that run while the context is open."""
+
+    groups: dict[str, Group] = field(default_factory=dict)
+    tasks: list["asyncio.Task[None]"] = field(default_factory=list)
+
+    @classmethod
+    def from_config(cls, folder: Path) -> "LocalGroup":
+        """Return a group whose three members have their logs in a folder."""
+        cluster = cls()
+        members = tuple(Member(name, "1", True) for name in NAMES)
+        addresses = {name: HostAddress(name, "x", "r", "", True) for name in NAMES}
+        for me in members:
+            membership = Membership(members, ())
+            replica = Replica(GROUP, me, membership, random.Random(me.host))
+            network: Any = LocalNetwork(me.host, cluster.groups, addresses)
+            group = Group(
+                GROUP, CountingTables(), count_command, network, list(NAMES), replica
+            )
+            group.disk_log = DiskLog.from_path(folder, me.host)
+            cluster.groups[me.host] = group
+        return cluster
+
+    async def __aenter__(self) -> "LocalGroup":
+        self.tasks = [asyncio.create_task(run_group(g)) for g in self.groups.values()]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def leader(self) -> Group:
+        """Return the leader, once there is one."""
+        groups = self.groups.values()
+        await wait_until(lambda: any(group.is_leader for group in groups))
+        return next(group for group in groups if group.is_leader)
+
+
+def count_command(tables: CountingTables, command: Command) -> Accepted:
+    """Apply a command by counting it."""
+    tables.n_applied += 1
+    return Accepted(tables.n_applied)
+
+
+def numbered_command(number: int) -> Command:
+    """Return a command that no other number gives."""
+    return FinishHandover(ShardId("s", "", number), 1)
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not hold in time.
+    """
+    for _ in range(int(WAIT_S / POLL_S)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    raise TimeoutError("the condition did not come to hold")
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_log.py
@@ -0,0 +1,75 @@
+"""Measures the replicated log: commits per second and syncs per commit.
+
+``python -m bergamotferry_testkit.measure_log`` runs three members in one process with
+their logs in a temporary folder, and prints one row for each number of proposers.
+"""
+
+import asyncio
+import tempfile
+import time
+from itertools import count
+from pathlib import Path
+from typing import NamedTuple
+
+from bergamotferry_host.group import Group, commit
+
+from .local_group import LocalGroup, numbered_command
+
+N_PROPOSERS = (1, 8, 64)
+SECONDS = 3.0
+
+
+class CommitRate(NamedTuple):
+    """What some proposers, each waiting for its commit, reach together."""
+
+    n_proposers: int
+    commits_per_s: float
+    syncs_per_commit: float
+    mean_ms: float
+
+
+async def measure_commits(folder: Path, n_proposers: int) -> CommitRate:
+    """Commit for a while with a number of proposers."""
+    async with LocalGroup.from_config(folder) as cluster:
+        leader = await cluster.leader()
+        if leader.disk_log is None:
+            raise RuntimeError("the leader has no disk")
+        n_syncs_before = leader.disk_log.n_syncs
+        numbers = count()
+        started_s = time.monotonic()
+        counts = await asyncio.gather(
+            *(_propose(leader, numbers, started_s) for _ in range(n_proposers))
+        )
+        took_s = time.monotonic() - started_s
+        n_commits = sum(counts)
+        n_syncs = leader.disk_log.n_syncs - n_syncs_before
+    return CommitRate(
+        n_proposers,
+        n_commits / took_s,
+        n_syncs / n_commits,
+        1000 * took_s * n_proposers / n_commits,
+    )
+
+
+def main() -> None:
+    """Print a row for each number of proposers."""
+    print(f"{'proposers':>10}{'commits/s':>12}{'syncs/commit':>14}{'mean ms':>9}")
+    for n_proposers in N_PROPOSERS:
+        with tempfile.TemporaryDirectory() as folder:
+            row = asyncio.run(measure_commits(Path(folder), n_proposers))
+        print(
+            f"{row.n_proposers:>10}{row.commits_per_s:>12.0f}"
+            f"{row.syncs_per_commit:>14.3f}{row.mean_ms:>9.2f}"
+        )
+
+
+async def _propose(leader: Group, numbers: "count[int]", started_s: float) -> int:
+    n_commits = 0
+    while time.monotonic() - started_s < SECONDS:
+        await commit(leader, numbered_command(next(numbers)))
+        n_commits += 1
+    return n_commits
+
+
+if __name__ == "__main__":
+    main()
