Give a data centre without a disk voters of its region

Cause: a data centre whose own hosts have no disk began without any voter, so its group could never have a leader; a host that led alone waited a second at its planned stop. Change: first voters are the region's hosts with disks, own ones first. Seen failing: the case 'dc:b' without a disk of its own gave no voters before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
@@ -28,14 +28,19 @@
 
 def first_membership(group: str, seeds: Iterable[HostAddress]) -> Membership:
     """Return the voters of a group at the first start of a deployment."""
-    durable = sorted(seed for seed in seeds if seed.is_durable)
+    rows = sorted(seeds)
+    durable = [seed for seed in rows if seed.is_durable]
     if group == GLOBAL_GROUP:
         chosen = durable[:N_GLOBAL_VOTERS]
         # An even number of voters tolerates no more losses than one fewer.
         if len(chosen) % 2 == 0:
             chosen = chosen[:-1]
     else:
-        chosen = _data_centre_voters(group.removeprefix(DATA_CENTRE_PREFIX), durable)
+        data_centre = group.removeprefix(DATA_CENTRE_PREFIX)
+        regions = {seed.region for seed in rows if seed.data_centre == data_centre}
+        within = [seed for seed in durable if seed.region in regions]
+        within.sort(key=lambda seed: seed.data_centre != data_centre)
+        chosen = within[:N_DATA_CENTRE_VOTERS]
     voters = tuple(Member(seed.name, BOOTSTRAP_INCARNATION, True) for seed in chosen)
     return Membership(voters, ())
 
@@ -49,17 +54,3 @@
     siblings = sorted(region_centres - {host.data_centre})
     names = [GLOBAL_GROUP, data_centre_group(host.data_centre)]
     return names + [data_centre_group(sibling) for sibling in siblings]
-
-
-def _data_centre_voters(
-    data_centre: str, durable: list[HostAddress]
-) -> list[HostAddress]:
-    own = [seed for seed in durable if seed.data_centre == data_centre]
-    if len(own) >= N_DATA_CENTRE_VOTERS or not own:
-        return own[:N_DATA_CENTRE_VOTERS]
-    siblings = [
-        seed
-        for seed in durable
-        if seed.region == own[0].region and seed.data_centre != data_centre
-    ]
-    return own + siblings[: N_DATA_CENTRE_VOTERS - len(own)]
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -145,8 +145,9 @@
     group.is_stopping = True
     group.replica.stands_for_election = False
     successor = begin_transfer(group.replica, now_ns())
-    if successor is not None:
-        log("leadership handed over", group=group.name, successor=successor.host)
+    if successor is None:
+        return group.replica.role != "leader"
+    log("leadership handed over", group=group.name, successor=successor.host)
     group.woken.set()
     for _ in range(int(HAND_OVER_TIMEOUT_S / TICK_S)):
         if group.replica.role != "leader":
