Say why a data folder can't be used

Cause: a read-only or impossible folder stopped the start with a traceback. Seen failing: the new case raised NotADirectoryError before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
@@ -38,10 +38,14 @@
         Raises
         ------
         DataFolderError
-            If another process holds it, or it belongs to another host.
+            If it can't be written, another process holds it, or it belongs to another
+            host.
         """
-        path.mkdir(parents=True, exist_ok=True)
-        lock_descriptor = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            path.mkdir(parents=True, exist_ok=True)
+            lock_descriptor = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            raise DataFolderError(f"{path}: {error.strerror}") from error
         try:
             fcntl.flock(lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
--- a/packages/bergamotferry_host/tests/test_data_folder.py
+++ b/packages/bergamotferry_host/tests/test_data_folder.py
@@ -58,3 +58,9 @@
     (tmp_path / "global.00000001.log").write_bytes(b"")
     with pytest.raises(DataFolderError, match="logs but no identity"):
         DataFolder.from_config(tmp_path, "a", False)
+
+
+def test_folder_that_cannot_be_made_is_refused(tmp_path):
+    (tmp_path / "file").write_bytes(b"")
+    with pytest.raises(DataFolderError, match="Not a directory"):
+        DataFolder.from_config(tmp_path / "file" / "data", "a", False)
