--- a/packages/bergamotferry_host/tests/conftest.py
+++ b/packages/bergamotferry_host/tests/conftest.py
@@ -9,10 +9,6 @@
 from aiohttp import web
 
 from bergamotferry.commands import ApplyNote
-from bergamotferry.data_centre_tables import (
-    DataCentreTables,
-    apply_data_centre_command,
-)
 from bergamotferry.global_tables import (
     GlobalTables,
     all_shards,
@@ -24,7 +20,7 @@
 from bergamotferry_host import caller_edge
 from bergamotferry_host.dispatcher_table import DispatcherTable
 from bergamotferry_host.exchange import Served
-from bergamotferry_host.group import Group
+from bergamotferry_host.group_start import start_group
 from bergamotferry_host.host_state import HostState
 from bergamotferry_host.http_edge import EdgeLimits, edge_runner
 from bergamotferry_host.metrics import NoMetrics
@@ -105,11 +101,12 @@
         home = "b" if shard.domain == "south-home" else "a"
         tables.shard_homes[shard] = ShardHome(home, 1, "")
     groups = {
-        "global": Group("global", tables, apply_global_command, network, []),
-        "dc:a": Group(
-            "dc:a", DataCentreTables(), apply_data_centre_command, network, []
-        ),
+        name: start_group(name, settings.host, settings.seeds, network, None, "1")
+        for name in ("global", "dc:a")
     }
+    groups["global"].tables = tables
+    for group in groups.values():
+        group.sources = []
     made = HostState(settings, "1", network, groups, NoMetrics(), DispatcherTable())
     made.is_caught_up = True
     return made
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from bergamotferry.outcome_tables import N_OUTCOMES_MAX, OUTCOME_KEPT_S
-from bergamotferry.replication import LEADER_LEASE_NS, NS_PER_MS
-from bergamotferry_host.group import FETCH_WAIT_MS
+from bergamotferry.replication_state import LEADER_LEASE_NS, NS_PER_MS
+from bergamotferry_host.group_reader import FETCH_WAIT_MS
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S, PLACEMENT_TICK_S
 
 from .capacity_counts import (
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
@@ -13,10 +13,11 @@
     RENEW_INTERVAL_MS,
     SESSION_LEASE_MS,
 )
-from bergamotferry.replication import ELECTION_MAX_NS, NS_PER_MS
+from bergamotferry.replication_state import ELECTION_MAX_NS, NS_PER_MS
 from bergamotferry.retry_budget import PAUSE_MAX_MS
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
-from bergamotferry_host.group import FETCH_WAIT_MS, PROPOSE_PAUSE_S, TICK_S
+from bergamotferry_host.group import PROPOSE_PAUSE_S, TICK_S
+from bergamotferry_host.group_reader import FETCH_WAIT_MS
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S
 from bergamotferry_host.peer_network import PING_INTERVAL_S, PING_TIMEOUT_S
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
@@ -35,7 +35,7 @@
     tick,
 )
 from bergamotferry_host.codec import decode, encode
-from bergamotferry_host.disk_log import DiskLog, append_record
+from bergamotferry_host.disk_log import DiskLog, persist
 
 from .slope_fit import Slope, fit_slope
 from .slopes_tables import US_PER_S, time_us
@@ -92,9 +92,9 @@
 
 
 def sync_time_per_entry(folder: Path) -> Slope:
-    """Measure the time of `append_record` against the entries in one record."""
+    """Measure the time of `persist` against the entries in one record."""
     folder.mkdir(parents=True, exist_ok=True)
-    disk_log = DiskLog.from_path(folder / f"sync-{time.time_ns()}.log")
+    disk_log = DiskLog.from_path(folder, f"sync-{time.time_ns()}")
     points: list[tuple[float, float]] = []
     for n_entries in BATCH_SIZES:
         entries = tuple(LogEntry(n + 1, 1, _command(n)) for n in range(n_entries))
@@ -102,14 +102,14 @@
         times = []
         for _ in range(N_SYNCS):
             started_s = time.perf_counter()
-            append_record(disk_log, record)
+            persist(disk_log, record)
             times.append((time.perf_counter() - started_s) * US_PER_S)
         points.append((n_entries, statistics.median(times)))
     return fit_slope(
         "sync_time",
         "µs",
         "entry in one record",
-        "append_record with its fsync, median of 25; the intercept is one fsync",
+        "persist with its fsync, median of 25; the intercept is one fsync",
         points,
     )
 
@@ -161,11 +161,14 @@
     membership = Membership(members, ())
     voters: dict[str, Voter] = {}
     for member in members:
-        path = folder / f"{member.host}-{time.time_ns()}.log"
         rng = random.Random(member.host)
         replica = Replica("dc:a", member, membership, rng)
         start_replica(replica, 0)
-        voter = Voter(replica, DataCentreTables(), DiskLog.from_path(path))
+        voter = Voter(
+            replica,
+            DataCentreTables(),
+            DiskLog.from_path(folder, f"{member.host}-{time.time_ns()}"),
+        )
         voters[member.host] = voter
     return voters
 
@@ -209,9 +212,10 @@
     replica = voter.replica
     step(replica)
     unpersisted = take_unpersisted(replica)
+    term, last = replica.term, last_index(replica)
     if unpersisted is not None:
-        append_record(voter.disk_log, unpersisted)
-        mark_persisted(replica, last_index(replica), now_ns)
+        persist(voter.disk_log, unpersisted)
+        mark_persisted(replica, term, last, now_ns)
     for outgoing in take_messages(replica):
         data = encode(outgoing.message)
         voter.n_bytes_sent += len(data)
