--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -47,14 +47,21 @@
     leases: LeaseTable,
     data_centre: str,
     now_ns: int,
+    is_placing: bool = True,
 ) -> list[DataCentreCommand]:
-    """Run every system once and return the commands to commit, in order."""
+    """Run the systems once and return the commands to commit, in order.
+
+    Leases are looked at every time. Placement reads all shards, and need run only when
+    the tables have changed, or now and then: see ``is_placing``.
+    """
     follow_sessions(leases, tables.sessions, now_ns)
     forget_reports(leases, tables.dispatchers, tables.grants)
     commands: list[DataCentreCommand] = []
     commands += close_sessions(tables, leases, now_ns)
     commands += assign_dispatchers(tables, leases, now_ns)
     commands += confirm_releases(tables, leases, now_ns)
+    if not is_placing:
+        return commands
     commands += release_homes(tables, global_tables, leases, data_centre, now_ns)
     commands += revoke_leaving(tables)
     if not _is_out(global_tables, data_centre):
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -40,6 +40,7 @@
 
 OWNERSHIP_TICK_S = 0.02
 NEXT_DECISION_S = 0.005
+PLACING_NS = 100_000_000
 PLACEMENT_TICK_S = 0.2
 REPORT_TIMEOUT_S = 0.5
 REPORT_MAX_AGE_NS = 3_000_000_000
@@ -49,6 +50,8 @@
     """Run the ownership systems whenever this host leads a data centre's group."""
     data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
     has_acted = False
+    placed_ns = 0
+    placed_at = (0, 0)
     while True:
         # One decision often makes the next one due, as a release does a grant.
         await asyncio.sleep(NEXT_DECISION_S if has_acted else OWNERSHIP_TICK_S)
@@ -56,8 +59,17 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
+        applied = (group.applied_index, state.global_group.applied_index)
+        is_placing = applied != placed_at or now_ns() - placed_ns > PLACING_NS
+        if is_placing:
+            placed_ns, placed_at = now_ns(), applied
         commands = run_ownership(
-            group.tables, state.global_tables, leader.leases, data_centre, now_ns()
+            group.tables,
+            state.global_tables,
+            leader.leases,
+            data_centre,
+            now_ns(),
+            is_placing,
         )
         await _commit_all(group, commands)
         has_acted = bool(commands)
