Let a cancelled call to a peer stay cancelled

A loop that calls peers goes on if its cancellation is swallowed, and in Python 3.11 asyncio.wait_for does so when the reply comes at the same moment. Ruled out: work in flight (there was none, and the grace is 20 s). Change: a call waits under asyncio.timeout. Measured: the new test fails with wait_for and passes now. Conclusion: one way to hang is closed.

--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -290,7 +290,9 @@
         self.replies[call_id] = future
         try:
             await self.send_frame(call_id, FrameKind.CALL, message)
-            return await asyncio.wait_for(future, timeout_s)
+            # In Python 3.11 wait_for may swallow a cancellation, and a stop would hang.
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError as error:
             raise PeerUnreachable(f"{self.peer}: no reply in time") from error
         finally:
--- a/packages/bergamotferry_host/tests/test_peer_link.py
+++ b/packages/bergamotferry_host/tests/test_peer_link.py
@@ -192,3 +192,18 @@
 
     assert asyncio.run(run(False)) == (StreamBroken, True)
     assert asyncio.run(run(True)) == (TimeoutError, False)
+
+
+def test_a_call_that_is_cancelled_as_its_reply_comes_stays_cancelled():
+    async def run():
+        harness = Harness()
+        running = await harness.play()
+        call = asyncio.create_task(harness.link.call("question", 1.0))
+        await asyncio.sleep(0.01)
+        harness.link.replies[0].set_result("answer")
+        call.cancel()
+        await asyncio.wait([call])
+        running.cancel()
+        return call.cancelled()
+
+    assert asyncio.run(run())
