--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -9,7 +9,6 @@
 from .commands import Command
 from .records import (
     HostAddress,
-    OutcomeRecord,
     QuarantineRecord,
     ShardId,
     UpstreamSession,
@@ -156,7 +155,7 @@
 
 
 class FetchLogReply(NamedTuple):
-    """Committed entries, or a whole snapshot when the entries are gone."""
+    """Committed entries, or the index of a snapshot when the entries are gone."""
 
     group: str
     entries: tuple[LogEntry, ...]
@@ -166,6 +165,41 @@
     leader: str
 
 
+class FetchSnapshot(NamedTuple):
+    """A host whose entries are gone asks for a part of a group's snapshot."""
+
+    group: str
+    last_index: int
+    offset_bytes: int
+
+
+class FetchSnapshotReply(NamedTuple):
+    """A part of the newest snapshot, which may be another than was asked for."""
+
+    group: str
+    last_index: int
+    last_term: int
+    membership: Membership
+    size_bytes: int
+    offset_bytes: int
+    data: bytes
+
+
+class JoinGroup(NamedTuple):
+    """A host that is no voter, or hears no leader, names itself to the leader."""
+
+    group: str
+    member: Member
+
+
+class JoinReply(NamedTuple):
+    """Whether the leader noted it, else who leads, and when to ask again."""
+
+    is_leader: bool
+    leader: str
+    retry_ms: int
+
+
 class RenewLeases(NamedTuple):
     """A host renews its own lease and those of the sessions it heard from.
 
@@ -204,22 +238,28 @@
     released: tuple[tuple[ShardId, int], ...]
 
 
-class FetchOutcomes(NamedTuple):
-    """Ask a data centre for outcomes of shards that it released under these epochs."""
+class CapacityQuestion(NamedTuple):
+    """Ask the global leader what would be left without a data centre."""
 
     data_centre: str
-    shards: tuple[ShardId, ...]
-    released_epochs: tuple[int, ...]
-    after: tuple[str, str]
 
 
-class OutcomesReply(NamedTuple):
-    """Outcomes of those ``shards`` that were released here; more follow if not last."""
+class CapacityAfterOut(NamedTuple):
+    """What a service would have left if a data centre were taken out."""
+
+    service: str
+    domain: str
+    n_slots_now: int
+    n_slots_after: int
+    n_shards_without_place: int
+
+
+class CapacityAnswer(NamedTuple):
+    """The answer to a question; ``leader`` is a hint where to ask instead."""
 
-    shards: tuple[ShardId, ...]
-    outcomes: tuple[OutcomeRecord, ...]
-    is_last: bool
     is_leader: bool
+    leader: str
+    rows: tuple[CapacityAfterOut, ...]
 
 
 class HostStatusRequest(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/outcome_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/outcome_tables.py
@@ -9,7 +9,6 @@
 room the oldest are dropped first; their rows, with size and digest, stay.
 """
 
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from .commands import ForgetIntent, ImportOutcomes, RecordIntent, RecordOutcome
@@ -132,22 +131,6 @@
     return tables.imported_homes.get(shard, 0) >= home_epoch
 
 
-def outcomes_after(
-    tables: "DataCentreTables",
-    shards: Iterable[ShardId],
-    after: tuple[str, str],
-    n_max: int,
-) -> list[OutcomeRecord]:
-    """Return outcomes of shards in the order of their keys, from after a key."""
-    wanted = set(shards)
-    keys = sorted(
-        key
-        for key, record in tables.outcomes.items()
-        if record.shard in wanted and key > after
-    )
-    return [tables.outcomes[key] for key in keys[:n_max]]
-
-
 def is_body_kept(record: OutcomeRecord) -> bool:
     """Return whether an answer can be given again as it was."""
     return len(record.body) == record.size_bytes
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -8,42 +8,39 @@
 import aiohttp
 from aiohttp import web
 
-from bergamotferry.data_centre_tables import (
-    DataCentreTables,
-    apply_data_centre_command,
-)
-from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import (
+    CapacityQuestion,
     CapacityReport,
     FetchLog,
-    FetchOutcomes,
+    FetchSnapshot,
     FindGrant,
     HostStatusRequest,
+    JoinGroup,
     LiftQuarantine,
     ListQuarantine,
     ListUpstreams,
-    Member,
     Propose,
     RenewLeases,
     RequestHead,
 )
 
-from .bootstrap import (
-    DATA_CENTRE_PREFIX,
-    GLOBAL_GROUP,
-    first_membership,
-    groups_of_host,
-)
+from .bootstrap import DATA_CENTRE_PREFIX, groups_of_host
 from .caller_edge import build_caller_app
+from .clock import now_ns
 from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
+from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
-from .group import Group, answer_fetch, answer_propose, post, run_group
-from .group_start import start_member
+from .group import Group, answer_propose, hand_over_leadership, post
+from .group_members import answer_join, run_group
+from .group_reader import answer_fetch, answer_fetch_snapshot
+from .group_start import start_group
 from .host_state import HostState
+from .http_edge import EdgeLimits, edge_runner
 from .leader_duties import (
     answer_capacity,
+    answer_capacity_question,
     answer_renewal,
     run_capacity_reports,
     run_ownership_duty,
@@ -54,7 +51,6 @@
 from .metrics import metrics_from_config
 from .operator_edge import add_operator_routes, answer_status
 from .operator_queries import answer_query
-from .outcome_transfer import answer_outcomes, run_outcome_imports
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
 from .readiness import run_readiness
@@ -63,9 +59,12 @@
 from .upstream_edge import add_upstream_routes
 from .write_guard import guarded_client
 
-DRAIN_NOTICE_S = 0.5
+DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.02
+REFUSE_NOTICE_S = 0.3
+SUCCESSOR_WAIT_NS = 1_000_000_000
 EDGE_STOP_TIMEOUT_S = 1.0
+LISTEN_BACKLOG = 1024
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -77,7 +76,7 @@
     async with guarded_client() as http:
         state = build_host(settings, http)
         await state.network.start()
-        runners = await _start_edges(state, http)
+        runners = await _start_edges(state)
         tasks = [asyncio.create_task(work) for work in _duties(state, http)]
         log("started", incarnation=state.incarnation)
         stop_task = asyncio.create_task(stopping.wait())
@@ -113,20 +112,12 @@
     )
     groups: dict[str, Group] = {}
     history = GrantHistory()
-    apply_observed = observe_grants(apply_data_centre_command, history)
     for name in groups_of_host(settings.host, settings.seeds):
-        voters = [voter.host for voter in first_membership(name, settings.seeds).voters]
-        is_global = name == GLOBAL_GROUP
-        group = Group(
-            name,
-            GlobalTables() if is_global else DataCentreTables(),
-            apply_global_command if is_global else apply_observed,
-            network,
-            voters,
+        group = start_group(
+            name, settings.host, settings.seeds, network, folder, incarnation
         )
-        if folder is not None and settings.host.name in voters:
-            me = Member(settings.host.name, incarnation, True)
-            start_member(group, me, settings.seeds, folder)
+        if name.startswith(DATA_CENTRE_PREFIX):
+            group.apply_command = observe_grants(group.apply_command, history)
         groups[name] = group
     state = HostState(
         settings,
@@ -154,10 +145,14 @@
                 return await answer_propose(state.groups[message.group], message)
             case FetchLog() if message.group in state.groups:
                 return await answer_fetch(state.groups[message.group], message)
+            case FetchSnapshot() if message.group in state.groups:
+                return answer_fetch_snapshot(state.groups[message.group], message)
+            case JoinGroup() if message.group in state.groups:
+                return answer_join(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
-            case FetchOutcomes():
-                return answer_outcomes(state, message)
+            case CapacityQuestion():
+                return answer_capacity_question(state, message)
             case HostStatusRequest():
                 return await answer_status(state, message)
             case ListUpstreams() | FindGrant() | ListQuarantine() | LiftQuarantine():
@@ -166,7 +161,7 @@
 
     def on_notice(message: Any, peer: str) -> None:
         group = state.groups.get(getattr(message, "group", ""))
-        if group is not None and group.replica is not None:
+        if group is not None:
             post(group, message)
 
     async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
@@ -189,53 +184,73 @@
         run_dispatcher(state, http),
         run_placement_duty(state),
         run_readiness(state),
+        run_gauges(state),
     ]
     for name, group in state.groups.items():
-        if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
+        if name.startswith(DATA_CENTRE_PREFIX):
             duties += [
                 run_ownership_duty(state, group),
                 run_capacity_reports(state, group),
-                run_outcome_imports(state, group),
             ]
     return duties
 
 
-async def _start_edges(
-    state: HostState, http: aiohttp.ClientSession
-) -> list[web.AppRunner]:
+async def _start_edges(state: HostState) -> list[web.AppRunner]:
     control = web.Application()
     add_upstream_routes(control, state)
     add_operator_routes(control, state)
-    callers = build_caller_app(state, http)
+    callers = build_caller_app(state)
+    settings = state.settings
     edges = (
-        (callers, state.settings.caller_address),
-        (control, state.settings.control_address),
+        (callers, settings.caller_address, settings.n_caller_connections_max),
+        (control, settings.control_address, settings.n_control_connections_max),
     )
     runners = []
-    for app, address in edges:
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=EDGE_STOP_TIMEOUT_S,
-        )
+    for app, address, n_connections_max in edges:
+        limits = EdgeLimits(n_connections_max)
+        runner = edge_runner(app, limits, EDGE_STOP_TIMEOUT_S)
         await runner.setup()
         ip, port = split_address(address)
-        await web.TCPSite(runner, ip, port, reuse_address=True).start()
+        await web.TCPSite(
+            runner, ip, port, reuse_address=True, backlog=LISTEN_BACKLOG
+        ).start()
         runners.append(runner)
     return runners
 
 
 async def _drain(state: HostState) -> None:
-    """Hand over what this host holds, and let work in flight finish."""
+    """Hand over what this host holds, and let work in flight finish.
+
+    The host goes on serving while it is no longer ready, until the balancer has seen
+    that and its upstreams have other dispatchers; only then does it refuse.
+    """
     log("stopping", n_in_flight=state.n_in_flight)
+    deadline_ns = now_ns() + int(state.settings.stop_grace_s * 1e9)
     state.is_stopping = True
     await asyncio.sleep(DRAIN_NOTICE_S)
-    grace_s = state.settings.stop_grace_s
-    for _ in range(int(grace_s / DRAIN_POLL_S)):
+    await _wait_handed_over(state, deadline_ns)
+    await asyncio.gather(*map(hand_over_leadership, state.groups.values()))
+    state.is_refusing = True
+    await asyncio.sleep(REFUSE_NOTICE_S)
+    while now_ns() < deadline_ns:
         is_dispatching = any(
             work.in_flight for work in state.dispatchers.works.values()
         )
         if not state.n_in_flight and not is_dispatching:
             return
         await asyncio.sleep(DRAIN_POLL_S)
+
+
+async def _wait_handed_over(state: HostState, deadline_ns: int) -> None:
+    started_ns = now_ns()
+    while now_ns() < deadline_ns:
+        mine = [
+            row
+            for row in state.own_tables.dispatchers.values()
+            if row.host == state.host.name
+        ]
+        # Without another host to take over, the leader retires none.
+        is_alone = all(row.state == "serving" for row in mine)
+        if not mine or (is_alone and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
+            return
+        await asyncio.sleep(DRAIN_POLL_S)
--- a/packages/bergamotferry_host/src/bergamotferry_host/logs.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/logs.py
@@ -35,8 +35,10 @@
 ) -> logging.handlers.QueueListener:
     """Start writing logs to standard output; stop the listener to flush them."""
     formatter = JsonFormatter(
-        "%(asctime)s %(levelname)s %(message)s",
-        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+        "%(levelname)s %(message)s",
+        rename_fields={"levelname": "level", "message": "event"},
+        # Lines of several hosts are joined, so their time is in UTC.
+        timestamp="time",
         static_fields={"host": host, "data_centre": data_centre},
     )
     output = logging.StreamHandler(sys.stdout)
@@ -51,6 +53,15 @@
     return listener
 
 
+def n_lines_dropped() -> int:
+    """Return how many lines were dropped since the start."""
+    return sum(
+        handler.n_dropped
+        for handler in _LOGGER.handlers
+        if isinstance(handler, _DroppingHandler)
+    )
+
+
 def log(event: str, **fields: Any) -> None:
     """Write one line at level info."""
     _LOGGER.info(event, extra=fields)
--- a/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
@@ -1,126 +1,162 @@
-"""Brings the outcomes of filings along when their shards change data centre.
+"""Outcomes of non-idempotent requests go with their shard to another data centre.
 
-The leader of a data centre's group asks the one that released a shard. Until all of
-its outcomes are committed here, filings on the shard are refused as not run, since one
-that ran there must not run again; lookups are served meanwhile. If the shard can only
-have come from a data centre that operators have fenced, its outcomes are given up.
+The leader of the old data centre's group has the target's group commit them before it
+reports the shard as released, so no resend finds a gap. Outcomes of home-bound
+requests never leave their home regions: if the target is outside, the region's other
+data centres get them, where the shard may come to be held later.
 """
 
-import asyncio
-from collections.abc import Mapping
+from collections import defaultdict
 
 from bergamotferry.commands import ImportOutcomes
-from bergamotferry.messages import FetchOutcomes, OutcomesReply
-from bergamotferry.outcome_tables import has_outcomes, outcomes_after
-from bergamotferry.outcomes import Accepted
-from bergamotferry.records import OutcomeRecord, ShardId
+from bergamotferry.global_tables import GlobalTables, region_rule
+from bergamotferry.messages import Propose, ProposeReply
+from bergamotferry.outcome_tables import has_outcomes
+from bergamotferry.records import OutcomeRecord, ShardHome, ShardId
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .group import Group, commit
-from .host_state import HostState
-from .leader_duties import leader_state
+from .host_state import HostState, LeaderState
 from .logs import log
 from .peer_link import PeerUnreachable
 from .peer_network import hosts_of_data_centre
 
-IMPORT_TICK_S = 0.1
-N_SHARDS_PER_ROUND = 256
-N_RECORDS_PER_PAGE = 64
-FETCH_TIMEOUT_S = 1.0
+N_OUTCOMES_PER_BATCH = 64
+IMPORT_TIMEOUT_S = 1.0
 
 
-async def run_outcome_imports(state: HostState, group: Group) -> None:
-    """Import outcomes whenever this host leads a data centre's group."""
+def handed_over(state: HostState, group: Group) -> dict[ShardId, ShardHome]:
+    """Return the shards that the group has released for a handover under way."""
     data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
-    while True:
-        await asyncio.sleep(IMPORT_TICK_S)
-        if leader_state(state, group) is None:
+    return {
+        shard: home
+        for shard, home in state.global_tables.shard_homes.items()
+        if home.data_centre == data_centre
+        and home.next_data_centre
+        and group.tables.released_homes.get(shard, 0) >= home.epoch
+    }
+
+
+async def send_outcomes(state: HostState, group: Group, leader: LeaderState) -> None:
+    """Send the outcomes of released shards on, and note which shards are complete."""
+    homes = handed_over(state, group)
+    leader.exported_homes = {
+        shard: epoch
+        for shard, epoch in leader.exported_homes.items()
+        if shard in homes and homes[shard].epoch == epoch
+    }
+    waiting = {
+        shard: home
+        for shard, home in homes.items()
+        if shard not in leader.exported_homes
+    }
+    if not waiting:
+        return
+    by_target: dict[str, list[OutcomeRecord]] = defaultdict(list)
+    shards_by_target: dict[str, set[ShardId]] = defaultdict(set)
+    for record in group.tables.outcomes.values():
+        if record.shard not in waiting:
             continue
-        due = _shards_due(state, group, data_centre)
-        if due:
-            await _import(state, group, data_centre, due)
-
-
-def answer_outcomes(state: HostState, message: FetchOutcomes) -> OutcomesReply | None:
-    """Return outcomes of shards that this host knows to be released."""
-    group = state.groups.get(data_centre_group(message.data_centre))
-    if group is None:
-        return None
-    released = group.tables.released_homes
-    rows = zip(message.shards, message.released_epochs, strict=True)
-    shards = tuple(s for s, epoch in rows if released.get(s, 0) == epoch)
-    records = outcomes_after(group.tables, shards, message.after, N_RECORDS_PER_PAGE)
-    is_last = len(records) < N_RECORDS_PER_PAGE
-    return OutcomesReply(shards, tuple(records), is_last, group.is_leader)
-
-
-def _shards_due(state: HostState, group: Group, data_centre: str) -> dict[ShardId, int]:
-    due: dict[ShardId, int] = {}
-    for shard, home in state.global_tables.shard_homes.items():
-        if home.data_centre != data_centre or len(due) >= N_SHARDS_PER_ROUND:
-            continue
-        if not has_outcomes(group.tables, shard, home.epoch):
-            due[shard] = home.epoch
-    return due
-
-
-async def _import(
-    state: HostState, group: Group, data_centre: str, due: dict[ShardId, int]
-) -> None:
-    left = dict(due)
-    has_fenced, is_all_told = False, True
-    for other in state.global_tables.data_centres.values():
-        if other.name == data_centre or not left:
+        for target in outcome_targets(
+            state.global_tables, record, waiting[record.shard]
+        ):
+            by_target[target].append(_settled(record))
+            shards_by_target[target].add(record.shard)
+    failed: set[ShardId] = set()
+    for target, records in by_target.items():
+        if not await _import_all(state, target, records):
+            failed |= shards_by_target[target]
+    whole = {shard: home for shard, home in waiting.items() if shard not in failed}
+    for target in sorted({home.next_data_centre for home in whole.values()}):
+        epochs = {
+            shard: home.epoch
+            for shard, home in whole.items()
+            if home.next_data_centre == target
+        }
+        if await _open_shards(state, target, epochs):
+            leader.exported_homes.update(epochs)
+
+
+async def open_shards_of_fenced(state: HostState, group: Group) -> None:
+    """Let filings run on shards whose outcomes were lost with a fenced data centre.
+
+    Every other handover opens its shards before it ends, so a shard that is at home
+    here and not open can only have come from a data centre that operators have fenced.
+    """
+    data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
+    rows = state.global_tables.data_centres.values()
+    if not any(row.state == "fenced" for row in rows):
+        return
+    closed = {
+        shard: home.epoch
+        for shard, home in state.global_tables.shard_homes.items()
+        if home.data_centre == data_centre
+        and not has_outcomes(group.tables, shard, home.epoch)
+    }
+    if closed:
+        whole = ImportOutcomes((), tuple(closed), tuple(closed.values()))
+        outcome = await commit(group, whole)
+        log("outcomes given up", group=group.name, n=len(closed), outcome=str(outcome))
+
+
+def outcome_targets(
+    tables: GlobalTables, record: OutcomeRecord, home: ShardHome
+) -> list[str]:
+    """Return the data centres that must have an outcome before its shard is released.
+
+    None of them is outside the home regions of the request.
+    """
+    shard = record.shard
+    rule = region_rule(tables, shard.service, shard.domain, record.account)
+    target = tables.data_centres[home.next_data_centre]
+    if rule is None or target.region in rule.regions:
+        return [target.name]
+    return sorted(
+        row.name
+        for row in tables.data_centres.values()
+        if row.region in rule.regions and row.name != home.data_centre
+    )
+
+
+def _settled(record: OutcomeRecord) -> OutcomeRecord:
+    # Nobody can report on an open intent any more once its shard has been released.
+    return record._replace(state="unknown") if record.state == "intent" else record
+
+
+async def _import_all(
+    state: HostState, target: str, records: list[OutcomeRecord]
+) -> bool:
+    for start in range(0, len(records), N_OUTCOMES_PER_BATCH):
+        batch = tuple(records[start : start + N_OUTCOMES_PER_BATCH])
+        if not await _propose(state, target, ImportOutcomes(batch, (), ())):
+            log("outcomes not taken", target=target, n_outcomes=len(records))
+            return False
+    return True
+
+
+async def _open_shards(
+    state: HostState, target: str, epochs: dict[ShardId, int]
+) -> bool:
+    """Tell a data centre that it has all outcomes up to its own home's epoch."""
+    next_epochs = tuple(epoch + 1 for epoch in epochs.values())
+    return await _propose(state, target, ImportOutcomes((), tuple(epochs), next_epochs))
+
+
+async def _propose(state: HostState, target: str, command: ImportOutcomes) -> bool:
+    message = Propose(data_centre_group(target), command)
+    candidates = hosts_of_data_centre(state.network.addresses, target)
+    asked: set[str] = set()
+    while candidates:
+        host = candidates.pop()
+        if host in asked or host not in state.network.addresses:
             continue
-        if other.state == "fenced":
-            has_fenced = True
+        asked.add(host)
+        try:
+            reply = await state.network.call(host, message, IMPORT_TIMEOUT_S)
+        except PeerUnreachable:
             continue
-        shards, records, is_told = await _fetch(state, other.name, left)
-        is_all_told = is_all_told and is_told
-        found = {shard: left.pop(shard) for shard in shards}
-        if found:
-            await _commit(group, records, found)
-    if left and has_fenced and is_all_told:
-        await _commit(group, [], left)
-
-
-async def _fetch(
-    state: HostState, data_centre: str, wanted: Mapping[ShardId, int]
-) -> tuple[tuple[ShardId, ...], list[OutcomeRecord], bool]:
-    """Return shards released there, their outcomes, and whether the leader spoke."""
-    is_told = False
-    for host in hosts_of_data_centre(state.network.addresses, data_centre):
-        shards = tuple(wanted)
-        records: list[OutcomeRecord] = []
-        after = ("", "")
-        while True:
-            epochs = tuple(wanted[shard] - 1 for shard in shards)
-            message = FetchOutcomes(data_centre, shards, epochs, after)
-            try:
-                reply = await state.network.call(host, message, FETCH_TIMEOUT_S)
-            except PeerUnreachable:
-                break
-            if not isinstance(reply, OutcomesReply):
-                break
-            is_told = is_told or reply.is_leader
-            records += reply.outcomes
-            shards = reply.shards
-            if not shards:
-                break
-            if reply.is_last:
-                return shards, records, is_told
-            after = (records[-1].account, records[-1].idempotency_key)
-    return (), [], is_told
-
-
-async def _commit(
-    group: Group, records: list[OutcomeRecord], found: dict[ShardId, int]
-) -> None:
-    for start in range(0, len(records), N_RECORDS_PER_PAGE):
-        page = tuple(records[start : start + N_RECORDS_PER_PAGE])
-        outcome = await commit(group, ImportOutcomes(page, (), ()))
-        if not isinstance(outcome, Accepted):
-            return
-    whole = ImportOutcomes((), tuple(found), tuple(found.values()))
-    await commit(group, whole)
-    log("outcomes imported", group=group.name, n_shards=len(found), n=len(records))
+        if isinstance(reply, ProposeReply):
+            if reply.code == 0:
+                return True
+            candidates.append(reply.leader)
+    return False
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -290,7 +290,7 @@
         self.replies[call_id] = future
         try:
             await self.send_frame(call_id, FrameKind.CALL, message)
-            # In Python 3.11 wait_for may swallow a cancellation, and a stop would hang.
+            # `wait_for` would lose a cancellation that meets the reply.
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError as error:
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -13,7 +13,7 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.retry_budget import backoff_ms, earn_try, spend_try
-from bergamotferry.routing import find_owner
+from bergamotferry.routing import find_owner, home_of_shard
 
 from .clock import now_ns
 from .dispatch import dispatch_here
@@ -76,6 +76,11 @@
         if left_ms <= 0:
             break
         attempt = head._replace(deadline_ms=left_ms)
+        home = home_of_shard(state.global_tables, head.shard, head.account)
+        if isinstance(home, Refused):
+            refusal = home
+            break
+        data_centre = home
         outcome = await _attempt(state, data_centre, attempt, body, sink)
         if isinstance(outcome, Served) or outcome.code is ResultCode.CALLER_GONE:
             return outcome
@@ -156,6 +161,8 @@
     link = SlowLink.from_request(state, stream.link.peer, head)
     sink = _PeerSink(stream, link)
     outcome: Served | Refused | None = link.refusal(head.deadline_ms)
+    if state.is_refusing:
+        outcome = Refused(ResultCode.HOST_STOPPING, "")
     if outcome is None:
         outcome = await dispatch_here(state, head, body, sink)
     if isinstance(outcome, Refused):
@@ -317,6 +324,8 @@
         async with asyncio.timeout(head.deadline_ms / 1000 + 0.5):
             response: ResponseHead = await stream.receive_head()
             if response.status == 0:
+                if response.code == ResultCode.HOST_STOPPING:
+                    state.network.note_unreachable(host)
                 detail = response.dispatcher or response.detail
                 return Refused(ResultCode(response.code), detail)
             return await _pass_on(stream, response, sink)
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_group.py
@@ -0,0 +1,94 @@
+"""Three groups in one process, with their disks and a network in memory."""
+
+import asyncio
+import errno
+
+import pytest
+
+from bergamotferry.outcomes import Accepted
+from bergamotferry_host import group as group_module
+from bergamotferry_host.disk_log import DiskLog, persist, recover_log
+from bergamotferry_host.group import commit, hand_over_leadership
+from bergamotferry_testkit.local_group import (
+    NAMES,
+    WAIT_S,
+    LocalGroup,
+    numbered_command,
+    wait_until,
+)
+
+
+def test_many_commits_share_a_sync(tmp_path):
+    async def run():
+        async with LocalGroup.from_config(tmp_path) as cluster:
+            leader = await cluster.leader()
+            n_before = leader.disk_log.n_syncs
+            outcomes = await asyncio.gather(
+                *(commit(leader, numbered_command(number)) for number in range(200))
+            )
+            assert all(isinstance(outcome, Accepted) for outcome in outcomes)
+            return leader.disk_log.n_syncs - n_before
+
+    assert asyncio.run(run()) <= 20
+
+
+def test_commit_is_on_two_disks_when_it_is_acknowledged(tmp_path, monkeypatch):
+    """Also when the commit races the write: the disk is slow and fails no test."""
+
+    async def run():
+        async with LocalGroup.from_config(tmp_path) as cluster:
+            leader = await cluster.leader()
+            for number in range(5):
+                await commit(leader, numbered_command(number))
+                n_holding = 0
+                for name in NAMES:
+                    found = recover_log(DiskLog.from_path(tmp_path, name)).entries
+                    n_holding += any(
+                        e.payload == numbered_command(number) for e in found
+                    )
+                assert n_holding >= 2
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EROFS, errno.EIO])
+def test_voter_whose_disk_fails_stops_voting_and_goes_on_as_a_reader(
+    tmp_path, monkeypatch, number
+):
+    async def run():
+        async with LocalGroup.from_config(tmp_path) as cluster:
+            broken = await cluster.leader()
+            old = broken.replica.me
+
+            def fail_on_one(disk_log, unpersisted):
+                if disk_log.name == old.host:
+                    raise OSError(number, "disk failed")
+                persist(disk_log, unpersisted)
+
+            monkeypatch.setattr(group_module, "persist", fail_on_one)
+            others = [group for group in cluster.groups.values() if group != broken]
+            await commit(others[0], numbered_command(1))
+            await wait_until(lambda: broken.has_failed_disk)
+            outcome = await commit(others[0], numbered_command(2), WAIT_S)
+            assert isinstance(outcome, Accepted)
+            assert broken.replica.me != old and not broken.is_leader
+            # It reads on, so that its host can serve.
+            await wait_until(
+                lambda: broken.tables.n_applied == others[0].tables.n_applied
+            )
+
+    asyncio.run(run())
+
+
+def test_leadership_is_handed_over_without_an_election_timeout(tmp_path):
+    async def run():
+        async with LocalGroup.from_config(tmp_path) as cluster:
+            old = await cluster.leader()
+            await commit(old, numbered_command(1))
+            term = old.replica.term
+            assert await hand_over_leadership(old)
+            new = await cluster.leader()
+            assert new is not old and new.replica.term == term + 1
+            assert isinstance(await commit(old, numbered_command(2)), Accepted)
+
+    asyncio.run(run())
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
@@ -144,7 +144,7 @@
 
 
 async def apply_first_note(deployment: LocalDeployment) -> None:
-    """Apply the first release note with the operators' tool."""
+    """Apply the first release note, trying again while the groups elect leaders."""
     path = deployment.folder / "note-1.json"
     path.write_text(json.dumps(first_note(deployment.shape), indent=2))
     addresses = ",".join(host.control_address for host in deployment.hosts)
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
@@ -0,0 +1,373 @@
+"""Slopes of the decision logic: processor time and bytes per row of the tables.
+
+Everything here runs in this process, without sockets or disks.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from functools import partial
+from types import SimpleNamespace
+from typing import Any
+
+from bergamotferry.admission import UpstreamQueue
+from bergamotferry.commands import ApplyNote
+from bergamotferry.data_centre_tables import DataCentreTables
+from bergamotferry.global_placement import run_global_placement
+from bergamotferry.global_tables import GlobalTables, apply_global_command
+from bergamotferry.messages import LogEntry
+from bergamotferry.ownership import grant_free_shards, run_ownership
+from bergamotferry.records import Grant, OutcomeRecord, ShardHome, ShardId
+from bergamotferry.release_note import canonical_content
+from bergamotferry.routing import find_account, route_request
+from bergamotferry.slow_start import SlowStart
+from bergamotferry_host.codec import encode
+from bergamotferry_host.dispatcher_table import UpstreamWork
+from bergamotferry_host.orders import order_grants
+
+from .slope_fit import Slope, measure_slope
+from .table_worlds import (
+    NOW_NS,
+    SERVICE,
+    make_account,
+    make_global_tables,
+    make_reports,
+    make_sessions,
+    settle,
+)
+
+N_DATA_CENTRES = 17
+OWN_DATA_CENTRE = "centre-00"
+N_HOSTS = 27
+N_REPEATS = 5
+US_PER_S = 1e6
+SHARD_COUNTS = (2048, 8192, 32768)
+UPSTREAM_COUNTS = (27, 54, 108)
+ROW_COUNTS = (5000, 10_000, 20_000)
+ENTRY_COUNTS = (10, 100, 1000)
+N_SHARDS_SMALL = 512
+
+
+def measure_table_slopes() -> list[Slope]:
+    """Measure all slopes of this module."""
+    return [
+        ownership_tick_per_shard(),
+        ownership_tick_per_upstream(),
+        orders_tick_per_grant(),
+        regrant_per_shard(),
+        placement_tick_per_shard(),
+        memory_per_row("shard_home", _shard_home),
+        memory_per_row("grant", _grant),
+        memory_per_row("account", make_account),
+        memory_per_row("outcome", _outcome),
+        snapshot_bytes_per_row("shard_home", _shard_home),
+        snapshot_bytes_per_row("grant", _grant),
+        snapshot_bytes_per_row("outcome", _outcome),
+        note_cpu_per_entry(),
+        note_cpu_per_shard(),
+        note_bytes_per_entry(),
+        token_lookup_per_account(),
+        route_per_home_region(),
+    ]
+
+
+def time_us(work: Callable[[], Any], n_runs: int = 1) -> float:
+    """Return the processor time of one run, the least of several rounds."""
+    times: list[float] = []
+    for _ in range(N_REPEATS):
+        started_s = time.process_time()
+        for _ in range(n_runs):
+            work()
+        times.append((time.process_time() - started_s) * US_PER_S / n_runs)
+    return min(times)
+
+
+def ownership_tick_per_shard() -> Slope:
+    """Measure a tick of `run_ownership` against all shards of the deployment."""
+
+    def cost_us(n_shards: int) -> float:
+        global_tables = make_global_tables(n_shards, N_DATA_CENTRES)
+        return _ownership_tick_us(global_tables, UPSTREAM_COUNTS[-1], 1)
+
+    return measure_slope(
+        "ownership_tick_cpu_per_shard",
+        "µs",
+        "shard of the deployment, each tick",
+        "run_ownership on settled tables, 108 upstreams, 1 of 17 data centres",
+        SHARD_COUNTS,
+        cost_us,
+    )
+
+
+def ownership_tick_per_upstream() -> Slope:
+    """Measure a tick of `run_ownership` against the upstreams of a data centre."""
+    global_tables = make_global_tables(N_SHARDS_SMALL, 1)
+    return measure_slope(
+        "ownership_tick_cpu_per_upstream",
+        "µs",
+        "upstream of the data centre, each tick",
+        "run_ownership on settled tables, 512 shards, one data centre",
+        UPSTREAM_COUNTS,
+        lambda n_upstreams: _ownership_tick_us(global_tables, n_upstreams, 60),
+    )
+
+
+def orders_tick_per_grant() -> Slope:
+    """Measure a dispatcher's look for due orders of one upstream, each tick."""
+
+    def cost_us(n_shards: int) -> float:
+        global_tables = make_global_tables(n_shards, 1)
+        tables = make_sessions(UPSTREAM_COUNTS[-1])
+        settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
+        name = next(iter(tables.sessions))
+        work = UpstreamWork(tables.sessions[name], 1, UpstreamQueue(2, SlowStart(0)))
+        mine = [g for g in tables.grants.values() if g.upstream == name]
+        work.confirmed = {grant.shard: grant.epoch for grant in mine}
+        state = SimpleNamespace(own_tables=tables)
+        return time_us(partial(_look_for_orders, state, work))
+
+    return measure_slope(
+        "orders_tick_cpu_per_grant",
+        "µs",
+        "grant of the data centre, for each upstream dispatched for, each tick",
+        "order_grants for one of 108 upstreams when no order is due",
+        (512, 1024, 2048),
+        cost_us,
+    )
+
+
+def regrant_per_shard() -> Slope:
+    """Measure the choice of new owners for shards that lost theirs."""
+    global_tables = make_global_tables(SHARD_COUNTS[0], 1)
+    tables = make_sessions(UPSTREAM_COUNTS[-1])
+    settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
+    shards = sorted(tables.grants)
+
+    def cost_us(n_free: int) -> float:
+        kept = {shard: tables.grants[shard] for shard in shards[n_free:]}
+        lost = DataCentreTables(sessions=tables.sessions, grants=kept)
+        return time_us(partial(grant_free_shards, lost, global_tables, OWN_DATA_CENTRE))
+
+    return measure_slope(
+        "regrant_cpu_per_shard",
+        "µs",
+        "shard that lost its owner",
+        "grant_free_shards among 108 upstreams, 2,048 shards",
+        (32, 128, 512),
+        cost_us,
+    )
+
+
+def placement_tick_per_shard() -> Slope:
+    """Measure a tick of `run_global_placement` against all shards."""
+    reports = make_reports(N_DATA_CENTRES)
+
+    def cost_us(n_shards: int) -> float:
+        tables = make_global_tables(n_shards, N_DATA_CENTRES)
+        return time_us(partial(run_global_placement, tables, reports))
+
+    return measure_slope(
+        "placement_tick_cpu_per_shard",
+        "µs",
+        "shard of the deployment, each tick",
+        "run_global_placement on settled tables, 17 reports",
+        SHARD_COUNTS,
+        cost_us,
+    )
+
+
+def memory_per_row(name: str, make_row: Callable[[int], Any]) -> Slope:
+    """Measure the memory of a table's row, with its key, as CPython holds it."""
+
+    def size_bytes(n_rows: int) -> float:
+        tracemalloc.start()
+        table = {row_key(row): row for row in map(make_row, range(n_rows))}
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return size if len(table) == n_rows else 0.0
+
+    method = f"tracemalloc around a table of {name} rows"
+    return measure_slope(
+        f"{name}_row_memory", "B", "row", method, ROW_COUNTS, size_bytes
+    )
+
+
+def snapshot_bytes_per_row(name: str, make_row: Callable[[int], Any]) -> Slope:
+    """Measure the bytes of a row, with its key, in the codec of the hosts."""
+    method = f"codec.encode of a table of {name} rows"
+    return measure_slope(
+        f"{name}_snapshot_bytes",
+        "B",
+        "row",
+        method,
+        ROW_COUNTS,
+        lambda n_rows: len(encode([make_row(number) for number in range(n_rows)])),
+    )
+
+
+def note_cpu_per_entry() -> Slope:
+    """Measure the application of a release note against its entries."""
+    return measure_slope(
+        "note_apply_cpu_per_entry",
+        "µs",
+        "entry of a release note, on each host",
+        "apply_global_command of a note that adds accounts, 512 shards",
+        ENTRY_COUNTS,
+        lambda n_entries: _apply_note_us(N_SHARDS_SMALL, n_entries),
+    )
+
+
+def note_cpu_per_shard() -> Slope:
+    """Measure the application of a note of one entry against the shards."""
+    return measure_slope(
+        "note_apply_cpu_per_shard",
+        "µs",
+        "shard of the deployment, each note, on each host",
+        "apply_global_command of a note that adds one account",
+        SHARD_COUNTS,
+        lambda n_shards: _apply_note_us(n_shards, 1),
+    )
+
+
+def note_bytes_per_entry() -> Slope:
+    """Measure the bytes of a note in the log, which every reader is sent as well."""
+    return measure_slope(
+        "note_bytes_per_entry",
+        "B",
+        "entry",
+        "codec.encode of the log entry of a note that adds accounts",
+        ENTRY_COUNTS,
+        lambda n_entries: len(encode(LogEntry(1, 1, _note(n_entries)))),
+    )
+
+
+def token_lookup_per_account() -> Slope:
+    """Measure `find_account` for the last of the accounts."""
+
+    def cost_us(n_accounts: int) -> float:
+        tables = make_global_tables(1, 1, n_accounts)
+        return time_us(partial(find_account, tables, f"token-{n_accounts - 1}"), 200)
+
+    return measure_slope(
+        "token_lookup_cpu_per_account",
+        "µs",
+        "account, each request",
+        "find_account for the last account of the table",
+        (100, 1000, 4000),
+        cost_us,
+    )
+
+
+def route_per_home_region() -> Slope:
+    """Measure `route_request` against the number of home regions."""
+    account = make_account(299)
+    request = (account, SERVICE, "lookup", "GET", "key-17", "region-0")
+
+    def cost_us(n_homes: int) -> float:
+        tables = make_global_tables(1024, 1, 300, n_homes)
+        return time_us(partial(route_request, tables, *request), 200)
+
+    return measure_slope(
+        "route_cpu_per_home_region",
+        "µs",
+        "home region, each request",
+        "route_request for an account that no home region binds",
+        (1, 50, 200),
+        cost_us,
+    )
+
+
+def _ownership_tick_us(
+    global_tables: GlobalTables, n_upstreams: int, n_runs: int
+) -> float:
+    tables = make_sessions(n_upstreams)
+    leases = settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
+    arguments = (tables, global_tables, leases, OWN_DATA_CENTRE, NOW_NS)
+    return time_us(partial(run_ownership, *arguments), n_runs)
+
+
+def _look_for_orders(state: Any, work: UpstreamWork) -> None:
+    # With no order due, neither the HTTP client nor the event loop is used.
+    client: Any = None
+    try:
+        order_grants(state, client, work).send(None)
+    except StopIteration:
+        return
+    raise RuntimeError("an order was due")
+
+
+def _apply_note_us(n_shards: int, n_entries: int) -> float:
+    command = _note(n_entries)
+    times: list[float] = []
+    for _ in range(N_REPEATS):
+        tables = make_global_tables(n_shards, N_DATA_CENTRES)
+        started_s = time.process_time()
+        apply_global_command(tables, command)
+        times.append((time.process_time() - started_s) * US_PER_S)
+    return min(times)
+
+
+def row_key(row: Any) -> Any:
+    """Return the key under which a row stands in its table."""
+    if isinstance(row, tuple) and isinstance(row[0], ShardId):
+        return row[0]
+    if isinstance(row, OutcomeRecord):
+        return (row.account, row.idempotency_key)
+    return row[0]
+
+
+def _shard(number: int) -> ShardId:
+    # Names are shared between rows, as they are after decoding one command.
+    return ShardId(SERVICE, "", number)
+
+
+def _shard_home(number: int) -> tuple[ShardId, ShardHome]:
+    return _shard(number), ShardHome("centre-03", 1, "")
+
+
+def _grant(number: int) -> Grant:
+    return Grant(_shard(number), "testlog-0042", 1, (1 << 40) + number, "held")
+
+
+def _outcome(number: int) -> OutcomeRecord:
+    return OutcomeRecord(
+        "account-17",
+        f"{number:032x}",
+        _shard(number),
+        f"{number:064x}",
+        "done",
+        200,
+        "application/json",
+        bytes(128),
+        1_700_000_000 + number,
+        f"{number:016x}",
+        (1 << 40) + number,
+        number,
+        128,
+        f"{number:064x}",
+    )
+
+
+def _note(n_entries: int) -> ApplyNote:
+    accounts = [
+        {
+            "name": account.name,
+            "token_sha256": account.token_sha256,
+            "services": list(account.services),
+            "max_in_flight": account.max_in_flight,
+        }
+        for account in map(make_account, range(1000, 1000 + n_entries))
+    ]
+    note: dict[str, Any] = {"number": 2, "based_on": 1, "added": {"accounts": accounts}}
+    return ApplyNote(2, 1, canonical_content(note))
+
+
+def print_slopes(slopes: Sequence[Slope]) -> None:
+    """Print slopes as a table."""
+    for row in slopes:
+        points = " ".join(f"{x:g}:{y:g}" for x, y in row.points)
+        print(
+            f"{row.name:<34}{row.slope:>11g} {row.unit:<4} + {row.intercept:<10g}"
+            f"r²={row.r_squared:<7g} {points}",
+            flush=True,
+        )
