--- a/packages/bergamotferry/tests/test_replication_rules.py
+++ b/packages/bergamotferry/tests/test_replication_rules.py
@@ -218,3 +218,40 @@
     acknowledge(leader, new_c, leader.commit_index, now_ns, now_ns)
     planned = plan_membership(leader, joiners, seeds, now_ns)
     assert planned == Membership((A, B, new_c), ())
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "is_lost_durable", "is_next_durable", "is_replaced"),
+    [
+        (4, False, False, False),
+        (6, False, False, True),
+        (6, True, True, True),
+        (6, True, False, False),
+        (29, True, False, False),
+        (31, True, False, True),
+    ],
+)
+def test_silent_voter_makes_room_for_a_successor_in_time(
+    silent_s, is_lost_durable, is_next_durable, is_replaced
+):
+    won_ns = START_NS + 10**9
+    lost = C._replace(is_durable=is_lost_durable)
+    successor = Member("d", "1", is_next_durable)
+    leader = make_leader(won_ns, membership=Membership((A, B, lost), (successor,)))
+    leader.group = "dc:x"
+    now_ns = won_ns + silent_s * 10**9
+    for member in (B, successor):
+        acknowledge(leader, member, 2, now_ns, now_ns)
+    seeds = [
+        HostAddress(member.host, "x", "r", "", member.is_durable)
+        for member in (A, B, lost, successor)
+    ]
+    joiners = {"d": Joiner(successor, now_ns)}
+    planned = plan_membership(leader, joiners, seeds, now_ns)
+    if is_replaced:
+        assert planned == Membership((A, B), (successor,))
+    elif silent_s > 5:
+        assert planned is None
+    else:
+        # It still counts as alive, so there is nobody to replace.
+        assert planned == Membership((A, B, lost), ())
