Read a copy of the logs while their group runs

Cause: a test recovered live logs, and recovery cuts a torn tail, so it could cut the record that the third member was writing just then. Change: it recovers a copy.

--- a/packages/bergamotferry_host/tests/test_group.py
+++ b/packages/bergamotferry_host/tests/test_group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import shutil
 
 import pytest
 
@@ -32,19 +33,22 @@
     assert asyncio.run(run()) <= 20
 
 
-def test_commit_is_on_two_disks_when_it_is_acknowledged(tmp_path, monkeypatch):
-    """Also when the commit races the write: the disk is slow and fails no test."""
+def test_commit_is_on_two_disks_when_it_is_acknowledged(tmp_path):
+    live, copy = tmp_path / "live", tmp_path / "copy"
+    live.mkdir()
 
     async def run():
-        async with LocalGroup.from_config(tmp_path) as cluster:
+        async with LocalGroup.from_config(live) as cluster:
             leader = await cluster.leader()
             for number in range(5):
                 await commit(leader, numbered_command(number))
+                # The third member may be writing, so a copy is read.
+                shutil.copytree(live, copy, dirs_exist_ok=True)
                 n_holding = 0
                 for name in NAMES:
-                    found = recover_log(DiskLog.from_path(tmp_path, name)).entries
+                    found = recover_log(DiskLog.from_path(copy, name)).entries
                     n_holding += any(
-                        e.payload == numbered_command(number) for e in found
+                        entry.payload == numbered_command(number) for entry in found
                     )
                 assert n_holding >= 2
 
