--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_operator_tool.py
@@ -0,0 +1,121 @@
+"""``bergamotferryctl`` against a whole deployment of real processes."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+
+import aiohttp
+
+from bergamotferry_testkit.demo import wait_owned
+from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN, first_note
+from bergamotferry_testkit.local_deployment import (
+    OPERATOR_TOKEN,
+    LocalDeployment,
+    wait_ready,
+)
+
+WAIT_S = 20.0
+KEYS = [f"key-{number}" for number in range(6)]
+# No log may hold this key, wherever it is asked for.
+HOME_KEY = EZO_LUMEN.home_prefix + "marker-4711"
+
+
+class Tool:
+    """Runs the tool against one host, as an operator does."""
+
+    def __init__(self, host):
+        self.environment = {
+            **os.environ,
+            "BERGAMOTFERRY_CONTROL_ADDRESSES": host.control_address,
+            "BERGAMOTFERRY_OPERATOR_TOKEN": OPERATOR_TOKEN,
+        }
+
+    def run(self, *words):
+        command = [sys.executable, "-m", "bergamotferry_ctl.main", "--json", *words]
+        done = subprocess.run(
+            command, capture_output=True, text=True, env=self.environment, timeout=30
+        )
+        return done.returncode, json.loads(done.stdout)
+
+    def run_until(self, is_good, *words):
+        deadline_s = time.monotonic() + WAIT_S
+        while True:
+            status, body = self.run(*words)
+            if is_good(status, body):
+                return body
+            assert time.monotonic() < deadline_s, (words, status, body)
+
+
+def ask(host, key, account):
+    async def scenario():
+        url = f"http://{host.caller_address}/v1/testlog/lookup/{key}"
+        headers = {"Authorization": f"Bearer {CALLER_TOKENS[account]}"}
+        async with aiohttp.ClientSession(headers=headers) as http:
+            async with http.get(url) as response:
+                return response.headers
+
+    return asyncio.run(scenario())
+
+
+def run_scenario(deployment):
+    hosts = deployment.hosts
+    tool = Tool(hosts[0])
+    deployment.start()
+    path = deployment.folder / "note.json"
+    path.write_text(json.dumps(first_note(EZO_LUMEN)))
+    tool.run_until(lambda status, _: status == 0, "apply", str(path))
+    assert asyncio.run(wait_ready(hosts, WAIT_S))
+    asyncio.run(wait_owned(deployment, WAIT_S))
+
+    status, body = tool.run("status")
+    assert status == 0
+    assert all(row["is_ready"] and row["revision"] == 1 for row in body["hosts"])
+    status, body = tool.run("upstreams")
+    assert (status, len(body["upstreams"])) == (0, 41)
+
+    bodies = [tool.run("owner", "testlog", key)[1] for key in KEYS]
+    for body in bodies:
+        grant = body["grant"]
+        assert grant["data_centre"] == body["home"]["data_centre"]
+        assert grant["dispatcher"].startswith(grant["data_centre"])
+        assert grant["upstream"].startswith("testlog-")
+    assert len({body["home"]["data_centre"] for body in bodies}) > 1
+
+    leaving = bodies[0]["home"]["data_centre"]
+    status, body = tool.run("data-centre", "out", leaving, "--yes")
+    assert (status, body["revision"], body["not_reached"]) == (0, 2, [])
+    tool.run_until(
+        lambda _, body: body["grant"] and body["home"]["data_centre"] != leaving,
+        "owner",
+        "testlog",
+        KEYS[0],
+    )
+
+    headers = ask(hosts[0], KEYS[1], "inspectors")
+    assert headers["Bergamotferry-Code"] == "0"
+    logs = [f"--log={deployment.folder / host.name}.log" for host in hosts]
+    request_id = headers["Bergamotferry-Request-Id"]
+    body = tool.run_until(lambda s, _: s == 0, "explain", request_id, *logs)
+    routed = next(row for row in body["lines"] if row["event"] == "routed")
+    assert (routed["host"], routed["route"]) == (hosts[0].name, "testlog/lookup")
+    assert routed["dispatcher"]
+    assert routed["code"] == 0
+
+    codes = {ask(host, HOME_KEY, "home")["Bergamotferry-Code"] for host in hosts}
+    assert codes == {"0", "1101"}
+
+
+def test_tool_drives_a_deployment_and_no_log_holds_a_home_bound_key(tmp_path):
+    deployment = LocalDeployment.from_config(EZO_LUMEN, tmp_path)
+    try:
+        run_scenario(deployment)
+    finally:
+        deployment.stop()
+    for host in deployment.hosts:
+        text = (deployment.folder / f"{host.name}.log").read_text()
+        assert '"routed"' in text
+        assert HOME_KEY not in text
+        assert "Traceback" not in text
