Profile the request path and keep the result on the capacity page

Cause: the page says that a request costs milliseconds of Python, and not where. Change: profile_requests runs both hosts under cProfile, attributes the time of built-in functions to their callers and leaves waits out; its table stands in section 6.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_page.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_page.py
@@ -243,6 +243,21 @@
     return f"{text}\n\nA daemon's start to its first served request: {start}."
 
 
+def _profile_table(slopes: Slopes, counts: Counts, document: dict[str, Any]) -> str:
+    report = document["profile"]
+    parts = report["entry"] | report["dispatcher"]
+    rows = [
+        (
+            f"`{part}`",
+            figure(report["entry"].get(part, 0)),
+            figure(report["dispatcher"].get(part, 0)),
+        )
+        for part in parts
+    ]
+    header = ("part", "entry, µs per request", "dispatcher, µs per request")
+    return markdown_table(header, rows)
+
+
 _OVERHEAD_TIMES = ("p50_ms", "p99_ms", "added_p50_ms", "added_p99_ms")
 _TABLES: dict[str, Callable[[Slopes, Counts, dict[str, Any]], str]] = {
     "counts": _counts_table,
@@ -256,6 +271,7 @@
     "day": _day_table,
     "cut": _cut_table,
     "overhead": _overhead_table,
+    "profile": _profile_table,
 }
 
 if __name__ == "__main__":
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/profile_requests.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/profile_requests.py
@@ -1,28 +1,80 @@
-"""Profiles both hosts of the two-host path and prints where their time goes."""
+"""Profiles both hosts of the two-host path and says where their time goes.
+
+Time is that of the event loop's thread without its waits, by package, or by module for
+our own. What a function of the interpreter takes counts for the module that calls it.
+"""
 
 import argparse
 import asyncio
+import json
 import os
 import pstats
+import re
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
 from .paced_load import run_paced
 from .profiled_host import PROFILE_VARIABLE
-from .two_host_bench import lookups_of, start_bench
+from .slope_fit import round_digits
+from .slopes import keep_in_document
+from .two_host_bench import daemon_pids, lookups_of, start_bench
 
 HOST_MODULE = "bergamotferry_testkit.profiled_host"
-N_LINES = 45
+PROFILED_HOSTS = ("dispatcher", "entry")
+N_PARTS = 16
+_BUILT_IN = "~"
+_WAIT = "<method 'poll' of 'select.epoll' objects>"
+_OWN = re.compile(r"/(bergamotferry\w*)/(\w+)\.py$")
+_PACKAGE = re.compile(r".*/(?:site-packages|python[\d.]+)/(\w+)")
+
+Function = tuple[str, int, str]
 
 
-async def profile_requests(folder: Path, rate_per_s: float, duration_s: float) -> int:
-    """Run the load on profiled hosts; return the number of right answers."""
+async def profile_requests(
+    folder: Path, rate_per_s: float, duration_s: float
+) -> dict[str, Any]:
+    """Run the load on profiled hosts and return the time of each part per request."""
     bench = await start_bench(folder, HOST_MODULE)
     try:
+        pids = daemon_pids(bench)
         lookup_of = lookups_of(bench, "two_hosts")
         result = await run_paced(lookup_of, rate_per_s, duration_s)
     finally:
         bench.deployment.stop()
-    return len(result.latencies_ms)
+    n_answered = len(result.latencies_ms)
+    report: dict[str, Any] = {"answered": n_answered, "rate_per_s": rate_per_s}
+    for name, pid in zip(PROFILED_HOSTS, pids, strict=True):
+        parts = time_by_part(pstats.Stats(str(folder / f"{pid}.profile")))
+        report[name] = {
+            part: round_digits(time_s * 1e6 / n_answered, 3)
+            for part, time_s in parts.most_common(N_PARTS)
+        }
+    return report
+
+
+def time_by_part(stats: pstats.Stats) -> Counter[str]:
+    """Return the seconds spent in each part, waits left out."""
+    rows: dict[Function, Any] = stats.stats  # type: ignore[attr-defined]
+    parts: Counter[str] = Counter()
+    for function, (_, _, own_s, _, callers) in rows.items():
+        if function[2] == _WAIT:
+            continue
+        if function[0] != _BUILT_IN:
+            parts[part_of_file(function[0])] += own_s
+            continue
+        for caller, (_, _, caller_s, _) in callers.items():
+            parts[part_of_file(caller[0])] += caller_s
+    return parts
+
+
+def part_of_file(path: str) -> str:
+    """Return the part to which a source file belongs."""
+    own = _OWN.search(path)
+    if own:
+        return f"{own[1]}.{own[2]}"
+    package = _PACKAGE.match(path)
+    return package[1] if package else "interpreter"
 
 
 def main() -> None:
@@ -30,18 +82,21 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rate", type=float, default=150.0, help="requests per second")
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--keep", action="store_true", help="write the result to docs/capacity.json too"
+    )
     arguments = parser.parse_args()
     folder = Path("build/profile")
     folder.mkdir(parents=True, exist_ok=True)
-    # Each host writes a profile of its own, named after its process.
     os.environ[PROFILE_VARIABLE] = str(folder)
-    n_answered = asyncio.run(
-        profile_requests(folder, arguments.rate, arguments.seconds)
-    )
-    print(f"{n_answered} lookups answered through two hosts")
-    for path in sorted(folder.glob("*.profile")):
-        print(path)
-        pstats.Stats(str(path)).sort_stats("tottime").print_stats(N_LINES)
+    report = asyncio.run(profile_requests(folder, arguments.rate, arguments.seconds))
+    (folder / "report.json").write_text(json.dumps(report, indent=2) + "\n")
+    if arguments.keep:
+        keep_in_document("profile", report)
+    for name in PROFILED_HOSTS:
+        print(f"{name}, µs per request, {report['answered']} requests:")
+        for part, time_us in report[name].items():
+            print(f"  {part:<40}{time_us:>8g}")
 
 
 if __name__ == "__main__":
--- a/packages/bergamotferry_testkit/tests/test_capacity_page.py
+++ b/packages/bergamotferry_testkit/tests/test_capacity_page.py
@@ -48,6 +48,7 @@
         "checks",
         "latency",
         "overhead",
+        "profile",
         "serve-again",
         "in-force",
         "hot-keys",
