Split the capacity model by resource and role

Change: terms in capacity_terms, one function for each role and resource; no figure of the page changed, two rows of its table of checks stand lower.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -25,7 +25,7 @@
     SERVICE_TIME_MS,
     Counts,
 )
-from .capacity_model import Resource, Slopes, build_terms, commits_per_s, total
+from .capacity_model import Resource, Slopes, commits_per_s, total
 from .capacity_steps import (
     handover_ms,
     host_lost,
@@ -37,6 +37,7 @@
     total_ms,
     upstream_lost,
 )
+from .capacity_terms import build_terms
 
 TAKEN_OUT_TARGET_MS = 3000.0
 CORE_US_PER_S = 1e6
@@ -63,9 +64,12 @@
     """Return every requirement with its figures."""
     return [
         *_request_checks(slopes, counts),
-        *_control_checks(slopes, counts),
-        *_leader_checks(slopes, counts),
-        *_time_checks(slopes, counts),
+        *_host_control_checks(slopes, counts),
+        *_other_control_checks(slopes, counts),
+        *_data_centre_leader_checks(slopes, counts),
+        *_global_group_checks(slopes, counts),
+        *_serve_again_checks(slopes, counts),
+        *_change_checks(slopes, counts),
         *_store_checks(slopes, counts),
     ]
 
@@ -119,7 +123,7 @@
     return 1000 * counts.n_upstreams * N_SLOTS_PER_UPSTREAM / N_REQUESTS_PER_S
 
 
-def _control_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+def _host_control_checks(slopes: Slopes, counts: Counts) -> list[Check]:
     terms = build_terms(counts)
 
     def of_host(resource: Resource) -> float:
@@ -159,6 +163,12 @@
             "renewals every 200 ms as fixed records of 32 bytes without names, over "
             "UDP; logs pushed in place of two polls a second; pings only when silent",
         ),
+    ]
+
+
+def _other_control_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    terms = build_terms(counts)
+    return [
         Check(
             "control, an upstream's bytes",
             total(terms, slopes, "upstream", "bytes_per_s", True),
@@ -177,18 +187,17 @@
     ]
 
 
-def _leader_checks(slopes: Slopes, counts: Counts) -> list[Check]:
-    terms = build_terms(counts)
+def _control_cpu_percent(slopes: Slopes, counts: Counts, role: str) -> float:
+    us_per_s = total(build_terms(counts), slopes, role, "cpu_us_per_s", True)
+    return us_per_s / CORE_US_PER_S * 100
 
-    def cpu_percent(role: str) -> float:
-        us_per_s = total(terms, slopes, role, "cpu_us_per_s", True)
-        return us_per_s / CORE_US_PER_S * 100
 
+def _data_centre_leader_checks(slopes: Slopes, counts: Counts) -> list[Check]:
     commit_us = slopes["commit_leader_cpu"].slope
     return [
         Check(
             "control, the leader of a data centre",
-            cpu_percent("data-centre leader"),
+            _control_cpu_percent(slopes, counts, "data-centre leader"),
             CONTROL_CPU_PERCENT,
             "% of a core",
             "rows of the data centre and of those in motion kept by index, so that a "
@@ -201,9 +210,30 @@
             "ms",
             "as above",
         ),
+        Check(
+            "cores of a data centre's leader for commits of filings",
+            commits_per_s(counts) * commit_us / CORE_US_PER_S,
+            1,
+            "cores",
+            "many groups per data centre, by ranges of shards; many commands to an "
+            "entry; outcomes in files of their own",
+        ),
+        Check(
+            "all shards granted in one tick, within the leader lease",
+            regrant_all_ms(slopes, counts),
+            LEADER_LEASE_NS / NS_PER_MS,
+            "ms",
+            "rank targets once per upstream set; grant in parts over several ticks",
+        ),
+    ]
+
+
+def _global_group_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    terms = build_terms(counts)
+    return [
         Check(
             "control, the global leader",
-            cpu_percent("global leader"),
+            _control_cpu_percent(slopes, counts, "global leader"),
             CONTROL_CPU_PERCENT,
             "% of a core",
             "unplaced shards kept as a set; run when a report or a note changes",
@@ -217,7 +247,7 @@
         ),
         Check(
             "control, the voter that all hosts read the global log from",
-            cpu_percent("global voter"),
+            _control_cpu_percent(slopes, counts, "global voter"),
             CONTROL_CPU_PERCENT,
             "% of a core",
             "a tree: one relay per data centre reads, its hosts read from it",
@@ -229,25 +259,10 @@
             "B/s",
             f"as above, and polls longer than {FETCH_WAIT_MS} ms",
         ),
-        Check(
-            "cores of a data centre's leader for commits of filings",
-            commits_per_s(counts) * commit_us / CORE_US_PER_S,
-            1,
-            "cores",
-            "many groups per data centre, by ranges of shards; many commands to an "
-            "entry; outcomes in files of their own",
-        ),
-        Check(
-            "all shards granted in one tick, within the leader lease",
-            regrant_all_ms(slopes, counts),
-            LEADER_LEASE_NS / NS_PER_MS,
-            "ms",
-            "rank targets once per upstream set; grant in parts over several ticks",
-        ),
     ]
 
 
-def _time_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+def _serve_again_checks(slopes: Slopes, counts: Counts) -> list[Check]:
     return [
         Check(
             "serve again, a dispatching host lost",
@@ -272,6 +287,19 @@
             "drain report at once in place of the next renewal; one command that "
             "closes the session and grants its shards",
         ),
+        Check(
+            "a request sent to a host just before its loss is sent elsewhere",
+            total_ms(request_stranded()),
+            SERVE_AGAIN_TARGET_MS,
+            "ms",
+            "break links to a host as soon as the tables take its dispatching away; "
+            "shorter pings",
+        ),
+    ]
+
+
+def _change_checks(slopes: Slopes, counts: Counts) -> list[Check]:
+    return [
         Check(
             "a data centre taken out gives up its last shard",
             handover_ms(slopes, counts.shards_per_data_centre),
@@ -287,14 +315,6 @@
             "ms",
             "as above",
         ),
-        Check(
-            "a request sent to a host just before its loss is sent elsewhere",
-            total_ms(request_stranded()),
-            SERVE_AGAIN_TARGET_MS,
-            "ms",
-            "break links to a host as soon as the tables take its dispatching away; "
-            "shorter pings",
-        ),
         Check(
             "in force everywhere",
             total_ms(in_force(slopes)),
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_counts.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_counts.py
@@ -109,12 +109,21 @@
 
 def count_rows(counts: Counts) -> list[CountRow]:
     """Return the table of counts, those given first."""
+    return [*_given_rows(), *_node_rows(counts), *_shard_rows(counts), *_work_rows()]
+
+
+def _given_rows() -> list[CountRow]:
     return [
         CountRow("nodes", f"{N_NODES:,}", "letter"),
         CountRow("keys", f"{N_KEYS:,}", "letter"),
         CountRow("requests per s", f"{N_REQUESTS_PER_S:,}", "letter"),
         CountRow("regions, data centres", f"{N_REGIONS}, {N_DATA_CENTRES}", "letter"),
         CountRow("changes of configuration", f"{N_NOTES_PER_DAY:,} a day", "letter"),
+    ]
+
+
+def _node_rows(counts: Counts) -> list[CountRow]:
+    return [
         CountRow(
             "hosts",
             f"{counts.n_hosts}",
@@ -132,6 +141,11 @@
             f"{counts.upstreams_per_host}",
             "even split, rounded up",
         ),
+    ]
+
+
+def _shard_rows(counts: Counts) -> list[CountRow]:
+    return [
         CountRow(
             "shards",
             f"{N_SHARDS:,}",
@@ -158,6 +172,11 @@
             f"{counts.held_per_host:,.0f}",
             f"at {REQUEST_TARGET_MS:g} ms each",
         ),
+    ]
+
+
+def _work_rows() -> list[CountRow]:
+    return [
         CountRow(
             "callers' connections per host", f"{N_CONNECTIONS_PER_HOST:,}", "assumed"
         ),
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_day.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_day.py
@@ -64,8 +64,6 @@
     upstream_commits = N_SESSION_COMMANDS + n_shards + N_COMMANDS_PER_MOVE * n_back
     n_commits = n_host_events * host_commits + n_upstream_events * upstream_commits
     n_moves = 2 * n_shards * n_upstream_events
-    rack = n_shards * N_NODES_PER_RACK * (1 - HOST_SHARE)
-    regrant_us = slopes["regrant_cpu_per_shard"].slope
     return [
         ("hosts lost or restarted", f"{n_host_events:.0f} a day"),
         (
@@ -87,6 +85,15 @@
             f"{n_moves:,.0f} a day, {n_moves * N_KEYS / N_SHARDS / N_KEYS:.1%} of all "
             "keys change owner",
         ),
+        *_lost_place_rows(slopes, counts),
+    ]
+
+
+def _lost_place_rows(slopes: Slopes, counts: Counts) -> list[Row]:
+    n_shards = math.ceil(counts.shards_per_upstream)
+    rack = n_shards * N_NODES_PER_RACK * (1 - HOST_SHARE)
+    regrant_us = slopes["regrant_cpu_per_shard"].slope
+    return [
         (
             f"a rack of {N_NODES_PER_RACK} nodes in one data centre: its leader's loop "
             "stands still to choose new owners",
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_page.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_page.py
@@ -18,7 +18,6 @@
     Resource,
     Slopes,
     Term,
-    build_terms,
     coefficient_value,
     term_value,
     total,
@@ -34,6 +33,7 @@
     total_ms,
     upstream_lost,
 )
+from .capacity_terms import build_terms
 from .slope_fit import slope_from_json
 from .slopes import JSON_PATH
 
--- a/packages/bergamotferry_testkit/tests/test_capacity_page.py
+++ b/packages/bergamotferry_testkit/tests/test_capacity_page.py
@@ -8,8 +8,9 @@
 
 from bergamotferry_testkit.capacity_checks import build_checks
 from bergamotferry_testkit.capacity_counts import COUNTS
-from bergamotferry_testkit.capacity_model import build_terms, coefficient_value, total
+from bergamotferry_testkit.capacity_model import coefficient_value, total
 from bergamotferry_testkit.capacity_page import figure, read_slopes, render_page
+from bergamotferry_testkit.capacity_terms import build_terms
 from bergamotferry_testkit.slope_fit import Slope, fit_slope
 
 ROOT = Path(__file__).parents[3]
