--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -8,32 +8,23 @@
 import aiohttp
 from aiohttp import web
 
-from bergamotferry.data_centre_tables import (
-    DataCentreTables,
-    apply_data_centre_command,
-)
-from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import (
     CapacityQuestion,
     CapacityReport,
     FetchLog,
+    FetchSnapshot,
     FindGrant,
     HostStatusRequest,
+    JoinGroup,
     LiftQuarantine,
     ListQuarantine,
     ListUpstreams,
-    Member,
     Propose,
     RenewLeases,
     RequestHead,
 )
 
-from .bootstrap import (
-    DATA_CENTRE_PREFIX,
-    GLOBAL_GROUP,
-    first_membership,
-    groups_of_host,
-)
+from .bootstrap import DATA_CENTRE_PREFIX, groups_of_host
 from .caller_edge import build_caller_app
 from .clock import now_ns
 from .data_folder import DataFolder
@@ -41,8 +32,10 @@
 from .dispatcher_table import DispatcherTable
 from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
-from .group import Group, answer_fetch, answer_propose, post, run_group
-from .group_start import start_member
+from .group import Group, answer_propose, hand_over_leadership, post
+from .group_members import answer_join, run_group
+from .group_reader import answer_fetch, answer_fetch_snapshot
+from .group_start import start_group
 from .host_state import HostState
 from .http_edge import EdgeLimits, edge_runner
 from .leader_duties import (
@@ -119,20 +112,12 @@
     )
     groups: dict[str, Group] = {}
     history = GrantHistory()
-    apply_observed = observe_grants(apply_data_centre_command, history)
     for name in groups_of_host(settings.host, settings.seeds):
-        voters = [voter.host for voter in first_membership(name, settings.seeds).voters]
-        is_global = name == GLOBAL_GROUP
-        group = Group(
-            name,
-            GlobalTables() if is_global else DataCentreTables(),
-            apply_global_command if is_global else apply_observed,
-            network,
-            voters,
+        group = start_group(
+            name, settings.host, settings.seeds, network, folder, incarnation
         )
-        if folder is not None and settings.host.name in voters:
-            me = Member(settings.host.name, incarnation, True)
-            start_member(group, me, settings.seeds, folder)
+        if name.startswith(DATA_CENTRE_PREFIX):
+            group.apply_command = observe_grants(group.apply_command, history)
         groups[name] = group
     state = HostState(
         settings,
@@ -160,6 +145,10 @@
                 return await answer_propose(state.groups[message.group], message)
             case FetchLog() if message.group in state.groups:
                 return await answer_fetch(state.groups[message.group], message)
+            case FetchSnapshot() if message.group in state.groups:
+                return answer_fetch_snapshot(state.groups[message.group], message)
+            case JoinGroup() if message.group in state.groups:
+                return answer_join(state.groups[message.group], message)
             case CapacityReport():
                 return answer_capacity(state, message)
             case CapacityQuestion():
@@ -172,7 +161,7 @@
 
     def on_notice(message: Any, peer: str) -> None:
         group = state.groups.get(getattr(message, "group", ""))
-        if group is not None and group.replica is not None:
+        if group is not None:
             post(group, message)
 
     async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
@@ -198,7 +187,7 @@
         run_gauges(state),
     ]
     for name, group in state.groups.items():
-        if name.startswith(DATA_CENTRE_PREFIX) and group.replica is not None:
+        if name.startswith(DATA_CENTRE_PREFIX):
             duties += [
                 run_ownership_duty(state, group),
                 run_capacity_reports(state, group),
@@ -240,7 +229,7 @@
     state.is_stopping = True
     await asyncio.sleep(DRAIN_NOTICE_S)
     await _wait_handed_over(state, deadline_ns)
-    await _hand_over_leadership(state)
+    await asyncio.gather(*map(hand_over_leadership, state.groups.values()))
     state.is_refusing = True
     await asyncio.sleep(REFUSE_NOTICE_S)
     while now_ns() < deadline_ns:
@@ -265,8 +254,3 @@
         if not mine or (is_alone and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
             return
         await asyncio.sleep(DRAIN_POLL_S)
-
-
-async def _hand_over_leadership(state: HostState) -> None:
-    """Hand the leadership of every group that this host leads to another member."""
-    # The replicated log's part goes here, once it offers leadership transfer.
--- a/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/data_folder.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .disk_log import DiskLog, sync_folder
+from .disk_log import DiskLog, write_file
 
 BOOTSTRAP_INCARNATION = "bootstrap"
 _IDENTITY_NAME = "identity.json"
@@ -38,10 +38,14 @@
         Raises
         ------
         DataFolderError
-            If another process holds it, or it belongs to another host.
+            If it can't be written, another process holds it, or it belongs to another
+            host.
         """
-        path.mkdir(parents=True, exist_ok=True)
-        lock_descriptor = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            path.mkdir(parents=True, exist_ok=True)
+            lock_descriptor = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            raise DataFolderError(f"{path}: {error.strerror}") from error
         try:
             fcntl.flock(lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
@@ -50,24 +54,30 @@
         incarnation = _read_or_make_identity(path, host, is_bootstrap)
         return cls(path, incarnation, lock_descriptor)
 
+    def close(self) -> None:
+        """Unlock the folder."""
+        os.close(self.lock_descriptor)
+
     def open_log(self, group: str) -> DiskLog:
         """Open the log of a group."""
-        return DiskLog.from_path(self.path / f"{group.replace(':', '_')}.log")
+        return DiskLog.from_path(self.path, group.replace(":", "_"))
 
 
 def _read_or_make_identity(path: Path, host: str, is_bootstrap: bool) -> str:
     identity_path = path / _IDENTITY_NAME
     if identity_path.exists():
-        identity = json.loads(identity_path.read_text())
-        if identity["host"] != host:
-            raise DataFolderError(f"{path}: belongs to host {identity['host']}")
-        return str(identity["incarnation"])
+        try:
+            identity = json.loads(identity_path.read_text())
+            owner, incarnation = str(identity["host"]), str(identity["incarnation"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise DataFolderError(f"{identity_path}: damaged") from error
+        if owner != host:
+            raise DataFolderError(f"{path}: belongs to host {owner}")
+        return incarnation
+    if any(path.glob("*.log")):
+        # A new incarnation must not speak for what another one promised.
+        raise DataFolderError(f"{path}: holds logs but no identity")
     incarnation = BOOTSTRAP_INCARNATION if is_bootstrap else secrets.token_hex(8)
-    temporary_path = path / f"{_IDENTITY_NAME}.new"
-    with temporary_path.open("w") as file:
-        json.dump({"host": host, "incarnation": incarnation}, file)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary_path.rename(identity_path)
-    sync_folder(path)
+    identity = {"host": host, "incarnation": incarnation}
+    write_file(identity_path, json.dumps(identity).encode())
     return incarnation
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_day.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_day.py
@@ -3,7 +3,7 @@
 import math
 
 from bergamotferry.ownership import N_MOVES_PER_TICK
-from bergamotferry_host.group import FETCH_WAIT_MS
+from bergamotferry_host.group_reader import FETCH_WAIT_MS
 
 from .capacity_counts import (
     CUT_S,
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_hosts.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_hosts.py
@@ -13,7 +13,7 @@
 from bergamotferry.messages import FetchLog, RenewLeases
 from bergamotferry.records import HostAddress
 from bergamotferry_host.bootstrap import GLOBAL_GROUP, data_centre_group
-from bergamotferry_host.group import FETCH_WAIT_MS
+from bergamotferry_host.group_reader import FETCH_WAIT_MS
 from bergamotferry_host.peer_link import PeerHandlers, PeerStream, PeerUnreachable
 from bergamotferry_host.peer_network import PeerNetwork
 
