--- a/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
@@ -18,10 +18,10 @@
 import aiohttp
 
 from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.control import ask_control
 from bergamotferry_testkit.demo import (
     READY_TIMEOUT_S,
     apply_first_note,
-    _control,
     wait_owned,
 )
 from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN, ServiceShape
@@ -143,7 +143,7 @@
     n_shards = 0
     while time.monotonic() < deadline_s and n_shards < 10:
         host = deployment.hosts_of(name)[0]
-        body = await _control(deployment, host.control_address, "upstreams")
+        body = await ask_control(host.control_address, "upstreams")
         n_shards = sum(row["n_shards"] for row in body["upstreams"])
         await asyncio.sleep(0.2)
     assert n_shards >= 10
