--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_commits.py
@@ -69,12 +69,12 @@
     on_disk: list[tuple[float, float]] = []
     for n_commits in COMMIT_COUNTS:
         voters = _start_voters(folder / f"commits-{n_commits}")
-        leader = _elect(voters)
+        leader, now_ns = _elect(voters)
         follower = next(v for v in voters.values() if v is not leader)
         _reset(voters)
         size_before = leader.disk_log.path.stat().st_size
         for number in range(n_commits):
-            _commit(voters, leader, _command(number))
+            _commit(voters, leader, _command(number), now_ns)
         leader_cpu.append((n_commits, leader.cpu_s * US_PER_S))
         follower_cpu.append((n_commits, follower.cpu_s * US_PER_S))
         sent.append((n_commits, leader.n_bytes_sent))
@@ -173,23 +173,23 @@
     return voters
 
 
-def _elect(voters: dict[str, Voter]) -> Voter:
+def _elect(voters: dict[str, Voter]) -> tuple[Voter, int]:
     now_ns = 0
     while True:
         now_ns += TICK_NS
         for voter in voters.values():
-            _work(voter, partial(tick, now_ns=now_ns), now_ns)
+            _work(voter, last_index, now_ns)
         _deliver(voters, now_ns)
         for voter in voters.values():
             if voter.replica.role == "leader":
-                return voter
+                return voter, now_ns
 
 
 def _commit(
-    voters: dict[str, Voter], leader: Voter, command: DataCentreCommand
+    voters: dict[str, Voter], leader: Voter, command: DataCentreCommand, now_ns: int
 ) -> None:
-    _work(leader, lambda replica: propose(replica, command, 0), 0)
-    _deliver(voters, 0)
+    _work(leader, lambda replica: propose(replica, command, now_ns), now_ns)
+    _deliver(voters, now_ns)
     if leader.n_applied != last_index(leader.replica):
         raise RuntimeError("the command was not committed")
 
@@ -211,6 +211,7 @@
     started_s = time.process_time()
     replica = voter.replica
     step(replica)
+    tick(replica, now_ns)
     unpersisted = take_unpersisted(replica)
     term, last = replica.term, last_index(replica)
     if unpersisted is not None:
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
@@ -13,7 +13,7 @@
 from bergamotferry.admission import UpstreamQueue
 from bergamotferry.commands import ApplyNote
 from bergamotferry.data_centre_tables import DataCentreTables
-from bergamotferry.global_placement import run_global_placement
+from bergamotferry.global_placement import RebalanceState, run_global_placement
 from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.messages import LogEntry
 from bergamotferry.ownership import grant_free_shards, run_ownership
@@ -120,10 +120,13 @@
         tables = make_sessions(UPSTREAM_COUNTS[-1])
         settle(tables, global_tables, OWN_DATA_CENTRE, N_HOSTS)
         name = next(iter(tables.sessions))
-        work = UpstreamWork(tables.sessions[name], 1, UpstreamQueue(2, SlowStart(0)))
+        dispatcher = tables.dispatchers[name]
+        queue = UpstreamQueue(2, SlowStart(0))
+        work = UpstreamWork(tables.sessions[name], dispatcher.epoch, queue)
         mine = [g for g in tables.grants.values() if g.upstream == name]
         work.confirmed = {grant.shard: grant.epoch for grant in mine}
-        state = SimpleNamespace(own_tables=tables)
+        host = SimpleNamespace(name=dispatcher.host)
+        state = SimpleNamespace(own_tables=tables, host=host, has_host_lease=True)
         return time_us(partial(_look_for_orders, state, work))
 
     return measure_slope(
@@ -164,7 +167,8 @@
 
     def cost_us(n_shards: int) -> float:
         tables = make_global_tables(n_shards, N_DATA_CENTRES)
-        return time_us(partial(run_global_placement, tables, reports))
+        arguments = (tables, reports, RebalanceState(), NOW_NS)
+        return time_us(partial(run_global_placement, *arguments))
 
     return measure_slope(
         "placement_tick_cpu_per_shard",
--- a/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
@@ -20,8 +20,8 @@
 from bergamotferry_testkit.balanced_load import BalancedLoad
 from bergamotferry_testkit.demo import (
     READY_TIMEOUT_S,
-    _apply_first_note,
     _control,
+    apply_first_note,
     wait_owned,
 )
 from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN, ServiceShape
@@ -54,7 +54,7 @@
     extra = _start_extra_upstream(deployment)
     try:
         deployment.start()
-        await _apply_first_note(deployment)
+        await apply_first_note(deployment)
         assert await wait_ready(deployment.hosts, READY_TIMEOUT_S)
         await wait_owned(deployment, READY_TIMEOUT_S)
         running = asyncio.create_task(load.run())
