Let only a leader's word make a host ready; log attempts and dispatches

Cause: after all processes were killed, a restarted host served an older configuration (test_release_notes: code 1002). A stop of all hosts at once took 20 s, since each waited for a successor that was stopping too. Decision lines of attempts and dispatches had no caller.

Change: only a leader with a lease makes a host ready; a stop waits 3 s at most for a successor when nothing is in flight; attempts, dispatches and placements are logged through decision_log.

--- a/packages/bergamotferry/src/bergamotferry/readiness.py
+++ b/packages/bergamotferry/src/bergamotferry/readiness.py
@@ -1,20 +1,19 @@
 """How far a host that has just started must catch up before it serves.
 
 A host that restarts knows an old configuration, or none. It asks the voters of the
-global group and its neighbours, and serves no caller until it has applied all that a
-leader, or a majority of the voters, knows to be committed, and the highest revision
-that any of them has in force. So no answer of the host reverts what an earlier one
-told.
+global group and its neighbours, and serves no caller until it has applied all that the
+leader knows to be committed, and the highest revision that any of them has in force. So
+no answer of the host reverts what an earlier one told.
 
-A voter's word counts only once it has applied an entry of its own term: before that,
-after a restart of the whole deployment, it does not know what its predecessors
-committed.
+Only a leader's word counts, and only once it has applied an entry of its own term. A
+majority of followers would not do: each of them may have restarted from a snapshot, and
+know no more than that.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .messages import GroupStatus, HostStatus
+from .messages import HostStatus
 
 
 class CatchUpTarget(NamedTuple):
@@ -24,10 +23,8 @@
     revision: int
 
 
-def catch_up_target(
-    statuses: Iterable[HostStatus], group: str, voters: Iterable[str]
-) -> CatchUpTarget | None:
-    """Return how far to catch up, or None if too few hosts have answered.
+def catch_up_target(statuses: Iterable[HostStatus], group: str) -> CatchUpTarget | None:
+    """Return how far to catch up, or None if no leader has answered.
 
     Parameters
     ----------
@@ -35,9 +32,6 @@
         The answers that came.
     group : str
         Name of the global group.
-    voters : iterable of str
-        Names of its voters as far as this host knows; an answer that knows a later
-        membership goes before them.
     """
     answers = list(statuses)
     views = {
@@ -46,26 +40,14 @@
         for view in status.groups
         if view.group == group
     }
-    revision = max((status.revision for status in answers), default=0)
-    log_index = max((view.commit_index for view in views.values()), default=0)
     settled = {status.host for status in answers if group in status.settled_groups}
-    if any(views[host].role == "leader" for host in settled & views.keys()):
-        return CatchUpTarget(log_index, revision)
-    members = _latest_voters(views, tuple(voters))
-    if 2 * len(settled.intersection(members)) > len(members):
-        return CatchUpTarget(log_index, revision)
-    return None
+    if not any(views[host].role == "leader" for host in settled & views.keys()):
+        return None
+    revision = max(status.revision for status in answers)
+    log_index = max(view.commit_index for view in views.values())
+    return CatchUpTarget(log_index, revision)
 
 
 def is_caught_up(target: CatchUpTarget, applied_index: int, revision: int) -> bool:
     """Return whether a host has applied what it must before it serves."""
     return applied_index >= target.log_index and revision >= target.revision
-
-
-def _latest_voters(
-    views: dict[str, GroupStatus], voters: tuple[str, ...]
-) -> tuple[str, ...]:
-    known = [view for view in views.values() if view.voters]
-    if not known:
-        return voters
-    return max(known, key=lambda view: view.commit_index).voters
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -62,7 +62,7 @@
 DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.02
 REFUSE_NOTICE_S = 0.3
-SUCCESSOR_WAIT_NS = 1_000_000_000
+SUCCESSOR_WAIT_NS = 3_000_000_000
 EDGE_STOP_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 1024
 
@@ -249,8 +249,8 @@
             for row in state.own_tables.dispatchers.values()
             if row.host == state.host.name
         ]
-        # Without another host to take over, the leader retires none.
-        is_alone = all(row.state == "serving" for row in mine)
-        if not mine or (is_alone and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
+        # When no host is left to take over, waiting for one would only cost time.
+        is_idle = not any(w.in_flight for w in state.dispatchers.works.values())
+        if not mine or (is_idle and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
             return
         await asyncio.sleep(DRAIN_POLL_S)
--- a/packages/bergamotferry_host/src/bergamotferry_host/decision_log.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/decision_log.py
@@ -80,14 +80,11 @@
     metrics.timing("requests.took_ms", took_ms)
 
 
-def log_attempt(
-    head: RequestHead, number: int, host: str, outcome: Refused | None
-) -> None:
+def log_attempt(head: RequestHead, host: str, outcome: Refused | None) -> None:
     """Write the line of one attempt that an entry host made."""
     log(
         "attempt",
         request_id=head.request_id,
-        number=number,
         to_host=host,
         deadline_ms=head.deadline_ms,
         **_outcome_fields(outcome),
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -34,6 +35,7 @@
 
 from .clock import now_ns
 from .crash_watch import note_end, note_good_run, verdict_now
+from .decision_log import log_dispatch
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .host_state import HostState
@@ -47,6 +49,16 @@
 FILING_GRACE_NS = 30_000_000_000
 
 
+@dataclass(slots=True)
+class DispatchTrace:
+    """What the decision line of a dispatched request tells."""
+
+    started_ns: int
+    upstream: str = ""
+    epoch: int = 0
+    queue_ms: float = 0.0
+
+
 async def dispatch_here(
     state: HostState,
     head: RequestHead,
@@ -54,6 +66,26 @@
     sink: AnswerSink,
 ) -> Served | Refused:
     """Run a request on the owner of its shard, for which this host dispatches."""
+    trace = DispatchTrace(started_ns=now_ns())
+    outcome = await _dispatch(state, head, body, sink, trace)
+    log_dispatch(
+        head,
+        trace.upstream,
+        trace.epoch,
+        trace.queue_ms,
+        (now_ns() - trace.started_ns) / NS_PER_MS,
+        outcome if isinstance(outcome, Refused) else None,
+    )
+    return outcome
+
+
+async def _dispatch(
+    state: HostState,
+    head: RequestHead,
+    body: RequestBody,
+    sink: AnswerSink,
+    trace: "DispatchTrace",
+) -> Served | Refused:
     route = state.global_tables.routes.get(f"{head.service}/{head.route}")
     if route is None:
         return Refused(ResultCode.UNKNOWN_ROUTE, "the route was withdrawn")
@@ -71,10 +103,13 @@
     owner = check_owner(state, head.shard)
     if isinstance(owner, Refused):
         return owner
+    trace.upstream, trace.epoch = owner.session.name, owner.grant.epoch
     work = state.dispatchers.works.get(owner.session.name)
     if work is None or work.confirmed.get(head.shard) != owner.grant.epoch:
         return Refused(ResultCode.NO_OWNER, "the owner has not confirmed the grant yet")
+    queued_ns = now_ns()
     ticket = await _admit(state, work, head, route, content, deadline_ns)
+    trace.queue_ms = (now_ns() - queued_ns) / NS_PER_MS
     if isinstance(ticket, Refused):
         return ticket
     give_up_ns = deadline_ns if route.is_idempotent else deadline_ns + FILING_GRACE_NS
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -26,11 +26,13 @@
     RenewLeases,
     RenewLeasesReply,
 )
+from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.ownership import run_ownership
 from bergamotferry.replication import last_index, term_at
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .clock import now_ns
+from .decision_log import log_placement
 from .group import Group, append_here, wait_committed
 from .host_state import HostState, LeaderState
 from .logs import log
@@ -238,15 +240,6 @@
         _log_command(group, command, await wait_committed(group, future))
 
 
-def _log_command(group: Group, command: Command, outcome: object) -> None:
-    fields = {
-        name: value if isinstance(value, str | int | bool) else str(value)[:200]
-        for name, value in command._asdict().items()
-    }
-    log(
-        "placement",
-        group=group.name,
-        command=type(command).__name__,
-        inputs=fields,
-        outcome=str(outcome),
-    )
+def _log_command(group: Group, command: Command, outcome: Accepted | Refused) -> None:
+    reason = (type(command).__doc__ or "").partition("\n")[0]
+    log_placement(group.name, command, reason, outcome)
--- a/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
@@ -52,7 +52,9 @@
         state.renewals[name] = renewal
     renewal.waiters.append(future)
     try:
-        return await asyncio.wait_for(future, SESSION_LEASE_MS / 1000)
+        # `wait_for` would lose a cancellation that meets the answer.
+        async with asyncio.timeout(SESSION_LEASE_MS / 1000):
+            return await future
     except TimeoutError:
         return Refused(ResultCode.NO_LEADER, "the leader did not answer in time")
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
@@ -74,7 +74,7 @@
     names = sorted({*voters, *neighbours})
     replies = await asyncio.gather(*(_ask(state, name) for name in names))
     statuses = [reply for reply in replies if reply is not None]
-    return catch_up_target(statuses, GLOBAL_GROUP, voters)
+    return catch_up_target(statuses, GLOBAL_GROUP)
 
 
 async def _ask(state: HostState, host: str) -> HostStatus | None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -16,6 +16,7 @@
 from bergamotferry.routing import find_owner, home_of_shard
 
 from .clock import now_ns
+from .decision_log import log_attempt
 from .dispatch import dispatch_here
 from .exchange import (
     AnswerSink,
@@ -271,11 +272,15 @@
     sink: AnswerSink,
 ) -> Served | Refused:
     host = _choose_host(state, data_centre, head)
+    outcome: Served | Refused
     if not host:
-        return Refused(ResultCode.OWNER_UNREACHABLE, f"no host of {data_centre}")
-    if host == state.host.name:
-        return await dispatch_here(state, head, body, sink)
-    return await _forward(state, host, head, body, sink)
+        outcome = Refused(ResultCode.OWNER_UNREACHABLE, f"no host of {data_centre}")
+    elif host == state.host.name:
+        outcome = await dispatch_here(state, head, body, sink)
+    else:
+        outcome = await _forward(state, host, head, body, sink)
+    log_attempt(head, host, outcome if isinstance(outcome, Refused) else None)
+    return outcome
 
 
 def _choose_host(state: HostState, data_centre: str, head: RequestHead) -> str:
