Read the failure of a dial that nobody waits for

Ruled out: a real failure of the host; the log's other lines show a planned stop of all hosts. Change: the dial's own end callback reads its failure; the next caller learns of it from failed_ns as before. Conclusion: the check of the logs in test_operator_tool stays as it was.

--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -149,9 +149,16 @@
         if place not in self.dialling:
             task = asyncio.get_running_loop().create_task(self._dial(place))
             self.dialling[place] = task
-            task.add_done_callback(lambda _: self.dialling.pop(place, None))
+            task.add_done_callback(lambda _: self._end_dial(place))
         return await asyncio.shield(self.dialling[place])
 
+    def _end_dial(self, place: tuple[str, LinkClass]) -> None:
+        task = self.dialling.pop(place)
+        if not task.cancelled():
+            # A caller who gave up never reads the failure, and asyncio would
+            # print a traceback for it; `failed_ns` already tells the next caller.
+            task.exception()
+
     async def _dial(self, place: tuple[str, LinkClass]) -> PeerLink:
         host, link_class = place
         address = self.addresses.get(host)
--- a/packages/bergamotferry_host/tests/test_peer_network.py
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -1,6 +1,7 @@
 """A peer's bad frame closes its own link and no other."""
 
 import asyncio
+import gc
 
 import pytest
 from websockets.asyncio.client import connect
@@ -71,3 +72,28 @@
         return caught.value.response.status_code
 
     assert asyncio.run(run(work)) == 401
+
+
+def test_caller_who_gives_up_leaves_no_failed_dial_behind():
+    reported = []
+    peer_address = f"127.0.0.1:{free_ports(1)[0]}"
+    absent = HostAddress("b", "a", "r", peer_address, False)
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        handlers = PeerHandlers(None, None, None)
+        network = PeerNetwork.from_config(
+            HostAddress("a", "a", "r", "", False), (absent,), TOKEN, handlers
+        )
+        call = asyncio.create_task(network.call("b", HostStatusRequest(0, 0), 1.0))
+        await asyncio.sleep(0)
+        dial = network.dialling[("b", "control")]
+        call.cancel()
+        await asyncio.wait([dial])
+        await asyncio.sleep(0)
+        del dial
+        gc.collect()
+
+    asyncio.run(work())
+    assert reported == []
