Let placement follow the latencies that dispatchers observe

Cause: stragglers.py judged nothing, since no latency reached the leader of the data centre's group. Change: hosts send what they observed with their lease renewal; the leader judges once a second, writes a line for each verdict, and multiplies an upstream's share of shards by a weight that goes by bounded steps. A weight only falls while a verdict holds, so that noise moves nothing back. One answer counts for four times the latency so far at most; bulk is left out, since it takes as long as its caller reads; an answer that did not come in time counts. An upstream without answers is looked at as good again after a while, and rare quicker answers count for more, since a straggler keeps few shards to show its recovery by.

Ruled out: weights that follow the latency while a verdict holds (the noise test saw shards come back); smoothing alone after a gap, with 0.3 (with processes, an upstream whose one shard got 0.2 requests a second was not forgiven within 60 s).

--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -203,8 +203,8 @@
 class RenewLeases(NamedTuple):
     """A host renews its own lease and those of the sessions it heard from.
 
-    ``drained`` names upstreams (with the dispatcher's epoch) that it has stopped
-    sending to and has nothing in flight on; ``released`` names shards likewise.
+    ``drained`` names upstreams (with the dispatcher's epoch) and ``released`` shards on
+    which it sends nothing more; ``latencies`` are service, upstream and observed ms.
     """
 
     host: HostAddress
@@ -214,6 +214,7 @@
     sessions: tuple[tuple[str, int], ...]
     drained: tuple[tuple[str, int], ...]
     released: tuple[tuple[ShardId, int], ...]
+    latencies: tuple[tuple[str, str, float], ...] = ()
 
 
 class RenewLeasesReply(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -40,6 +40,9 @@
 FILL_INTERVAL_MS = 300
 # How long a data centre that is taken out goes on with shards that no other may take.
 OUT_GRACE_MS = 1500
+# Capacity is counted in whole numbers, and a slow upstream's is a part of its slots.
+CAPACITY_SCALE = 100
+EVEN: Mapping[str, float] = {}
 
 
 def run_ownership(
@@ -49,11 +52,13 @@
     data_centre: str,
     now_ns: int,
     is_placing: bool = True,
+    share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Run the systems once and return the commands to commit, in order.
 
     Leases are looked at every time. Placement reads all shards, and need run only when
-    the tables have changed, or now and then: see ``is_placing``.
+    the tables have changed, or now and then: see ``is_placing``. ``share_weights`` is
+    what the share of some upstreams is multiplied by, because they are slow.
     """
     follow_sessions(leases, tables.sessions, now_ns)
     forget_reports(leases, tables.dispatchers, tables.grants)
@@ -66,8 +71,8 @@
     commands += release_homes(tables, global_tables, leases, data_centre, now_ns)
     commands += revoke_leaving(tables)
     if not _is_out(global_tables, data_centre):
-        commands += grant_free_shards(tables, global_tables, data_centre)
-        commands += move_shards(tables, global_tables, leases, now_ns)
+        commands += grant_free_shards(tables, global_tables, data_centre, share_weights)
+        commands += move_shards(tables, global_tables, leases, now_ns, share_weights)
     return commands
 
 
@@ -206,12 +211,15 @@
 
 
 def grant_free_shards(
-    tables: DataCentreTables, global_tables: GlobalTables, data_centre: str
+    tables: DataCentreTables,
+    global_tables: GlobalTables,
+    data_centre: str,
+    share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Grant the shards that belong here and have no owner."""
     commands: list[DataCentreCommand] = []
     for service in global_tables.services:
-        weights = _serving_slots(tables, service)
+        weights = _serving_capacity(tables, service, share_weights)
         homes = {
             shard: home.epoch
             for shard, home in global_tables.shard_homes.items()
@@ -237,6 +245,7 @@
     global_tables: GlobalTables,
     leases: LeaseTable,
     now_ns: int,
+    share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Revoke some shards of upstreams that hold more than their share.
 
@@ -251,7 +260,7 @@
         leases.fill_checked_ns = now_ns
     shards: list[ShardId] = []
     for service in global_tables.services:
-        weights = _serving_slots(tables, service)
+        weights = _serving_capacity(tables, service, share_weights)
         if weights:
             owned = _owners(tables, service)
             shards += shards_over_share(owned, weights, n_moves)
@@ -301,9 +310,20 @@
     )
 
 
-def _serving_slots(tables: DataCentreTables, service: str) -> dict[str, int]:
+def _serving_capacity(
+    tables: DataCentreTables, service: str, share_weights: Mapping[str, float]
+) -> dict[str, int]:
+    """Return the slots of each upstream in hundredths, with its weight if it is slow.
+
+    None is nothing: a straggler keeps a shard, by whose requests its return is seen.
+    """
     return {
-        session.name: session.n_slots
+        session.name: max(
+            1,
+            round(
+                session.n_slots * CAPACITY_SCALE * share_weights.get(session.name, 1.0)
+            ),
+        )
         for session in tables.sessions.values()
         if session.service == service and session.state == "serving"
     }
--- a/packages/bergamotferry/tests/test_stragglers.py
+++ b/packages/bergamotferry/tests/test_stragglers.py
@@ -3,13 +3,18 @@
 import pytest
 
 from bergamotferry.stragglers import (
+    GOOD_FACTOR,
+    LATENCY_MAX_AGE_NS,
+    N_ANSWERS_MIN,
     N_LOOKS_GOOD,
     N_LOOKS_SLOW,
     LatencyTable,
     judge_stragglers,
+    known_latencies,
     observe_latency,
     placement_weights,
     set_latencies,
+    step_weights,
 )
 
 
@@ -64,3 +69,47 @@
     for _ in range(9):
         judge_stragglers(table)
     assert not any(row.is_slow for row in table.rows.values())
+
+
+def test_one_answer_that_hung_brings_no_verdict():
+    table = LatencyTable()
+    for _ in range(N_ANSWERS_MIN):
+        for number in range(5):
+            observe_latency(table, "testlog", f"u{number}", 5.0)
+    observe_latency(table, "testlog", "u0", 30_000.0)
+    for _ in range(N_LOOKS_SLOW):
+        judge_stragglers(table)
+    assert not table.rows["u0"].is_slow
+
+
+def test_latencies_are_known_while_there_are_enough_recent_answers():
+    table = LatencyTable()
+    for number in range(N_ANSWERS_MIN):
+        assert known_latencies(table, 0) == ()
+        observe_latency(table, "testlog", "u0", 5.0, number)
+    last_ns = N_ANSWERS_MIN - 1
+    late_ns = last_ns + LATENCY_MAX_AGE_NS
+    assert known_latencies(table, late_ns) == (("testlog", "u0", 5.0),)
+    assert known_latencies(table, late_ns + 1) == ()
+    # What was known of it before is not mixed with what it is now.
+    observe_latency(table, "testlog", "u0", 50.0, late_ns + 1)
+    assert (table.rows["u0"].n_answers, table.rows["u0"].latency_ms) == (1, 50.0)
+
+
+def test_weights_go_step_by_step_and_those_of_one_are_left_out():
+    weights = {}
+    seen = []
+    for wanted in [0.1] * 4 + [1.0] * 9:
+        weights = step_weights(weights, {"u0": wanted, "u1": 1.0})
+        seen.append(weights.get("u0", 1.0))
+    assert seen == [0.75, 0.5, 0.25, 0.1, *(n / 10 for n in range(2, 11))]
+    assert weights == {}
+
+
+def test_rare_answers_show_a_recovery_within_seconds():
+    table = LatencyTable()
+    for _ in range(N_ANSWERS_MIN):
+        observe_latency(table, "testlog", "u0", 50.0)
+    for second in range(0, 30, 5):
+        observe_latency(table, "testlog", "u0", 5.0, second * 1_000_000_000)
+    assert table.rows["u0"].latency_ms < GOOD_FACTOR * 5.0
--- a/packages/bergamotferry_host/src/bergamotferry_host/decision_log.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/decision_log.py
@@ -13,6 +13,7 @@
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.records import ShardId
 from bergamotferry.result_codes import ResultCode
+from bergamotferry.stragglers import Verdict
 
 from .logs import log
 from .metrics import Metrics
@@ -132,6 +133,21 @@
     )
 
 
+def log_straggler(group: str, verdict: Verdict) -> None:
+    """Write the line of a verdict on an upstream's latency."""
+    latency_ms = verdict.latency_ms
+    log(
+        "straggler",
+        group=group,
+        service=verdict.service,
+        upstream=verdict.upstream,
+        is_slow=verdict.is_slow,
+        latency_ms=None if latency_ms is None else round(latency_ms, 2),
+        median_ms=round(verdict.median_ms, 2),
+        threshold_ms=round(verdict.threshold_ms, 2),
+    )
+
+
 def _outcome_fields(outcome: Refused | None) -> dict[str, object]:
     if outcome is None:
         return {"code": int(ResultCode.SERVED), "why": ""}
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -31,7 +31,6 @@
 from bergamotferry.records import Route, UpstreamSession
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.slow_start import SlowStart, observe_answer
-from bergamotferry.stragglers import N_ANSWERS_MIN, observe_latency
 
 from .clock import now_ns
 from .crash_watch import note_end, note_good_run, verdict_now
@@ -39,6 +38,7 @@
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .host_state import HostState
+from .observations import note_latency
 from .orders import order_grants
 from .run_once import deliver, read_content, run_once
 from .upstream_call import check_owner, open_upstream_session, send_to_upstream
@@ -145,16 +145,6 @@
             await asyncio.sleep(DISPATCHER_TICK_S)
 
 
-def observed_latencies(state: HostState) -> tuple[tuple[str, str, float], ...]:
-    """Return service, upstream and latency of what this host dispatches for."""
-    rows = state.dispatchers.latencies.rows
-    return tuple(
-        (row.service, name, row.latency_ms)
-        for name, row in rows.items()
-        if name in state.dispatchers.works and row.n_answers >= N_ANSWERS_MIN
-    )
-
-
 async def _admit(
     state: HostState,
     work: UpstreamWork,
@@ -208,15 +198,10 @@
         if isinstance(outcome, Served):
             took_ms = (now_ns() - started_ns) / NS_PER_MS
             observe_answer(work.queue.ramp, took_ms, now_ns())
-            observe_latency(
-                state.dispatchers.latencies,
-                work.session.service,
-                work.session.name,
-                took_ms,
-            )
             note_good_run(state, work, ticket)
         elif request.progress.is_reset:
             await note_end(state, work)
+        note_latency(state, work, request, outcome, started_ns)
         return outcome
     finally:
         finish(work.queue, ticket.request_id, took_ms)
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -11,6 +11,7 @@
 from bergamotferry.messages import CapacityReport
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.records import HostAddress, ShardId
+from bergamotferry.stragglers import LatencyTable
 
 from .bootstrap import GLOBAL_GROUP, data_centre_group
 from .clock import now_ns
@@ -30,6 +31,16 @@
     waiters: list["asyncio.Future[Accepted | Refused]"] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class StragglerState:
+    """Latencies as hosts last reported them, the verdicts, and the weights in use."""
+
+    reports: dict[str, tuple[tuple[str, str, float], ...]] = field(default_factory=dict)
+    table: LatencyTable = field(default_factory=LatencyTable)
+    weights: dict[str, float] = field(default_factory=dict)
+    judged_ns: int = 0
+
+
 @dataclass(slots=True)
 class LeaderState:
     """What a leader holds in memory; it is void once leadership is lost."""
@@ -40,6 +51,7 @@
     report_times_ns: dict[str, int] = field(default_factory=dict)
     rebalance: RebalanceState = field(default_factory=RebalanceState)
     exported_homes: dict[ShardId, int] = field(default_factory=dict)
+    stragglers: StragglerState = field(default_factory=StragglerState)
 
 
 @dataclass(slots=True)
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -39,6 +39,7 @@
 from .outcome_transfer import handed_over, open_shards_of_fenced, send_outcomes
 from .peer_link import PeerUnreachable
 from .peer_network import hosts_of_data_centre
+from .straggler_duty import judge_if_due, note_latencies
 
 OWNERSHIP_TICK_S = 0.02
 NEXT_DECISION_S = 0.005
@@ -61,8 +62,12 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
+        is_weighed_anew = "stragglers" not in state.settings.request_policies_off and (
+            judge_if_due(leader.stragglers, group.tables, group.name, now_ns())
+        )
         applied = (group.applied_index, state.global_group.applied_index)
         is_placing = applied != placed_at or now_ns() - placed_ns > PLACING_NS
+        is_placing = is_placing or is_weighed_anew
         if is_placing:
             placed_ns, placed_at = now_ns(), applied
         commands = run_ownership(
@@ -72,6 +77,7 @@
             data_centre,
             now_ns(),
             is_placing,
+            leader.stragglers.weights,
         )
         await _commit_all(group, commands)
         has_acted = bool(commands)
@@ -161,6 +167,7 @@
         if not is_known or not renew_session(leases, session, now_ns()):
             lost.append(name)
     note_reports(leases, message.drained, message.released)
+    note_latencies(leader.stragglers, message)
     return RenewLeasesReply(
         True,
         state.host.name,
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_stragglers_lose_shards.py
@@ -0,0 +1,78 @@
+"""With real processes: slow upstreams lose shards, and get them back when quick again."""
+
+import asyncio
+import random
+import time
+
+from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.control import ask_control
+from bergamotferry_testkit.deployments import (
+    DeploymentShape,
+    RouteShape,
+    ServiceShape,
+)
+from bergamotferry_testkit.fault_plan import set_stand_in_fault
+from bergamotferry_testkit.local_deployment import LocalDeployment
+from bergamotferry_testkit.measure_faults import start_ready
+
+N_UPSTREAMS = 8
+SHAPE = DeploymentShape(
+    "stragglers",
+    {"north": ("a",)},
+    3,
+    (ServiceShape("testlog", N_UPSTREAMS, 2, 48, 10.0),),
+    (RouteShape("testlog", "lookup", "GET", "lookup", 4000, 1.0),),
+    "home-",
+    "north",
+)
+# The service has shards of its own and as many of the home region.
+SHARE = 2 * 48 // N_UPSTREAMS
+SLOW = ("testlog-02", "testlog-05")
+RATE_PER_S = 100.0
+WAIT_S = 60.0
+
+
+async def wait_loads(deployment, is_reached):
+    """Wait until the shards of the slow ones are as wanted; return the last counts."""
+    deadline_s = time.monotonic() + WAIT_S
+    while True:
+        body = await ask_control(deployment.hosts[0].control_address, "upstreams")
+        rows = body["upstreams"]
+        loads = [row["n_shards"] for row in rows if row["name"] in SLOW]
+        if is_reached(loads) or time.monotonic() > deadline_s:
+            return loads
+        await asyncio.sleep(0.2)
+
+
+async def play(deployment, load):
+    await start_ready(deployment)
+    await wait_loads(deployment, lambda loads: min(loads) >= SHARE // 2)
+    sending = asyncio.create_task(load.run())
+    for name in SLOW:
+        await set_stand_in_fault(deployment, name, {"slowness": 10})
+    slow = await wait_loads(deployment, lambda loads: max(loads) <= SHARE // 3)
+    for name in SLOW:
+        await set_stand_in_fault(deployment, name, {"slowness": 1})
+    quick = await wait_loads(deployment, lambda loads: min(loads) >= SHARE // 2)
+    load.is_stopping = True
+    await sending
+    return slow, quick
+
+
+def test_slow_upstreams_lose_shards_and_get_them_back(tmp_path):
+    deployment = LocalDeployment.from_config(SHAPE, tmp_path)
+    load = BalancedLoad(SHAPE, deployment.hosts, RATE_PER_S, 1 << 20, random.Random(7))
+    try:
+        slow, quick = asyncio.run(play(deployment, load))
+    finally:
+        deployment.stop()
+    logs = [tmp_path / f"{host.name}.log" for host in deployment.hosts]
+    lines = [line for log in logs for line in log.read_text().splitlines()]
+    verdicts = [line for line in lines if '"straggler"' in line]
+    print(slow, quick, load.n_sent, load.failures[:3], *verdicts, sep="\n")
+    assert max(slow) <= SHARE // 3
+    assert min(quick) >= SHARE // 2
+    # One verdict for each, and one that lifts it.
+    assert len(verdicts) >= 2 * len(SLOW)
+    # Shards that move cost no request.
+    assert load.failures == []
