--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_load.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_load.py
@@ -60,17 +60,24 @@
 async def measure_stragglers(
     shape: DeploymentShape, folder: Path, is_quick: bool
 ) -> dict[str, Any]:
-    """Measure the tail with some upstreams ten times slower."""
+    """Measure the tail with some upstreams ten times slower, with and without moves.
+
+    The load begins with the slowness and lasts until after the shards have moved; the
+    figures are of a second load, right after the first.
+    """
     rows: list[dict[str, Any]] = []
     shares = (0.1,) if is_quick else (0.0, 0.1, 0.3)
-    for share in shares:
-        name = f"stragglers-{share}"
-        result = await _one_load(shape, folder / name, 200.0, 20.0, "", share=share)
-        rows.append({"share": share, **_figures(result, 20.0)})
+    for disabled in ("", "stragglers"):
+        for share in shares:
+            name = f"stragglers-{disabled or 'all'}-{share}"
+            result = await _one_load(
+                shape, folder / name, 200.0, 20.0, disabled, share=share, settle_s=15.0
+            )
+            rows.append({"without": disabled, "share": share, **_figures(result, 20.0)})
     return {
         "rows": rows,
         "target": "p99 near that without stragglers",
-        "plot": {"x": "share", "y": "p99_ms", "series": "target"},
+        "plot": {"x": "share", "y": "p99_ms", "series": "without"},
     }
 
 
@@ -115,6 +122,7 @@
     disabled: str,
     cold_s: float = 0.0,
     share: float = 0.0,
+    settle_s: float = 0.0,
 ) -> LoadResult:
     deployment = LocalDeployment.from_config(shape, folder)
     deployment.environment[POLICIES_VARIABLE] = disabled
@@ -122,9 +130,10 @@
     try:
         await start_ready(deployment)
         await _slow_down(deployment, share)
-        planned = plan_load(
-            shape, addresses_by_region(deployment), rate_per_s, duration_s, 2000, 5
-        )
+        addresses = addresses_by_region(deployment)
+        settling = plan_load(shape, addresses, rate_per_s, settle_s, 2000, 6)
+        await run_load(settling, deployment.archive_bytes)
+        planned = plan_load(shape, addresses, rate_per_s, duration_s, 2000, 5)
         return await run_load(planned, deployment.archive_bytes)
     finally:
         deployment.stop()
