--- a/packages/bergamotferry_testkit/tests/test_stragglers_lose_shards.py
+++ b/packages/bergamotferry_testkit/tests/test_stragglers_lose_shards.py
@@ -1,4 +1,4 @@
-"""With real processes: slow upstreams lose shards, and get them back when quick again."""
+"""Real processes: slow upstreams lose shards, and get them back when quick again."""
 
 import asyncio
 import random
