Spread dispatchers back over the hosts, one at a time

Cause: a host that returned or joined got no upstream, so that the others went on carrying all. Change: the leader retires one dispatcher of the host that has most, through the handover of a planned stop, until the counts differ by one at most; at most one each 0.5 s, to hosts that have held their lease for 10 s, since a host that has just started would take every upstream for cold. Upstreams with bulk in flight stay, as hosts report with their renewals: their handover would last as long as the download.

Ruled out: a check that the old host lives; the tick that finds it lost has other commands, and then nothing is spread.

Seen failing: each of these out in turn: the interval, the time a host must be here, its incarnation, forgetting a host that lost its lease, the wait for a handover under way, the report of bulk, the difference of two, no spreading beside other commands.

--- a/packages/bergamotferry/src/bergamotferry/leases.py
+++ b/packages/bergamotferry/src/bergamotferry/leases.py
@@ -50,6 +50,9 @@
     released: set[tuple[ShardId, int]] = field(default_factory=set)
     out_since_ns: int | None = None
     fill_checked_ns: int = 0
+    live_since_ns: dict[tuple[str, str], int] = field(default_factory=dict)
+    bulk_upstreams: dict[str, frozenset[str]] = field(default_factory=dict)
+    spread_ns: int = 0
 
 
 def assume_all_granted(
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,12 +7,7 @@
 from typing import NamedTuple
 
 from .commands import Command
-from .records import (
-    HostAddress,
-    QuarantineRecord,
-    ShardId,
-    UpstreamSession,
-)
+from .records import HostAddress, QuarantineRecord, ShardId, UpstreamSession
 
 
 class Member(NamedTuple):
@@ -204,7 +199,8 @@
     """A host renews its own lease and those of the sessions it heard from.
 
     ``drained`` names upstreams (with the dispatcher's epoch) and ``released`` shards on
-    which it sends nothing more; ``latencies`` are service, upstream and observed ms.
+    which it sends nothing more; ``latencies`` are service, upstream and observed ms;
+    on ``bulk_upstreams`` it has bulk in flight.
     """
 
     host: HostAddress
@@ -215,6 +211,7 @@
     drained: tuple[tuple[str, int], ...]
     released: tuple[tuple[ShardId, int], ...]
     latencies: tuple[tuple[str, str, float], ...] = ()
+    bulk_upstreams: tuple[str, ...] = ()
 
 
 class RenewLeasesReply(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -20,6 +20,7 @@
     RevokeShards,
 )
 from .data_centre_tables import DataCentreTables
+from .dispatcher_spread import spread_dispatchers
 from .global_tables import GlobalTables
 from .leases import (
     NS_PER_MS,
@@ -66,6 +67,8 @@
     commands += close_sessions(tables, leases, now_ns)
     commands += assign_dispatchers(tables, leases, now_ns)
     commands += confirm_releases(tables, leases, now_ns)
+    if not commands:
+        commands += spread_dispatchers(tables, leases, now_ns)
     if not is_placing:
         return commands
     commands += release_homes(tables, global_tables, leases, data_centre, now_ns)
--- /dev/null
+++ b/packages/bergamotferry/tests/test_dispatcher_spread.py
@@ -0,0 +1,130 @@
+"""Dispatchers move back to hosts that return, one at a time."""
+
+from collections import Counter
+
+import pytest
+
+from bergamotferry.commands import AssignDispatcher, OpenSession, RetireDispatcher
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.dispatcher_spread import (
+    SPREAD_INTERVAL_MS,
+    SPREAD_LIVE_MS,
+    note_bulk,
+)
+from bergamotferry.global_tables import GlobalTables
+from bergamotferry.leases import (
+    HOST_LEASE_MS,
+    NS_PER_MS,
+    LeaseTable,
+    note_reports,
+    renew_host,
+    renew_session,
+)
+from bergamotferry.ownership import run_ownership
+
+TICK_MS = 100
+LIVE_TICKS = SPREAD_LIVE_MS // TICK_MS
+
+
+class World:
+    """Upstreams that h1 dispatches for alone, a tick at a time."""
+
+    def __init__(self, n_upstreams, drain_ticks=0):
+        self.tables = DataCentreTables()
+        self.leases = LeaseTable()
+        self.now_ns = 0
+        self.n_retired = 0
+        self.drain_ticks = drain_ticks
+        self.n_ticks_drained = 0
+        for number in range(n_upstreams):
+            name = f"u{number}"
+            opened = OpenSession(name, "s", f"127.0.0.1:{number}", 1, 2, 9, False)
+            apply_data_centre_command(self.tables, opened)
+            assigned = AssignDispatcher(name, "h1", 0)
+            apply_data_centre_command(self.tables, assigned)
+
+    def tick(self, incarnations, bulk=()):
+        self.now_ns += TICK_MS * NS_PER_MS
+        for host, incarnation in incarnations.items():
+            renew_host(self.leases, host, incarnation, False, 0, self.now_ns)
+            note_bulk(self.leases, host, bulk)
+        for session in self.tables.sessions.values():
+            renew_session(self.leases, session, self.now_ns)
+        for name, row in self.tables.dispatchers.items():
+            if row.state == "retiring":
+                self.n_ticks_drained += 1
+                if self.n_ticks_drained > self.drain_ticks:
+                    note_reports(self.leases, [(name, row.epoch)], ())
+                    self.n_ticks_drained = 0
+        commands = run_ownership(
+            self.tables, GlobalTables(), self.leases, "a", self.now_ns
+        )
+        retired = [row for row in commands if isinstance(row, RetireDispatcher)]
+        for command in commands:
+            apply_data_centre_command(self.tables, command)
+        states = [row.state for row in self.tables.dispatchers.values()]
+        assert states.count("retiring") <= 1
+        self.n_retired += len(retired)
+
+    def loads(self):
+        return Counter(row.host for row in self.tables.dispatchers.values())
+
+
+@pytest.mark.parametrize(("n_upstreams", "n_hosts"), [(8, 2), (9, 2), (11, 3), (1, 3)])
+def test_counts_differ_by_one_at_most_after_the_fewest_moves(n_upstreams, n_hosts):
+    world = World(n_upstreams)
+    hosts = {f"h{number + 1}": "1" for number in range(n_hosts)}
+    for _ in range(LIVE_TICKS):
+        world.tick(hosts)
+        assert world.n_retired == 0
+    n_ticks = n_upstreams * (SPREAD_INTERVAL_MS // TICK_MS + 1)
+    for number in range(n_ticks):
+        world.tick(hosts)
+        assert world.n_retired <= number * TICK_MS // SPREAD_INTERVAL_MS + 1
+    loads = [world.loads()[host] for host in hosts]
+    assert max(loads) - min(loads) <= 1
+    assert world.n_retired == n_upstreams - max(loads)
+    for _ in range(2 * LIVE_TICKS):
+        world.tick(hosts)
+    assert [world.loads()[host] for host in hosts] == loads
+
+
+def test_a_host_that_restarts_again_and_again_gets_nothing():
+    world = World(8)
+    for number in range(5 * LIVE_TICKS):
+        world.tick({"h1": "1", "h2": str(number // (LIVE_TICKS - 1))})
+    assert world.loads() == {"h1": 8}
+
+
+def test_a_host_that_loses_its_lease_again_and_again_gets_nothing():
+    world = World(8)
+    for number in range(5 * LIVE_TICKS):
+        is_silent = number % LIVE_TICKS > LIVE_TICKS - 2 * HOST_LEASE_MS // TICK_MS
+        world.tick({"h1": "1"} if is_silent else {"h1": "1", "h2": "1"})
+    assert world.n_retired == 0
+
+
+def test_a_handover_that_takes_long_is_waited_for():
+    world = World(8, drain_ticks=3 * SPREAD_INTERVAL_MS // TICK_MS)
+    for _ in range(LIVE_TICKS + 80):
+        world.tick({"h1": "1", "h2": "1"})
+    assert world.loads() == {"h1": 4, "h2": 4}
+    assert world.n_retired == 4
+
+
+def test_upstreams_with_bulk_in_flight_stay():
+    world = World(4)
+    hosts = {"h1": "1", "h2": "1"}
+    for _ in range(3 * LIVE_TICKS):
+        world.tick(hosts, ("u0", "u1", "u2"))
+    moved = [n for n, row in world.tables.dispatchers.items() if row.host == "h2"]
+    assert moved == ["u3"]
+
+
+def test_a_lost_host_that_is_being_replaced_goes_first():
+    world = World(4)
+    for _ in range(LIVE_TICKS - HOST_LEASE_MS // TICK_MS):
+        world.tick({"h1": "1", "h2": "1"})
+    for _ in range(2 * HOST_LEASE_MS // TICK_MS):
+        world.tick({"h2": "1"})
+    assert (world.loads(), world.n_retired) == ({"h2": 4}, 0)
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -117,6 +117,7 @@
         owner, route, head, body, deadline_ns, give_up_ns, content
     )
     work.in_flight[head.shard] = work.in_flight.get(head.shard, 0) + 1
+    work.n_bulk_in_flight += route.traffic_class == "bulk"
     if route.is_idempotent:
         return await _run_idempotent(state, work, ticket, request, sink)
     return await _run_filing(state, work, ticket, request, sink)
@@ -219,7 +220,7 @@
     try:
         outcome = await _send(state, work, ticket, request, sink)
     finally:
-        _end(work, request.head)
+        _end(work, request)
     if outcome is not None:
         return outcome
     if request.progress.has_head:
@@ -246,7 +247,7 @@
     state.dispatchers.filings.add(task)
     task.add_done_callback(state.dispatchers.filings.discard)
     task.add_done_callback(lambda _: free_slot())
-    task.add_done_callback(lambda _: _end(work, request.head))
+    task.add_done_callback(lambda _: _end(work, request))
     left_s = (request.deadline_ns - now_ns()) / 1e9
     done, _ = await asyncio.wait([task], timeout=max(0.0, left_s))
     if not done:
@@ -269,10 +270,12 @@
     return None if task.cancelled() else task.result()
 
 
-def _end(work: UpstreamWork, head: RequestHead) -> None:
-    work.in_flight[head.shard] -= 1
-    if not work.in_flight[head.shard]:
-        del work.in_flight[head.shard]
+def _end(work: UpstreamWork, request: UpstreamRequest) -> None:
+    work.n_bulk_in_flight -= request.route.traffic_class == "bulk"
+    shard = request.head.shard
+    work.in_flight[shard] -= 1
+    if not work.in_flight[shard]:
+        del work.in_flight[shard]
 
 
 async def _wait_for_slot(work: UpstreamWork, ticket: Ticket) -> Refused | None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -33,6 +33,7 @@
     sends: set["asyncio.Task[object]"] = field(default_factory=set)
     attempts: set[str] = field(default_factory=set)
     fingerprints: dict[str, str] = field(default_factory=dict)
+    n_bulk_in_flight: int = 0
     has_crashed: bool = False
     is_ordering: bool = False
     n_orders: int = 0
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 
 from bergamotferry.commands import Command
+from bergamotferry.dispatcher_spread import note_bulk
 from bergamotferry.global_placement import capacity_after_out, run_global_placement
 from bergamotferry.leases import (
     HOST_LEASE_MS,
@@ -167,6 +168,7 @@
         if not is_known or not renew_session(leases, session, now_ns()):
             lost.append(name)
     note_reports(leases, message.drained, message.released)
+    note_bulk(leases, message.host.name, message.bulk_upstreams)
     note_latencies(leader.stragglers, message)
     return RenewLeasesReply(
         True,
--- a/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
@@ -13,7 +13,7 @@
 
 from .clock import now_ns
 from .host_state import HostState, SessionRenewal
-from .observations import observed_latencies
+from .observations import bulk_upstreams, observed_latencies
 from .orders import drained_upstreams, released_shards
 from .peer_link import PeerUnreachable
 
@@ -73,6 +73,7 @@
         drained_upstreams(state),
         released_shards(state),
         observed_latencies(state),
+        bulk_upstreams(state),
     )
     sent_ns = now_ns()
     reply = await _ask_leader(state, message)
--- a/packages/bergamotferry_host/src/bergamotferry_host/observations.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/observations.py
@@ -41,6 +41,12 @@
     )
 
 
+def bulk_upstreams(state: HostState) -> tuple[str, ...]:
+    """Return the upstreams to which bulk is in flight, or whose answer is."""
+    works = state.dispatchers.works
+    return tuple(name for name, work in works.items() if work.n_bulk_in_flight)
+
+
 def observed_latencies(state: HostState) -> tuple[tuple[str, str, float], ...]:
     """Return service, upstream and latency in ms of what this host dispatches for."""
     known = known_latencies(state.dispatchers.latencies, now_ns())
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_dispatchers_spread_back.py
@@ -0,0 +1,75 @@
+"""Real processes: a host that returns gets its part of the upstreams, at no cost."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+
+from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.control import ask_control
+from bergamotferry_testkit.deployments import (
+    DeploymentShape,
+    RouteShape,
+    ServiceShape,
+)
+from bergamotferry_testkit.local_deployment import LocalDeployment, stop_processes
+from bergamotferry_testkit.measure_faults import start_ready
+
+SHAPE = DeploymentShape(
+    "spread",
+    {"north": ("a",)},
+    3,
+    (
+        ServiceShape("testlog", 6, 2, 48, 5.0),
+        ServiceShape("archive", 3, 2, 12, 5.0),
+    ),
+    (
+        RouteShape("testlog", "lookup", "GET", "lookup", 4000, 0.8),
+        RouteShape("testlog", "filing", "POST", "filing", 10_000, 0.15),
+        RouteShape("archive", "bundle", "GET", "bulk", 30_000, 0.05),
+    ),
+    "home-",
+    "north",
+)
+RATE_PER_S = 60.0
+WAIT_S = 60.0
+
+
+async def wait_spread(deployment, is_reached):
+    """Wait until the upstreams of each host are as wanted; return the last counts."""
+    deadline_s = time.monotonic() + WAIT_S
+    while True:
+        body = await ask_control(deployment.hosts[0].control_address, "upstreams")
+        counts = Counter({host.name: 0 for host in deployment.hosts})
+        counts.update(row["dispatcher"] for row in body["upstreams"])
+        if is_reached(counts) or time.monotonic() > deadline_s:
+            return counts
+        await asyncio.sleep(0.2)
+
+
+async def play(deployment, load):
+    await start_ready(deployment)
+    returning = deployment.hosts[2]
+    await asyncio.to_thread(stop_processes, [returning.process])
+    await wait_spread(deployment, lambda counts: counts[returning.name] == 0)
+    deployment.start_host(returning)
+    sending = asyncio.create_task(load.run())
+    counts = await wait_spread(
+        deployment, lambda counts: max(counts.values()) - min(counts.values()) <= 1
+    )
+    load.is_stopping = True
+    await sending
+    return counts
+
+
+def test_a_host_that_returns_gets_upstreams_and_no_request_fails(tmp_path):
+    deployment = LocalDeployment.from_config(SHAPE, tmp_path)
+    load = BalancedLoad(SHAPE, deployment.hosts, RATE_PER_S, 1 << 20, random.Random(3))
+    try:
+        counts = asyncio.run(play(deployment, load))
+    finally:
+        deployment.stop()
+    print(dict(counts), load.n_sent, load.failures)
+    assert max(counts.values()) - min(counts.values()) <= 1
+    assert load.n_sent > 0
+    assert load.failures == []
