Move shards out of regions they lost, and give withdrawn services' grants back

Cause: placement looked at a data centre's state and slots only, so that shards of a home region whose regions were changed stayed where they may not be, and their requests were refused for good. Grants of a withdrawn service or home region stayed with their upstreams, since a shard without a home may also be one that lagging tables have not heard of. Change: a shard leaves a data centre whose region its home region does not name; grants are revoked when the tables name the service or the home region as withdrawn for good, which no lag can bring about.

Ruled out: revoking whatever has no home; the test with tables that lag fails then.

Seen failing: the region's check out; the withdrawn names' check out, and each half.

--- a/packages/bergamotferry/src/bergamotferry/global_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/global_placement.py
@@ -145,7 +145,10 @@
 def begin_handovers(
     tables: GlobalTables, reports: Mapping[str, CapacityReport]
 ) -> list[GlobalCommand]:
-    """Hand over the shards of data centres that are out or have no slots for them."""
+    """Hand over the shards of data centres that are out or may not or can't hold them.
+
+    A data centre may not if the shard's home region no longer names its region.
+    """
     leaving = [
         shard
         for shard, home in tables.shard_homes.items()
@@ -190,6 +193,9 @@
     row = tables.data_centres.get(data_centre)
     if row is None or row.state != "in":
         return True
+    if shard.domain and row.region not in regions_allowed_for_shard(tables, shard):
+        # The home region was changed since the shard was placed.
+        return True
     report = reports.get(data_centre)
     return report is not None and not dict(report.n_slots).get(shard.service, 0)
 
--- a/packages/bergamotferry/src/bergamotferry/global_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/global_tables.py
@@ -123,6 +123,18 @@
     return frozenset(row.region for row in tables.data_centres.values())
 
 
+def is_withdrawn(tables: GlobalTables, shard: ShardId) -> bool:
+    """Return whether a shard's service or home region was withdrawn for good.
+
+    A shard that is merely unknown may be one that these tables have not heard of yet.
+    """
+    retired = tables.retired_names
+    return (
+        f"services {shard.service}" in retired
+        or f"home_regions {shard.domain}" in retired
+    )
+
+
 def region_rule(
     tables: GlobalTables, service: str, domain: str, account: str
 ) -> RegionRule | None:
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -21,7 +21,7 @@
 )
 from .data_centre_tables import DataCentreTables
 from .dispatcher_spread import spread_dispatchers
-from .global_tables import GlobalTables
+from .global_tables import GlobalTables, is_withdrawn
 from .leases import (
     NS_PER_MS,
     LeaseTable,
@@ -171,6 +171,8 @@
 ) -> list[DataCentreCommand]:
     """Revoke shards that do not belong here, and give up those that are handed over.
 
+    Those of a withdrawn service or home region belong nowhere.
+
     While operators take the data centre out, a shard is served here until its handover
     begins; what can go nowhere else stops with the end of `OUT_GRACE_MS`. Homes older
     than a grant come from global tables that lag, and say nothing about it.
@@ -179,7 +181,11 @@
     revoked: list[Grant] = []
     for grant in tables.grants.values():
         home = global_tables.shard_homes.get(grant.shard)
-        if home is None or home.epoch < grant.epoch >> HOME_EPOCH_SHIFT:
+        if home is None:
+            if grant.state == "held" and is_withdrawn(global_tables, grant.shard):
+                revoked.append(grant)
+            continue
+        if home.epoch < grant.epoch >> HOME_EPOCH_SHIFT:
             continue
         is_staying = home.data_centre == data_centre and not home.next_data_centre
         if grant.state == "held" and (is_over or not is_staying):
--- a/packages/bergamotferry/tests/test_global_placement.py
+++ b/packages/bergamotferry/tests/test_global_placement.py
@@ -124,6 +124,31 @@
     assert set(run.counts("bound")) == {"b1"}
 
 
+def test_home_bound_shards_follow_a_home_region_that_is_changed() -> None:
+    run = Run()
+    run.tick(5)
+    unbound = run.counts()
+    for regions in [("a",), ("b",)]:
+        home = run.tables.home_regions["bound"]
+        run.tables.home_regions["bound"] = home._replace(regions=regions)
+        run.tick(1)
+        # A handover that has begun ends in the region of before, and is mended.
+        run.tables.home_regions["bound"] = home
+        run.tick(2)
+        run.tables.home_regions["bound"] = home._replace(regions=regions)
+        run.tick(20)
+        assert {REGIONS[name] for name in run.counts("bound")} == set(regions)
+    assert run.counts() == unbound
+    run.tables.home_regions["bound"] = home._replace(regions=("c",))
+    before = run.counts("bound")
+    run.tick(20)
+    # Where no data centre may hold them they stay, and their requests are refused.
+    assert run.counts("bound") == before
+    refusal = home_of_shard(run.tables, ShardId("s", "bound", 0), "any")
+    assert isinstance(refusal, Refused)
+    assert refusal.code is ResultCode.OUTSIDE_HOME_REGION
+
+
 def test_cut_off_data_centre_keeps_its_shards() -> None:
     run = Run()
     run.tick(5)
--- a/packages/bergamotferry/tests/test_leases.py
+++ b/packages/bergamotferry/tests/test_leases.py
@@ -15,6 +15,7 @@
     DataCentreTables,
     apply_data_centre_command,
 )
+from bergamotferry.global_tables import GlobalTables
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     NS_PER_MS,
@@ -28,7 +29,7 @@
     renew_session,
 )
 from bergamotferry.outcomes import Accepted, Refused
-from bergamotferry.ownership import assign_dispatchers, close_sessions
+from bergamotferry.ownership import assign_dispatchers, close_sessions, release_homes
 from bergamotferry.records import ShardId
 
 SHARD = ShardId("s", "", 0)
@@ -121,6 +122,21 @@
     assert SHARD not in tables.grants
 
 
+@pytest.mark.parametrize("withdrawn", ["", "services s", "home_regions bound"])
+def test_grants_of_what_was_withdrawn_are_given_back(withdrawn: str) -> None:
+    tables = DataCentreTables()
+    shard = ShardId("s", "bound", 0)
+    _apply(tables, _open(), AssignDispatcher("u", "h1", 0))
+    _apply(tables, GrantShards("u", 1, (shard,), (1,)))
+    # Tables that lag know no home of the shard either, and prove nothing.
+    global_tables = GlobalTables(retired_names={withdrawn: 2} if withdrawn else {})
+    leases = _leases(tables)
+    commands = release_homes(tables, global_tables, leases, "a", 1)
+    _apply(tables, *commands)
+    assert (tables.grants[shard].state == "revoking") == bool(withdrawn)
+    assert release_homes(tables, global_tables, leases, "a", 1) == []
+
+
 def test_upstream_that_leaves_closes_after_its_last_shard_is_given_back() -> None:
     tables = _served()
     leases = _leases(tables)
