Look at the tables only when something can have become due

Cause: run_ownership read all rows every 20 ms, run_global_placement every 200 ms, and order_grants all grants for each upstream every 20 ms, also when nothing had changed. Change: the leader runs the ownership systems when the tables, a report, the hosts' leases or the weights changed, or when the earliest lease or timer runs out, and once a second whatever happened; global placement when the tables or reports changed or unevenness lasts; a dispatcher orders when its tables changed since no order was due. The load tool takes one address where one host alone is ready; it stopped with an error before.

Ruled out: keeping a flag for each system; one comparison of what they read is enough, since they decide by nothing else but the timers.

Seen failing: each timer and each counted change out in turn, the run after a decision, global placement without its unevenness, orders settled with a shard to give back or without a lease.

--- a/packages/bergamotferry/src/bergamotferry/dispatcher_spread.py
+++ b/packages/bergamotferry/src/bergamotferry/dispatcher_spread.py
@@ -51,7 +51,9 @@
 
 def note_bulk(leases: LeaseTable, host: str, upstreams: Iterable[str]) -> None:
     """Note the upstreams on which a host has bulk in flight."""
-    leases.bulk_upstreams[host] = frozenset(upstreams)
+    names = frozenset(upstreams)
+    leases.n_changes += names != leases.bulk_upstreams.get(host)
+    leases.bulk_upstreams[host] = names
 
 
 def _settled_hosts(leases: LeaseTable, now_ns: int) -> list[str]:
--- a/packages/bergamotferry/src/bergamotferry/global_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/global_placement.py
@@ -26,9 +26,13 @@
 
 @dataclass(slots=True)
 class RebalanceState:
-    """Since when shards of a service and home domain are unevenly spread."""
+    """Since when shards of a service and home domain are unevenly spread.
+
+    ``looked_at`` is what the systems read when they last found nothing to do.
+    """
 
     uneven_since_ns: dict[tuple[str, str], int] = field(default_factory=dict)
+    looked_at: object = None
 
 
 def run_global_placement(
@@ -46,6 +50,19 @@
     return commands
 
 
+def is_placement_due(rebalance: RebalanceState, seen: object) -> bool:
+    """Return whether the systems must run; ``seen`` is the state of what they read.
+
+    Only unevenness calls for something by the time that it lasts.
+    """
+    return bool(rebalance.uneven_since_ns) or seen != rebalance.looked_at
+
+
+def note_placement(rebalance: RebalanceState, seen: object, has_acted: bool) -> None:
+    """Note that the systems ran; what they decided may not come about."""
+    rebalance.looked_at = None if has_acted else seen
+
+
 def capacity_after_out(
     tables: GlobalTables, reports: Mapping[str, CapacityReport], name: str
 ) -> list[CapacityAfterOut]:
--- a/packages/bergamotferry/src/bergamotferry/leases.py
+++ b/packages/bergamotferry/src/bergamotferry/leases.py
@@ -42,7 +42,10 @@
 
 @dataclass(slots=True)
 class LeaseTable:
-    """All leases that one leader has granted, and what hosts reported with them."""
+    """All leases that one leader has granted, and what hosts reported with them.
+
+    ``n_changes`` counts what may call for a decision; plain renewals do not.
+    """
 
     hosts: dict[str, HostLease] = field(default_factory=dict)
     sessions: dict[str, SessionLease] = field(default_factory=dict)
@@ -53,6 +56,7 @@
     live_since_ns: dict[tuple[str, str], int] = field(default_factory=dict)
     bulk_upstreams: dict[str, frozenset[str]] = field(default_factory=dict)
     spread_ns: int = 0
+    n_changes: int = 0
 
 
 def assume_all_granted(
@@ -92,6 +96,12 @@
     if known is not None and known.incarnation == incarnation:
         if known.expires_ns > now_ns:
             since_index = known.since_index
+    is_plain = (
+        known is not None
+        and known.expires_ns > now_ns
+        and (known.incarnation, known.is_stopping) == (incarnation, is_stopping)
+    )
+    leases.n_changes += not is_plain
     expires_ns = now_ns + granted_ns(HOST_LEASE_MS)
     lease = HostLease(incarnation, expires_ns, is_stopping, since_index)
     leases.hosts[host] = lease
@@ -127,8 +137,12 @@
 ) -> None:
     """Note what a host has stopped sending; a late report replaces no newer one."""
     for name, epoch in drained:
-        leases.drained[name] = max(epoch, leases.drained.get(name, 0))
+        if epoch > leases.drained.get(name, 0):
+            leases.drained[name] = epoch
+            leases.n_changes += 1
+    n_before = len(leases.released)
     leases.released.update(released)
+    leases.n_changes += len(leases.released) - n_before
 
 
 def forget_reports(
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -52,14 +52,12 @@
     leases: LeaseTable,
     data_centre: str,
     now_ns: int,
-    is_placing: bool = True,
     share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Run the systems once and return the commands to commit, in order.
 
-    Leases are looked at every time. Placement reads all shards, and need run only when
-    the tables have changed, or now and then: see ``is_placing``. ``share_weights`` is
-    what the share of some upstreams is multiplied by, because they are slow.
+    ``share_weights`` is what the share of some upstreams is multiplied by, because they
+    are slow. See ``ownership_pace`` for when to run.
     """
     follow_sessions(leases, tables.sessions, now_ns)
     forget_reports(leases, tables.dispatchers, tables.grants)
@@ -69,8 +67,6 @@
     commands += confirm_releases(tables, leases, now_ns)
     if not commands:
         commands += spread_dispatchers(tables, leases, now_ns)
-    if not is_placing:
-        return commands
     commands += release_homes(tables, global_tables, leases, data_centre, now_ns)
     commands += revoke_leaving(tables)
     if not _is_out(global_tables, data_centre):
--- a/packages/bergamotferry/tests/test_global_placement.py
+++ b/packages/bergamotferry/tests/test_global_placement.py
@@ -6,6 +6,8 @@
 from bergamotferry.global_placement import (
     RebalanceState,
     capacity_after_out,
+    is_placement_due,
+    note_placement,
     run_global_placement,
 )
 from bergamotferry.global_tables import GlobalTables, apply_global_command
@@ -170,6 +172,41 @@
     assert run.counts()["a1"] == 0
 
 
+class PacedRun(Run):
+    """Ticks at which the systems run only when something is due."""
+
+    n_looks = 0
+
+    def tick(self, n_ticks: int) -> None:
+        for _ in range(n_ticks):
+            seen = (repr(self.tables), self.reports())
+            if is_placement_due(self.rebalance, seen):
+                super().tick(1)
+                note_placement(self.rebalance, seen, repr(self.tables) != seen[0])
+                self.n_looks += 1
+            else:
+                self.now_ns += TICK_NS
+
+
+def test_placement_that_runs_when_due_decides_as_one_that_always_runs() -> None:
+    runs = Run(), PacedRun()
+    for run in runs:
+        del run.slots["a2"]
+        run.tick(5)
+        run.slots["a2"] = 8
+        run.tick(60)
+        run.slots["b1"] = 2
+        run.tick(60)
+        run.set_state("b2", "out")
+        run.tick(60)
+    assert runs[0].tables == runs[1].tables
+    assert runs[0].n_moved == runs[1].n_moved
+    assert runs[1].n_looks < 60
+    # What was decided may not come about, and is decided again.
+    note_placement(runs[1].rebalance, "tables", True)
+    assert is_placement_due(runs[1].rebalance, "tables")
+
+
 def test_capacity_after_out_names_what_would_have_no_place() -> None:
     run = Run()
     run.tick(5)
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -138,7 +138,8 @@
         while True:
             _follow_sessions(state)
             for work in state.dispatchers.works.values():
-                if not work.is_ordering and state.has_host_lease:
+                is_settled = work.settled_index == state.own_group.applied_index
+                if not (work.is_ordering or is_settled) and state.has_host_lease:
                     task = asyncio.create_task(order_grants(state, http, work))
                     pending.add(task)
                     task.add_done_callback(pending.discard)
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -20,7 +20,8 @@
 
     ``sends`` are the tasks that talk to the upstream; they are cancelled when the host
     loses it. ``attempts`` names the filings that this host may still resolve, and
-    ``fingerprints`` tells what runs by the id of its ticket.
+    ``fingerprints`` tells what runs by the id of its ticket. ``settled_index`` is the
+    index of the applied log at which no order was due, and none could become so.
     """
 
     session: UpstreamSession
@@ -36,6 +37,7 @@
     n_bulk_in_flight: int = 0
     has_crashed: bool = False
     is_ordering: bool = False
+    settled_index: int = -1
     n_orders: int = 0
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -10,6 +10,7 @@
 from bergamotferry.leases import LeaseTable
 from bergamotferry.messages import CapacityReport
 from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.ownership_pace import OwnershipPace
 from bergamotferry.records import HostAddress, ShardId
 from bergamotferry.stragglers import LatencyTable
 
@@ -51,6 +52,7 @@
     report_times_ns: dict[str, int] = field(default_factory=dict)
     rebalance: RebalanceState = field(default_factory=RebalanceState)
     exported_homes: dict[ShardId, int] = field(default_factory=dict)
+    pace: OwnershipPace = field(default_factory=OwnershipPace)
     stragglers: StragglerState = field(default_factory=StragglerState)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -11,7 +11,12 @@
 
 from bergamotferry.commands import Command
 from bergamotferry.dispatcher_spread import note_bulk
-from bergamotferry.global_placement import capacity_after_out, run_global_placement
+from bergamotferry.global_placement import (
+    capacity_after_out,
+    is_placement_due,
+    note_placement,
+    run_global_placement,
+)
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     SESSION_LEASE_MS,
@@ -29,6 +34,7 @@
 )
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.ownership import run_ownership
+from bergamotferry.ownership_pace import is_look_due, note_look
 from bergamotferry.replication import last_index, term_at
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
@@ -44,7 +50,6 @@
 
 OWNERSHIP_TICK_S = 0.02
 NEXT_DECISION_S = 0.005
-PLACING_NS = 100_000_000
 PLACEMENT_TICK_S = 0.2
 REPORT_TIMEOUT_S = 0.5
 REPORT_MAX_AGE_NS = 3_000_000_000
@@ -54,8 +59,6 @@
     """Run the ownership systems whenever this host leads a data centre's group."""
     data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
     has_acted = False
-    placed_ns = 0
-    placed_at = (0, 0)
     while True:
         # One decision often makes the next one due, as a release does a grant.
         await asyncio.sleep(NEXT_DECISION_S if has_acted else OWNERSHIP_TICK_S)
@@ -63,25 +66,26 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
-        is_weighed_anew = "stragglers" not in state.settings.request_policies_off and (
+        if "stragglers" not in state.settings.request_policies_off:
             judge_if_due(leader.stragglers, group.tables, group.name, now_ns())
+        seen = (
+            group.applied_index,
+            state.global_group.applied_index,
+            tuple(leader.stragglers.weights.items()),
         )
-        applied = (group.applied_index, state.global_group.applied_index)
-        is_placing = applied != placed_at or now_ns() - placed_ns > PLACING_NS
-        is_placing = is_placing or is_weighed_anew
-        if is_placing:
-            placed_ns, placed_at = now_ns(), applied
+        if not is_look_due(leader.pace, leader.leases, seen, now_ns()):
+            continue
         commands = run_ownership(
             group.tables,
             state.global_tables,
             leader.leases,
             data_centre,
             now_ns(),
-            is_placing,
             leader.stragglers.weights,
         )
-        await _commit_all(group, commands)
         has_acted = bool(commands)
+        note_look(leader.pace, leader.leases, has_acted, now_ns())
+        await _commit_all(group, commands)
 
 
 async def run_placement_duty(state: HostState) -> None:
@@ -92,9 +96,14 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
+        reports = fresh_reports(leader)
+        seen = (group.applied_index, reports)
+        if not is_placement_due(leader.rebalance, seen):
+            continue
         commands = run_global_placement(
-            group.tables, fresh_reports(leader), leader.rebalance, now_ns()
+            group.tables, reports, leader.rebalance, now_ns()
         )
+        note_placement(leader.rebalance, seen, bool(commands))
         await _commit_all(group, commands)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/orders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/orders.py
@@ -22,7 +22,10 @@
 async def order_grants(
     state: HostState, http: aiohttp.ClientSession, work: UpstreamWork
 ) -> None:
-    """Order new grants and releases from an upstream, and note what it confirmed."""
+    """Order new grants and releases from an upstream, and note what it confirmed.
+
+    What is due is looked for among all grants, so not again before the tables change.
+    """
     work.is_ordering = True
 
     def guard() -> Refused | None:
@@ -33,6 +36,8 @@
     try:
         granted, released = _orders_due(state, work)
         if not granted and not released:
+            if _is_settled(state, work):
+                work.settled_index = state.own_group.applied_index
             return
         work.n_orders += 1
         order = {
@@ -104,6 +109,18 @@
     return granted, released
 
 
+def _is_settled(state: HostState, work: UpstreamWork) -> bool:
+    """Return whether no order can become due before the tables change.
+
+    One can when the host gets its lease, or when the last request ends of a shard that
+    is to be given back.
+    """
+    grants = state.own_tables.grants
+    in_flight = (grants.get(shard) for shard in work.in_flight)
+    is_waiting = any(row is not None and row.state == "revoking" for row in in_flight)
+    return _may_order(state, work) and not is_waiting
+
+
 def shard_text(shard: ShardId) -> str:
     """Return a shard as upstreams see it, such as ``testlog//17``."""
     return f"{shard.service}/{shard.domain}/{shard.number}"
--- a/packages/bergamotferry_host/tests/test_orders.py
+++ b/packages/bergamotferry_host/tests/test_orders.py
@@ -14,7 +14,12 @@
 )
 from bergamotferry.data_centre_tables import apply_data_centre_command
 from bergamotferry.records import ShardId
-from bergamotferry_host.orders import _may_order, _orders_due, drained_upstreams
+from bergamotferry_host.orders import (
+    _is_settled,
+    _may_order,
+    _orders_due,
+    drained_upstreams,
+)
 from bergamotferry_testkit.ownership_model import Clock, HostModel
 
 SHARDS = (ShardId("s", "", 0),)
@@ -64,5 +69,12 @@
     apply_data_centre_command(tables, RevokeShards((SHARDS[0],), (epoch,)))
     work = host.dispatchers.works["u1"]
     assert _orders_due(host, work) == ([], [])
+    assert not _is_settled(host, work)
     work.in_flight.clear()
     assert _orders_due(host, work) == ([], [(SHARDS[0], epoch)])
+    work.released.add((SHARDS[0], epoch))
+    assert _orders_due(host, work) == ([], [])
+    assert _is_settled(host, work)
+    # What is due without the lease shows when the host has it again.
+    host.lease_until_ns = 0
+    assert not _is_settled(host, work)
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/load.py
@@ -88,12 +88,10 @@
             key = shape.home_prefix + key
             addresses = tuple(addresses_by_region[shape.home_region])
         account = "home" if is_home else "inspectors"
+        # When one host alone is ready, there is no other to go to.
+        chosen = tuple(rng.sample(addresses, min(2, len(addresses))))
         filing = f"{seed}-{len(planned)}" if route.method == "POST" else ""
-        planned.append(
-            PlannedRequest(
-                at_s, route, account, key, filing, tuple(rng.sample(addresses, 2))
-            )
-        )
+        planned.append(PlannedRequest(at_s, route, account, key, filing, chosen))
     return planned
 
 
--- a/packages/bergamotferry_testkit/tests/test_straggler_placement.py
+++ b/packages/bergamotferry_testkit/tests/test_straggler_placement.py
@@ -72,7 +72,6 @@
             self.leases,
             CENTRE,
             worlds.NOW_NS,
-            True,
             self.stragglers.weights,
         ):
             for command in commands:
