Refuse the announcement of an incarnation that has left

Cause: a test with processes, new here, let an upstream leave under load: its shards moved and its session closed within 0.35 s, and then it was taken in again, since it went on announcing itself after the renewal's 1504, and got 12 shards and work 6 s after it had left. The same would come of one late or repeated announcement of a process that is long gone. Ruled out: the drain itself; the orders in the stand-in's record show each shard given back 0.04 s after the leave. Change: a leave raises the oldest incarnation that is taken above the leaving one. While its session still drains, a repeated announcement gets the same answer as before. The table is named for what it now holds. The ownership machine now allows for an announcement that is refused; its invariants are as they were. Tests: test_upstream_leaves (processes, 60 requests/s): seen failing before the change with new work 6.0 s after the leave, then passing, no failed request; test_incarnation_that_left_is_not_taken_again: seen failing on the old tables. test_ownership_model: 1 passed. Also: the scenario 'churn' of make measure, not yet run; stand-ins can leave.

--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -54,7 +54,7 @@
 
     last_epoch: int = 0
     sessions: dict[str, UpstreamSession] = field(default_factory=dict)
-    incarnations: dict[str, int] = field(default_factory=dict)
+    oldest_incarnations: dict[str, int] = field(default_factory=dict)
     grants: dict[ShardId, Grant] = field(default_factory=dict)
     dispatchers: dict[str, Dispatcher] = field(default_factory=dict)
     outcomes: dict[tuple[str, str], OutcomeRecord] = field(default_factory=dict)
@@ -109,12 +109,13 @@
 
 
 def _open_session(tables: DataCentreTables, command: OpenSession) -> Accepted | Refused:
-    newest = tables.incarnations.get(command.name, -1)
-    if command.incarnation < newest:
+    known = tables.sessions.get(command.name)
+    is_known = known is not None and known.incarnation == command.incarnation
+    oldest = tables.oldest_incarnations.get(command.name, 0)
+    if command.incarnation < oldest and not is_known:
         return Refused(
-            ResultCode.SESSION_STALE_INCARNATION, f"incarnation {newest} is known"
+            ResultCode.SESSION_STALE_INCARNATION, f"{oldest} is the oldest taken"
         )
-    known = tables.sessions.get(command.name)
     if known is not None and known.service != command.service:
         return Refused(
             ResultCode.SESSION_WRONG_SERVICE,
@@ -124,11 +125,11 @@
         return Refused(
             ResultCode.SESSION_NAME_TAKEN, f"the name is held at {known.address}"
         )
-    if known is not None and known.incarnation == command.incarnation:
+    if known is not None and is_known:
         return Accepted(known.opened_epoch)
     _supersede(tables, command.name)
     tables.last_epoch += 1
-    _note_incarnation(tables, command)
+    _note_incarnation(tables, command.name, command.incarnation)
     tables.sessions[command.name] = UpstreamSession(
         *command, "serving", tables.last_epoch
     )
@@ -149,15 +150,16 @@
             tables.grants[shard] = grant._replace(state="revoking")
 
 
-def _note_incarnation(tables: DataCentreTables, command: OpenSession) -> None:
-    tables.incarnations.pop(command.name, None)
-    tables.incarnations[command.name] = command.incarnation
-    n_excess = len(tables.incarnations) - N_INCARNATIONS_MAX
+def _note_incarnation(tables: DataCentreTables, name: str, oldest: int) -> None:
+    incarnations = tables.oldest_incarnations
+    incarnations.pop(name, None)
+    incarnations[name] = oldest
+    n_excess = len(incarnations) - N_INCARNATIONS_MAX
     if n_excess > 0:
-        closed = (name for name in tables.incarnations if name not in tables.sessions)
-        for name in list(islice(closed, n_excess)):
-            if name != command.name:
-                del tables.incarnations[name]
+        closed = (each for each in incarnations if each not in tables.sessions)
+        for each in list(islice(closed, n_excess)):
+            if each != name:
+                del incarnations[each]
 
 
 def _drain_session(
@@ -172,6 +174,8 @@
         tables.sessions[command.name] = known._replace(state="expired")
     elif known.state == "serving":
         tables.sessions[command.name] = known._replace(state="draining")
+        # A late or repeated announcement must not bring back what has left.
+        _note_incarnation(tables, command.name, command.incarnation + 1)
     return Accepted(known.incarnation)
 
 
--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -145,7 +145,7 @@
         409, True, "The note is not based on the revision in force."
     ),
     ResultCode.SESSION_STALE_INCARNATION: ResultCodeRow(
-        409, True, "A newer incarnation of the upstream is known."
+        409, True, "The incarnation has left, or a newer one is known."
     ),
     ResultCode.SESSION_NAME_TAKEN: ResultCodeRow(
         409, True, "The name is held by a live upstream at another address."
--- a/packages/bergamotferry/tests/test_leases.py
+++ b/packages/bergamotferry/tests/test_leases.py
@@ -30,6 +30,7 @@
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.ownership import assign_dispatchers, close_sessions
 from bergamotferry.records import ShardId
+from bergamotferry.result_codes import ResultCode
 
 SHARD = ShardId("s", "", 0)
 
@@ -131,6 +132,18 @@
     assert close_sessions(tables, leases, 1) == [RetireDispatcher("u", epoch)]
 
 
+def test_incarnation_that_left_is_not_taken_again() -> None:
+    tables = _served()
+    _apply(tables, DrainSession("u", 1, False))
+    # While it drains, it may have lost the answer to its announcement.
+    assert isinstance(_apply(tables, _open()), Accepted)
+    _apply(tables, CloseSession("u", 1, "left", tables.sessions["u"].opened_epoch))
+    refused = _apply(tables, _open())
+    assert isinstance(refused, Refused)
+    assert refused.code is ResultCode.SESSION_STALE_INCARNATION
+    assert isinstance(_apply(tables, _open(2)), Accepted)
+
+
 def test_new_leader_keeps_dispatchers_of_hosts_it_has_not_heard_from() -> None:
     tables = _served()
     leases = _leases(tables)
@@ -172,7 +185,7 @@
 def test_incarnations_of_closed_sessions_are_bounded() -> None:
     tables = DataCentreTables()
     for number in range(N_INCARNATIONS_MAX + 5):
-        tables.incarnations[f"gone-{number}"] = 1
+        tables.oldest_incarnations[f"gone-{number}"] = 1
     _apply(tables, _open())
-    assert len(tables.incarnations) == N_INCARNATIONS_MAX
-    assert "u" in tables.incarnations
+    assert len(tables.oldest_incarnations) == N_INCARNATIONS_MAX
+    assert "u" in tables.oldest_incarnations
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure.py
@@ -25,6 +25,7 @@
     measure_overload,
     measure_stragglers,
 )
+from .measure_ownership import measure_churn
 from .measure_report import write_report
 
 Scenario = Callable[[DeploymentShape, Path, bool], Coroutine[Any, Any, dict[str, Any]]]
@@ -33,6 +34,7 @@
     "failover": measure_failover,
     "notes": measure_notes,
     "data_centre_out": measure_data_centre_out,
+    "churn": measure_churn,
     "idle": measure_idle,
     "overload": measure_overload,
     "cold_start": measure_cold_start,
--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_ownership.py
@@ -0,0 +1,126 @@
+"""Scenarios of ownership: churn and imbalance while an upstream leaves and returns.
+
+Owners are read from the orders in the stand-ins' own records, not from what the hosts
+say of them.
+"""
+
+import asyncio
+import statistics
+import time
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from .deployments import DeploymentShape
+from .fault_plan import set_stand_in_fault
+from .local_deployment import LocalDeployment
+from .measure_faults import start_ready
+from .records_check import read_records
+
+STABLE_FOR_S = 3.0
+STABLE_TIMEOUT_S = 60.0
+POLL_S = 0.5
+
+
+class GrantedShard(NamedTuple):
+    """The latest order that granted a shard."""
+
+    epoch: int
+    upstream: str
+
+
+async def measure_churn(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure which shards move while one upstream leaves, and when it returns."""
+    deployment = LocalDeployment.from_config(shape, folder)
+    service = shape.services[0]
+    victim = f"{service.name}-01"
+    rows: list[dict[str, Any]] = []
+    try:
+        await start_ready(deployment)
+        before = await wait_stable(deployment, service.name)
+        for change, fault in (("leaves", {"leave": True}), ("joins", {"crash": True})):
+            began_s = time.monotonic()
+            await set_stand_in_fault(deployment, victim, fault)
+            after = await wait_stable(deployment, service.name)
+            took_s = time.monotonic() - began_s - STABLE_FOR_S
+            rows.append(_churn(shape, victim, change, before, after, took_s))
+            before = after
+    finally:
+        deployment.stop()
+    return {
+        "rows": rows,
+        "target": f"moved: its own share, 1/{service.n_upstreams} of the shards",
+    }
+
+
+def owners_of_records(paths: Iterable[Path], service: str) -> dict[str, GrantedShard]:
+    """Return the owner of each shard of a service by the orders that were recorded."""
+    owners: dict[str, GrantedShard] = {}
+    for record in read_records(paths):
+        is_order = record["event"] == "order"
+        if not is_order or not record["upstream"].startswith(f"{service}-"):
+            continue
+        for shard, epoch in record["granted"]:
+            if shard not in owners or epoch > owners[shard].epoch:
+                owners[shard] = GrantedShard(epoch, record["upstream"])
+    return owners
+
+
+async def wait_stable(
+    deployment: LocalDeployment, service: str
+) -> dict[str, GrantedShard]:
+    """Wait until no shard of a service moved for `STABLE_FOR_S`; return the owners.
+
+    Raises
+    ------
+    RuntimeError
+        If shards still move after `STABLE_TIMEOUT_S`.
+    """
+    paths = [deployment.records_path(name) for name in deployment.stand_in_words]
+    owners = owners_of_records(paths, service)
+    began_s = changed_s = time.monotonic()
+    while time.monotonic() - changed_s < STABLE_FOR_S:
+        if time.monotonic() - began_s > STABLE_TIMEOUT_S:
+            raise RuntimeError(f"shards still move after {STABLE_TIMEOUT_S} s")
+        await asyncio.sleep(POLL_S)
+        current = owners_of_records(paths, service)
+        if current != owners:
+            owners = current
+            changed_s = time.monotonic()
+    return owners
+
+
+def _churn(
+    shape: DeploymentShape,
+    victim: str,
+    change: str,
+    before: dict[str, GrantedShard],
+    after: dict[str, GrantedShard],
+    took_s: float,
+) -> dict[str, Any]:
+    moved = [
+        shard
+        for shard, owner in after.items()
+        if shard in before and before[shard].upstream != owner.upstream
+    ]
+    to_or_from = [
+        shard
+        for shard in moved
+        if victim in (before[shard].upstream, after[shard].upstream)
+    ]
+    counts = Counter(owner.upstream for owner in after.values())
+    return {
+        "upstream": victim,
+        "change": change,
+        "n_shards": len(after),
+        "n_moved": len(moved),
+        "n_moved_to_or_from_it": len(to_or_from),
+        "share": round(len(after) / shape.services[0].n_upstreams, 1),
+        "settled_after_s": round(took_s, 1),
+        "max_over_mean": round(
+            max(counts.values()) / statistics.mean(counts.values()), 2
+        ),
+    }
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -89,13 +89,15 @@
         return await _run(upstream, request)
 
     async def faults(request: web.Request) -> web.Response:
-        # Tests make an upstream a straggler, or crash it, while it runs.
+        # Tests make an upstream a straggler, let it leave, or crash it.
         wanted = await request.json()
         upstream.slowness = float(wanted.get("slowness", upstream.slowness))
         # So many archive answers break off half way through.
         upstream.n_breaks = int(wanted.get("n_breaks", upstream.n_breaks))
         if wanted.get("crash"):
             upstream.crash.set()
+        if wanted.get("leave"):
+            await _leave(upstream)
         return web.json_response({})
 
     async def health(request: web.Request) -> web.Response:
--- a/packages/bergamotferry_testkit/tests/test_ownership_model.py
+++ b/packages/bergamotferry_testkit/tests/test_ownership_model.py
@@ -267,8 +267,9 @@
         )
         self.log.append(command)
         self.commit_all()
-        session = self.tables.sessions[name]
-        if session.incarnation == process.incarnation:
+        session = self.tables.sessions.get(name)
+        # An incarnation that has left is refused; a newer one may have the session.
+        if session is not None and session.incarnation == process.incarnation:
             if renew_session(self.leases, session, self.clock.now_ns):
                 process.adopt(session.opened_epoch)
                 process.lease_until_ns = sent_ns + SESSION_LEASE_MS * NS_PER_MS
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_upstream_leaves.py
@@ -0,0 +1,66 @@
+"""An upstream that leaves under load gets no new work, and no request fails."""
+
+import asyncio
+import random
+
+from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.deployments import DeploymentShape, RouteShape, ServiceShape
+from bergamotferry_testkit.fault_plan import set_stand_in_fault
+from bergamotferry_testkit.local_deployment import LocalDeployment
+from bergamotferry_testkit.measure_faults import start_ready
+from bergamotferry_testkit.measure_ownership import owners_of_records, wait_stable
+from bergamotferry_testkit.ownership_check import check_ownership
+from bergamotferry_testkit.records_check import check_runs, read_records
+
+SHAPE = DeploymentShape(
+    "leaving",
+    {"north": ("a",)},
+    2,
+    (ServiceShape("testlog", 4, 2, 32, 5.0),),
+    (
+        RouteShape("testlog", "lookup", "GET", "lookup", 3000, 0.8),
+        RouteShape("testlog", "filing", "POST", "filing", 8000, 0.2),
+    ),
+    "home-",
+    "north",
+)
+LEAVING = "testlog-02"
+NO_NEW_WORK_AFTER_S = 3.0
+WATCHED_S = 6.0
+
+
+async def play(deployment):
+    await start_ready(deployment)
+    await wait_stable(deployment, "testlog")
+    load = BalancedLoad(
+        SHAPE, deployment.hosts, 60.0, deployment.archive_bytes, random.Random(5)
+    )
+    sending = asyncio.create_task(load.run())
+    await asyncio.sleep(1.0)
+    await set_stand_in_fault(deployment, LEAVING, {"leave": True})
+    await asyncio.sleep(WATCHED_S)
+    load.is_stopping = True
+    await sending
+    return load
+
+
+def test_leaving_upstream_gets_no_new_work_and_no_request_fails(tmp_path):
+    deployment = LocalDeployment.from_config(SHAPE, tmp_path)
+    try:
+        load = asyncio.run(play(deployment))
+    finally:
+        deployment.stop()
+    paths = [deployment.records_path("a")]
+    records = list(read_records(paths))
+    left_s = next(row["at_s"] for row in records if row["event"] == "leave")
+    runs = [row for row in records if row["event"] == "run"]
+    its_runs_s = [row["at_s"] for row in runs if row["upstream"] == LEAVING]
+    assert min(its_runs_s) < left_s
+    assert max(its_runs_s) < left_s + NO_NEW_WORK_AFTER_S
+    assert max(row["at_s"] for row in runs) > left_s + NO_NEW_WORK_AFTER_S
+    assert load.failures == []
+    owners = owners_of_records(paths, "testlog")
+    assert LEAVING not in {owner.upstream for owner in owners.values()}
+    assert check_ownership(paths) == []
+    check = check_runs(paths, load.acknowledged, load.refused_not_run)
+    assert check == (0, 0, 0)
