Look for upstreams that hold too little once for the same tables

Cause: that ranks all upstreams for each shard, each 0.3 s, for as long as one holds under 80% of its share and no shard prefers it. Change: nothing is looked for again until the tables or the weights have changed.

--- a/packages/bergamotferry/src/bergamotferry/leases.py
+++ b/packages/bergamotferry/src/bergamotferry/leases.py
@@ -45,6 +45,7 @@
     """All leases that one leader has granted, and what hosts reported with them.
 
     ``n_changes`` counts what may call for a decision; plain renewals do not.
+    ``tables_changed_ns`` is when the tables were last seen changed, None if not known.
     """
 
     hosts: dict[str, HostLease] = field(default_factory=dict)
@@ -57,6 +58,7 @@
     bulk_upstreams: dict[str, frozenset[str]] = field(default_factory=dict)
     spread_ns: int = 0
     n_changes: int = 0
+    tables_changed_ns: int | None = None
 
 
 def assume_all_granted(
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -261,6 +261,7 @@
     if n_moves <= 0:
         return []
     is_fill_due = now_ns - leases.fill_checked_ns >= FILL_INTERVAL_MS * NS_PER_MS
+    is_fill_due = is_fill_due and is_fill_open(leases)
     if is_fill_due:
         leases.fill_checked_ns = now_ns
     shards: list[ShardId] = []
@@ -277,6 +278,15 @@
     return [_revoke(held)] if held else []
 
 
+def is_fill_open(leases: LeaseTable) -> bool:
+    """Return whether upstreams may hold too little that were not looked for yet.
+
+    That ranks all upstreams for each shard, so it isn't done again for the same tables.
+    """
+    changed_ns = leases.tables_changed_ns
+    return changed_ns is None or leases.fill_checked_ns < changed_ns
+
+
 def _is_movable(tables: DataCentreTables, leases: LeaseTable, shard: ShardId) -> bool:
     # Only a live dispatcher can get a shard back, so without one it is served longer
     # where it is.
--- a/packages/bergamotferry/src/bergamotferry/ownership_pace.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership_pace.py
@@ -10,7 +10,7 @@
 
 from .dispatcher_spread import SPREAD_INTERVAL_MS, SPREAD_LIVE_MS
 from .leases import NS_PER_MS, LeaseTable
-from .ownership import FILL_INTERVAL_MS, OUT_GRACE_MS
+from .ownership import FILL_INTERVAL_MS, OUT_GRACE_MS, is_fill_open
 
 # Whatever is missed here is found by a look after so long.
 LOOK_INTERVAL_MS = 1000
@@ -19,22 +19,24 @@
 
 @dataclass(slots=True)
 class OwnershipPace:
-    """What was looked at last, since when it is so, and when to look again."""
+    """What was looked at last, and when to look again."""
 
     seen: Hashable = None
-    changed_ns: int = 0
+    n_changes: int = 0
     due_ns: int = 0
 
 
 def is_look_due(
     pace: OwnershipPace, leases: LeaseTable, seen: Hashable, now_ns: int
 ) -> bool:
-    """Return whether the systems must run; ``seen`` is the state of what they read."""
-    if (seen, leases.n_changes) != pace.seen:
-        pace.seen = (seen, leases.n_changes)
-        pace.changed_ns = now_ns
-        return True
-    return now_ns >= pace.due_ns
+    """Return whether the systems must run; ``seen`` is the state of the tables."""
+    has_changed = leases.tables_changed_ns is None or seen != pace.seen
+    if has_changed:
+        pace.seen = seen
+        leases.tables_changed_ns = now_ns
+    has_changed = has_changed or pace.n_changes != leases.n_changes
+    pace.n_changes = leases.n_changes
+    return has_changed or now_ns >= pace.due_ns
 
 
 def note_look(
@@ -42,10 +44,10 @@
 ) -> None:
     """Note that the systems ran, and when they must at the latest run again."""
     # What was decided may not come about, as when the group loses its leader.
-    pace.due_ns = now_ns if has_acted else min(_timers(pace, leases, now_ns))
+    pace.due_ns = now_ns if has_acted else min(_timers(leases, now_ns))
 
 
-def _timers(pace: OwnershipPace, leases: LeaseTable, now_ns: int) -> Iterator[int]:
+def _timers(leases: LeaseTable, now_ns: int) -> Iterator[int]:
     yield now_ns + LOOK_INTERVAL_MS * NS_PER_MS
     ends = [lease.expires_ns for lease in leases.hosts.values()]
     ends += [lease.expires_ns for lease in leases.sessions.values()]
@@ -57,7 +59,6 @@
     if leases.out_since_ns is not None:
         ends.append(leases.out_since_ns + OUT_GRACE_MS * NS_PER_MS)
     yield from (end_ns for end_ns in ends if end_ns > now_ns)
-    if leases.fill_checked_ns < pace.changed_ns:
-        # Since the last change nobody has looked for upstreams that hold too little.
+    if is_fill_open(leases):
         fill_ns = leases.fill_checked_ns + FILL_INTERVAL_MS * NS_PER_MS
         yield max(fill_ns, now_ns + PLACING_INTERVAL_MS * NS_PER_MS)
