Test what counts as a latency, and that bulk in flight is told

Seen failing: bulk not left out; late answers not counted, and all refusals counted; the count of bulk without its rise, and without its fall.

--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -73,6 +73,7 @@
             ("store", "PUT", True, "lookup"),
             ("filing", "POST", False, "filing"),
             ("replace", "PUT", False, "filing"),
+            ("archive", "GET", True, "bulk"),
         )
     }
     me = Member("h1", "1", False)
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_observations.py
@@ -0,0 +1,54 @@
+"""What counts as a latency of an upstream, and which of them have bulk in flight."""
+
+import asyncio
+
+import pytest
+from request_fakes import RawUpstream, make_head, make_request
+from test_dispatch import add_work, start, wait_until
+
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry_host.exchange import Served
+from bergamotferry_host.observations import bulk_upstreams, note_latency
+
+SERVED = Served(200, 2, "")
+
+
+@pytest.mark.parametrize(
+    ("route", "outcome", "is_noted"),
+    [
+        ("lookup", SERVED, True),
+        ("archive", SERVED, False),
+        ("lookup", Refused(Code.DEADLINE_EXPIRED_RUNNING, ""), True),
+        ("lookup", Refused(Code.UPSTREAM_SHED, ""), False),
+        ("lookup", None, False),
+    ],
+    ids=["served", "bulk", "too late", "shed", "aborted"],
+)
+def test_latency_is_noted_of_answers_and_of_those_that_came_too_late(
+    route, outcome, is_noted
+):
+    async def run():
+        async with RawUpstream("silent") as upstream:
+            work = add_work(upstream)
+            request = make_request(upstream.state, make_head(route))
+            note_latency(upstream.state, work, request, outcome, 0)
+            return bool(upstream.state.dispatchers.latencies.rows)
+
+    assert asyncio.run(run()) == is_noted
+
+
+@pytest.mark.parametrize(("route", "expected"), [("archive", ("u1",)), ("lookup", ())])
+def test_bulk_is_told_while_it_is_in_flight(route, expected):
+    async def run():
+        async with RawUpstream("silent") as upstream:
+            work = add_work(upstream)
+            task = start(upstream, make_head(route))
+            await wait_until(lambda: upstream.requests)
+            during = bulk_upstreams(upstream.state)
+            task.cancel()
+            await asyncio.wait([task])
+            await wait_until(lambda: not work.in_flight)
+            return during, bulk_upstreams(upstream.state)
+
+    assert asyncio.run(run()) == (expected, ())
