Read every failure of a task where it arises, as one line of log

Eight more places could leave one: the commit after a good run alone, the taking back of an intent, a filing whose caller left, a send that was aborted while its caller left, an order whose reply can't be read (busy that is no list, nesting, a charset that is none), a compaction, a call whose link breaks while it is being sent, and a peer's call or stream whose handler fails. A write of the disk log that failed otherwise than by OSError also left a gap that later writes would have covered up. A row from the wire with a wrong type of a field was acted on: a notice of that kind ended the replica's duty, and the host.

Change: start_task and report_failure log "task_failed" with the type and the place, never the text; the daemon sets a loop handler that does the same for what still gets there. The codec checks the types of fields against the row's class, so a wrong one closes its own link; a fault of a handler answers None, which callers take for no answer, or cancels its stream. Any failure of the disk's writer ends voting. A row of the codec's test that was no command of a log entry was replaced by one that is.

--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -12,6 +12,8 @@
 
 from bergamotferry import commands, messages, records
 
+from .field_types import has_field_types
+
 _RECORD_TAG = 40100
 # Most values of a message are of these types and go as they are.
 _SCALARS = frozenset((str, int, bytes, bool, float, type(None)))
@@ -47,7 +49,7 @@
     Raises
     ------
     DecodeError
-        If they hold no CBOR, an unknown type, or a wrong number of fields.
+        If they hold no CBOR, an unknown type, or wrong fields.
     """
     try:
         # Arrays come back as tuples, so that no second pass over the value is needed.
@@ -85,6 +87,8 @@
         raise DecodeError(f"unknown type {name!r}")
     if len(fields) != len(cls._fields):  # type: ignore[attr-defined]
         raise DecodeError(f"wrong number of fields for {name}")
+    if not has_field_types(cls, fields):
+        raise DecodeError(f"wrong type of a field of {name}")
     return cls(*fields)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
@@ -12,6 +12,7 @@
 from bergamotferry.quarantine import Verdict, verdict_on
 from bergamotferry.slow_start import begin_ramp
 
+from .background import start_task
 from .clock import now_ns
 from .dispatcher_table import UpstreamWork
 from .group import commit
@@ -61,9 +62,7 @@
     if not ticket.is_alone or fingerprint is None:
         return
     clearing = commit(state.own_group, ReleaseQuarantine(fingerprint))
-    task = asyncio.create_task(clearing)
-    state.dispatchers.filings.add(task)
-    task.add_done_callback(state.dispatchers.filings.discard)
+    start_task(clearing, state.dispatchers.filings)
 
 
 async def _is_down(address: str) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -24,6 +24,7 @@
     RequestHead,
 )
 
+from .background import log_loop_failures
 from .bootstrap import DATA_CENTRE_PREFIX, groups_of_host
 from .caller_edge import build_caller_app
 from .clock import now_ns
@@ -71,6 +72,7 @@
     """Run a host until SIGTERM or SIGINT, then stop it gracefully."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
+    log_loop_failures(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with guarded_client() as http:
@@ -167,6 +169,8 @@
     async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
         if isinstance(head, RequestHead):
             await serve_peer(state, stream, head)
+        else:
+            await stream.cancel()
 
     handlers.on_call = on_call
     handlers.on_notice = on_notice
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -33,6 +33,7 @@
 from bergamotferry.slow_start import SlowStart, observe_answer
 from bergamotferry.stragglers import N_ANSWERS_MIN, observe_latency
 
+from .background import report_failure, start_task
 from .clock import now_ns
 from .crash_watch import note_end, note_good_run, verdict_now
 from .decision_log import log_dispatch
@@ -138,9 +139,7 @@
             _follow_sessions(state)
             for work in state.dispatchers.works.values():
                 if not work.is_ordering and state.has_host_lease:
-                    task = asyncio.create_task(order_grants(state, http, work))
-                    pending.add(task)
-                    task.add_done_callback(pending.discard)
+                    start_task(order_grants(state, http, work), pending)
                 _start_ready(work)
             await asyncio.sleep(DISPATCHER_TICK_S)
 
@@ -260,6 +259,8 @@
     task = asyncio.create_task(run_once(state, work, request, send, free_slot))
     state.dispatchers.filings.add(task)
     task.add_done_callback(state.dispatchers.filings.discard)
+    # The caller may be gone when it ends.
+    task.add_done_callback(report_failure)
     task.add_done_callback(lambda _: free_slot())
     task.add_done_callback(lambda _: _end(work, request.head))
     left_s = (request.deadline_ns - now_ns()) / 1e9
@@ -280,7 +281,10 @@
         await asyncio.wait([task])
     finally:
         work.sends.discard(task)
-        task.cancel()
+        if not task.done():
+            # Nobody waits for it any longer.
+            task.cancel()
+            task.add_done_callback(report_failure)
     return None if task.cancelled() else task.result()
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -47,6 +47,7 @@
 from bergamotferry.replication_membership import Joiner
 from bergamotferry.result_codes import ResultCode
 
+from .background import log_failure
 from .clock import now_ns
 from .disk_log import DiskLog, persist
 from .group_compaction import compact_if_long
@@ -292,7 +293,11 @@
     try:
         await asyncio.to_thread(persist, disk_log, unpersisted)
         _finish_write(group, replica, unpersisted.term, index, held)
-    except OSError as error:
+    except Exception as error:
+        # Whatever broke it off, what it should have written is no longer known to be
+        # on the disk, and a later write would leave a gap.
+        if not isinstance(error, OSError):
+            log_failure(error)
         _stop_voting(group, replica, error)
     finally:
         group.writing = None
@@ -307,7 +312,7 @@
     group.woken.set()
 
 
-def _stop_voting(group: Group, replica: Replica, error: OSError) -> None:
+def _stop_voting(group: Group, replica: Replica, error: Exception) -> None:
     """Go on as a reader under a new identity; the old one may promise no more.
 
     After a failed sync nothing that was written can be relied on, and a second sync
@@ -316,7 +321,7 @@
     log_warning(
         "disk failed, voting stopped until the host is restarted",
         group=group.name,
-        why=str(error),
+        why=str(error) if isinstance(error, OSError) else type(error).__name__,
     )
     group.has_failed_disk = True
     group.disk_log = None
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_compaction.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_compaction.py
@@ -15,6 +15,7 @@
     term_at,
 )
 
+from .background import report_failure
 from .logs import log
 from .table_snapshot import encode_tables, freeze_tables
 
@@ -39,6 +40,7 @@
     if is_long and n_entries > 0 and group.compacting is None:
         work = _compact(group, replica)
         group.compacting = asyncio.get_running_loop().create_task(work)
+        group.compacting.add_done_callback(report_failure)
 
 
 async def _compact(group: "Group", replica: Replica) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/logs.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/logs.py
@@ -70,3 +70,8 @@
 def log_warning(event: str, **fields: Any) -> None:
     """Write one line at level warning."""
     _LOGGER.warning(event, extra=fields)
+
+
+def log_error(event: str, **fields: Any) -> None:
+    """Write one line at level error."""
+    _LOGGER.error(event, extra=fields)
--- a/packages/bergamotferry_host/src/bergamotferry_host/orders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/orders.py
@@ -54,8 +54,12 @@
             busy = _busy_shards(await response.text())
         work.confirmed.update(granted)
         work.released.update(row for row in released if shard_text(row[0]) not in busy)
-    except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
+    except (aiohttp.ClientError, ConnectionError, TimeoutError):
         return
+    except (ValueError, LookupError):
+        # The reply can't be read, so nothing is taken as confirmed; a charset that is
+        # none of text is a LookupError.
+        log("order reply unreadable", upstream=work.session.name)
     except WriteRefusedError:
         return
     finally:
@@ -80,8 +84,13 @@
 
 def _busy_shards(text: str) -> set[str]:
     # An upstream that still runs requests of a shard keeps it and is asked again.
-    reply = json.loads(text) if text else {}
+    try:
+        reply = json.loads(text) if text else {}
+    except RecursionError as error:
+        raise ValueError("the reply is nested too deeply") from error
     busy = reply.get("busy", []) if isinstance(reply, dict) else []
+    if not isinstance(busy, list):
+        raise ValueError("busy is not a list")
     return {shard for shard in busy if isinstance(shard, str)}
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -19,6 +19,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
+from .background import log_failure, report_failure, start_task
 from .codec import DecodeError, decode, encode
 
 STREAM_CREDIT_BYTES = 256 * 1024
@@ -200,6 +201,8 @@
                 return
             self.has_head = True
         elif kind is FrameKind.DATA:
+            if not isinstance(payload, bytes):
+                raise ValueError("data is not bytes")
             self.unread_bytes += len(payload)
             # A sender may pass its credit by less than one chunk.
             if self.unread_bytes > STREAM_CREDIT_BYTES + CHUNK_MAX_BYTES:
@@ -250,6 +253,9 @@
                 self._on_frame(decode(data))
         except (ConnectionClosed, DecodeError, TypeError, ValueError, OSError):
             pass
+        except Exception as error:
+            # A fault over one frame costs this link only.
+            log_failure(error)
         finally:
             self._break_off()
             await self.connection.close()
@@ -275,6 +281,7 @@
             return
         if self.probing is None or self.probing.done():
             self.probing = asyncio.create_task(self._ping())
+            self.probing.add_done_callback(report_failure)
         await asyncio.shield(self.probing)
 
     async def call(self, message: Any, timeout_s: float) -> Any:
@@ -297,6 +304,9 @@
             raise PeerUnreachable(f"{self.peer}: no reply in time") from error
         finally:
             self.replies.pop(call_id, None)
+            # A link that breaks while the call is being sent sets a failure that is
+            # read by nobody; cancelling marks it as read.
+            future.cancel()
 
     async def open_stream(self, head: Any) -> PeerStream:
         """Open a stream with its head."""
@@ -358,7 +368,12 @@
             return
 
     async def _answer(self, call_id: int, message: Any) -> None:
-        reply = await self.handlers.on_call(message, self.peer)
+        try:
+            reply = await self.handlers.on_call(message, self.peer)
+        except Exception as error:
+            # Callers take the reply of an unknown message for no answer.
+            log_failure(error)
+            reply = None
         try:
             await self.send_frame(call_id, FrameKind.REPLY, reply)
         except PeerUnreachable:
@@ -369,14 +384,14 @@
             await self.handlers.on_stream(stream, head, self.peer)
         except (StreamBroken, PeerUnreachable):
             pass
+        except Exception as error:
+            log_failure(error)
+            await stream.cancel()
         finally:
             stream.close()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+        return start_task(work, self.tasks)
 
     def _break_off(self) -> None:
         self.is_closed = True
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -16,6 +16,7 @@
 
 from bergamotferry.records import HostAddress
 
+from .background import start_task
 from .clock import now_ns
 from .peer_link import (
     FRAME_MAX_BYTES,
@@ -203,9 +204,7 @@
         return connection.respond(HTTPStatus.UNAUTHORIZED, "1002 unknown token\n")
 
     def _start(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        start_task(work, self.tasks)
 
 
 def hosts_of_data_centre(
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -15,6 +15,7 @@
 from bergamotferry.retry_budget import backoff_ms, earn_try, spend_try
 from bergamotferry.routing import find_owner, home_of_shard
 
+from .background import report_failure
 from .clock import now_ns
 from .decision_log import log_attempt
 from .dispatch import dispatch_here
@@ -325,9 +326,12 @@
     except PeerUnreachable:
         return Refused(ResultCode.OWNER_UNREACHABLE, f"host {host} is unreachable")
     sender = asyncio.create_task(_send_body(stream, body))
+    sender.add_done_callback(report_failure)
     try:
         async with asyncio.timeout(head.deadline_ms / 1000 + 0.5):
-            response: ResponseHead = await stream.receive_head()
+            response = await stream.receive_head()
+            if not isinstance(response, ResponseHead):
+                raise StreamBroken("the answer has no head")
             if response.status == 0:
                 if response.code == ResultCode.HOST_STOPPING:
                     state.network.note_unreachable(host)
@@ -354,10 +358,12 @@
         await stream.end()
     except (StreamBroken, PeerUnreachable):
         return
-    except (aiohttp.ClientError, OSError):
+    except Exception as error:
         # The caller's body broke: the dispatcher must not take it for whole.
         await stream.cancel()
         stream.break_off()
+        if not isinstance(error, aiohttp.ClientError | OSError):
+            raise
 
 
 async def _pass_on(
--- a/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
@@ -9,9 +9,8 @@
 import hashlib
 import secrets
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from bergamotferry.commands import (
     DataCentreCommand,
@@ -25,6 +24,7 @@
 from bergamotferry.records import OutcomeRecord, Route
 from bergamotferry.result_codes import ResultCode
 
+from .background import start_task
 from .clock import now_ns
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
@@ -111,7 +111,8 @@
         free_slot()
         if outcome.code is ResultCode.NO_LEADER:
             # It may be committed all the same, so it is taken back.
-            _in_background(state, _take_back(state, work, intent))
+            taking_back = _take_back(state, work, intent)
+            start_task(taking_back, state.dispatchers.filings)
             return outcome
         work.attempts.discard(intent.attempt_id)
         return await _known(state, work, request, intent, outcome)
@@ -139,12 +140,6 @@
     return Served(result.response.status, result.size_bytes, "")
 
 
-def _in_background(state: HostState, work: Coroutine[Any, Any, None]) -> None:
-    task = asyncio.create_task(work)
-    state.dispatchers.filings.add(task)
-    task.add_done_callback(state.dispatchers.filings.discard)
-
-
 async def _take_back(
     state: HostState, work: UpstreamWork, intent: RecordIntent
 ) -> None:
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_background.py
@@ -0,0 +1,170 @@
+"""Tasks that fail with nobody waiting: read where they are started, and logged once."""
+
+import asyncio
+import gc
+import logging
+
+import pytest
+from request_fakes import make_head, make_request, make_state
+
+from bergamotferry.admission import UpstreamQueue
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import ResultCode
+from bergamotferry.slow_start import SlowStart
+from bergamotferry_host import crash_watch, dispatch, group, group_compaction, run_once
+from bergamotferry_host.background import log_loop_failures
+from bergamotferry_host.dispatcher_table import UpstreamWork
+from bergamotferry_host.peer_link import PeerUnreachable
+
+SECRET = "key-of-a-caller"
+
+
+async def fail(*_, **__):
+    raise RuntimeError(SECRET)
+
+
+@pytest.fixture
+def lines(caplog, monkeypatch):
+    monkeypatch.setattr(logging.getLogger("bergamotferry"), "propagate", True)
+    caplog.set_level(logging.ERROR, "bergamotferry")
+    return lambda: [(row.message, row.error, row.place) for row in caplog.records]
+
+
+def run_and_collect(work):
+    """Run work; return what reached the loop's exception handler."""
+    reported = []
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        await work()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        gc.collect()
+
+    asyncio.run(run())
+    return reported
+
+
+async def clear_after_good_run():
+    state = make_state()
+    work = make_work(state)
+    work.fingerprints["t"] = "f"
+    ticket = dispatch.Ticket("t", "a", 0, "lookup", True)
+    crash_watch.note_good_run(state, work, ticket)
+
+
+async def take_back_intent():
+    state = make_state()
+    request = make_request(state, make_head("filing", "POST", idempotency_key="i1"))
+    work = make_work(state)
+    outcome = await run_once.run_once(state, work, request, fail, lambda: None)
+    assert outcome.code is ResultCode.NO_LEADER
+
+
+async def abort_and_leave():
+    work = make_work(make_state())
+
+    async def send():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            raise RuntimeError(SECRET)
+
+    waiting = asyncio.create_task(dispatch.run_abortable(work, send()))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    waiting.cancel()
+    await asyncio.wait([waiting])
+
+
+def make_work(state):
+    session = state.own_tables.sessions["u1"]
+    return UpstreamWork(session, 6, UpstreamQueue(2, SlowStart(0, is_enabled=False)))
+
+
+@pytest.mark.parametrize(
+    "work", [clear_after_good_run, take_back_intent, abort_and_leave]
+)
+def test_failure_that_nobody_waits_for_is_logged_where_it_arises(
+    work, lines, monkeypatch
+):
+    outcomes = [Refused(ResultCode.NO_LEADER, "")]
+
+    async def commit(*_):
+        return outcomes.pop() if outcomes else await fail()
+
+    monkeypatch.setattr(crash_watch, "commit", fail)
+    monkeypatch.setattr(run_once, "commit", commit)
+    assert run_and_collect(work) == []
+    [(event, error, place)] = lines()
+    assert (event, error) == ("task_failed", "RuntimeError")
+    assert SECRET not in place
+    assert "test_background:" in place
+
+
+def test_failed_compaction_is_logged(lines, monkeypatch):
+    state = make_state()
+    state.own_group.applied_index = group_compaction.LOG_MAX_ENTRIES + 1
+    monkeypatch.setattr(group_compaction, "term_at", lambda *_: 1)
+    monkeypatch.setattr(group_compaction, "membership_at", lambda *_: None)
+    monkeypatch.setattr(group_compaction, "encode_tables", lambda _: 1 / 0)
+
+    async def work():
+        group_compaction.compact_if_long(state.own_group, state.own_group.replica)
+        await asyncio.wait([state.own_group.compacting])
+
+    assert run_and_collect(work) == []
+    assert [row[:2] for row in lines()] == [("task_failed", "ZeroDivisionError")]
+
+
+def test_disk_write_that_fails_in_any_way_ends_voting(lines, monkeypatch):
+    state = make_state()
+    own = state.own_group
+    monkeypatch.setattr(group, "persist", lambda *_: 1 / 0)
+    own.disk_log = object()
+
+    async def work():
+        await group._write(own, own.replica, own.disk_log, None, 1, [])
+
+    assert run_and_collect(work) == []
+    assert own.has_failed_disk
+    assert ("task_failed", "ZeroDivisionError") in [row[:2] for row in lines()]
+
+
+def test_what_reaches_the_loop_is_one_line_without_content(lines, capfd):
+    async def run():
+        log_loop_failures(asyncio.get_running_loop())
+        task = asyncio.create_task(fail())
+        await asyncio.wait([task])
+        del task
+        gc.collect()
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": f"Unclosed <{SECRET}>"}
+        )
+
+    asyncio.run(run())
+    (event, error, place), unclosed = lines()
+    assert (event, error) == ("task_failed", "RuntimeError")
+    assert place.startswith("test_background:fail:")
+    assert unclosed == ("task_failed", "", "Unclosed ")
+    assert "Traceback" not in capfd.readouterr().err
+
+
+def test_unreachable_peer_is_no_failure_of_a_call_in_sending():
+    from test_peer_link import Harness
+
+    async def work():
+        harness = Harness()
+        entered = asyncio.Event()
+
+        async def send(data):
+            entered.set()
+            harness.link._break_off()
+            raise OSError
+
+        harness.connection.send = send
+        with pytest.raises(PeerUnreachable):
+            await harness.link.call("question", 1.0)
+
+    assert run_and_collect(work) == []
--- a/packages/bergamotferry_host/tests/test_codec.py
+++ b/packages/bergamotferry_host/tests/test_codec.py
@@ -1,6 +1,7 @@
 import cbor2
 import pytest
 
+from bergamotferry.commands import ReleaseQuarantine
 from bergamotferry.messages import AppendEntries, LogEntry, Member, RequestHead
 from bergamotferry.records import ShardId
 from bergamotferry_host.codec import DecodeError, decode, encode
@@ -11,7 +12,14 @@
     "id", "a", "testlog", "lookup", "k", SHARD, "GET", 9, "", "", "", "", 1, 1
 )
 APPEND = AppendEntries(
-    "dc:a", 2, Member("h", "1", True), 1, 1, (LogEntry(2, 2, SHARD),), 1, 5
+    "dc:a",
+    2,
+    Member("h", "1", True),
+    1,
+    1,
+    (LogEntry(2, 2, ReleaseQuarantine("f")),),
+    1,
+    5,
 )
 
 
--- a/packages/bergamotferry_host/tests/test_orders.py
+++ b/packages/bergamotferry_host/tests/test_orders.py
@@ -1,5 +1,7 @@
 """What a dispatcher orders, and what it reports as stopped, as cases."""
 
+import asyncio
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -14,7 +16,12 @@
 )
 from bergamotferry.data_centre_tables import apply_data_centre_command
 from bergamotferry.records import ShardId
-from bergamotferry_host.orders import _may_order, _orders_due, drained_upstreams
+from bergamotferry_host.orders import (
+    _may_order,
+    _orders_due,
+    drained_upstreams,
+    order_grants,
+)
 from bergamotferry_testkit.ownership_model import Clock, HostModel
 
 SHARDS = (ShardId("s", "", 0),)
@@ -66,3 +73,38 @@
     assert _orders_due(host, work) == ([], [])
     work.in_flight.clear()
     assert _orders_due(host, work) == ([], [(SHARDS[0], epoch)])
+
+
+class _Reply:
+    """An answer to an order, whose text can't be read if it is None."""
+
+    status = 200
+
+    def __init__(self, content: str | None) -> None:
+        self.content = content
+
+    async def __aenter__(self) -> "_Reply":
+        return self
+
+    async def __aexit__(self, *_: Any) -> None:
+        pass
+
+    async def text(self) -> str:
+        if self.content is None:
+            raise LookupError("'base64' is not a text encoding")
+        return self.content
+
+
+@pytest.mark.parametrize(
+    "content",
+    ['{"busy": null}', '{"busy": 5}', "{", "[" * 100_000, None],
+    ids=["null", "number", "cut", "deep", "charset"],
+)
+def test_order_reply_that_cannot_be_read_confirms_nothing(content: str | None) -> None:
+    host = _host_with_work()
+    granting = GrantShards("u1", 1, SHARDS, (1,))
+    apply_data_centre_command(host.own_tables, granting)
+    work = host.dispatchers.works["u1"]
+    http = SimpleNamespace(post=lambda *_, **__: _Reply(content))
+    asyncio.run(order_grants(host, http, work))  # type: ignore[arg-type]
+    assert (work.n_orders, work.confirmed, work.is_ordering) == (1, {}, False)
--- a/packages/bergamotferry_host/tests/test_peer_link.py
+++ b/packages/bergamotferry_host/tests/test_peer_link.py
@@ -154,6 +154,29 @@
     assert asyncio.run(run(n_within + 1))[0]
 
 
+def test_data_that_is_not_bytes_closes_the_link():
+    async def run():
+        harness = Harness()
+        await harness.play((0, FrameKind.OPEN, "a"), (0, FrameKind.DATA, "text"))
+        return harness.link.is_closed
+
+    assert asyncio.run(run())
+
+
+def test_fault_of_a_handler_answers_the_call_and_cancels_the_stream():
+    async def fail(*_):
+        raise RuntimeError
+
+    async def run():
+        harness = Harness()
+        harness.link.handlers.on_call = harness.link.handlers.on_stream = fail
+        await harness.play((1, FrameKind.CALL, "c"), (2, FrameKind.OPEN, "a"))
+        return harness.connection.sent, harness.link.is_closed
+
+    frames = [(1, FrameKind.REPLY, None), (2, FrameKind.CANCEL, 0)]
+    assert asyncio.run(run()) == (frames, False)
+
+
 @pytest.mark.parametrize("payload", [-1, "many", None])
 def test_bad_credit_closes_the_link(payload):
     async def run():
--- a/packages/bergamotferry_host/tests/test_peer_network.py
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -7,7 +7,15 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
-from bergamotferry.messages import HostStatusRequest
+from bergamotferry.messages import (
+    AppendEntries,
+    CapacityReport,
+    FindGrant,
+    HostStatusRequest,
+    JoinGroup,
+    Member,
+    TimeoutNow,
+)
 from bergamotferry.records import HostAddress
 from bergamotferry_host.codec import encode
 from bergamotferry_host.peer_link import FrameKind, PeerHandlers
@@ -16,6 +24,8 @@
 
 TOKEN = "peer-token-of-16"
 CALL = encode((7, int(FrameKind.CALL), HostStatusRequest(0, 0)))
+MEMBER = Member("h", "1", True)
+APPEND = AppendEntries("dc:a", 1, MEMBER, 0, 0, (), 0, 0)
 BAD_FRAMES = [
     b"",
     b"\xff\xff\xff",
@@ -27,6 +37,12 @@
     encode({"kind": 7}),
     b"\x83\x00\x05\xd9\x9c\xa4\x82\x64None\x01",
     "text",
+    encode((7, int(FrameKind.CALL), HostStatusRequest("0", None))),
+    encode((7, int(FrameKind.CALL), FindGrant(("testlog", "", 1)))),
+    encode((7, int(FrameKind.CALL), JoinGroup("dc:a", Member("h", 1, True)))),
+    encode((7, int(FrameKind.CALL), CapacityReport("a", (("s", "1"),), ()))),
+    encode((0, int(FrameKind.NOTICE), TimeoutNow("dc:a", "2", MEMBER))),
+    encode((0, int(FrameKind.NOTICE), AppendEntries(*APPEND[:5], (7,), 1, 1))),
 ]
 
 
