Dispatch only once caught up, and index accounts and hosts

Cause: a host that had just started dispatched what another forwarded by tables from before its stop. serve_request's data_centre was overwritten at once. find_account scanned all accounts, and the hosts of a data centre were sorted, for each request.

Ruled out: a second check in serve_peer; every way to an upstream goes through the one in _dispatch. An index beside the tables; it would need a place in every caller of find_account.

Change: _dispatch answers HOST_NOT_READY until the host has caught up; the entry host takes that as it takes HOST_STOPPING, and tries another. Hosts by data centre are made with the network, whose addresses never change.

--- a/packages/bergamotferry/src/bergamotferry/global_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/global_tables.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import NamedTuple
 
 from .commands import (
@@ -37,6 +38,8 @@
 from .result_codes import ResultCode
 
 N_NOTES_KEPT = 4096
+# Marks a field that follows from others, and so is in no snapshot.
+DERIVED = MappingProxyType({"is_derived": True})
 
 
 @dataclass(slots=True)
@@ -52,6 +55,10 @@
     shard_homes: dict[ShardId, ShardHome] = field(default_factory=dict)
     notes: dict[int, NoteRecord] = field(default_factory=dict)
     retired_names: dict[str, int] = field(default_factory=dict)
+    # Follows from the accounts: filled when first asked, emptied when a note comes.
+    accounts_by_token: dict[str, Account] = field(
+        default_factory=dict, compare=False, repr=False, metadata=DERIVED
+    )
 
 
 class RegionRule(NamedTuple):
@@ -174,6 +181,7 @@
 def _put_in_force(tables: GlobalTables, note: ReleaseNote) -> None:
     for retired in retired_by(configuration_of(tables), note):
         tables.retired_names[retired] = note.number
+    tables.accounts_by_token.clear()
     for entity in note.added + note.changed:
         kind, name = entity_key(entity)
         _table(tables, kind)[name] = entity
--- a/packages/bergamotferry/src/bergamotferry/routing.py
+++ b/packages/bergamotferry/src/bergamotferry/routing.py
@@ -43,9 +43,12 @@
     if not token:
         return Refused(ResultCode.MISSING_TOKEN, "send Authorization: Bearer <token>")
     digest = hashlib.sha256(token.encode()).hexdigest()
-    for account in tables.accounts.values():
-        if account.token_sha256 == digest:
-            return account
+    known = tables.accounts_by_token
+    if not known:
+        known.update({row.token_sha256: row for row in tables.accounts.values()})
+    account = known.get(digest)
+    if account is not None:
+        return account
     return Refused(ResultCode.UNKNOWN_TOKEN, "the token is not known")
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -161,9 +161,7 @@
     head = _request_head(
         asked, routed, decision, max(1, decision.deadline_ms - spent_ms)
     )
-    work = serve_request(
-        state, routed.data_centre, routed.route.is_idempotent, head, body, sink
-    )
+    work = serve_request(state, routed.route.is_idempotent, head, body, sink)
     try:
         if caller_body.is_whole:
             return await work
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -87,6 +87,9 @@
     sink: AnswerSink,
     trace: "DispatchTrace",
 ) -> Served | Refused:
+    if not state.is_caught_up:
+        # Routes and home regions may have changed since this host's tables.
+        return Refused(ResultCode.HOST_NOT_READY, "the host is catching up")
     route = state.global_tables.routes.get(f"{head.service}/{head.route}")
     if route is None:
         return Refused(ResultCode.UNKNOWN_ROUTE, "the route was withdrawn")
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True)
 class PeerNetwork:
-    """All links of one host."""
+    """All links of one host; ``hosts`` are the names of each data centre's hosts."""
 
     own_name: str
     token: str
@@ -55,6 +55,14 @@
     notices: dict[str, asyncio.Queue[Any]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     server: Server | None = None
+    hosts: dict[str, list[str]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        # The addresses are those of the settings and never change.
+        names = {row.data_centre for row in self.addresses.values()}
+        self.hosts = {
+            name: hosts_of_data_centre(self.addresses, name) for name in names
+        }
 
     @classmethod
     def from_config(
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -29,7 +29,6 @@
 )
 from .host_state import HostState
 from .peer_link import PeerStream, PeerUnreachable, StreamBroken
-from .peer_network import hosts_of_data_centre
 from .slow_link import SlowLink
 
 NS_PER_MS = 1_000_000
@@ -46,8 +45,11 @@
         ResultCode.UPSTREAM_SHED,
         ResultCode.NO_LEADER,
         ResultCode.HOST_STOPPING,
+        ResultCode.HOST_NOT_READY,
     }
 )
+# These hold for all that is asked of a host just now.
+_OF_THE_HOST = frozenset({ResultCode.HOST_STOPPING, ResultCode.HOST_NOT_READY})
 # These have cost an upstream work, so that trying again is budgeted.
 _COSTLY = frozenset(
     {
@@ -61,7 +63,6 @@
 
 async def serve_request(
     state: HostState,
-    data_centre: str,
     is_idempotent: bool,
     head: RequestHead,
     body: RequestBody,
@@ -82,12 +83,11 @@
         if isinstance(home, Refused):
             refusal = home
             break
-        data_centre = home
-        outcome = await _attempt(state, data_centre, attempt, body, sink)
+        outcome = await _attempt(state, home, attempt, body, sink)
         if isinstance(outcome, Served) or outcome.code is ResultCode.CALLER_GONE:
             return outcome
         if sink.has_head:
-            return await _resume(state, data_centre, head, deadline_ns, sink, outcome)
+            return await _resume(state, home, head, deadline_ns, sink, outcome)
         refusal = outcome
         if not outcome.is_not_run:
             maybe_run = outcome
@@ -290,7 +290,7 @@
         if not isinstance(owner, Refused):
             return owner.dispatcher.host
         return state.host.name
-    hosts = hosts_of_data_centre(state.network.addresses, data_centre)
+    hosts = state.network.hosts.get(data_centre, ())
     hint = state.dispatcher_hints.get((data_centre, head.shard), "")
     if hint in hosts and state.network.is_reachable(hint):
         return hint
@@ -333,7 +333,7 @@
             if not isinstance(response, ResponseHead):
                 raise StreamBroken("the answer has no head")
             if response.status == 0:
-                if response.code == ResultCode.HOST_STOPPING:
+                if response.code in _OF_THE_HOST:
                     state.network.note_unreachable(host)
                 detail = response.dispatcher or response.detail
                 return Refused(ResultCode(response.code), detail)
--- a/packages/bergamotferry_host/src/bergamotferry_host/table_snapshot.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/table_snapshot.py
@@ -2,7 +2,8 @@
 
 Tables are dataclasses whose fields hold plain values, immutable rows, or dicts, sets
 and lists of these. Fields that a snapshot lacks keep their defaults, so that a newer
-version reads the snapshots of an older one.
+version reads the snapshots of an older one. So do fields that follow from others, which
+are in no snapshot.
 """
 
 from dataclasses import fields
@@ -13,7 +14,11 @@
 
 def freeze_tables(tables: Any) -> dict[str, Any]:
     """Return a copy that later commands don't change; rows are shared."""
-    return {row.name: _freeze(getattr(tables, row.name)) for row in fields(tables)}
+    return {
+        row.name: _freeze(getattr(tables, row.name))
+        for row in fields(tables)
+        if not row.metadata.get("is_derived")
+    }
 
 
 def encode_tables(frozen: dict[str, Any]) -> bytes:
--- a/packages/bergamotferry_host/tests/conftest.py
+++ b/packages/bergamotferry_host/tests/conftest.py
@@ -125,7 +125,7 @@
     """Take the place of the request path; return what it was asked to serve."""
     heads = Heads()
 
-    async def serve(state, data_centre, is_idempotent, head, body, sink):
+    async def serve(state, is_idempotent, head, body, sink):
         heads.append(head)
         heads.came.set()
         content = b"".join([part async for part in body.chunks()])
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -81,6 +81,7 @@
         host=SimpleNamespace(name="h1", data_centre="a"),
         has_host_lease=True,
         is_refusing=False,
+        is_caught_up=True,
         own_tables=tables,
         own_group=Group(
             "dc", tables, apply_data_centre_command, network, ["h1"], replica
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -186,3 +186,15 @@
 
     for row in table:
         asyncio.run(asyncio.wait_for(run(*row), 10.0))
+
+
+def test_host_that_catches_up_dispatches_nothing():
+    async def run(head):
+        async with RawUpstream("whole") as upstream:
+            add_work(upstream)
+            upstream.state.is_caught_up = False
+            refusal = await start(upstream, head)
+            return refusal.code, refusal.is_not_run, upstream.requests
+
+    for head in (LOOKUP, FILING):
+        assert asyncio.run(run(head)) == (Code.HOST_NOT_READY, True, [])
--- a/packages/bergamotferry_host/tests/test_request_path.py
+++ b/packages/bergamotferry_host/tests/test_request_path.py
@@ -92,7 +92,7 @@
         for _ in range(count):
             sink = CountingSink(KeepingSink())
             body = RequestBody(no_body())
-            await serve_request(state, "a", True, LOOKUP, body, sink)
+            await serve_request(state, True, LOOKUP, body, sink)
 
     asyncio.run(send(100))
     assert n_attempts <= 100 + TRIES_MAX + 100 * TRIES_PER_REQUEST
@@ -106,6 +106,7 @@
 # Attempts in turn, the head, the outcome, and whether the answer was ended whole.
 TABLE = [
     ([NO_OWNER, whole], LOOKUP, Code.SERVED, True),
+    ([refuse(Code.HOST_NOT_READY), whole], LOOKUP, Code.SERVED, True),
     ([FAILED, whole], LOOKUP, Code.SERVED, True),
     ([FAILED, refuse(Code.QUEUE_FULL)], LOOKUP, Code.UPSTREAM_FAILED, False),
     ([NO_OWNER, refuse(Code.QUEUE_FULL)], LOOKUP, Code.QUEUE_FULL, False),
@@ -137,7 +138,7 @@
     state.network.addresses = {}
     outcome = asyncio.run(
         serve_request(
-            state, "a", head is LOOKUP, head, RequestBody(no_body()),
+            state, head is LOOKUP, head, RequestBody(no_body()),
             CountingSink(target),
         )
     )  # fmt: skip
--- a/packages/bergamotferry_host/tests/test_table_snapshot.py
+++ b/packages/bergamotferry_host/tests/test_table_snapshot.py
@@ -50,3 +50,11 @@
     fresh = GlobalTables()
     load_tables(fresh, encode_tables(frozen))
     assert fresh == GlobalTables()
+
+
+def test_what_follows_from_other_fields_is_not_kept_over_a_snapshot():
+    tables = GlobalTables()
+    tables.accounts_by_token["digest"] = None
+    assert b"accounts_by_token" not in encode_tables(freeze_tables(tables))
+    load_tables(tables, encode_tables(freeze_tables(GlobalTables())))
+    assert tables.accounts_by_token == {}
