Count what each class sends between data centres

Cause: bytes over the link were counted for answers between regions only, by class but not by place, and control not at all; the link is paid by volume.

Ruled out: a packet to statsd for each frame, as before for each part of an answer; it costs the loop a call of the system each time.

Change: a link counts the bytes of the frames it sends by peer and class: control for calls and notices, else the class of the request's route, at both ends of a stream. Once a second they go out as link.bytes.CLASS.FROM.TO.

Seen failing: without the class at the answering end, the 7 tests of frames fail; without the clearing of the counts, the test of the counter does.

Measured: 281 tests of the host pass.

The websocket's own few bytes per frame are not in it.

--- a/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
@@ -1,9 +1,10 @@
-"""Reports the levels of this host to statsd once a second."""
+"""Reports the levels of this host, and what it sent, to statsd once a second."""
 
 import asyncio
 
 from .host_state import HostState
 from .logs import n_lines_dropped
+from .peer_network import take_sent_bytes
 from .readiness import is_ready
 
 GAUGE_INTERVAL_S = 1.0
@@ -14,9 +15,22 @@
     while True:
         for name, value in gauge_values(state).items():
             state.metrics.gauge(name, value)
+        for name, n_bytes in link_counts(state).items():
+            state.metrics.incr(name, n_bytes)
         await asyncio.sleep(GAUGE_INTERVAL_S)
 
 
+def link_counts(state: HostState) -> dict[str, int]:
+    """Return the bytes sent to peers since the last call, by the counter's name."""
+    own = state.host.data_centre
+    return {
+        f"link.bytes.{traffic_class}.{own}.{data_centre}": n_bytes
+        for (data_centre, traffic_class), n_bytes in take_sent_bytes(
+            state.network
+        ).items()
+    }
+
+
 def gauge_values(state: HostState) -> dict[str, float]:
     """Return every gauge by name; docs/OPERATING.md lists them."""
     works = state.dispatchers.works.values()
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -10,13 +10,16 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Literal
 
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
+from bergamotferry.records import TrafficClass
+
 from .background import log_failure, report_failure, start_task
 from .codec import DecodeError, decode, encode
 from .peer_stream import FrameKind, PeerStream, PeerUnreachable, StreamBroken
@@ -35,6 +38,9 @@
 PROBE_TIMEOUT_S = 1.0
 _OPENINGS = (FrameKind.OPEN, FrameKind.OPEN_ENDED)
 
+LinkTrafficClass = TrafficClass | Literal["control"]
+SentPlace = tuple[str, LinkTrafficClass]
+
 CallHandler = Callable[[Any, str], Awaitable[Any]]
 NoticeHandler = Callable[[Any, str], None]
 StreamHandler = Callable[["PeerStream", Any, str], Awaitable[None]]
@@ -61,7 +67,7 @@
     ids: "itertools.count[int]" = field(default_factory=itertools.count)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     is_closed: bool = False
-    n_bytes_sent: int = 0
+    sent_bytes: Counter[SentPlace] = field(default_factory=Counter)
     last_peer_id: int = -1
     probing: "asyncio.Task[None] | None" = None
 
@@ -81,8 +87,14 @@
             self._break_off()
             await self.connection.close()
 
-    async def send_frame(self, stream_id: int, kind: FrameKind, payload: Any) -> None:
-        """Send one frame.
+    async def send_frame(
+        self,
+        stream_id: int,
+        kind: FrameKind,
+        payload: Any,
+        traffic_class: LinkTrafficClass = "control",
+    ) -> None:
+        """Send one frame, and count its bytes for its class.
 
         Raises
         ------
@@ -94,7 +106,7 @@
             await self.connection.send(data)
         except (ConnectionClosed, OSError) as error:
             raise PeerUnreachable(f"{self.peer}: connection closed") from error
-        self.n_bytes_sent += len(data)
+        self.sent_bytes[self.peer, traffic_class] += len(data)
 
     async def probe(self) -> None:
         """Ping the peer, and break the link if no answer comes."""
@@ -129,9 +141,14 @@
             # read by nobody; cancelling marks it as read.
             future.cancel()
 
-    async def open_stream(self, head: Any, is_ended: bool = False) -> PeerStream:
+    async def open_stream(
+        self,
+        head: Any,
+        is_ended: bool = False,
+        traffic_class: TrafficClass = "lookup",
+    ) -> PeerStream:
         """Open a stream with its head; ``is_ended`` says that no data follows."""
-        stream = PeerStream(self, next(self.ids))
+        stream = PeerStream(self, next(self.ids), traffic_class=traffic_class)
         self.streams[stream.stream_id] = stream
         try:
             await stream.send_head(head, is_ended)
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import hmac
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -14,17 +15,19 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.http11 import Request, Response
 
-from bergamotferry.records import HostAddress
+from bergamotferry.records import HostAddress, TrafficClass
 
 from .background import start_task
 from .clock import now_ns
 from .peer_link import (
     FRAME_MAX_BYTES,
     FrameKind,
+    LinkTrafficClass,
     PeerHandlers,
     PeerLink,
     PeerStream,
     PeerUnreachable,
+    SentPlace,
 )
 from .settings import split_address
 
@@ -55,6 +58,7 @@
     notices: dict[str, asyncio.Queue[Any]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     server: Server | None = None
+    sent_bytes: Counter[SentPlace] = field(default_factory=Counter)
     hosts: dict[str, list[str]] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -114,11 +118,15 @@
         return await link.call(message, timeout_s)
 
     async def open_stream(
-        self, host: str, head: Any, is_ended: bool = False
+        self,
+        host: str,
+        head: Any,
+        is_ended: bool = False,
+        traffic_class: TrafficClass = "lookup",
     ) -> PeerStream:
         """Open a stream to a peer; see `PeerLink.open_stream`."""
         link = await self._link(host, "request")
-        return await link.open_stream(head, is_ended)
+        return await link.open_stream(head, is_ended, traffic_class)
 
     def notify(self, host: str, message: Any) -> None:
         """Send a message without a reply; it is dropped if the peer is unreachable."""
@@ -193,7 +201,7 @@
         except Exception as error:
             self.failed_ns[place] = now_ns()
             raise PeerUnreachable(f"{host}: {type(error).__name__}") from error
-        link = PeerLink(connection, host, self.handlers)
+        link = PeerLink(connection, host, self.handlers, sent_bytes=self.sent_bytes)
         self.links[place] = link
         self._start(link.run())
         return link
@@ -201,7 +209,7 @@
     async def _accept(self, connection: ServerConnection) -> None:
         request = connection.request
         peer = request.headers.get(_NAME_HEADER, "") if request else ""
-        link = PeerLink(connection, peer, self.handlers)
+        link = PeerLink(connection, peer, self.handlers, sent_bytes=self.sent_bytes)
         await link.run()
 
     def _check_token(
@@ -217,6 +225,18 @@
         start_task(work, self.tasks)
 
 
+def take_sent_bytes(network: PeerNetwork) -> Counter[tuple[str, LinkTrafficClass]]:
+    """Return the bytes sent since the last call, by data centre and class."""
+    taken: Counter[tuple[str, LinkTrafficClass]] = Counter()
+    for (host, traffic_class), n_bytes in network.sent_bytes.items():
+        # A peer names itself, so that its name may be none of the settings'.
+        if host in network.addresses:
+            place = (network.addresses[host].data_centre, traffic_class)
+            taken[place] += n_bytes
+    network.sent_bytes.clear()
+    return taken
+
+
 def hosts_of_data_centre(
     addresses: Mapping[str, HostAddress], data_centre: str
 ) -> list[str]:
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_stream.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_stream.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+from bergamotferry.records import TrafficClass
+
 if TYPE_CHECKING:
     from .peer_link import PeerLink
 
@@ -59,6 +61,7 @@
     has_head: bool = False
     unread_bytes: int = 0
     owed_bytes: int = 0
+    traffic_class: TrafficClass = "lookup"
     serving: "asyncio.Task[None] | None" = None
     sent_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
     received_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
@@ -66,7 +69,7 @@
     async def send_head(self, head: Any, is_ended: bool = False) -> None:
         """Send a message that is not data; ``is_ended`` says that no data follows."""
         kind = FrameKind.OPEN_ENDED if is_ended else FrameKind.OPEN
-        await self.link.send_frame(self.stream_id, kind, head)
+        await self._send_frame(kind, head)
 
     async def send(self, data: bytes) -> None:
         """Send data, waiting for credit.
@@ -85,12 +88,12 @@
                 raise StreamBroken("the stream was cancelled")
             self.credit_bytes -= len(chunk)
             self.sent_digest.update(chunk)
-            await self.link.send_frame(self.stream_id, FrameKind.DATA, chunk)
+            await self._send_frame(FrameKind.DATA, chunk)
 
     async def end(self) -> None:
         """Say that all data has been sent, with its digest."""
         digest = self.sent_digest.intdigest()
-        await self.link.send_frame(self.stream_id, FrameKind.END, digest)
+        await self._send_frame(FrameKind.END, digest)
 
     async def receive_head(self) -> Any:
         """Return the next head.
@@ -145,7 +148,7 @@
                 # The side that answered has forgotten the stream already.
                 return
             try:
-                await self.link.send_frame(self.stream_id, FrameKind.CANCEL, 0)
+                await self._send_frame(FrameKind.CANCEL, 0)
             except PeerUnreachable:
                 return
 
@@ -201,6 +204,9 @@
             self.is_ended = True
         self.inbox.put_nowait((kind, payload))
 
+    async def _send_frame(self, kind: FrameKind, payload: Any) -> None:
+        await self.link.send_frame(self.stream_id, kind, payload, self.traffic_class)
+
     def _take_head(self, kind: FrameKind, payload: Any) -> None:
         self.has_head = True
         self.inbox.put_nowait((FrameKind.OPEN, payload))
@@ -213,7 +219,7 @@
             return
         owed_bytes, self.owed_bytes = self.owed_bytes, 0
         try:
-            await self.link.send_frame(self.stream_id, FrameKind.CREDIT, owed_bytes)
+            await self._send_frame(FrameKind.CREDIT, owed_bytes)
         except BaseException:
             # The data that was just taken is lost with this exception.
             self.break_off()
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -28,7 +28,7 @@
 )
 from .host_state import HostState
 from .peer_link import PeerStream, PeerUnreachable, StreamBroken
-from .slow_link import SlowLink
+from .slow_link import SlowLink, traffic_class_of
 
 NS_PER_MS = 1_000_000
 N_ATTEMPTS_MAX = 60
@@ -160,6 +160,7 @@
     """Dispatch a request that another host forwarded."""
     body = RequestBody(stream)
     link = SlowLink.from_request(state, stream.link.peer, head)
+    stream.traffic_class = link.traffic_class
     sink = _PeerSink(stream, link)
     outcome: Served | Refused | None = link.refusal(head.deadline_ms)
     if state.is_refusing:
@@ -321,7 +322,9 @@
     sink: AnswerSink,
 ) -> Served | Refused:
     try:
-        stream = await state.network.open_stream(host, head, body.is_empty)
+        stream = await state.network.open_stream(
+            host, head, body.is_empty, traffic_class_of(state, head)
+        )
     except PeerUnreachable:
         return Refused(ResultCode.OWNER_UNREACHABLE, f"host {host} is unreachable")
     sender = None
--- a/packages/bergamotferry_host/src/bergamotferry_host/slow_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/slow_link.py
@@ -1,4 +1,4 @@
-"""Paces and counts what answers send over the slow link between regions."""
+"""Paces what answers send over the slow link between regions."""
 
 import asyncio
 from dataclasses import dataclass
@@ -24,8 +24,7 @@
     @classmethod
     def from_request(cls, state: HostState, peer: str, head: RequestHead) -> "SlowLink":
         """Return the way of the answer to a request that a peer forwarded."""
-        route = state.global_tables.routes.get(f"{head.service}/{head.route}")
-        traffic_class: TrafficClass = route.traffic_class if route else "lookup"
+        traffic_class = traffic_class_of(state, head)
         addresses = state.network.addresses
         own_region = state.host.region
         if peer not in addresses or addresses[peer].region == own_region:
@@ -48,10 +47,15 @@
         return Refused(ResultCode.LINK_BUDGET_SPENT, why)
 
     async def pace(self, size_bytes: int) -> None:
-        """Wait for the turn of some bytes, and count them."""
+        """Wait for the turn of some bytes."""
         if self.budget is None:
             return
         wait_s = take_bytes(self.budget, self.traffic_class, size_bytes, now_ns())
-        self.state.metrics.incr(f"link.bytes.{self.traffic_class}", size_bytes)
         if wait_s > 0:
             await asyncio.sleep(wait_s)
+
+
+def traffic_class_of(state: HostState, head: RequestHead) -> TrafficClass:
+    """Return the class of a request's route; that of lookups if it was withdrawn."""
+    route = state.global_tables.routes.get(f"{head.service}/{head.route}")
+    return route.traffic_class if route else "lookup"
--- a/packages/bergamotferry_host/tests/test_gauges.py
+++ b/packages/bergamotferry_host/tests/test_gauges.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from bergamotferry_host.gauges import gauge_values
+from bergamotferry_host.gauges import gauge_values, link_counts
 
 PAGE = Path(__file__).parents[3] / "docs" / "OPERATING.md"
 
@@ -17,3 +17,13 @@
         assert ":" not in name
         listed = name.replace("dc.a.", "NAME.").replace("global.", "NAME.")
         assert f"`{listed}`" in text, name
+
+
+def test_bytes_to_peers_are_counted_once_by_class_and_data_centres(state):
+    state.network.sent_bytes.update(
+        {("a-1", "control"): 5, ("a-1", "bulk"): 7, ("no host of ours", "control"): 9}
+    )
+    counts = {"link.bytes.control.a.a": 5, "link.bytes.bulk.a.a": 7}
+    assert link_counts(state) == counts
+    assert link_counts(state) == {}
+    assert "`link.bytes.CLASS.FROM.TO`" in PAGE.read_text()
--- a/packages/bergamotferry_host/tests/test_peer_frames.py
+++ b/packages/bergamotferry_host/tests/test_peer_frames.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
-from request_fakes import KeepingSink, make_head
+from request_fakes import KeepingSink, make_head, make_route
 
 from bergamotferry.messages import ResponseHead
 from bergamotferry.outcomes import Refused
@@ -63,7 +63,7 @@
 
     monkeypatch.setattr(request_path, "dispatch_here", dispatch)
     monkeypatch.setattr(
-        SlowLink, "from_request", lambda *_: SlowLink(None, None, "lookup")
+        SlowLink, "from_request", lambda *_: SlowLink(None, None, "bulk")
     )
     far_state = SimpleNamespace(is_refusing=False)
     near, far = Side(), Side()
@@ -77,14 +77,20 @@
     async def open_stream(host, *arguments):
         return await links[0].open_stream(*arguments)
 
-    near_state = SimpleNamespace(network=SimpleNamespace(open_stream=open_stream))
-    near_state.network.note_unreachable = lambda host: None
+    network = SimpleNamespace(open_stream=open_stream, note_unreachable=lambda _: None)
+    tables = SimpleNamespace(
+        routes={"testlog/lookup": make_route("lookup", "GET", True, "bulk")}
+    )
+    near_state = SimpleNamespace(network=network, global_tables=tables)
     outcome = await request_path._forward(near_state, "far", head, body, sink)
     for _ in range(20):
         await asyncio.sleep(0)
     left = [len(link.streams) for link in links]
     for task in running:
         task.cancel()
+    # Every byte counts for the class of the request's route.
+    assert links[0].sent_bytes == {("far", "bulk"): near.n_bytes}
+    assert links[1].sent_bytes == {("near", "bulk"): far.n_bytes}
     return outcome, near, far, left
 
 
