Give the direct path of the bench its dispatcher's epoch

Cause: stand-ins refuse the orders and requests of an older dispatcher, and the direct path of the overhead's measurement sent no dispatcher epoch: all 1200 of its requests failed with 409 (stale epoch), so that nothing could be told of what the hosts add.

Ruled out: moved shards; the stand-in's record holds a single order.

Change: the direct path sends the dispatcher epoch of the newest order.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/two_host_bench.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/two_host_bench.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Literal
+from typing import Literal, NamedTuple
 
 from bergamotferry.shards import shard_of_key
 from bergamotferry_host.orders import shard_text
@@ -43,6 +43,13 @@
 )
 
 
+class Granted(NamedTuple):
+    """The epochs under which the upstream takes a request without a host."""
+
+    epochs: dict[str, int]
+    dispatcher_epoch: int
+
+
 @dataclass(slots=True)
 class Bench:
     """The running deployment and its parts."""
@@ -96,8 +103,8 @@
     keys = [f"key-{number}" for number in range(N_KEYS)]
     answers = [lookup_answer(SERVICE, ROUTE, key) for key in keys]
     if path == "direct":
-        epochs = _granted_epochs(bench)
-        headers = [_direct_headers(epochs, key) for key in keys]
+        granted = _granted_epochs(bench)
+        headers = [_direct_headers(granted, key) for key in keys]
         base = f"http://{bench.upstream_address}/{ROUTE}"
     else:
         token = CALLER_TOKENS["inspectors"]
@@ -121,19 +128,23 @@
     return [bench.dispatcher, bench.entry]
 
 
-def _granted_epochs(bench: Bench) -> dict[str, int]:
+def _granted_epochs(bench: Bench) -> Granted:
     path = bench.deployment.records_path("ishikari-a")
     epochs: dict[str, int] = {}
+    dispatcher_epoch = 0
     for line in path.read_text().splitlines():
         event = json.loads(line)
         if event["event"] == "order":
             epochs.update(dict(event["granted"]))
-    return epochs
+            dispatcher_epoch = event["dispatcher_epoch"]
+    return Granted(epochs, dispatcher_epoch)
 
 
-def _direct_headers(epochs: dict[str, int], key: str) -> dict[str, str]:
+def _direct_headers(granted: Granted, key: str) -> dict[str, str]:
     shard = shard_text(shard_of_key(SERVICE, N_SHARDS, [], key))
     return {
         "Bergamotferry-Shard": shard,
-        "Bergamotferry-Epoch": str(epochs.get(shard, 0)),
+        "Bergamotferry-Epoch": str(granted.epochs.get(shard, 0)),
+        # A stand-in takes nothing of a dispatcher older than its newest order.
+        "Bergamotferry-Dispatcher-Epoch": str(granted.dispatcher_epoch),
     }
