--- a/packages/bergamotferry_host/tests/test_caller_edge.py
+++ b/packages/bergamotferry_host/tests/test_caller_edge.py
@@ -1,6 +1,7 @@
 """Callers' limits: each fault gets its number, and harms nothing else."""
 
 import asyncio
+import hashlib
 import io
 import json
 import logging
@@ -248,6 +249,51 @@
     assert after[:2] == (200, 0)
 
 
+N_IDLE = 500
+N_SLOW = 60
+N_SLOW_BODIES = 3
+# The deadline of a lookup's route, for all of them in turn.
+LOOKUP_LIMIT_S = 3.0
+
+
+def test_idle_and_slow_connections_hold_up_no_lookup(state, served, edge, exchange):
+    n_max = N_IDLE + N_SLOW + 20
+    ann = state.global_tables.accounts["ann"]
+    digest = hashlib.sha256(b"token-of-bob").hexdigest()
+    bob = ann._replace(name="bob", token_sha256=digest)
+    state.global_tables.accounts["bob"] = bob
+    length = "Content-Length: 9"
+    body = raw("/v1/log/store/k", length, method="PUT", token="token-of-bob") + b"x"
+
+    async def scenario():
+        async with edge(EdgeLimits(n_max, header_timeout_s=30.0)) as port:
+            held = [
+                await asyncio.open_connection("127.0.0.1", port)
+                for _ in range(N_IDLE + N_SLOW)
+            ]
+            slow = held[N_IDLE:]
+            for number, (_, writer) in enumerate(slow):
+                # Some of another account stop within the body, the rest in the head.
+                writer.write(body if number < N_SLOW_BODIES else GOOD[:9])
+            async with asyncio.timeout(LOOKUP_LIMIT_S):
+                codes = [(await exchange(port, GOOD))[0] for _ in range(20)]
+            surplus = [
+                await asyncio.open_connection("127.0.0.1", port) for _ in range(40)
+            ]
+            reads = [reader.read(2048) for reader, _ in surplus[20:]]
+            refused = await asyncio.wait_for(asyncio.gather(*reads), 10)
+            n_open = sum(not reader.at_eof() for reader, _ in held)
+            for _, writer in [*held, *surplus]:
+                writer.close()
+            return codes, refused, n_open
+
+    codes, refused, n_open = asyncio.run(scenario())
+    assert codes == [200] * 20
+    assert n_open == N_IDLE + N_SLOW
+    number = int(ResultCode.TOO_MANY_CONNECTIONS)
+    assert all(f"Bergamotferry-Code: {number}".encode() in text for text in refused)
+
+
 @pytest.mark.parametrize(
     ("fields", "code", "is_serving"),
     [
