Log what only a library sees as one line, without a traceback

Cause: websockets and aiohttp write failures that they meet to loggers of their own ("connection handler failed", "keepalive ping failed"); with no handler set these come out on stderr as tracebacks, beside the JSON lines.

Ruled out: silencing those loggers; a failure there must be seen.

Change: main gives the root logger a handler that writes "library_failed" with the library's logger, the failure's type and place, and no text. A field of PeerNetwork that nothing used is gone.

Seen failing: without the handler the new test finds no such line.

--- a/packages/bergamotferry_host/src/bergamotferry_host/background.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/background.py
@@ -1,16 +1,17 @@
-"""Tasks that nobody waits for, and the one line that tells when such a task fails.
+"""Failures that nobody waits for: of tasks, of the loop, and of libraries.
 
-A failure tells its type and its place in the code, never its text: that may hold what
-a caller sent.
+Each is one line of log. It tells the failure's type and its place in the code, never
+its text: that may hold what a caller sent.
 """
 
 import asyncio
+import logging
 import traceback
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
-from .logs import log_error
+from .logs import log_error, log_warning
 
 
 def start_task(work: Coroutine[Any, Any, Any], tasks: set[Any]) -> asyncio.Task[Any]:
@@ -30,11 +31,7 @@
 
 def log_failure(error: BaseException) -> None:
     """Write the line about a failure that nobody is left to handle."""
-    places = [
-        f"{Path(frame.f_code.co_filename).stem}:{frame.f_code.co_name}:{line}"
-        for frame, line in traceback.walk_tb(error.__traceback__)
-    ]
-    log_error("task_failed", error=type(error).__name__, place=" ".join(places))
+    log_error("task_failed", error=type(error).__name__, place=_place(error))
 
 
 def log_loop_failures(loop: asyncio.AbstractEventLoop) -> None:
@@ -50,3 +47,26 @@
             log_error("task_failed", error="", place=why)
 
     loop.set_exception_handler(on_failure)
+
+
+def log_library_failures() -> None:
+    """Have libraries' own loggers write our lines, instead of tracebacks on stderr."""
+    logging.getLogger().addHandler(_LibraryHandler(logging.WARNING))
+
+
+class _LibraryHandler(logging.Handler):
+    """Tells which library met a failure, and where."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        name = type(error).__name__ if error is not None else ""
+        place = _place(error) if error is not None else ""
+        log_warning("library_failed", library=record.name, error=name, place=place)
+
+
+def _place(error: BaseException) -> str:
+    places = [
+        f"{Path(frame.f_code.co_filename).stem}:{frame.f_code.co_name}:{line}"
+        for frame, line in traceback.walk_tb(error.__traceback__)
+    ]
+    return " ".join(places)
--- a/packages/bergamotferry_host/src/bergamotferry_host/main.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 
+from .background import log_library_failures
 from .daemon import run_daemon
 from .data_folder import DataFolderError
 from .disk_log import DiskLogDamaged
@@ -16,6 +17,7 @@
     listener = start_logs(
         settings.host.name, settings.host.data_centre, settings.log_level
     )
+    log_library_failures()
     try:
         asyncio.run(run_daemon(settings))
     except (DataFolderError, DiskLogDamaged) as error:
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -50,7 +50,6 @@
     addresses: dict[str, HostAddress]
     handlers: PeerHandlers
     links: dict[tuple[str, LinkClass], PeerLink] = field(default_factory=dict)
-    accepted: set[PeerLink] = field(default_factory=set)
     failed_ns: dict[tuple[str, LinkClass], int] = field(default_factory=dict)
     dialling: dict[tuple[str, LinkClass], asyncio.Task[PeerLink]] = field(
         default_factory=dict
--- a/packages/bergamotferry_host/tests/test_peer_network.py
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 
 import pytest
 from websockets.asyncio.client import connect
@@ -17,8 +18,9 @@
     TimeoutNow,
 )
 from bergamotferry.records import HostAddress
+from bergamotferry_host.background import log_library_failures
 from bergamotferry_host.codec import encode
-from bergamotferry_host.peer_link import FrameKind, PeerHandlers
+from bergamotferry_host.peer_link import FrameKind, PeerHandlers, PeerLink
 from bergamotferry_host.peer_network import PeerNetwork
 from bergamotferry_testkit.local_deployment import free_ports
 
@@ -90,6 +92,32 @@
     assert asyncio.run(run(work)) == 401
 
 
+def test_failure_that_only_a_library_sees_is_one_line(capfd, caplog, monkeypatch):
+    async def fail(link):
+        raise RuntimeError("secret")
+
+    monkeypatch.setattr(PeerLink, "run", fail)
+    own = logging.getLogger("bergamotferry")
+    monkeypatch.setattr(own, "propagate", False)
+    monkeypatch.setattr(own, "handlers", [caplog.handler])
+    root = logging.getLogger()
+    monkeypatch.setattr(root, "handlers", list(root.handlers))
+    log_library_failures()
+
+    async def work(url):
+        async with dial(url) as connection:
+            with pytest.raises(ConnectionClosed):
+                await asyncio.wait_for(connection.recv(), 5)
+
+    asyncio.run(run(work))
+    rows = [row for row in caplog.records if row.message == "library_failed"]
+    assert [(row.library, row.error) for row in rows] == [
+        ("websockets.server", "RuntimeError")
+    ]
+    assert "secret" not in rows[0].place
+    assert "Traceback" not in capfd.readouterr().err
+
+
 def test_caller_who_gives_up_leaves_no_failed_dial_behind():
     reported = []
     peer_address = f"127.0.0.1:{free_ports(1)[0]}"
