Measure failover from rest, and churn and the log in make measure

Cause: the first run of make measure on the present code gave 'upstream: 0 probes, served again after 0.0 s': shards still moved, so no key of the victim was found, and no probe counted as no failure. Change: each fault waits until no shard has moved for 3 s by the stand-ins' records; no key to probe is an error.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure.py
@@ -25,6 +25,7 @@
     measure_overload,
     measure_stragglers,
 )
+from .measure_log import measure_log
 from .measure_ownership import measure_churn
 from .measure_report import write_report
 
@@ -35,6 +36,7 @@
     "notes": measure_notes,
     "data_centre_out": measure_data_centre_out,
     "churn": measure_churn,
+    "log": measure_log,
     "idle": measure_idle,
     "overload": measure_overload,
     "cold_start": measure_cold_start,
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_faults.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_faults.py
@@ -14,13 +14,13 @@
 from .load import LoadResult, plan_load, run_load
 from .local_deployment import HostProcess, LocalDeployment, wait_ready
 from .probes import judge_probes, probe_keys
+from .recorded_owners import wait_stable
 
 READY_TIMEOUT_S = 20.0
 PROBE_EVERY_S = 0.05
 PROBE_BEFORE_S = 1.0
 PROBE_AFTER_S = 4.0
 N_PROBE_KEYS = 8
-SETTLE_S = 3.0
 
 
 async def start_ready(deployment: LocalDeployment) -> None:
@@ -43,8 +43,8 @@
         try:
             await start_ready(deployment)
             for kind in kinds:
+                await wait_stable(deployment, shape.services[0].name)
                 rows.append(await _one_failover(deployment, kind))
-                await asyncio.sleep(SETTLE_S)
         finally:
             deployment.stop()
     return {"rows": rows, "target": "served again within 1 s; no failure at a stop"}
@@ -173,6 +173,8 @@
         lambda grant: grant.get("upstream") == upstream,
         N_PROBE_KEYS,
     )
+    if not keys:
+        raise RuntimeError(f"no key of {upstream} was found to probe")
     return victim, keys, asker
 
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_log.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_log.py
@@ -9,10 +9,11 @@
 import time
 from itertools import count
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from bergamotferry_host.group import Group, commit
 
+from .deployments import DeploymentShape
 from .local_group import LocalGroup, numbered_command
 
 N_PROPOSERS = (1, 8, 64)
@@ -51,6 +52,26 @@
     )
 
 
+async def measure_log(
+    shape: DeploymentShape, folder: Path, is_quick: bool
+) -> dict[str, Any]:
+    """Measure commits and syncs of one group, as a scenario of `measure`."""
+    rows: list[dict[str, Any]] = []
+    for n_proposers in N_PROPOSERS:
+        log_folder = folder / str(n_proposers)
+        log_folder.mkdir(parents=True)
+        row = await measure_commits(log_folder, n_proposers)
+        rows.append(
+            {
+                "n_proposers": row.n_proposers,
+                "commits_per_s": round(row.commits_per_s),
+                "syncs_per_commit": round(row.syncs_per_commit, 3),
+                "mean_ms": round(row.mean_ms, 2),
+            }
+        )
+    return {"rows": rows, "target": "fewer syncs than commits when many propose"}
+
+
 def main() -> None:
     """Print a row for each number of proposers."""
     print(f"{'proposers':>10}{'commits/s':>12}{'syncs/commit':>14}{'mean ms':>9}")
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_ownership.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_ownership.py
@@ -1,33 +1,16 @@
-"""Scenarios of ownership: churn and imbalance while an upstream leaves and returns.
+"""Scenarios of ownership: churn and imbalance while an upstream leaves and returns."""
 
-Owners are read from the orders in the stand-ins' own records, not from what the hosts
-say of them.
-"""
-
-import asyncio
 import statistics
 import time
 from collections import Counter
-from collections.abc import Iterable
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from .deployments import DeploymentShape
 from .fault_plan import set_stand_in_fault
 from .local_deployment import LocalDeployment
 from .measure_faults import start_ready
-from .records_check import read_records
-
-STABLE_FOR_S = 3.0
-STABLE_TIMEOUT_S = 60.0
-POLL_S = 0.5
-
-
-class GrantedShard(NamedTuple):
-    """The latest order that granted a shard."""
-
-    epoch: int
-    upstream: str
+from .recorded_owners import STABLE_FOR_S, GrantedShard, wait_stable
 
 
 async def measure_churn(
@@ -56,43 +39,6 @@
     }
 
 
-def owners_of_records(paths: Iterable[Path], service: str) -> dict[str, GrantedShard]:
-    """Return the owner of each shard of a service by the orders that were recorded."""
-    owners: dict[str, GrantedShard] = {}
-    for record in read_records(paths):
-        is_order = record["event"] == "order"
-        if not is_order or not record["upstream"].startswith(f"{service}-"):
-            continue
-        for shard, epoch in record["granted"]:
-            if shard not in owners or epoch > owners[shard].epoch:
-                owners[shard] = GrantedShard(epoch, record["upstream"])
-    return owners
-
-
-async def wait_stable(
-    deployment: LocalDeployment, service: str
-) -> dict[str, GrantedShard]:
-    """Wait until no shard of a service moved for `STABLE_FOR_S`; return the owners.
-
-    Raises
-    ------
-    RuntimeError
-        If shards still move after `STABLE_TIMEOUT_S`.
-    """
-    paths = [deployment.records_path(name) for name in deployment.stand_in_words]
-    owners = owners_of_records(paths, service)
-    began_s = changed_s = time.monotonic()
-    while time.monotonic() - changed_s < STABLE_FOR_S:
-        if time.monotonic() - began_s > STABLE_TIMEOUT_S:
-            raise RuntimeError(f"shards still move after {STABLE_TIMEOUT_S} s")
-        await asyncio.sleep(POLL_S)
-        current = owners_of_records(paths, service)
-        if current != owners:
-            owners = current
-            changed_s = time.monotonic()
-    return owners
-
-
 def _churn(
     shape: DeploymentShape,
     victim: str,
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_report.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_report.py
@@ -43,7 +43,8 @@
     axes.set_xlabel(plot["x"])
     axes.set_ylabel(plot["y"])
     axes.set_ylim(bottom=0)
-    axes.legend()
+    if any(series):
+        axes.legend()
     figure.tight_layout()
     figure.savefig(path, dpi=N_DOTS_PER_INCH)
     plt.close(figure)
--- a/packages/bergamotferry_testkit/tests/test_upstream_leaves.py
+++ b/packages/bergamotferry_testkit/tests/test_upstream_leaves.py
@@ -8,8 +8,8 @@
 from bergamotferry_testkit.fault_plan import set_stand_in_fault
 from bergamotferry_testkit.local_deployment import LocalDeployment
 from bergamotferry_testkit.measure_faults import start_ready
-from bergamotferry_testkit.measure_ownership import owners_of_records, wait_stable
 from bergamotferry_testkit.ownership_check import check_ownership
+from bergamotferry_testkit.recorded_owners import owners_of_records, wait_stable
 from bergamotferry_testkit.records_check import check_runs, read_records
 
 SHAPE = DeploymentShape(
