--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure.py
@@ -25,6 +25,8 @@
     measure_overload,
     measure_stragglers,
 )
+from .measure_log import measure_log
+from .measure_ownership import measure_churn
 from .measure_report import write_report
 
 Scenario = Callable[[DeploymentShape, Path, bool], Coroutine[Any, Any, dict[str, Any]]]
@@ -33,6 +35,8 @@
     "failover": measure_failover,
     "notes": measure_notes,
     "data_centre_out": measure_data_centre_out,
+    "churn": measure_churn,
+    "log": measure_log,
     "idle": measure_idle,
     "overload": measure_overload,
     "cold_start": measure_cold_start,
