--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -13,7 +13,7 @@
 from bergamotferry.slow_start import SlowStart
 from bergamotferry_host import dispatch
 from bergamotferry_host.dispatcher_table import UpstreamWork
-from bergamotferry_host.exchange import RequestBody, Served, no_body
+from bergamotferry_host.exchange import RequestBody, Served
 
 LOOKUP = make_head()
 FILING = make_head("filing", "POST", idempotency_key="i1")
@@ -28,7 +28,7 @@
 
 
 def start(upstream, head, sink=None):
-    body = RequestBody(no_body())
+    body = RequestBody.empty()
     work = dispatch.dispatch_here(upstream.state, head, body, sink or KeepingSink())
     return asyncio.create_task(work)
 
@@ -186,3 +186,15 @@
 
     for row in table:
         asyncio.run(asyncio.wait_for(run(*row), 10.0))
+
+
+def test_host_that_catches_up_dispatches_nothing():
+    async def run(head):
+        async with RawUpstream("whole") as upstream:
+            add_work(upstream)
+            upstream.state.is_caught_up = False
+            refusal = await start(upstream, head)
+            return refusal.code, refusal.is_not_run, upstream.requests
+
+    for head in (LOOKUP, FILING):
+        assert asyncio.run(run(head)) == (Code.HOST_NOT_READY, True, [])
