--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_tables.py
@@ -126,7 +126,12 @@
         mine = [g for g in tables.grants.values() if g.upstream == name]
         work.confirmed = {grant.shard: grant.epoch for grant in mine}
         host = SimpleNamespace(name=dispatcher.host)
-        state = SimpleNamespace(own_tables=tables, host=host, has_host_lease=True)
+        state = SimpleNamespace(
+            own_tables=tables,
+            own_group=SimpleNamespace(applied_index=0),
+            host=host,
+            has_host_lease=True,
+        )
         return time_us(partial(_look_for_orders, state, work))
 
     return measure_slope(
