--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,12 +7,7 @@
 from typing import NamedTuple
 
 from .commands import Command
-from .records import (
-    HostAddress,
-    QuarantineRecord,
-    ShardId,
-    UpstreamSession,
-)
+from .records import HostAddress, QuarantineRecord, ShardId, UpstreamSession
 
 
 class Member(NamedTuple):
@@ -203,8 +198,9 @@
 class RenewLeases(NamedTuple):
     """A host renews its own lease and those of the sessions it heard from.
 
-    ``drained`` names upstreams (with the dispatcher's epoch) that it has stopped
-    sending to and has nothing in flight on; ``released`` names shards likewise.
+    ``drained`` names upstreams (with the dispatcher's epoch) and ``released`` shards on
+    which it sends nothing more; ``latencies`` are service, upstream and observed ms;
+    on ``bulk_upstreams`` it has bulk in flight.
     """
 
     host: HostAddress
@@ -214,6 +210,8 @@
     sessions: tuple[tuple[str, int], ...]
     drained: tuple[tuple[str, int], ...]
     released: tuple[tuple[ShardId, int], ...]
+    latencies: tuple[tuple[str, str, float], ...] = ()
+    bulk_upstreams: tuple[str, ...] = ()
 
 
 class RenewLeasesReply(NamedTuple):
