Give hot keys a shard of their own that moves by itself

Cause: ownership is per shard, so a hot key takes its shard's whole load along and two hot keys of one shard can't be parted. Change: a dispatcher counts keys by hash, and reports rates with its lease renewal. The leader gives a hot key a shard of its own, held at first by the home shard's owner under a new epoch of both, and moves it like any shard. Work sent under the home shard's old epoch is waited for before the first release.

--- a/packages/bergamotferry/src/bergamotferry/commands.py
+++ b/packages/bergamotferry/src/bergamotferry/commands.py
@@ -107,6 +107,33 @@
     home_epochs: tuple[int, ...]
 
 
+class MakeException(NamedTuple):
+    """Give a hot key a shard of its own, held at first by its home shard's owner.
+
+    ``grant_epoch`` is that of the home shard's grant, which gets a new one.
+    """
+
+    home: ShardId
+    grant_epoch: int
+    key_hash: int
+    shard: ShardId
+    rate_per_s: int
+
+
+class EndExceptions(NamedTuple):
+    """Revoke shards of single keys, so that the keys go back to their home shards."""
+
+    shards: tuple[ShardId, ...]
+    first_epochs: tuple[int, ...]
+
+
+class DropExceptions(NamedTuple):
+    """Give keys whose own shards are free back to their home shards."""
+
+    shards: tuple[ShardId, ...]
+    first_epochs: tuple[int, ...]
+
+
 class RetireDispatcher(NamedTuple):
     """The dispatcher takes no new work, so that another may be assigned."""
 
@@ -202,6 +229,9 @@
     | RevokeShards
     | ConfirmRelease
     | ReleaseHomes
+    | MakeException
+    | EndExceptions
+    | DropExceptions
     | RetireDispatcher
     | AssignDispatcher
     | RecordIntent
--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -14,9 +14,12 @@
     Command,
     ConfirmRelease,
     DrainSession,
+    DropExceptions,
+    EndExceptions,
     ForgetIntent,
     GrantShards,
     ImportOutcomes,
+    MakeException,
     OpenSession,
     RecordCrash,
     RecordIntent,
@@ -26,8 +29,14 @@
     RetireDispatcher,
     RevokeShards,
 )
+from .key_exceptions import (
+    drop_exceptions,
+    end_exceptions,
+    homes_with_exceptions,
+    make_exception,
+    may_be_granted,
+)
 from .outcome_tables import (
-    HOME_EPOCH_SHIFT,
     forget_intent,
     import_outcomes,
     record_intent,
@@ -36,8 +45,10 @@
 from .outcomes import Accepted, Refused
 from .quarantine import record_crash
 from .records import (
+    HOME_EPOCH_SHIFT,
     Dispatcher,
     Grant,
+    KeyException,
     OutcomeRecord,
     QuarantineRecord,
     ShardId,
@@ -62,6 +73,8 @@
     quarantine: dict[str, QuarantineRecord] = field(default_factory=dict)
     outcome_body_bytes: int = 0
     imported_homes: dict[ShardId, int] = field(default_factory=dict)
+    key_exceptions: dict[ShardId, KeyException] = field(default_factory=dict)
+    exception_shards: dict[tuple[ShardId, int], ShardId] = field(default_factory=dict)
 
 
 def apply_data_centre_command(
@@ -89,6 +102,12 @@
             return _confirm_release(tables, command)
         case ReleaseHomes():
             return _release_homes(tables, command)
+        case MakeException():
+            return make_exception(tables, command)
+        case EndExceptions():
+            return end_exceptions(tables, command)
+        case DropExceptions():
+            return drop_exceptions(tables, command)
         case RetireDispatcher():
             return _retire_dispatcher(tables, command)
         case AssignDispatcher():
@@ -198,7 +217,8 @@
     for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
         is_free = shard not in tables.grants and shard.service == session.service
         # A leader whose global tables lag must not grant what was released for good.
-        if is_free and home_epoch > tables.released_homes.get(shard, 0):
+        is_here = home_epoch > tables.released_homes.get(shard, 0)
+        if is_free and is_here and may_be_granted(tables, shard, home_epoch):
             tables.last_epoch += 1
             epoch = (home_epoch << HOME_EPOCH_SHIFT) | tables.last_epoch
             tables.grants[shard] = Grant(
@@ -224,8 +244,9 @@
 
 
 def _release_homes(tables: DataCentreTables, command: ReleaseHomes) -> Accepted:
+    kept = homes_with_exceptions(tables)
     for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
-        if shard not in tables.grants:
+        if shard not in tables.grants and shard not in kept:
             known = tables.released_homes.get(shard, 0)
             tables.released_homes[shard] = max(known, home_epoch)
     return Accepted(tables.last_epoch)
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -200,11 +200,21 @@
     retry_ms: int
 
 
+class KeyRate(NamedTuple):
+    """How many requests for a key a dispatcher gets; the key is told by its hash."""
+
+    home: ShardId
+    key_hash: int
+    rate_per_s: float
+
+
 class RenewLeases(NamedTuple):
     """A host renews its own lease and those of the sessions it heard from.
 
     ``drained`` names upstreams (with the dispatcher's epoch) that it has stopped
     sending to and has nothing in flight on; ``released`` names shards likewise.
+    ``hot_keys`` and ``upstream_rates`` tell the load of the upstreams that it
+    dispatches for.
     """
 
     host: HostAddress
@@ -214,6 +224,8 @@
     sessions: tuple[tuple[str, int], ...]
     drained: tuple[tuple[str, int], ...]
     released: tuple[tuple[ShardId, int], ...]
+    hot_keys: tuple[KeyRate, ...] = ()
+    upstream_rates: tuple[tuple[str, float], ...] = ()
 
 
 class RenewLeasesReply(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/outcome_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/outcome_tables.py
@@ -12,8 +12,9 @@
 from typing import TYPE_CHECKING
 
 from .commands import ForgetIntent, ImportOutcomes, RecordIntent, RecordOutcome
+from .key_exceptions import grant_of_epoch
 from .outcomes import Accepted, Refused
-from .records import OutcomeRecord, ShardId
+from .records import HOME_EPOCH_SHIFT, OutcomeRecord, ShardId
 from .result_codes import ResultCode
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
 OUTCOME_BODY_MAX_BYTES = 4096
 OUTCOME_BODIES_MAX_BYTES = 16 * 1024 * 1024
 OUTCOME_KEPT_S = 24 * 3600
-HOME_EPOCH_SHIFT = 40
 FIRST_HOME_EPOCH = 1
 _BODIES_KEPT_SHARE = 0.9
 
@@ -160,8 +160,9 @@
 
 
 def _is_dispatcher(tables: "DataCentreTables", command: RecordIntent) -> bool:
-    grant = tables.grants.get(command.shard)
-    if grant is None or grant.epoch != command.grant_epoch or grant.state != "held":
+    # Intents are recorded under the home shard, also of a key that has an exception.
+    grant = grant_of_epoch(tables, command.shard, command.grant_epoch)
+    if grant is None or grant.state != "held":
         return False
     dispatcher = tables.dispatchers.get(grant.upstream)
     return dispatcher is not None and dispatcher.epoch == command.dispatcher_epoch
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -21,6 +21,7 @@
 )
 from .data_centre_tables import DataCentreTables
 from .global_tables import GlobalTables
+from .key_exceptions import homes_with_exceptions
 from .leases import (
     NS_PER_MS,
     LeaseTable,
@@ -31,9 +32,8 @@
     is_session_expired,
     live_hosts,
 )
-from .outcome_tables import HOME_EPOCH_SHIFT
 from .placement import choose_targets, shards_over_share, shards_to_fill
-from .records import Dispatcher, Grant, ShardId
+from .records import HOME_EPOCH_SHIFT, Dispatcher, Grant, ShardId
 
 N_MOVES_PER_TICK = 8
 N_MOVES_IN_FLIGHT = 16
@@ -176,12 +176,14 @@
         is_staying = home.data_centre == data_centre and not home.next_data_centre
         if grant.state == "held" and (is_over or not is_staying):
             revoked.append(grant)
+    kept = homes_with_exceptions(tables)
     given_up = [
         (shard, home.epoch)
         for shard, home in global_tables.shard_homes.items()
         if home.data_centre == data_centre
         and home.next_data_centre
         and shard not in tables.grants
+        and shard not in kept
         and tables.released_homes.get(shard, 0) < home.epoch
     ]
     commands: list[DataCentreCommand] = []
@@ -258,14 +260,17 @@
             if is_fill_due and not shards:
                 shards += shards_to_fill(owned, weights, n_moves)
     held = [
-        tables.grants[shard] for shard in shards if _is_movable(tables, leases, shard)
+        tables.grants[shard] for shard in shards if is_movable(tables, leases, shard)
     ][:n_moves]
     return [_revoke(held)] if held else []
 
 
-def _is_movable(tables: DataCentreTables, leases: LeaseTable, shard: ShardId) -> bool:
-    # Only a live dispatcher can get a shard back, so without one it is served longer
-    # where it is.
+def is_movable(tables: DataCentreTables, leases: LeaseTable, shard: ShardId) -> bool:
+    """Return whether a held shard can be got back, and so be moved, just now.
+
+    Only a live dispatcher can get a shard back, so without one it is served longer
+    where it is.
+    """
     grant = tables.grants[shard]
     dispatcher = tables.dispatchers.get(grant.upstream)
     if grant.state != "held" or dispatcher is None or dispatcher.state != "serving":
@@ -310,8 +315,9 @@
 
 
 def _owners(tables: DataCentreTables, service: str) -> Mapping[ShardId, str]:
+    # Shards of single keys are placed by their load, see ``hot_key_placement``.
     return {
         shard: grant.upstream
         for shard, grant in tables.grants.items()
-        if shard.service == service
+        if shard.service == service and shard not in tables.key_exceptions
     }
--- a/packages/bergamotferry/src/bergamotferry/records.py
+++ b/packages/bergamotferry/src/bergamotferry/records.py
@@ -12,6 +12,8 @@
 DispatcherState = Literal["serving", "retiring"]
 GrantState = Literal["held", "revoking"]
 OutcomeState = Literal["intent", "done", "unknown"]
+# A grant's epoch has its home's epoch above this many bits of the group's counter.
+HOME_EPOCH_SHIFT = 40
 
 
 class DataCentre(NamedTuple):
@@ -130,6 +132,22 @@
     state: GrantState
 
 
+class KeyException(NamedTuple):
+    """A key, by its hash, that has a shard of its own beside its home shard.
+
+    Work of the key that began before runs under the home shard's epochs up to
+    ``fence_epoch``. The first grant of the exception's shard, under ``first_epoch``, is
+    given back only when that work has ended as well.
+    """
+
+    shard: ShardId
+    home: ShardId
+    key_hash: int
+    first_epoch: int
+    fence_epoch: int
+    is_ending: bool
+
+
 class Dispatcher(NamedTuple):
     """The host that alone sends work to an upstream, under an epoch."""
 
--- a/packages/bergamotferry/src/bergamotferry/shards.py
+++ b/packages/bergamotferry/src/bergamotferry/shards.py
@@ -36,8 +36,13 @@
     """
     home = home_region_of_key(service, home_regions, key)
     domain = home.name if home else ""
+    return ShardId(service, domain, hash_of_key(service, domain, key) % n_shards)
+
+
+def hash_of_key(service: str, domain: str, key: str) -> int:
+    """Return the hash of a key, of 64 bits, by which its shard is chosen."""
     text = _SEPARATOR.join((service.encode(), domain.encode(), key.encode()))
-    return ShardId(service, domain, xxhash.xxh3_64_intdigest(text) % n_shards)
+    return xxhash.xxh3_64_intdigest(text)
 
 
 def home_region_of_key(
--- a/packages/bergamotferry/tests/test_outcome_tables.py
+++ b/packages/bergamotferry/tests/test_outcome_tables.py
@@ -13,13 +13,12 @@
 )
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.outcome_tables import (
-    HOME_EPOCH_SHIFT,
     OUTCOME_BODY_MAX_BYTES,
     OUTCOME_KEPT_S,
     is_body_kept,
 )
 from bergamotferry.outcomes import Accepted
-from bergamotferry.records import Dispatcher, Grant, ShardId
+from bergamotferry.records import HOME_EPOCH_SHIFT, Dispatcher, Grant, ShardId
 from bergamotferry.result_codes import ResultCode as Code
 
 SHARD = ShardId("testlog", "", 1)
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -25,6 +25,7 @@
     take_ready,
     withdraw,
 )
+from bergamotferry.hot_keys import count_request
 from bergamotferry.messages import RequestHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.quarantine import request_fingerprint
@@ -41,7 +42,7 @@
 from .host_state import HostState
 from .orders import order_grants
 from .run_once import deliver, read_content, run_once
-from .upstream_call import check_owner, open_upstream_session, send_to_upstream
+from .upstream_call import check_owner_of_key, open_upstream_session, send_to_upstream
 
 DISPATCHER_TICK_S = 0.02
 NS_PER_MS = 1_000_000
@@ -94,18 +95,20 @@
         return Refused(ResultCode.MISSING_IDEMPOTENCY_KEY, "send Idempotency-Key")
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
     # Asked before the body is read, and again after: it may come slowly.
-    owner = check_owner(state, head.shard)
+    owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
     content = await read_content(body, route, deadline_ns)
     if isinstance(content, Refused):
         return content
-    owner = check_owner(state, head.shard)
+    owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
+    count_request(state.dispatchers.hot_keys, head, owner.session.name, now_ns())
+    place = (owner.grant.shard, owner.grant.epoch)
     trace.upstream, trace.epoch = owner.session.name, owner.grant.epoch
     work = state.dispatchers.works.get(owner.session.name)
-    if work is None or work.confirmed.get(head.shard) != owner.grant.epoch:
+    if work is None or work.confirmed.get(place[0]) != place[1]:
         return Refused(ResultCode.NO_OWNER, "the owner has not confirmed the grant yet")
     queued_ns = now_ns()
     ticket = await _admit(state, work, head, route, content, deadline_ns)
@@ -116,7 +119,7 @@
     request = UpstreamRequest(
         owner, route, head, body, deadline_ns, give_up_ns, content
     )
-    work.in_flight[head.shard] = work.in_flight.get(head.shard, 0) + 1
+    work.in_flight[place] = work.in_flight.get(place, 0) + 1
     if route.is_idempotent:
         return await _run_idempotent(state, work, ticket, request, sink)
     return await _run_filing(state, work, ticket, request, sink)
@@ -234,7 +237,7 @@
     try:
         outcome = await _send(state, work, ticket, request, sink)
     finally:
-        _end(work, request.head)
+        _end(work, request)
     if outcome is not None:
         return outcome
     if request.progress.has_head:
@@ -261,7 +264,7 @@
     state.dispatchers.filings.add(task)
     task.add_done_callback(state.dispatchers.filings.discard)
     task.add_done_callback(lambda _: free_slot())
-    task.add_done_callback(lambda _: _end(work, request.head))
+    task.add_done_callback(lambda _: _end(work, request))
     left_s = (request.deadline_ns - now_ns()) / 1e9
     done, _ = await asyncio.wait([task], timeout=max(0.0, left_s))
     if not done:
@@ -284,10 +287,11 @@
     return None if task.cancelled() else task.result()
 
 
-def _end(work: UpstreamWork, head: RequestHead) -> None:
-    work.in_flight[head.shard] -= 1
-    if not work.in_flight[head.shard]:
-        del work.in_flight[head.shard]
+def _end(work: UpstreamWork, request: UpstreamRequest) -> None:
+    place = (request.owner.grant.shard, request.owner.grant.epoch)
+    work.in_flight[place] -= 1
+    if not work.in_flight[place]:
+        del work.in_flight[place]
 
 
 async def _wait_for_slot(work: UpstreamWork, ticket: Ticket) -> Refused | None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from bergamotferry.admission import UpstreamQueue
+from bergamotferry.hot_keys import HotKeyCounts
 from bergamotferry.link_budget import LinkBudget
 from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId, UpstreamSession
@@ -18,6 +19,7 @@
 class UpstreamWork:
     """Queue, confirmed grants and work in flight of one upstream's incarnation.
 
+    ``in_flight`` counts by shard and epoch of the grant.
     ``sends`` are the tasks that talk to the upstream; they are cancelled when the host
     loses it. ``attempts`` names the filings that this host may still resolve, and
     ``fingerprints`` tells what runs by the id of its ticket.
@@ -28,7 +30,7 @@
     queue: UpstreamQueue
     confirmed: dict[ShardId, int] = field(default_factory=dict)
     released: set[tuple[ShardId, int]] = field(default_factory=set)
-    in_flight: dict[ShardId, int] = field(default_factory=dict)
+    in_flight: dict[tuple[ShardId, int], int] = field(default_factory=dict)
     started: dict[str, "asyncio.Future[Refused | None]"] = field(default_factory=dict)
     sends: set["asyncio.Task[object]"] = field(default_factory=set)
     attempts: set[str] = field(default_factory=set)
@@ -54,4 +56,5 @@
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     link_budget: LinkBudget | None = None
     latencies: LatencyTable = field(default_factory=LatencyTable)
+    hot_keys: HotKeyCounts = field(default_factory=HotKeyCounts)
     ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/src/bergamotferry_host/grant_history.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/grant_history.py
@@ -5,11 +5,17 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from bergamotferry.commands import AssignDispatcher, Command, GrantShards
+from bergamotferry.commands import (
+    AssignDispatcher,
+    Command,
+    DropExceptions,
+    GrantShards,
+    MakeException,
+)
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.records import ShardId
 
@@ -39,9 +45,17 @@
     """Return an apply function that also notes the grants it applies."""
 
     def apply_and_note(tables: Any, command: Command) -> Accepted | Refused:
+        homes = _homes_coming_back(tables, command)
         outcome = apply_command(tables, command)
-        if isinstance(command, GrantShards) and isinstance(outcome, Accepted):
+        if isinstance(outcome, Refused):
+            return outcome
+        if isinstance(command, GrantShards):
             _note_grants(tables, command, history)
+        elif isinstance(command, MakeException):
+            reason = "a hot key of the home shard got a shard of its own"
+            _note(tables, (command.home, command.shard), reason, history)
+        elif homes:
+            _note(tables, homes, "a key came back to the shard", history)
         return outcome
 
     return apply_and_note
@@ -58,13 +72,28 @@
 
 
 def _note_grants(tables: Any, command: GrantShards, history: GrantHistory) -> None:
+    mine = [
+        shard
+        for shard in command.shards
+        if shard in tables.grants and tables.grants[shard].upstream == command.upstream
+    ]
+    _note(tables, mine, grant_reason(command), history)
+
+
+def _note(
+    tables: Any, shards: Iterable[ShardId], reason: str, history: GrantHistory
+) -> None:
     is_replay = time.monotonic() - history.started_s < REPLAY_PERIOD_S
     seen_at_s = 0 if is_replay else int(time.time())
-    for shard in command.shards:
+    for shard in shards:
         grant = tables.grants.get(shard)
         known = history.grants.get(shard)
-        if grant is None or grant.upstream != command.upstream:
-            continue
-        if known is None or known.epoch != grant.epoch:
-            reason = grant_reason(command)
+        if grant is not None and (known is None or known.epoch != grant.epoch):
             history.grants[shard] = SeenGrant(grant.epoch, seen_at_s, reason)
+
+
+def _homes_coming_back(tables: Any, command: Command) -> list[ShardId]:
+    if not isinstance(command, DropExceptions):
+        return []
+    rows = [tables.key_exceptions.get(shard) for shard in command.shards]
+    return [row.home for row in rows if row is not None]
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -7,6 +7,7 @@
 from bergamotferry.data_centre_tables import DataCentreTables
 from bergamotferry.global_placement import RebalanceState
 from bergamotferry.global_tables import GlobalTables
+from bergamotferry.hot_keys import HotKeyReports
 from bergamotferry.leases import LeaseTable
 from bergamotferry.messages import CapacityReport
 from bergamotferry.outcomes import Accepted, Refused
@@ -40,6 +41,7 @@
     report_times_ns: dict[str, int] = field(default_factory=dict)
     rebalance: RebalanceState = field(default_factory=RebalanceState)
     exported_homes: dict[ShardId, int] = field(default_factory=dict)
+    hot_keys: HotKeyReports = field(default_factory=HotKeyReports)
 
 
 @dataclass(slots=True)
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -11,6 +11,8 @@
 
 from bergamotferry.commands import Command
 from bergamotferry.global_placement import capacity_after_out, run_global_placement
+from bergamotferry.hot_key_placement import run_key_exceptions
+from bergamotferry.hot_keys import note_hot_keys
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     SESSION_LEASE_MS,
@@ -73,6 +75,15 @@
             now_ns(),
             is_placing,
         )
+        if is_placing and "hot-keys" not in state.settings.request_policies_off:
+            commands += run_key_exceptions(
+                group.tables,
+                state.global_tables,
+                leader.leases,
+                leader.hot_keys,
+                data_centre,
+                now_ns(),
+            )
         await _commit_all(group, commands)
         has_acted = bool(commands)
 
@@ -161,6 +172,13 @@
         if not is_known or not renew_session(leases, session, now_ns()):
             lost.append(name)
     note_reports(leases, message.drained, message.released)
+    note_hot_keys(
+        leader.hot_keys,
+        message.host.name,
+        message.hot_keys,
+        message.upstream_rates,
+        now_ns(),
+    )
     return RenewLeasesReply(
         True,
         state.host.name,
--- a/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/lease_renewal.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from bergamotferry.hot_keys import hottest_keys, upstream_rates
 from bergamotferry.leases import NS_PER_MS, RENEW_INTERVAL_MS, SESSION_LEASE_MS
 from bergamotferry.messages import RenewLeases, RenewLeasesReply
 from bergamotferry.outcomes import Accepted, Refused
@@ -71,6 +72,8 @@
         sessions,
         drained_upstreams(state),
         released_shards(state),
+        hottest_keys(state.dispatchers.hot_keys, now_ns()),
+        upstream_rates(state.dispatchers.hot_keys, now_ns()),
     )
     sent_ns = now_ns()
     reply = await _ask_leader(state, message)
--- a/packages/bergamotferry_host/src/bergamotferry_host/orders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/orders.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from bergamotferry.key_exceptions import release_fence
 from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId
 from bergamotferry.result_codes import ResultCode
@@ -34,6 +35,7 @@
         granted, released = _orders_due(state, work)
         if not granted and not released:
             return
+        fences = release_fences(state, released)
         work.n_orders += 1
         order = {
             "dispatcher_epoch": work.epoch,
@@ -41,7 +43,10 @@
             "order": work.n_orders,
             "incarnation": work.session.incarnation,
             "granted": [[shard_text(shard), epoch] for shard, epoch in granted],
-            "released": [[shard_text(shard), epoch] for shard, epoch in released],
+            "released": [
+                [shard_text(shard), epoch]
+                for shard, epoch in [*released, *fences.values()]
+            ],
         }
         url = f"http://{work.session.address}/bergamotferry/v1/grants"
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
@@ -53,7 +58,7 @@
                 return
             busy = _busy_shards(await response.text())
         work.confirmed.update(granted)
-        work.released.update(row for row in released if shard_text(row[0]) not in busy)
+        work.released.update(given_back(released, fences, busy))
     except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
         return
     except WriteRefusedError:
@@ -62,6 +67,28 @@
         work.is_ordering = False
 
 
+def release_fences(
+    state: HostState, released: list[tuple[ShardId, int]]
+) -> dict[tuple[ShardId, int], tuple[ShardId, int]]:
+    """Return, by release, the earlier work under another shard that must end too."""
+    fences = {row: release_fence(state.own_tables, *row) for row in released}
+    return {row: fence for row, fence in fences.items() if fence is not None}
+
+
+def given_back(
+    released: list[tuple[ShardId, int]],
+    fences: dict[tuple[ShardId, int], tuple[ShardId, int]],
+    busy: set[str],
+) -> list[tuple[ShardId, int]]:
+    """Return the shards given back, by what an upstream says is still running."""
+    return [
+        row
+        for row in released
+        if shard_text(row[0]) not in busy
+        and (row not in fences or shard_text(fences[row][0]) not in busy)
+    ]
+
+
 def _may_order(state: HostState, work: UpstreamWork) -> bool:
     tables = state.own_tables
     dispatcher = tables.dispatchers.get(work.session.name)
@@ -99,11 +126,17 @@
         if grant.state == "held" and work.confirmed.get(shard) != grant.epoch:
             granted.append((shard, grant.epoch))
         elif grant.state == "revoking" and (shard, grant.epoch) not in work.released:
-            if shard not in work.in_flight:
+            fence = release_fence(state.own_tables, shard, grant.epoch)
+            needed = [(shard, grant.epoch), *([fence] if fence else [])]
+            if not any(_is_in_flight(work, *row) for row in needed):
                 released.append((shard, grant.epoch))
     return granted, released
 
 
+def _is_in_flight(work: UpstreamWork, shard: ShardId, epoch: int) -> bool:
+    return any(known == shard and at <= epoch for known, at in work.in_flight)
+
+
 def shard_text(shard: ShardId) -> str:
     """Return a shard as upstreams see it, such as ``testlog//17``."""
     return f"{shard.service}/{shard.domain}/{shard.number}"
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from bergamotferry.key_exceptions import shard_in_force
 from bergamotferry.messages import RequestHead, ResponseHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
@@ -285,7 +286,8 @@
 
 def _choose_host(state: HostState, data_centre: str, head: RequestHead) -> str:
     if data_centre == state.host.data_centre:
-        owner = find_owner(state.own_tables, head.shard)
+        shard = shard_in_force(state.own_tables, head.shard, head.key)
+        owner = find_owner(state.own_tables, shard)
         if not isinstance(owner, Refused):
             return owner.dispatcher.host
         return state.host.name
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -21,7 +21,13 @@
 _TOKENS = ("operator-token", "upstream-token", "peer-token")
 _COUNTS = ("n-caller-connections-max", "n-control-connections-max")
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}\Z")
-REQUEST_POLICIES = ("early-refusal", "isolation", "retry-budget", "slow-start")
+REQUEST_POLICIES = (
+    "early-refusal",
+    "hot-keys",
+    "isolation",
+    "retry-budget",
+    "slow-start",
+)
 
 
 class Settings(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -16,7 +16,8 @@
 import aiohttp
 from yarl import URL
 
-from bergamotferry.messages import ResponseHead
+from bergamotferry.key_exceptions import shard_in_force
+from bergamotferry.messages import RequestHead, ResponseHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId, TrafficClass
 from bergamotferry.result_codes import ResultCode
@@ -106,6 +107,15 @@
     return owner
 
 
+def check_owner_of_key(state: HostState, head: RequestHead) -> Owner | Refused:
+    """Return the owner of a request's key if this host may send to it just now.
+
+    The entry host names the home shard; whether the key has an exception is for the
+    dispatcher to tell, because an entry host's tables may lag.
+    """
+    return check_owner(state, shard_in_force(state.own_tables, head.shard, head.key))
+
+
 def upstream_url(address: str, route: str, key: str) -> URL:
     """Return the address of a key, escaped so that the upstream reads it exactly."""
     return URL(f"http://{address}/{quote(route)}/{quote(key)}", encoded=True)
@@ -124,7 +134,8 @@
     progress_s: float | None,
 ) -> Served | Refused:
     def guard() -> Refused | None:
-        return _check_again(state, request.owner, request.head.shard)
+        # An exception made since has given the home shard another epoch.
+        return _check_again(state, request.owner, request.owner.grant.shard)
 
     refusal = guard()
     if refusal is not None:
@@ -199,7 +210,7 @@
         "Accept-Encoding": "identity",
         "Bergamotferry-Request-Id": head.request_id,
         "Bergamotferry-Account": head.account,
-        "Bergamotferry-Shard": shard_text(head.shard),
+        "Bergamotferry-Shard": shard_text(owner.grant.shard),
         "Bergamotferry-Epoch": str(owner.grant.epoch),
         "Bergamotferry-Dispatcher-Epoch": str(owner.dispatcher.epoch),
         "Bergamotferry-Deadline-Ms": str(left_ms),
--- a/packages/bergamotferry_host/tests/test_orders.py
+++ b/packages/bergamotferry_host/tests/test_orders.py
@@ -39,7 +39,7 @@
     [
         (RetireDispatcher("u1", 2), {}, True),
         (RetireDispatcher("u1", 2), {"is_ordering": True}, False),
-        (RetireDispatcher("u1", 2), {"in_flight": {SHARDS[0]: 1}}, False),
+        (RetireDispatcher("u1", 2), {"in_flight": {(SHARDS[0], 3): 1}}, False),
         (DrainSession("u1", 1, False), {}, False),
         (DrainSession("u1", 1, True, 1), {}, True),
     ],
@@ -57,7 +57,7 @@
 
 
 def test_release_is_ordered_only_when_nothing_of_the_shard_is_in_flight() -> None:
-    host = _host_with_work(in_flight={SHARDS[0]: 1})
+    host = _host_with_work(in_flight={(SHARDS[0], 3): 1})
     tables = host.own_tables
     apply_data_centre_command(tables, GrantShards("u1", 1, (SHARDS[0],), (1,)))
     epoch = tables.grants[SHARDS[0]].epoch
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/ownership_model.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/ownership_model.py
@@ -6,12 +6,13 @@
 
 from dataclasses import dataclass, field
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, NamedTuple
 
 from bergamotferry.data_centre_tables import DataCentreTables
 from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId
 from bergamotferry.routing import find_owner
+from bergamotferry_host.orders import shard_text
 
 
 @dataclass(slots=True)
@@ -21,6 +22,14 @@
     now_ns: int = 0
 
 
+class Run(NamedTuple):
+    """A request that runs at an upstream, and the grant under which it came."""
+
+    key: tuple[ShardId, int]
+    shard: ShardId
+    epoch: int
+
+
 @dataclass(slots=True)
 class ProcessModel:
     """An upstream's process, which keeps the rules of the interface."""
@@ -33,7 +42,7 @@
     dispatcher_epoch: int = 0
     last_order: int = 0
     grants: dict[ShardId, int] = field(default_factory=dict)
-    running: list[ShardId] = field(default_factory=list)
+    running: list["Run"] = field(default_factory=list)
 
     def adopt(self, session_epoch: int) -> None:
         """Drop what belongs to earlier sessions."""
@@ -43,8 +52,8 @@
             # An upstream ends the work of a session before it opens another.
             self.running.clear()
 
-    def take_order(self, order: dict[str, Any]) -> set[tuple[ShardId, int]] | None:
-        """Return the shards that it gave back, or None if it refused the order."""
+    def take_order(self, order: dict[str, Any]) -> set[str] | None:
+        """Return the shards that are busy, or None if it refused the order."""
         place = (order["dispatcher_epoch"], order["order"])
         is_stale = place <= (self.dispatcher_epoch, self.last_order)
         is_stale = is_stale or order["session_epoch"] < self.session_epoch
@@ -54,13 +63,13 @@
         self.dispatcher_epoch, self.last_order = place
         self.adopt(order["session_epoch"])
         self.grants.update(order["granted"])
-        released: set[tuple[ShardId, int]] = set()
+        busy: set[str] = set()
         for shard, epoch in order["released"]:
-            if shard not in self.running:
-                released.add((shard, epoch))
-                if self.grants.get(shard) == epoch:
-                    del self.grants[shard]
-        return released
+            if any(run.shard == shard and run.epoch <= epoch for run in self.running):
+                busy.add(shard_text(shard))
+            elif self.grants.get(shard) == epoch:
+                del self.grants[shard]
+        return busy
 
 
 class HostModel:
@@ -116,9 +125,13 @@
             if known is None or known.host != self.host.name:
                 del works[name]
 
-    def may_send(self, shard: ShardId) -> str | None:
-        """Return the upstream that this host would write a request for a shard to."""
-        owner = find_owner(self.own_tables, shard)
+    def shard_of(self, key: tuple[ShardId, int]) -> ShardId:
+        """Return the shard that this host knows a key to be served under."""
+        return self.own_tables.exception_shards.get(key, key[0])
+
+    def may_send(self, key: tuple[ShardId, int]) -> str | None:
+        """Return the upstream that this host would write a request for a key to."""
+        owner = find_owner(self.own_tables, self.shard_of(key))
         if isinstance(owner, Refused) or owner.dispatcher.host != self.host.name:
             return None
         return owner.session.name if self.has_host_lease else None
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -59,7 +59,7 @@
     dispatcher_epoch: int = 0
     session_epoch: int = 0
     last_order: int = 0
-    running_by_shard: Counter[str] = field(default_factory=Counter)
+    running_by_grant: Counter[tuple[str, int]] = field(default_factory=Counter)
     slowness: float = 1.0
     cold_s: float = 0.0
     started_s: float = 0.0
@@ -188,13 +188,19 @@
             upstream.grants[shard] = epoch
     busy: list[str] = []
     for shard, epoch in order["released"]:
-        if upstream.running_by_shard[shard]:
+        if _is_running(upstream, shard, epoch):
             busy.append(shard)
         elif upstream.grants.get(shard) == epoch:
             del upstream.grants[shard]
     return web.json_response({"shards": len(upstream.grants), "busy": busy})
 
 
+def _is_running(upstream: StandIn, shard: str, epoch: int) -> bool:
+    return any(
+        known == shard and at <= epoch for known, at in upstream.running_by_grant
+    )
+
+
 async def _run(upstream: StandIn, request: web.Request) -> web.StreamResponse:
     route, key = request.match_info["route"], request.match_info["key"]
     shard = request.headers.get("Bergamotferry-Shard", "")
@@ -217,7 +223,7 @@
         "dispatcher_epoch": sender_epoch,
     }
     upstream.running += 1
-    upstream.running_by_shard[shard] += 1
+    upstream.running_by_grant[shard, epoch] += 1
     upstream.record("run", n_running=upstream.running, **run)
     try:
         body = await request.read()
@@ -230,9 +236,9 @@
         return response
     finally:
         upstream.running -= 1
-        upstream.running_by_shard[shard] -= 1
-        if not upstream.running_by_shard[shard]:
-            del upstream.running_by_shard[shard]
+        upstream.running_by_grant[shard, epoch] -= 1
+        if not upstream.running_by_grant[shard, epoch]:
+            del upstream.running_by_grant[shard, epoch]
 
 
 def service_time_s(upstream: StandIn) -> float:
@@ -252,7 +258,7 @@
     while not upstream.has_left:
         upstream.incarnation = time.time_ns()
         upstream.grants.clear()
-        upstream.running_by_shard.clear()
+        upstream.running_by_grant.clear()
         upstream.running = 0
         upstream.dispatcher_epoch = upstream.session_epoch = upstream.last_order = 0
         upstream.lease_until_s = 0.0
--- a/packages/bergamotferry_testkit/tests/test_ownership_model.py
+++ b/packages/bergamotferry_testkit/tests/test_ownership_model.py
@@ -3,7 +3,8 @@
 Hosts lag in applying the log, lose their leases, pause between a check and a write, and
 restart; renewals, orders and replies are lost, late or repeated; upstreams restart,
 leave and freeze; leaders change and lose what they had not committed. Whatever happens,
-a shard has one owner, and an upstream one host that may give it orders.
+a shard has one owner, and an upstream one host that may give it orders. Hot keys get
+shards of their own, which move and end, and each key has one owner all the while.
 """
 
 from collections.abc import Callable
@@ -21,10 +22,14 @@
 
 from bergamotferry.commands import (
     DrainSession,
+    EndExceptions,
     OpenSession,
+    RevokeShards,
 )
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.global_tables import GlobalTables
+from bergamotferry.hot_key_placement import run_key_exceptions
+from bergamotferry.hot_keys import HOT_RATE_PER_S, HotKeyReports, note_hot_keys
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     NS_PER_MS,
@@ -35,6 +40,7 @@
     renew_host,
     renew_session,
 )
+from bergamotferry.messages import KeyRate
 from bergamotferry.outcomes import Refused
 from bergamotferry.ownership import run_ownership
 from bergamotferry.records import DataCentre, Service, ShardHome, ShardId
@@ -43,14 +49,19 @@
     _may_order,
     _orders_due,
     drained_upstreams,
+    given_back,
+    release_fences,
     released_shards,
 )
-from bergamotferry_testkit.ownership_model import Clock, HostModel, ProcessModel
+from bergamotferry_testkit.ownership_model import Clock, HostModel, ProcessModel, Run
 
 HOSTS = ("h1", "h2", "h3")
 UPSTREAMS = ("u1", "u2", "u3")
 CHECKING = frozenset({"u1", "u2"})
 SHARDS = tuple(ShardId("s", "", number) for number in range(4))
+KEYS = tuple((shard, key_hash) for shard in SHARDS for key_hash in range(2))
+# Two hot keys of one shard, and one of another.
+HOT_KEYS = (KEYS[0], KEYS[1], KEYS[2])
 ROUND_NS = 50 * NS_PER_MS
 HOST_FAULTS = ("lags", "applies slowly", "is cut", "renews late")
 UPSTREAM_FAULTS = ("is cut", "renews late", "is slow")
@@ -63,6 +74,9 @@
     "host stops",
     "leader changes",
     "orders time out",
+    "keys get hot",
+    "hot keys move",
+    "hot keys get cold",
 )
 host_names = st.sampled_from(HOSTS)
 upstream_names = st.sampled_from(UPSTREAMS)
@@ -84,6 +98,9 @@
         }
         self.upstream_faults: dict[str, set[str]] = {name: set() for name in UPSTREAMS}
         self.late: list[Any] = []
+        self.reports = HotKeyReports()
+        self.are_keys_hot = False
+        self.idle_upstream = UPSTREAMS[0]
         self.commits_late = False
         self.global_tables = GlobalTables(revision=1)
         self.global_tables.services["s"] = Service("s", len(SHARDS))
@@ -167,6 +184,15 @@
                 self.change_leader()
             case "orders time out":
                 self.time_out_orders()
+            case "keys get hot":
+                self.are_keys_hot = True
+                self.idle_upstream = name
+            case "hot keys move":
+                self.idle_upstream = name
+                self.move_hot_keys()
+            case "hot keys get cold":
+                self.are_keys_hot = False
+                self.end_exceptions()
         self.settle(n_after)
 
     @rule(name=host_names, n_rounds=st.sampled_from((0, 1, 14)))
@@ -181,13 +207,38 @@
 
     def write_requests(self) -> None:
         for host_name in HOSTS:
-            for shard in SHARDS:
-                self.write_request(host_name, shard)
+            for key in KEYS:
+                self.write_request(host_name, key)
 
     def leader_tick(self) -> None:
+        now_ns = self.clock.now_ns
         self.log += run_ownership(
-            self.tables, self.global_tables, self.leases, "a", self.clock.now_ns
+            self.tables, self.global_tables, self.leases, "a", now_ns
         )
+        rates = [KeyRate(*key, HOT_RATE_PER_S) for key in HOT_KEYS]
+        loads = [
+            (name, HOT_RATE_PER_S * 9 * (name != self.idle_upstream))
+            for name in UPSTREAMS
+        ]
+        hot = rates if self.are_keys_hot else []
+        note_hot_keys(self.reports, "h1", hot, loads, now_ns)
+        self.log += run_key_exceptions(
+            self.tables, self.global_tables, self.leases, self.reports, "a", now_ns
+        )
+
+    def move_hot_keys(self) -> None:
+        held = [
+            grant
+            for shard, grant in self.tables.grants.items()
+            if shard in self.tables.key_exceptions and grant.state == "held"
+        ]
+        epochs = tuple(grant.epoch for grant in held)
+        self.log.append(RevokeShards(tuple(grant.shard for grant in held), epochs))
+
+    def end_exceptions(self) -> None:
+        rows = self.tables.key_exceptions.values()
+        epochs = tuple(row.first_epoch for row in rows)
+        self.log.append(EndExceptions(tuple(row.shard for row in rows), epochs))
 
     def commit_all(self) -> None:
         while self.n_committed < len(self.log):
@@ -281,6 +332,7 @@
         granted, released = _orders_due(host, work)
         if not granted and not released:
             return
+        fences = release_fences(host, released)
         work.n_orders += 1
         work.is_ordering = True
         order = {
@@ -289,20 +341,19 @@
             "order": work.n_orders,
             "incarnation": work.session.incarnation,
             "granted": granted,
-            "released": released,
+            "released": [*released, *fences.values()],
         }
         process = self.processes[name]
 
         def receive() -> None:
             if self.processes[name] is process:
-                given_back = process.take_order(order)
-                answer(given_back)
+                answer(process.take_order(order))
 
-        def answer(given_back: set[Any] | None) -> None:
+        def answer(busy: set[str] | None) -> None:
             work.is_ordering = False
-            if given_back is not None:
+            if busy is not None:
                 work.confirmed.update(granted)
-                work.released.update(given_back)
+                work.released.update(given_back(released, fences, busy))
 
         # An order to an upstream that does not check is not late: nothing protects
         # against a process that is frozen between its last check and the write.
@@ -314,16 +365,18 @@
             for work in host.dispatchers.works.values():
                 work.is_ordering = False
 
-    def write_request(self, host_name: str, shard: ShardId) -> None:
+    def write_request(self, host_name: str, key: tuple[ShardId, int]) -> None:
         host = self.hosts[host_name]
+        shard = host.shard_of(key)
         owner = find_owner(host.own_tables, shard)
-        if host.may_send(shard) is None or isinstance(owner, Refused):
+        if host.may_send(key) is None or isinstance(owner, Refused):
             return
         name = owner.session.name
         work = host.dispatchers.works[name]
         if work.confirmed.get(shard) != owner.grant.epoch:
             return
-        work.in_flight[shard] = work.in_flight.get(shard, 0) + 1
+        place = (shard, owner.grant.epoch)
+        work.in_flight[place] = work.in_flight.get(place, 0) + 1
         process = self.processes[name]
 
         def receive() -> None:
@@ -334,7 +387,7 @@
                 is_fit = is_fit and process.grants.get(shard) == owner.grant.epoch
                 is_fit = is_fit and process.dispatcher_epoch <= work.epoch
             if is_fit:
-                process.running.append(shard)
+                process.running.append(Run(key, *place))
 
         is_late = "is slow" in self.upstream_faults[name]
         self.deliver(receive, is_late and name in CHECKING)
@@ -369,11 +422,11 @@
     def check(self) -> None:
         self.one_upstream_believes_that_it_owns_a_shard()
         self.one_host_may_order_an_upstream()
-        self.one_upstream_may_be_sent_work_for_a_shard()
-        self.no_other_upstream_is_sent_a_shard_that_still_runs()
+        self.one_upstream_may_be_sent_work_for_a_key()
+        self.no_other_upstream_is_sent_a_key_that_still_runs()
 
     def one_upstream_believes_that_it_owns_a_shard(self) -> None:
-        for shard in SHARDS:
+        for shard in {*SHARDS, *self.tables.key_exceptions}:
             owners = [
                 process.name
                 for process in self.processes.values()
@@ -393,18 +446,18 @@
             ]
             assert len(senders) <= 1, (name, senders)
 
-    def one_upstream_may_be_sent_work_for_a_shard(self) -> None:
-        for shard in SHARDS:
-            targets = {host.may_send(shard) for host in self.hosts.values()} - {None}
-            assert len(targets) <= 1, (shard, targets)
+    def one_upstream_may_be_sent_work_for_a_key(self) -> None:
+        for key in KEYS:
+            targets = {host.may_send(key) for host in self.hosts.values()} - {None}
+            assert len(targets) <= 1, (key, targets)
 
-    def no_other_upstream_is_sent_a_shard_that_still_runs(self) -> None:
+    def no_other_upstream_is_sent_a_key_that_still_runs(self) -> None:
         for process in self.processes.values():
             if process.lease_until_ns <= self.clock.now_ns:
                 continue
-            for shard in process.running:
-                targets = {host.may_send(shard) for host in self.hosts.values()}
-                assert targets <= {None, process.name}, (shard, targets)
+            for run in process.running:
+                targets = {host.may_send(run.key) for host in self.hosts.values()}
+                assert targets <= {None, process.name}, (run, targets)
 
 
 OwnershipMachine.TestCase.settings = settings(
