--- a/packages/bergamotferry/src/bergamotferry/hot_key_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/hot_key_placement.py
@@ -131,9 +131,12 @@
     best: dict[str, tuple[float, KeyException]] = {}
     for row in tables.key_exceptions.values():
         grant = tables.grants.get(row.shard)
-        if grant is None or row.is_ending or not is_movable(tables, leases, row.shard):
+        if grant is None or row.is_ending or _rate(row, rates) < HOT_RATE_PER_S:
             continue
-        if now_ns - reports.moved_ns.get(grant.upstream, 0) < MOVE_SETTLE_NS:
+        if not is_movable(tables, leases, row.shard):
+            continue
+        moved_ns = reports.moved_ns.get(grant.upstream)
+        if moved_ns is not None and now_ns - moved_ns < MOVE_SETTLE_NS:
             continue
         gain = _gain(tables, grant.upstream, _rate(row, rates), loads)
         known = best.get(grant.upstream)
--- /dev/null
+++ b/packages/bergamotferry/tests/test_hot_keys.py
@@ -0,0 +1,146 @@
+"""Counting keys in bounded room, and when a key is hot and when it is cold."""
+
+import random
+
+import pytest
+
+from bergamotferry.commands import (
+    AssignDispatcher,
+    EndExceptions,
+    GrantShards,
+    MakeException,
+    OpenSession,
+    RevokeShards,
+)
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.global_tables import GlobalTables
+from bergamotferry.hot_key_placement import run_key_exceptions
+from bergamotferry.hot_keys import (
+    COLD_NS,
+    COLD_SHARE,
+    HALVING_NS,
+    HOT_RATE_PER_S,
+    N_COUNTED_MAX,
+    HotKeyCounts,
+    HotKeyReports,
+    count_key,
+    hottest_keys,
+    note_hot_keys,
+)
+from bergamotferry.leases import LeaseTable, assume_all_granted
+from bergamotferry.messages import KeyRate
+from bergamotferry.records import DataCentre, Service, ShardHome, ShardId
+
+HOME = ShardId("log", "", 1)
+S = 1_000_000_000
+COLD_RATE = COLD_SHARE * HOT_RATE_PER_S
+
+
+def _count_evenly(counts: HotKeyCounts, rate_per_s: int, n_s: int, n_cold: int) -> int:
+    """Ask for key 0 at a rate, and beside it for cold keys in random order."""
+    rng = random.Random(3)
+    for number in range(rate_per_s * n_s):
+        now_ns = number * S // rate_per_s
+        count_key(counts, (HOME, 0), now_ns)
+        for _ in range(n_cold):
+            count_key(counts, (HOME, rng.randrange(1, 10**6)), now_ns)
+    return n_s * S
+
+
+@pytest.mark.parametrize("n_cold", [0, 5])
+def test_rate_of_a_hot_key_is_found_among_many_others_in_bounded_room(n_cold) -> None:
+    counts = HotKeyCounts()
+    now_ns = _count_evenly(counts, 100, 12, n_cold)
+    (hottest,) = hottest_keys(counts, now_ns)
+    assert hottest[:2] == (HOME, 0)
+    assert 90.0 <= hottest.rate_per_s <= 101.0
+    assert len(counts.keys) <= N_COUNTED_MAX
+    assert len(counts.errors) <= N_COUNTED_MAX
+
+
+def test_old_load_is_forgotten() -> None:
+    counts = HotKeyCounts()
+    now_ns = _count_evenly(counts, 100, 4, 0)
+    assert hottest_keys(counts, now_ns + 10 * HALVING_NS) == ()
+    assert counts.keys == {}
+
+
+def _world() -> tuple[DataCentreTables, GlobalTables, LeaseTable]:
+    tables, leases = DataCentreTables(), LeaseTable()
+    commands = [OpenSession(n, "log", f"{n}:1", 1, 2, 9, True) for n in ("u1", "u2")]
+    commands += [AssignDispatcher(n, "h1", 0) for n in ("u1", "u2")]
+    commands += [GrantShards("u1", 1, (HOME,), (1,))]
+    _apply(tables, commands)
+    assume_all_granted(leases, ["h1"], tables.sessions, 0)
+    global_tables = GlobalTables(
+        data_centres={"a": DataCentre("a", "r", "in")},
+        services={"log": Service("log", 4)},
+        shard_homes={HOME: ShardHome("a", 1, "")},
+    )
+    return tables, global_tables, leases
+
+
+def _apply(tables: DataCentreTables, commands) -> None:
+    for command in commands:
+        apply_data_centre_command(tables, command)
+
+
+def _run(world, reports: HotKeyReports, rate: float, now_ns: int, loads=()):
+    tables, global_tables, leases = world
+    keys = [KeyRate(HOME, key_hash, rate) for key_hash in (7, 8)] if rate else []
+    note_hot_keys(reports, "h1", keys, loads, now_ns)
+    commands = run_key_exceptions(tables, global_tables, leases, reports, "a", now_ns)
+    _apply(tables, commands)
+    return [type(command) for command in commands]
+
+
+def test_exception_is_made_above_one_rate_and_ended_long_below_another() -> None:
+    world, reports = _world(), HotKeyReports()
+    assert _run(world, reports, HOT_RATE_PER_S - 1, S) == []
+    # One of a home shard in a tick, since its epoch changes.
+    assert _run(world, reports, HOT_RATE_PER_S, S) == [MakeException]
+    assert _run(world, reports, HOT_RATE_PER_S, S) == [MakeException]
+    assert _run(world, reports, COLD_RATE, S + 2 * COLD_NS) == []
+    assert _run(world, reports, 0.0, 3 * COLD_NS) == []
+    # Warm again, if only for a moment: the time counts anew.
+    assert _run(world, reports, COLD_RATE, 4 * COLD_NS - 1) == []
+    assert _run(world, reports, 0.0, 4 * COLD_NS) == []
+    assert _run(world, reports, 0.0, 5 * COLD_NS - 1) == []
+    assert _run(world, reports, 0.0, 5 * COLD_NS) == [EndExceptions]
+    tables = world[0]
+    assert {row.is_ending for row in tables.key_exceptions.values()} == {True}
+
+
+def test_hot_keys_of_one_shard_are_parted_by_load_and_then_stay() -> None:
+    world, reports = _world(), HotKeyReports()
+    tables = world[0]
+    loads = (("u1", 120.0), ("u2", 0.0))
+    _run(world, reports, 60.0, S, loads)
+    _run(world, reports, 60.0, S, loads)
+    moved = [
+        shard
+        for shard, grant in tables.grants.items()
+        if shard != HOME and grant.state == "revoking"
+    ]
+    assert len(moved) == 1
+    del tables.grants[moved[0]]
+    assert _run(world, reports, 60.0, 2 * S, loads) == [GrantShards]
+    upstreams = [tables.grants[row.shard].upstream for row in _exceptions(tables)]
+    assert sorted(upstreams) == ["u1", "u2"]
+    settled = (("u1", 62.0), ("u2", 58.0))
+    assert RevokeShards not in _run(world, reports, 60.0, 20 * S, settled)
+
+
+def test_exceptions_end_when_their_home_shard_leaves_the_data_centre() -> None:
+    world, reports = _world(), HotKeyReports()
+    tables, global_tables, _ = world
+    _run(world, reports, 60.0, S)
+    global_tables.shard_homes[HOME] = ShardHome("a", 1, "b")
+    assert EndExceptions in _run(world, reports, 60.0, S)
+    assert [row.is_ending for row in _exceptions(tables)] == [True]
+    # Nor is another made.
+    assert _run(world, reports, 60.0, S) == []
+
+
+def _exceptions(tables: DataCentreTables):
+    return list(tables.key_exceptions.values())
--- /dev/null
+++ b/packages/bergamotferry/tests/test_key_exceptions.py
@@ -0,0 +1,157 @@
+"""Commands about exceptions: what the tables refuse, whoever asks for it."""
+
+import pytest
+
+from bergamotferry.commands import (
+    AssignDispatcher,
+    DropExceptions,
+    EndExceptions,
+    GrantShards,
+    MakeException,
+    OpenSession,
+    RecordIntent,
+    RecordOutcome,
+    ReleaseHomes,
+    RevokeShards,
+)
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.key_exceptions import (
+    N_EXCEPTIONS_MAX,
+    exception_shard,
+    release_fence,
+    shard_in_force,
+)
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.records import HOME_EPOCH_SHIFT, ShardId
+from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry.shards import hash_of_key
+
+HOME = ShardId("log", "", 1)
+HASH = hash_of_key("log", "", "hot")
+OWN = exception_shard(HOME, 4, 0)
+
+
+def _tables() -> DataCentreTables:
+    tables = DataCentreTables()
+    for name in ("u1", "u2"):
+        _apply(tables, OpenSession(name, "log", f"{name}:1", 1, 2, 9, True))
+        _apply(tables, AssignDispatcher(name, "h1", 0))
+    _apply(tables, GrantShards("u1", 1, (HOME,), (3,)))
+    return tables
+
+
+def _apply(tables: DataCentreTables, command) -> Accepted | Refused:
+    return apply_data_centre_command(tables, command)
+
+
+def _make(tables: DataCentreTables, key_hash: int = HASH, shard: ShardId = OWN):
+    epoch = tables.grants[HOME].epoch
+    return _apply(tables, MakeException(HOME, epoch, key_hash, shard, 30))
+
+
+def _end(tables: DataCentreTables) -> DropExceptions:
+    names = ((OWN,), (tables.key_exceptions[OWN].first_epoch,))
+    _apply(tables, EndExceptions(*names))
+    return DropExceptions(*names)
+
+
+def test_exception_begins_on_the_owner_under_new_epochs_of_both_shards() -> None:
+    tables = _tables()
+    before = tables.grants[HOME].epoch
+    assert isinstance(_make(tables), Accepted)
+    home, own = tables.grants[HOME], tables.grants[OWN]
+    assert before < home.epoch < own.epoch
+    assert {home.epoch >> HOME_EPOCH_SHIFT, own.epoch >> HOME_EPOCH_SHIFT} == {3}
+    assert (own.upstream, own.incarnation, own.state) == ("u1", 1, "held")
+    assert shard_in_force(tables, HOME, "hot") == OWN
+    assert shard_in_force(tables, HOME, "other") == HOME
+    assert release_fence(tables, OWN, own.epoch) == (HOME, before)
+
+
+@pytest.mark.parametrize("why", ["stale epoch", "revoking", "known key", "taken"])
+def test_exception_is_refused(why: str) -> None:
+    tables = _tables()
+    epoch = tables.grants[HOME].epoch
+    command = MakeException(HOME, epoch, HASH, OWN, 30)
+    if why == "revoking":
+        _apply(tables, RevokeShards((HOME,), (epoch,)))
+    elif why != "stale epoch":
+        _make(tables)
+        command = command._replace(grant_epoch=tables.grants[HOME].epoch)
+        other = exception_shard(HOME, 4, 1)
+        changes = {"known key": {"shard": other}, "taken": {"key_hash": 5}}
+        command = command._replace(**changes[why])
+    else:
+        command = command._replace(grant_epoch=epoch - 1)
+    n_before = len(tables.key_exceptions)
+    assert isinstance(_apply(tables, command), Refused)
+    assert len(tables.key_exceptions) == n_before
+
+
+def test_number_of_exceptions_is_bounded() -> None:
+    tables = _tables()
+    for index in range(N_EXCEPTIONS_MAX + 1):
+        outcome = _make(tables, index, exception_shard(HOME, 4, index))
+    assert isinstance(outcome, Refused)
+    assert len(tables.key_exceptions) == N_EXCEPTIONS_MAX
+
+
+def test_exception_is_dropped_only_when_its_shard_is_free() -> None:
+    tables = _tables()
+    _make(tables)
+    drop = _end(tables)
+    _apply(tables, drop)
+    assert shard_in_force(tables, HOME, "hot") == OWN
+    own = tables.grants.pop(OWN)
+    _apply(tables, GrantShards("u2", 1, (OWN,), (3,)))
+    assert OWN not in tables.grants
+    _apply(tables, drop)
+    assert shard_in_force(tables, HOME, "hot") == HOME
+    assert tables.grants[HOME].epoch > own.epoch
+    assert (tables.key_exceptions, tables.exception_shards) == ({}, {})
+
+
+def test_home_shard_is_not_released_while_it_has_exceptions() -> None:
+    tables = _tables()
+    _make(tables)
+    release = ReleaseHomes((HOME,), (3,))
+    del tables.grants[HOME]
+    _apply(tables, release)
+    assert tables.released_homes == {}
+    drop = _end(tables)
+    del tables.grants[OWN]
+    _apply(tables, drop)
+    _apply(tables, release)
+    assert tables.released_homes == {HOME: 3}
+
+
+def test_resend_finds_the_outcome_after_the_exception_was_made_and_dropped() -> None:
+    tables = _tables()
+    tables.imported_homes[HOME] = 3
+
+    def intent(attempt: str) -> RecordIntent:
+        shard = shard_in_force(tables, HOME, "hot")
+        grant = tables.grants[shard]
+        dispatcher = tables.dispatchers[grant.upstream].epoch
+        return RecordIntent(
+            "acc", "log/i", HOME, "d", 0, attempt, grant.epoch, dispatcher
+        )
+
+    first = intent("a")
+    assert isinstance(_apply(tables, first), Accepted)
+    _make(tables)
+    # The first attempt may not be sent any more, so nobody may run it again.
+    assert _apply(tables, intent("b")).code is Code.OUTCOME_UNKNOWN
+    stale = first._replace(idempotency_key="log/j")
+    assert _apply(tables, stale).code is Code.STALE_EPOCH
+    late = RecordOutcome("acc", "log/i", "done", 200, "", b"ok", "a", 2, "")
+    _apply(tables, late)
+    assert _apply(tables, intent("c")).code is Code.OUTCOME_PENDING
+    fresh = intent("d")._replace(idempotency_key="log/k")
+    assert isinstance(_apply(tables, fresh), Accepted)
+    drop = _end(tables)
+    del tables.grants[OWN]
+    _apply(tables, drop)
+    again = intent("e")._replace(idempotency_key="log/k")
+    assert _apply(tables, again).code is Code.OUTCOME_UNKNOWN
+    assert {record.shard for record in tables.outcomes.values()} == {HOME}
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -6,10 +6,13 @@
 from request_fakes import SHARD, KeepingSink, RawUpstream, make_head
 
 from bergamotferry.admission import UpstreamQueue
-from bergamotferry.commands import RecordCrash
+from bergamotferry.commands import MakeException, RecordCrash
+from bergamotferry.data_centre_tables import apply_data_centre_command
+from bergamotferry.key_exceptions import exception_shard
 from bergamotferry.messages import Propose
 from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.result_codes import ResultCode as Code
+from bergamotferry.shards import hash_of_key
 from bergamotferry.slow_start import SlowStart
 from bergamotferry_host import dispatch
 from bergamotferry_host.dispatcher_table import UpstreamWork
@@ -186,3 +189,37 @@
 
     for row in table:
         asyncio.run(asyncio.wait_for(run(*row), 10.0))
+
+
+def test_request_that_waited_is_not_sent_once_its_key_has_an_exception():
+    own = exception_shard(SHARD, 8, 0)
+
+    async def run():
+        async with RawUpstream("silent", "silent", "whole") as upstream:
+            work = add_work(upstream)
+            running = [start(upstream, LOOKUP) for _ in range(2)]
+            await wait_until(lambda: len(upstream.requests) == 2)
+            waiting = start(upstream, LOOKUP)
+            await wait_until(lambda: work.started)
+            tables = upstream.state.own_tables
+            key_hash = hash_of_key("testlog", "", LOOKUP.key)
+            command = MakeException(SHARD, 5, key_hash, own, 30)
+            apply_data_centre_command(tables, command)
+            for task in running:
+                task.cancel()
+            refusal = await waiting
+            n_sent = len(upstream.requests)
+            unconfirmed = await start(upstream, LOOKUP)
+            work.confirmed[own] = tables.grants[own].epoch
+            served = await start(upstream, LOOKUP)
+            shard = f"Bergamotferry-Shard: testlog//{own.number}".encode()
+            return (
+                refusal.code,
+                n_sent,
+                unconfirmed.code,
+                served,
+                shard in (upstream.requests[-1]),
+            )
+
+    expected = (Code.STALE_EPOCH, 2, Code.NO_OWNER, Served(200, 4, "u1"), True)
+    assert asyncio.run(run()) == expected
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_key_exceptions_model.py
@@ -0,0 +1,88 @@
+"""A hot key's work that began under its home shard holds the exception where it is."""
+
+import pytest
+from test_ownership_model import CHECKING, HOT_KEYS, UPSTREAMS, OwnershipMachine
+
+from bergamotferry.records import KeyException, ShardId
+
+Key = tuple[ShardId, int]
+
+# By then, what may move has moved.
+N_ROUNDS = 28
+
+
+def _machine(key: Key) -> OwnershipMachine:
+    machine = OwnershipMachine()
+    machine.begin()
+    machine.idle_upstream = next(n for n in UPSTREAMS if n != _owner(machine, key))
+    return machine
+
+
+def _owner(machine: OwnershipMachine, key: Key) -> str:
+    shard = machine.tables.exception_shards.get(key, key[0])
+    return machine.tables.grants[shard].upstream
+
+
+def _exception(machine: OwnershipMachine, key: Key) -> KeyException:
+    return machine.tables.key_exceptions[machine.tables.exception_shards[key]]
+
+
+def _finish_all(machine: OwnershipMachine) -> None:
+    for name in UPSTREAMS:
+        machine.finish_requests(name)
+    machine.settle(N_ROUNDS)
+
+
+@pytest.mark.parametrize("what_is_lost", ["dispatcher", "answers"])
+def test_exception_moves_only_when_earlier_work_has_ended(what_is_lost: str) -> None:
+    key = HOT_KEYS[0]
+    machine = _machine(key)
+    owner = _owner(machine, key)
+    machine.write_requests()
+    machine.are_keys_hot = True
+    machine.settle(N_ROUNDS // 2)
+    if what_is_lost == "dispatcher":
+        machine.hosts[machine.tables.dispatchers[owner].host].restart()
+    else:
+        machine.processes[owner].running.clear()
+    machine.settle(N_ROUNDS)
+    assert _owner(machine, key) == owner
+    _finish_all(machine)
+    assert _owner(machine, key) == machine.idle_upstream
+
+
+def test_request_that_was_on_its_way_is_refused_after_the_exception() -> None:
+    key = HOT_KEYS[2]
+    machine = _machine(key)
+    owner = _owner(machine, key)
+    assert owner in CHECKING
+    machine.upstream_faults[owner] = {"is slow"}
+    machine.write_requests()
+    machine.upstream_faults[owner] = set()
+    machine.are_keys_hot = True
+    machine.settle(N_ROUNDS // 2)
+    _finish_all(machine)
+    assert _owner(machine, key) == machine.idle_upstream
+    assert key[0] in machine.processes[owner].grants
+    assert machine.late
+    machine.deliver_all_late()
+    machine.check()
+
+
+def test_key_comes_back_only_when_its_own_work_has_ended() -> None:
+    key = HOT_KEYS[2]
+    machine = _machine(key)
+    home_owner = _owner(machine, key)
+    machine.are_keys_hot = True
+    machine.settle(N_ROUNDS)
+    assert _owner(machine, key) == machine.idle_upstream
+    machine.write_requests()
+    machine.are_keys_hot = False
+    machine.end_exceptions()
+    machine.settle(N_ROUNDS)
+    assert _exception(machine, key).is_ending
+    first_epoch = _exception(machine, key).first_epoch
+    _finish_all(machine)
+    assert key not in machine.tables.exception_shards
+    assert _owner(machine, key) == home_owner
+    assert machine.tables.grants[key[0]].epoch > first_epoch
