--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_hot_keys.py
@@ -0,0 +1,164 @@
+"""Measures what hot keys cost, and how soon those of one shard are parted.
+
+Two keys of one shard get much more load than all others. The stand-ins' records tell
+when they ran on two upstreams for good, and the callers how long answers took.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from bergamotferry.shards import shard_of_key
+
+from .answers import lookup_answer
+from .deployments import CALLER_TOKENS, EZO_LUMEN, DeploymentShape, ServiceShape
+from .local_deployment import LocalDeployment
+from .measure_faults import start_ready
+from .measure_load import POLICIES_VARIABLE
+from .ownership_check import check_keys, check_ownership
+from .paced_load import Lookup, PacedResult, run_paced
+from .records_check import read_records
+
+SERVICE = "testlog"
+N_SHARDS = 16
+N_OTHER_KEYS = 400
+SHAPE: DeploymentShape = EZO_LUMEN._replace(
+    regions={"ishikari": ("ishikari-a",)},
+    services=(ServiceShape(SERVICE, 4, 2, N_SHARDS, 10.0),),
+    routes=tuple(row for row in EZO_LUMEN.routes if row.service == SERVICE),
+    home_region="ishikari",
+)
+
+
+async def run_hot_keys(
+    folder: Path,
+    hot_rate_per_s: float,
+    other_rate_per_s: float,
+    phases_s: tuple[float, ...],
+    policies_off: str = "",
+) -> dict[str, Any]:
+    """Run one deployment under the load and return its figures."""
+    deployment = LocalDeployment.from_config(SHAPE, folder)
+    deployment.environment[POLICIES_VARIABLE] = policies_off
+    keys = hot_keys()
+    phases: list[dict[str, Any]] = []
+    n_failed = 0
+    try:
+        await start_ready(deployment)
+        started_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        for phase_s in phases_s:
+            results = await asyncio.gather(
+                *(
+                    run_paced(
+                        _lookups(deployment, lambda _, key=key: key),  # type: ignore[misc]
+                        hot_rate_per_s,
+                        phase_s,
+                    )
+                    for key in keys
+                ),
+                run_paced(
+                    _lookups(deployment, lambda n: f"other-{n * 7919 % N_OTHER_KEYS}"),
+                    other_rate_per_s,
+                    phase_s,
+                ),
+            )
+            n_failed += sum(result.n_failed for result in results)
+            phases.append(_figures(phase_s, results[:-1], results[-1]))
+    finally:
+        deployment.stop()
+    paths = [deployment.records_path(name) for name in deployment.stand_in_words]
+    parted_s = parted_at_s(paths, keys)
+    return {
+        "policies_off": policies_off,
+        "hot_rate_per_s": hot_rate_per_s,
+        "other_rate_per_s": other_rate_per_s,
+        "phases": phases,
+        "n_failed": n_failed,
+        "parted_after_s": None if parted_s is None else round(parted_s - started_s, 2),
+        "faults": [str(row) for row in check_ownership(paths) + check_keys(paths)],
+    }
+
+
+def hot_keys() -> tuple[str, str]:
+    """Return two keys of one shard."""
+    first: dict[int, str] = {}
+    number = 0
+    while True:
+        key = f"hot-{number}"
+        shard = shard_of_key(SERVICE, N_SHARDS, (), key).number
+        if shard in first:
+            return first[shard], key
+        first[shard] = key
+        number += 1
+
+
+def parted_at_s(paths: list[Path], keys: tuple[str, str]) -> float | None:
+    """Return since when two keys ran on two upstreams; None if they did not at last."""
+    owners: dict[str, str] = {}
+    since_s: float | None = None
+    for record in sorted(read_records(paths), key=lambda record: record["at_s"]):
+        if record["event"] != "run" or record["key"] not in keys:
+            continue
+        owners[record["key"]] = record["upstream"]
+        if len(set(owners.values())) < 2:
+            since_s = None
+        elif since_s is None:
+            since_s = record["at_s"]
+    return since_s
+
+
+def _lookups(
+    deployment: LocalDeployment, key_of: Callable[[int], str]
+) -> Callable[[int], Lookup]:
+    headers = {"Authorization": f"Bearer {CALLER_TOKENS['inspectors']}"}
+
+    def lookup_of(number: int) -> Lookup:
+        host = deployment.hosts[number % len(deployment.hosts)]
+        key = key_of(number)
+        url = f"http://{host.caller_address}/v1/{SERVICE}/lookup/{key}"
+        return Lookup(url, headers, lookup_answer(SERVICE, "lookup", key))
+
+    return lookup_of
+
+
+def _figures(
+    phase_s: float, hot: list[PacedResult], others: PacedResult
+) -> dict[str, Any]:
+    all_hot = PacedResult([ms for row in hot for ms in row.latencies_ms])
+    return {
+        "phase_s": phase_s,
+        "hot_p50_ms": round(all_hot.percentile_ms(50), 1),
+        "hot_p99_ms": round(all_hot.percentile_ms(99), 1),
+        "other_p50_ms": round(others.percentile_ms(50), 1),
+        "other_p99_ms": round(others.percentile_ms(99), 1),
+        "n_failed": sum(row.n_failed for row in hot) + others.n_failed,
+    }
+
+
+def main() -> None:
+    """Measure from the command line, with and without exceptions."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--folder", type=Path, required=True)
+    parser.add_argument("--hot-rate", type=float, default=85.0)
+    parser.add_argument("--other-rate", type=float, default=80.0)
+    parser.add_argument("--phase-s", type=float, default=10.0)
+    arguments = parser.parse_args()
+    for number, policies_off in enumerate(("hot-keys", "")):
+        report = asyncio.run(
+            run_hot_keys(
+                arguments.folder / str(number),
+                arguments.hot_rate,
+                arguments.other_rate,
+                (arguments.phase_s,) * 3,
+                policies_off,
+            )
+        )
+        print(json.dumps(report, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/ownership_check.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/ownership_check.py
@@ -42,6 +42,46 @@
     return faults + _check_orders(records)
 
 
+def check_keys(paths: Iterable[Path]) -> list[OwnershipFault]:
+    """Return every fault that the records show of single keys, in order of time.
+
+    A key's runs may come under its home shard and under a shard of its own. An owner
+    must not run it under an older epoch than another has, nor begin while another
+    still runs it. For records of a time without lost upstreams, since one whose lease
+    has run out may finish what it runs.
+    """
+    records = sorted(read_records(paths), key=lambda record: record["at_s"])
+    faults: list[OwnershipFault] = []
+    newest: dict[str, dict[str, Any]] = {}
+    running: dict[str, dict[str, dict[str, Any]]] = {}
+    done_s = {
+        (row["upstream"], row["request_id"]): row["at_s"]
+        for row in records
+        if row["event"] == "done"
+    }
+    for run in records:
+        if run["event"] != "run":
+            continue
+        key = f"{run['shard'].partition('/')[0]}/{run['key']}"
+        known = newest.setdefault(key, run)
+        if known["upstream"] != run["upstream"] and run["epoch"] < known["epoch"]:
+            faults.append(_fault("old owner of a key", key, known, run))
+        if run["epoch"] >= known["epoch"]:
+            newest[key] = run
+        last_runs = running.setdefault(key, {})
+        for upstream, earlier in last_runs.items():
+            end_s = done_s.get((upstream, earlier["request_id"]), 0.0)
+            if upstream != run["upstream"] and end_s > run["at_s"]:
+                faults.append(_fault("two owners run a key", key, earlier, run))
+        last = last_runs.get(run["upstream"], run)
+        place = (run["upstream"], run["request_id"])
+        if done_s.get(place, 0.0) >= done_s.get(
+            (last["upstream"], last["request_id"]), 0.0
+        ):
+            last_runs[run["upstream"]] = run
+    return faults
+
+
 def most_running(paths: Iterable[Path]) -> dict[str, int]:
     """Return the most requests that each upstream ever ran at once."""
     most: dict[str, int] = {}
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_hot_keys_parted.py
@@ -0,0 +1,38 @@
+"""Real processes: two hot keys of one shard come to lie on two upstreams."""
+
+import asyncio
+import json
+from pathlib import Path
+
+from bergamotferry_testkit.measure_hot_keys import run_hot_keys
+from bergamotferry_testkit.ownership_check import check_keys
+
+PARTED_S = 10.0
+
+
+def test_two_hot_keys_of_one_shard_are_parted(tmp_path: Path) -> None:
+    report = asyncio.run(run_hot_keys(tmp_path, 60.0, 40.0, (PARTED_S, 5.0)))
+    print(report)
+    assert report["n_failed"] == 0
+    assert report["faults"] == []
+    assert report["parted_after_s"] is not None
+    assert report["parted_after_s"] < PARTED_S
+
+
+def test_checker_finds_two_owners_of_a_key(tmp_path: Path) -> None:
+    def run(at_s: float, upstream: str, shard: int, epoch: int, end_s: float) -> str:
+        name = {"upstream": upstream, "incarnation": 1, "request_id": f"r{at_s}"}
+        place = {"key": "k", "shard": f"log//{shard}", "epoch": epoch}
+        started = {"at_s": at_s, "event": "run", **name, **place}
+        done = {"at_s": end_s, "event": "done", **name, "key": "k"}
+        return json.dumps(started) + "\n" + json.dumps(done) + "\n"
+
+    path = tmp_path / "records.jsonl"
+    path.write_text(run(1, "u1", 1, 5, 2) + run(3, "u2", 5, 7, 4))
+    assert check_keys([path]) == []
+    path.write_text(run(1, "u1", 1, 5, 4) + run(3, "u2", 5, 7, 4))
+    assert [row.what for row in check_keys([path])] == ["two owners run a key"]
+    path.write_text(
+        run(1, "u1", 1, 5, 2) + run(3, "u2", 5, 7, 4) + run(5, "u1", 1, 5, 6)
+    )
+    assert [row.what for row in check_keys([path])] == ["old owner of a key"]
