--- a/packages/bergamotferry/src/bergamotferry/hot_keys.py
+++ b/packages/bergamotferry/src/bergamotferry/hot_keys.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from .messages import KeyRate, RequestHead
+from .hot_key_messages import KeyRate
+from .messages import RequestHead
 from .records import KeyException, ShardId
 from .shards import hash_of_key
 
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from .commands import Command
+from .hot_key_messages import KeyRate, ListHotKeys
 from .records import (
     HostAddress,
     QuarantineRecord,
@@ -200,14 +201,6 @@
     retry_ms: int
 
 
-class KeyRate(NamedTuple):
-    """How many requests for a key a dispatcher gets; the key is told by its hash."""
-
-    home: ShardId
-    key_hash: int
-    rate_per_s: float
-
-
 class RenewLeases(NamedTuple):
     """A host renews its own lease and those of the sessions it heard from.
 
@@ -377,7 +370,8 @@
     """Who owns a shard, as a host of its data centre knows it.
 
     ``held_since_s`` is the time of day at which that host saw the grant committed, or 0
-    if it started later. Empty texts stand for what there is not.
+    if it started later. Empty texts stand for what there is not. ``n_exceptions`` is
+    the number of the shard's keys that have a shard of their own.
     """
 
     data_centre: str
@@ -389,6 +383,7 @@
     dispatcher_epoch: int
     held_since_s: int
     reason: str
+    n_exceptions: int = 0
 
 
 class ListQuarantine(NamedTuple):
@@ -408,4 +403,6 @@
     fingerprint: str
 
 
-OperatorQuery = ListUpstreams | FindGrant | ListQuarantine | LiftQuarantine
+OperatorQuery = (
+    ListUpstreams | FindGrant | ListQuarantine | LiftQuarantine | ListHotKeys
+)
--- a/packages/bergamotferry/tests/test_hot_keys.py
+++ b/packages/bergamotferry/tests/test_hot_keys.py
@@ -14,6 +14,7 @@
 )
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.global_tables import GlobalTables
+from bergamotferry.hot_key_messages import KeyRate
 from bergamotferry.hot_key_placement import run_key_exceptions
 from bergamotferry.hot_keys import (
     COLD_NS,
@@ -28,7 +29,6 @@
     note_hot_keys,
 )
 from bergamotferry.leases import LeaseTable, assume_all_granted
-from bergamotferry.messages import KeyRate
 from bergamotferry.records import DataCentre, Service, ShardHome, ShardId
 
 HOME = ShardId("log", "", 1)
--- a/packages/bergamotferry_ctl/src/bergamotferry_ctl/main.py
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/main.py
@@ -21,6 +21,7 @@
     "status": query_commands.status,
     "upstreams": query_commands.upstreams,
     "owner": query_commands.owner,
+    "hot-keys": query_commands.hot_keys,
     "data-centre": note_commands.data_centre,
     "quarantine": query_commands.quarantine,
 }
--- a/packages/bergamotferry_ctl/src/bergamotferry_ctl/parser.py
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/parser.py
@@ -170,6 +170,7 @@
     for name, text in (
         ("status", "hosts, groups, leaders and revisions"),
         ("upstreams", "upstreams of all data centres with dispatchers and shards"),
+        ("hot-keys", "hot keys of the host's data centre, by hash, and their owners"),
     ):
         commands.add_parser(name, help=text, description=text, parents=[shared])
     text = "who owns a key, since when, why, and through which host"
--- a/packages/bergamotferry_ctl/src/bergamotferry_ctl/query_commands.py
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/query_commands.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from bergamotferry.shards import shard_of_key
+from bergamotferry.shards import hash_of_key, shard_of_key
 
 from .client import ask
 from .configuration import read_configuration
@@ -79,11 +79,71 @@
     answer = await get(settings, f"owner?{place}")
     if answer.status != 200:
         return refusal_report(answer)
+    number = await _own_number(parsed.key, answer.body, settings)
+    if number is not None:
+        place = f"service={shard.service}&domain={shard.domain}&number={number}"
+        answer = await get(settings, f"owner?{place}")
+        if answer.status != 200:
+            return refusal_report(answer)
     text = _owner_text(answer.body)
+    if number is not None:
+        text += "\nhot key      it has this shard of its own"
+    elif answer.body["grant"] and answer.body["grant"].get("n_exceptions"):
+        text += (
+            "\nhot keys     some of the shard have shards of their own: ask hot-keys"
+        )
+        text += f" of a host in {answer.body['home']['data_centre']}"
     status = Exit.DONE if answer.body["grant"] else Exit.NOT_EVERYWHERE
     return Report(text, answer.body, status)
 
 
+async def hot_keys(parsed: argparse.Namespace, settings: CtlSettings) -> Report:
+    """Show the hot keys of the data centre of the host that answers."""
+    answer = await get(settings, "hot-keys")
+    if answer.status != 200:
+        return refusal_report(answer)
+    rows = [
+        (
+            row["key_hash"],
+            row["service"],
+            row["domain"],
+            row["number"],
+            row["rate_per_s"],
+            row["own_number"],
+            row["upstream"],
+            row["state"],
+        )
+        for row in answer.body["hot_keys"]
+    ]
+    headings = ("key's hash", "service", "domain", "shard", "per s", "own shard")
+    text = f"data centre {answer.body['data_centre']}\n"
+    text += format_table((*headings, "upstream", "state"), rows)
+    return with_missing(text, answer.body)
+
+
+async def _own_number(
+    key: str, body: dict[str, Any], settings: CtlSettings
+) -> int | None:
+    """Return the number of a key's own shard, as far as the host asked may know it.
+
+    The hash is compared here, since that of a home-bound key must not travel.
+    """
+    grant, shard = body["grant"], body["shard"]
+    if not grant or not grant.get("n_exceptions"):
+        return None
+    answer = await get(settings, "hot-keys")
+    if answer.status != 200:
+        return None
+    if answer.body["data_centre"] != body["home"]["data_centre"]:
+        return None
+    digest = f"{hash_of_key(shard['service'], shard['domain'], key):016x}"
+    for row in answer.body["hot_keys"]:
+        is_shard = all(row[name] == value for name, value in shard.items())
+        if is_shard and row["key_hash"] == digest and row["own_number"] is not None:
+            return int(row["own_number"])
+    return None
+
+
 def explain(parsed: argparse.Namespace) -> Report:
     """Tell what became of a request, from logs."""
     lines: list[str] = []
--- a/packages/bergamotferry_ctl/tests/test_commands.py
+++ b/packages/bergamotferry_ctl/tests/test_commands.py
@@ -7,6 +7,7 @@
 import pytest
 from aiohttp import web
 
+from bergamotferry.shards import hash_of_key, shard_of_key
 from bergamotferry_ctl.main import main
 
 TOKEN = "operator-token"
@@ -188,3 +189,24 @@
         "changed": {"data_centres": [row]},
     }
     assert json.loads(text)["capacity"][0]["n_slots_after"] == 2
+
+
+def test_owner_of_a_hot_key_is_that_of_its_own_shard(host, capsys):
+    address, answers, asked = host
+    shard = shard_of_key("log", 4, (), "secret-key")
+    grant = {**OWNER["grant"], "n_exceptions": 1}
+    answers["owner"] = (200, {**OWNER, "shard": shard._asdict(), "grant": grant})
+    row = {**shard._asdict(), "rate_per_s": 31.5, "own_number": shard.number + 4}
+    row |= {"upstream": "log-sa", "state": "held"}
+    row["key_hash"] = f"{hash_of_key('log', '', 'secret-key'):016x}"
+    body = {"data_centre": "sa", "hot_keys": [row], "not_reached": []}
+    answers["hot-keys"] = (200, body)
+    code, text = run(capsys, address, "owner", "log", "secret-key")
+    assert (code, "it has this shard of its own" in text) == (0, True)
+    assert asked[-1][0].endswith(f"number={shard.number + 4}")
+    # The hash is compared by the asking side, and travels in no question.
+    assert not any(row["key_hash"] in path for path, _ in asked)
+    answers["hot-keys"] = (200, {**body, "data_centre": "na"})
+    _, text = run(capsys, address, "owner", "log", "secret-key")
+    assert "ask hot-keys of a host in sa" in text
+    assert row["key_hash"] in run(capsys, address, "hot-keys")[1]
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -10,7 +10,7 @@
 
 import cbor2
 
-from bergamotferry import commands, messages, records
+from bergamotferry import commands, hot_key_messages, messages, records
 
 _RECORD_TAG = 40100
 # Most values of a message are of these types and go as they are.
@@ -32,6 +32,7 @@
 _TYPES: dict[str, type] = {
     **_named_tuples(records),
     **_named_tuples(commands),
+    **_named_tuples(hot_key_messages),
     **_named_tuples(messages),
 }
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp import web
 
+from bergamotferry.hot_key_messages import ListHotKeys
 from bergamotferry.messages import (
     CapacityQuestion,
     CapacityReport,
@@ -157,6 +158,8 @@
                 return await answer_status(state, message)
             case ListUpstreams() | FindGrant() | ListQuarantine() | LiftQuarantine():
                 return await answer_query(state, message)
+            case ListHotKeys():
+                return await answer_query(state, message)
         return None
 
     def on_notice(message: Any, peer: str) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/decision_log.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/decision_log.py
@@ -20,7 +20,15 @@
 N_SHARDS_SHOWN = 8
 # Fields of commands that stand for a request or its content.
 _HIDDEN_FIELDS = frozenset(
-    {"idempotency_key", "request_sha256", "fingerprint", "body", "content", "outcomes"}
+    {
+        "idempotency_key",
+        "request_sha256",
+        "fingerprint",
+        "body",
+        "content",
+        "outcomes",
+        "key_hash",
+    }
 )
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
@@ -9,6 +9,7 @@
 
 from bergamotferry.commands import ApplyNote
 from bergamotferry.global_tables import configuration_of
+from bergamotferry.hot_key_messages import ExceptionRow
 from bergamotferry.messages import (
     FindGrant,
     GrantReport,
@@ -39,7 +40,7 @@
 from .http_body import read_json_object, read_text
 from .leader_duties import ask_capacity
 from .logs import log
-from .operator_queries import ask_data_centre, ask_data_centres
+from .operator_queries import ask_data_centre, ask_data_centres, ask_hot_keys
 from .peer_link import PeerUnreachable
 from .readiness import own_status
 
@@ -72,6 +73,7 @@
     router.add_get("/operators/v1/quarantine", guarded(_quarantine))
     router.add_post("/operators/v1/quarantine/release", guarded(_release))
     router.add_get("/operators/v1/capacity", guarded(_capacity))
+    router.add_get("/operators/v1/hot-keys", guarded(_hot_keys))
 
 
 async def answer_status(state: HostState, message: HostStatusRequest) -> HostStatus:
@@ -182,7 +184,10 @@
     if shard is None:
         refusal = Refused(ResultCode.BAD_REQUEST, "needs service, domain and number")
         return refusal_response(refusal, "")
-    home = state.global_tables.shard_homes.get(shard)
+    # A hot key's own shard goes by the home of the shard that its number tells.
+    service = state.global_tables.services.get(shard.service)
+    number = shard.number % service.n_shards if service else shard.number
+    home = state.global_tables.shard_homes.get(shard._replace(number=number))
     if home is None:
         refusal = Refused(ResultCode.NO_OWNER, "the shard has no data centre yet")
         return refusal_response(refusal, "")
@@ -218,10 +223,38 @@
     return web.json_response({"released": released, "not_reached": missing})
 
 
+async def _hot_keys(state: HostState, request: web.Request) -> web.Response:
+    replies = await ask_hot_keys(state)
+    rates: dict[tuple[ShardId, int], float] = {}
+    exceptions: dict[tuple[ShardId, int], ExceptionRow] = {}
+    for reply in replies.values():
+        for seen in reply.rates if reply else ():
+            place = (seen.home, seen.key_hash)
+            rates[place] = max(seen.rate_per_s, rates.get(place, 0.0))
+        for row in reply.exceptions if reply else ():
+            exceptions[row.home, row.key_hash] = row
+    rows = []
+    for place in sorted(rates.keys() | exceptions.keys()):
+        own = exceptions.get(place)
+        rows.append(
+            {
+                **place[0]._asdict(),
+                "key_hash": f"{place[1]:016x}",
+                "rate_per_s": round(rates.get(place, 0.0), 1),
+                "own_number": own.shard.number if own else None,
+                "upstream": own.upstream if own else "",
+                "state": own.state if own else "",
+            }
+        )
+    rows.sort(key=lambda row: -float(str(row["rate_per_s"])))
+    body = {"data_centre": state.host.data_centre, "hot_keys": rows}
+    return web.json_response({**body, "not_reached": _missing(dict(replies))})
+
+
 def _read_shard(request: web.Request) -> ShardId | None:
     number = request.query.get("number", "")
     service = request.query.get("service", "")
-    if not service or not number.isascii() or not number.isdigit() or len(number) > 6:
+    if not service or not number.isascii() or not number.isdigit() or len(number) > 8:
         return None
     return ShardId(service, request.query.get("domain", ""), int(number))
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_queries.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_queries.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from bergamotferry.commands import ReleaseQuarantine
+from bergamotferry.hot_key_messages import ExceptionRow, HotKeyList, ListHotKeys
+from bergamotferry.hot_keys import hottest_keys
 from bergamotferry.messages import (
     FindGrant,
     GrantReport,
@@ -23,6 +25,7 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.records import ShardId
 
+from .clock import now_ns
 from .group import commit
 from .host_state import HostState
 from .logs import log
@@ -38,10 +41,16 @@
         case ListUpstreams():
             return _upstreams(state)
         case FindGrant():
-            return _grant_report(state, query.shard)
+            report = _grant_report(state, query.shard)
+            rows = state.own_tables.key_exceptions.values()
+            return report._replace(
+                n_exceptions=sum(row.home == query.shard for row in rows)
+            )
+        case ListHotKeys():
+            return _hot_keys(state)
         case ListQuarantine():
-            rows = tuple(state.own_tables.quarantine.values())
-            return QuarantineList(state.host.data_centre, rows)
+            suspects = tuple(state.own_tables.quarantine.values())
+            return QuarantineList(state.host.data_centre, suspects)
         case LiftQuarantine():
             command = ReleaseQuarantine(query.fingerprint)
             outcome = await commit(state.own_group, command)
@@ -75,6 +84,31 @@
     return dict(zip(names, replies, strict=True))
 
 
+async def ask_hot_keys(state: HostState) -> dict[str, HotKeyList | None]:
+    """Ask the hosts of this data centre alone, so that no hash leaves it."""
+
+    async def ask(name: str) -> HotKeyList | None:
+        try:
+            reply = await state.network.call(name, ListHotKeys(), QUERY_TIMEOUT_S)
+        except PeerUnreachable:
+            return None
+        return reply if isinstance(reply, HotKeyList) else None
+
+    names = hosts_of_data_centre(state.network.addresses, state.host.data_centre)
+    replies = await asyncio.gather(*(ask(name) for name in names))
+    return dict(zip(names, replies, strict=True))
+
+
+def _hot_keys(state: HostState) -> HotKeyList:
+    rows = []
+    for row in state.own_tables.key_exceptions.values():
+        grant = state.own_tables.grants.get(row.shard)
+        place = (grant.upstream, grant.state) if grant else ("", "free")
+        rows.append(ExceptionRow(row.home, row.key_hash, row.shard, *place))
+    rates = hottest_keys(state.dispatchers.hot_keys, now_ns())
+    return HotKeyList(tuple(rows), rates)
+
+
 def _upstreams(state: HostState) -> UpstreamList:
     tables = state.own_tables
     counts: dict[str, int] = {}
--- a/packages/bergamotferry_testkit/tests/test_ownership_model.py
+++ b/packages/bergamotferry_testkit/tests/test_ownership_model.py
@@ -28,6 +28,7 @@
 )
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.global_tables import GlobalTables
+from bergamotferry.hot_key_messages import KeyRate
 from bergamotferry.hot_key_placement import run_key_exceptions
 from bergamotferry.hot_keys import HOT_RATE_PER_S, HotKeyReports, note_hot_keys
 from bergamotferry.leases import (
@@ -40,7 +41,6 @@
     renew_host,
     renew_session,
 )
-from bergamotferry.messages import KeyRate
 from bergamotferry.outcomes import Refused
 from bergamotferry.ownership import run_ownership
 from bergamotferry.records import DataCentre, Service, ShardHome, ShardId
