--- a/packages/bergamotferry/src/bergamotferry/hot_key_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/hot_key_placement.py
@@ -128,6 +128,11 @@
 
     An upstream loses one at a time, until the reports have followed.
     """
+    reports.moved_ns = {
+        name: moved_ns
+        for name, moved_ns in reports.moved_ns.items()
+        if now_ns - moved_ns < MOVE_SETTLE_NS
+    }
     best: dict[str, tuple[float, KeyException]] = {}
     for row in tables.key_exceptions.values():
         grant = tables.grants.get(row.shard)
@@ -135,8 +140,7 @@
             continue
         if not is_movable(tables, leases, row.shard):
             continue
-        moved_ns = reports.moved_ns.get(grant.upstream)
-        if moved_ns is not None and now_ns - moved_ns < MOVE_SETTLE_NS:
+        if grant.upstream in reports.moved_ns:
             continue
         gain = _gain(tables, grant.upstream, _rate(row, rates), loads)
         known = best.get(grant.upstream)
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -206,8 +206,7 @@
 
     ``drained`` names upstreams (with the dispatcher's epoch) that it has stopped
     sending to and has nothing in flight on; ``released`` names shards likewise.
-    ``hot_keys`` and ``upstream_rates`` tell the load of the upstreams that it
-    dispatches for.
+    ``hot_keys`` and ``upstream_rates`` tell the load of its own upstreams.
     """
 
     host: HostAddress
@@ -335,12 +334,6 @@
     is_replayed: bool
 
 
-class Ping(NamedTuple):
-    """Application ping of a peer connection."""
-
-    nonce: int
-
-
 class ListUpstreams(NamedTuple):
     """An operator asks, through a host, for the upstreams of a data centre."""
 
@@ -370,8 +363,7 @@
     """Who owns a shard, as a host of its data centre knows it.
 
     ``held_since_s`` is the time of day at which that host saw the grant committed, or 0
-    if it started later. Empty texts stand for what there is not. ``n_exceptions`` is
-    the number of the shard's keys that have a shard of their own.
+    if it started later. ``n_exceptions`` counts the keys with a shard of their own.
     """
 
     data_centre: str
--- a/packages/bergamotferry_host/tests/test_table_snapshot.py
+++ b/packages/bergamotferry_host/tests/test_table_snapshot.py
@@ -1,8 +1,9 @@
 """Tables survive the way through a snapshot, whole and in order."""
 
-from bergamotferry.commands import ApplyNote, PlaceShards
-from bergamotferry.data_centre_tables import DataCentreTables
+from bergamotferry.commands import ApplyNote, MakeException, PlaceShards
+from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
 from bergamotferry.global_tables import GlobalTables, apply_global_command
+from bergamotferry.outcomes import Accepted
 from bergamotferry.records import Grant, OutcomeRecord, ShardId
 from bergamotferry_host.table_snapshot import encode_tables, freeze_tables, load_tables
 
@@ -32,6 +33,8 @@
     tables = DataCentreTables(last_epoch=7)
     shard = ShardId("s", "home", 3)
     tables.grants[shard] = Grant(shard, "u", 1, 7, "held")
+    make = MakeException(shard, 7, (1 << 64) - 1, shard._replace(number=9), 30)
+    assert isinstance(apply_data_centre_command(tables, make), Accepted)
     for key in ("z", "a", "m"):
         attempt = ("attempt", 1, 1, 2, "00")
         record = OutcomeRecord(
