Ask a restarted upstream before its old grants are freed

Cause: when an upstream restarts, its lagging dispatcher may send work for the old grants to the new process, until the next dispatcher is assigned. The grants were freed at that moment, while the new process could still run this work, and its shards went to others. Change: the grants stay under revocation, and the next dispatcher asks the new process for them by an order; what it names as busy is kept. The test of leases said that the assignment frees; it now says that the new process' release does, and that nothing is freed before.

--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -158,7 +158,7 @@
 def _supersede(tables: DataCentreTables, name: str) -> None:
     # A new incarnation at the same address proves that the old process has ended, but
     # not that its dispatcher knows: until that one has stopped, it may send work for
-    # the old grants to the new process. They are freed with the next dispatcher.
+    # the old grants to the new process. The next dispatcher asks that for them.
     dispatcher = tables.dispatchers.get(name)
     if dispatcher is None:
         _drop_session(tables, name)
@@ -277,8 +277,4 @@
     tables.dispatchers[command.upstream] = Dispatcher(
         command.upstream, command.host, tables.last_epoch, "serving"
     )
-    # The old dispatcher has stopped, so nobody sends under an old incarnation's grants.
-    for shard, grant in list(tables.grants.items()):
-        if grant.upstream == session.name and grant.incarnation != session.incarnation:
-            del tables.grants[shard]
     return Accepted(tables.last_epoch)
--- a/packages/bergamotferry/tests/test_leases.py
+++ b/packages/bergamotferry/tests/test_leases.py
@@ -28,7 +28,7 @@
     renew_session,
 )
 from bergamotferry.outcomes import Accepted, Refused
-from bergamotferry.ownership import assign_dispatchers, close_sessions
+from bergamotferry.ownership import assign_dispatchers, close_sessions, confirm_releases
 from bergamotferry.records import ShardId
 from bergamotferry.result_codes import ResultCode
 
@@ -119,6 +119,12 @@
     (command,) = assign_dispatchers(tables, leases, 1)
     assert isinstance(command, AssignDispatcher)
     _apply(tables, command)
+    # What the old dispatcher sent may run in the new process, which is asked first.
+    old_epoch = tables.grants[SHARD].epoch
+    assert confirm_releases(tables, leases, 1) == []
+    note_reports(leases, [], [(SHARD, old_epoch)])
+    (release,) = confirm_releases(tables, leases, 1)
+    _apply(tables, release)
     assert SHARD not in tables.grants
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/orders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/orders.py
@@ -121,9 +121,16 @@
     released: list[tuple[ShardId, int]] = []
     for shard, grant in state.own_tables.grants.items():
         is_mine = grant.upstream == work.session.name
-        if not is_mine or grant.incarnation != work.session.incarnation:
+        if not is_mine:
             continue
-        if grant.state == "held" and work.confirmed.get(shard) != grant.epoch:
+        # Grants of an earlier incarnation are under revocation. What an old dispatcher
+        # sent under them may run in the new process, which is asked before they go.
+        is_current = grant.incarnation == work.session.incarnation
+        if (
+            is_current
+            and grant.state == "held"
+            and work.confirmed.get(shard) != grant.epoch
+        ):
             granted.append((shard, grant.epoch))
         elif grant.state == "revoking" and (shard, grant.epoch) not in work.released:
             fence = release_fence(state.own_tables, shard, grant.epoch)
--- a/packages/bergamotferry_testkit/tests/test_key_exceptions_model.py
+++ b/packages/bergamotferry_testkit/tests/test_key_exceptions_model.py
@@ -3,7 +3,9 @@
 import pytest
 from test_ownership_model import CHECKING, HOT_KEYS, UPSTREAMS, OwnershipMachine
 
+from bergamotferry.commands import DrainSession
 from bergamotferry.records import KeyException, ShardId
+from bergamotferry_testkit.ownership_model import ProcessModel
 
 Key = tuple[ShardId, int]
 
@@ -86,3 +88,22 @@
     assert key not in machine.tables.exception_shards
     assert _owner(machine, key) == home_owner
     assert machine.tables.grants[key[0]].epoch > first_epoch
+
+
+def test_restarted_upstream_is_asked_before_its_old_grants_are_freed() -> None:
+    machine = _machine(HOT_KEYS[0])
+    name = next(name for name in UPSTREAMS if name not in CHECKING)
+    host = machine.hosts[machine.tables.dispatchers[name].host]
+    host.faults = {"lags", "is cut"}
+    machine.processes[name] = ProcessModel(name, False, 2)
+    machine.announce(name)
+    # Its old dispatcher has not heard of it and sends work for the old grants.
+    machine.write_requests()
+    assert machine.processes[name].running
+    machine.log.append(DrainSession(name, 2, False))
+    machine.settle(N_ROUNDS)
+    owners = {grant.upstream for grant in machine.tables.grants.values()}
+    assert name in owners
+    _finish_all(machine)
+    owners = {grant.upstream for grant in machine.tables.grants.values()}
+    assert name not in owners
