--- a/packages/bergamotferry/src/bergamotferry/hot_keys.py
+++ b/packages/bergamotferry/src/bergamotferry/hot_keys.py
@@ -3,8 +3,8 @@
 A dispatcher counts requests by the key's hash in a table of fixed size: a new key that
 finds it full is not counted and takes one off every count (the way of Misra and Gries).
 A count so is never too high, and too low by one in `N_COUNTED_MAX` of all requests at
-most. All counts are halved every few seconds, so that old load is forgotten. Only hashes
-and rates leave the dispatcher, and only to the leader of its own data centre's group.
+most. All counts are halved every few seconds, so that old load is forgotten. Only
+hashes and rates leave the dispatcher, to the leader of its own data centre's group.
 
 The leader takes reports from all dispatchers. A key is hot above one rate and cold only
 after a time below a quarter of it, so that exceptions do not come and go.
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import hmac
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -14,16 +15,19 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.http11 import Request, Response
 
-from bergamotferry.records import HostAddress
+from bergamotferry.records import HostAddress, TrafficClass
 
+from .background import start_task
 from .clock import now_ns
 from .peer_link import (
     FRAME_MAX_BYTES,
     FrameKind,
+    LinkTrafficClass,
     PeerHandlers,
     PeerLink,
     PeerStream,
     PeerUnreachable,
+    SentPlace,
 )
 from .settings import split_address
 
@@ -39,14 +43,13 @@
 
 @dataclass(slots=True)
 class PeerNetwork:
-    """All links of one host."""
+    """All links of one host; ``hosts`` are the names of each data centre's hosts."""
 
     own_name: str
     token: str
     addresses: dict[str, HostAddress]
     handlers: PeerHandlers
     links: dict[tuple[str, LinkClass], PeerLink] = field(default_factory=dict)
-    accepted: set[PeerLink] = field(default_factory=set)
     failed_ns: dict[tuple[str, LinkClass], int] = field(default_factory=dict)
     dialling: dict[tuple[str, LinkClass], asyncio.Task[PeerLink]] = field(
         default_factory=dict
@@ -54,6 +57,15 @@
     notices: dict[str, asyncio.Queue[Any]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     server: Server | None = None
+    sent_bytes: Counter[SentPlace] = field(default_factory=Counter)
+    hosts: dict[str, list[str]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        # The addresses are those of the settings and never change.
+        names = {row.data_centre for row in self.addresses.values()}
+        self.hosts = {
+            name: hosts_of_data_centre(self.addresses, name) for name in names
+        }
 
     @classmethod
     def from_config(
@@ -104,10 +116,16 @@
         link = await self._link(host, link_class)
         return await link.call(message, timeout_s)
 
-    async def open_stream(self, host: str, head: Any) -> PeerStream:
-        """Open a stream to a peer."""
+    async def open_stream(
+        self,
+        host: str,
+        head: Any,
+        is_ended: bool = False,
+        traffic_class: TrafficClass = "lookup",
+    ) -> PeerStream:
+        """Open a stream to a peer; see `PeerLink.open_stream`."""
         link = await self._link(host, "request")
-        return await link.open_stream(head)
+        return await link.open_stream(head, is_ended, traffic_class)
 
     def notify(self, host: str, message: Any) -> None:
         """Send a message without a reply; it is dropped if the peer is unreachable."""
@@ -182,7 +200,7 @@
         except Exception as error:
             self.failed_ns[place] = now_ns()
             raise PeerUnreachable(f"{host}: {type(error).__name__}") from error
-        link = PeerLink(connection, host, self.handlers)
+        link = PeerLink(connection, host, self.handlers, sent_bytes=self.sent_bytes)
         self.links[place] = link
         self._start(link.run())
         return link
@@ -190,7 +208,7 @@
     async def _accept(self, connection: ServerConnection) -> None:
         request = connection.request
         peer = request.headers.get(_NAME_HEADER, "") if request else ""
-        link = PeerLink(connection, peer, self.handlers)
+        link = PeerLink(connection, peer, self.handlers, sent_bytes=self.sent_bytes)
         await link.run()
 
     def _check_token(
@@ -203,9 +221,19 @@
         return connection.respond(HTTPStatus.UNAUTHORIZED, "1002 unknown token\n")
 
     def _start(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        start_task(work, self.tasks)
+
+
+def take_sent_bytes(network: PeerNetwork) -> Counter[tuple[str, LinkTrafficClass]]:
+    """Return the bytes sent since the last call, by data centre and class."""
+    taken: Counter[tuple[str, LinkTrafficClass]] = Counter()
+    for (host, traffic_class), n_bytes in network.sent_bytes.items():
+        # A peer names itself, so that its name may be none of the settings'.
+        if host in network.addresses:
+            place = (network.addresses[host].data_centre, traffic_class)
+            taken[place] += n_bytes
+    network.sent_bytes.clear()
+    return taken
 
 
 def hosts_of_data_centre(
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -16,7 +16,7 @@
 from bergamotferry.slow_start import SlowStart
 from bergamotferry_host import dispatch
 from bergamotferry_host.dispatcher_table import UpstreamWork
-from bergamotferry_host.exchange import RequestBody, Served, no_body
+from bergamotferry_host.exchange import RequestBody, Served
 
 LOOKUP = make_head()
 FILING = make_head("filing", "POST", idempotency_key="i1")
@@ -31,7 +31,7 @@
 
 
 def start(upstream, head, sink=None):
-    body = RequestBody(no_body())
+    body = RequestBody.empty()
     work = dispatch.dispatch_here(upstream.state, head, body, sink or KeepingSink())
     return asyncio.create_task(work)
 
@@ -223,3 +223,15 @@
 
     expected = (Code.STALE_EPOCH, 2, Code.NO_OWNER, Served(200, 4, "u1"), True)
     assert asyncio.run(run()) == expected
+
+
+def test_host_that_catches_up_dispatches_nothing():
+    async def run(head):
+        async with RawUpstream("whole") as upstream:
+            add_work(upstream)
+            upstream.state.is_caught_up = False
+            refusal = await start(upstream, head)
+            return refusal.code, refusal.is_not_run, upstream.requests
+
+    for head in (LOOKUP, FILING):
+        assert asyncio.run(run(head)) == (Code.HOST_NOT_READY, True, [])
