--- a/packages/bergamotferry_host/tests/test_logs.py
+++ b/packages/bergamotferry_host/tests/test_logs.py
@@ -3,7 +3,10 @@
 import json
 import logging
 
-from bergamotferry_host import logs
+from bergamotferry.commands import MakeException
+from bergamotferry.outcomes import Accepted
+from bergamotferry.records import ShardId
+from bergamotferry_host import decision_log, logs
 
 
 def test_a_line_holds_its_event_level_host_and_fields(capsys, monkeypatch):
@@ -22,3 +25,13 @@
         | own,
         {"level": "ERROR", "event": "task_failed", "error": "KeyError"} | own,
     ]
+
+
+def test_line_of_an_exception_tells_shards_and_rate_but_no_hash(monkeypatch):
+    lines = []
+    monkeypatch.setattr(decision_log, "log", lambda event, **row: lines.append(row))
+    home = ShardId("log", "home", 1)
+    command = MakeException(home, 5, 77, home._replace(number=9), 31)
+    decision_log.log_placement("dc:a", command, "why", Accepted(1))
+    inputs = {"home": "log/home/1", "shard": "log/home/9"}
+    assert lines[0]["inputs"] == inputs | {"grant_epoch": 5, "rate_per_s": 31}
