--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from .commands import Command
+from .hot_key_messages import KeyRate, ListHotKeys
 from .records import HostAddress, QuarantineRecord, ShardId, UpstreamSession
 
 
@@ -200,7 +201,8 @@
 
     ``drained`` names upstreams (with the dispatcher's epoch) and ``released`` shards on
     which it sends nothing more; ``latencies`` are service, upstream and observed ms;
-    on ``bulk_upstreams`` it has bulk in flight.
+    on ``bulk_upstreams`` it has bulk in flight; ``hot_keys`` and ``upstream_rates``
+    tell the load of its own upstreams.
     """
 
     host: HostAddress
@@ -212,6 +214,8 @@
     released: tuple[tuple[ShardId, int], ...]
     latencies: tuple[tuple[str, str, float], ...] = ()
     bulk_upstreams: tuple[str, ...] = ()
+    hot_keys: tuple[KeyRate, ...] = ()
+    upstream_rates: tuple[tuple[str, float], ...] = ()
 
 
 class RenewLeasesReply(NamedTuple):
@@ -328,12 +332,6 @@
     is_replayed: bool
 
 
-class Ping(NamedTuple):
-    """Application ping of a peer connection."""
-
-    nonce: int
-
-
 class ListUpstreams(NamedTuple):
     """An operator asks, through a host, for the upstreams of a data centre."""
 
@@ -363,7 +361,7 @@
     """Who owns a shard, as a host of its data centre knows it.
 
     ``held_since_s`` is the time of day at which that host saw the grant committed, or 0
-    if it started later. Empty texts stand for what there is not.
+    if it started later. ``n_exceptions`` counts the keys with a shard of their own.
     """
 
     data_centre: str
@@ -375,6 +373,7 @@
     dispatcher_epoch: int
     held_since_s: int
     reason: str
+    n_exceptions: int = 0
 
 
 class ListQuarantine(NamedTuple):
@@ -394,4 +393,6 @@
     fingerprint: str
 
 
-OperatorQuery = ListUpstreams | FindGrant | ListQuarantine | LiftQuarantine
+OperatorQuery = (
+    ListUpstreams | FindGrant | ListQuarantine | LiftQuarantine | ListHotKeys
+)
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -25,6 +25,7 @@
     take_ready,
     withdraw,
 )
+from bergamotferry.hot_keys import count_request
 from bergamotferry.messages import RequestHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.quarantine import request_fingerprint
@@ -42,7 +43,7 @@
 from .observations import note_latency
 from .orders import order_grants
 from .run_once import deliver, read_content, run_once
-from .upstream_call import check_owner, open_upstream_session, send_to_upstream
+from .upstream_call import check_owner_of_key, open_upstream_session, send_to_upstream
 
 DISPATCHER_TICK_S = 0.02
 NS_PER_MS = 1_000_000
@@ -98,18 +99,20 @@
         return Refused(ResultCode.MISSING_IDEMPOTENCY_KEY, "send Idempotency-Key")
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
     # Asked before the body is read, and again after: it may come slowly.
-    owner = check_owner(state, head.shard)
+    owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
     content = await read_content(body, route, deadline_ns)
     if isinstance(content, Refused):
         return content
-    owner = check_owner(state, head.shard)
+    owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
+    count_request(state.dispatchers.hot_keys, head, owner.session.name, now_ns())
+    place = (owner.grant.shard, owner.grant.epoch)
     trace.upstream, trace.epoch = owner.session.name, owner.grant.epoch
     work = state.dispatchers.works.get(owner.session.name)
-    if work is None or work.confirmed.get(head.shard) != owner.grant.epoch:
+    if work is None or work.confirmed.get(place[0]) != place[1]:
         return Refused(ResultCode.NO_OWNER, "the owner has not confirmed the grant yet")
     queued_ns = now_ns()
     ticket = await _admit(state, work, head, route, content, deadline_ns)
@@ -120,7 +123,7 @@
     request = UpstreamRequest(
         owner, route, head, body, deadline_ns, give_up_ns, content
     )
-    work.in_flight[head.shard] = work.in_flight.get(head.shard, 0) + 1
+    work.in_flight[place] = work.in_flight.get(place, 0) + 1
     work.n_bulk_in_flight += route.traffic_class == "bulk"
     if route.is_idempotent:
         return await _run_idempotent(state, work, ticket, request, sink)
@@ -280,10 +283,10 @@
 
 def _end(work: UpstreamWork, request: UpstreamRequest) -> None:
     work.n_bulk_in_flight -= request.route.traffic_class == "bulk"
-    shard = request.head.shard
-    work.in_flight[shard] -= 1
-    if not work.in_flight[shard]:
-        del work.in_flight[shard]
+    place = (request.owner.grant.shard, request.owner.grant.epoch)
+    work.in_flight[place] -= 1
+    if not work.in_flight[place]:
+        del work.in_flight[place]
 
 
 async def _wait_for_slot(work: UpstreamWork, ticket: Ticket) -> Refused | None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Sequence
 
-from bergamotferry.commands import Command
+from bergamotferry.commands import Command, DataCentreCommand
 from bergamotferry.dispatcher_spread import note_bulk
 from bergamotferry.global_placement import (
     capacity_after_out,
@@ -17,6 +17,8 @@
     note_placement,
     run_global_placement,
 )
+from bergamotferry.hot_key_placement import run_key_exceptions
+from bergamotferry.hot_keys import note_hot_keys
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     SESSION_LEASE_MS,
@@ -49,6 +51,7 @@
 from .straggler_duty import judge_if_due, note_latencies
 
 OWNERSHIP_TICK_S = 0.02
+HOT_KEYS_INTERVAL_NS = 100_000_000
 NEXT_DECISION_S = 0.005
 PLACEMENT_TICK_S = 0.2
 REPORT_TIMEOUT_S = 0.5
@@ -59,6 +62,7 @@
     """Run the ownership systems whenever this host leads a data centre's group."""
     data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
     has_acted = False
+    hot_keys_ns = 0
     while True:
         # One decision often makes the next one due, as a release does a grant.
         await asyncio.sleep(NEXT_DECISION_S if has_acted else OWNERSHIP_TICK_S)
@@ -73,21 +77,41 @@
             state.global_group.applied_index,
             tuple(leader.stragglers.weights.items()),
         )
-        if not is_look_due(leader.pace, leader.leases, seen, now_ns()):
-            continue
-        commands = run_ownership(
-            group.tables,
-            state.global_tables,
-            leader.leases,
-            data_centre,
-            now_ns(),
-            leader.stragglers.weights,
-        )
+        commands: list[DataCentreCommand] = []
+        is_due = is_look_due(leader.pace, leader.leases, seen, now_ns())
+        if is_due:
+            commands += run_ownership(
+                group.tables,
+                state.global_tables,
+                leader.leases,
+                data_centre,
+                now_ns(),
+                leader.stragglers.weights,
+            )
+        if is_due or now_ns() - hot_keys_ns >= HOT_KEYS_INTERVAL_NS:
+            hot_keys_ns = now_ns()
+            commands += _hot_key_commands(state, group, leader, data_centre)
         has_acted = bool(commands)
-        note_look(leader.pace, leader.leases, has_acted, now_ns())
+        if is_due:
+            note_look(leader.pace, leader.leases, has_acted, now_ns())
         await _commit_all(group, commands)
 
 
+def _hot_key_commands(
+    state: HostState, group: Group, leader: LeaderState, data_centre: str
+) -> list[DataCentreCommand]:
+    if "hot-keys" in state.settings.request_policies_off:
+        return []
+    return run_key_exceptions(
+        group.tables,
+        state.global_tables,
+        leader.leases,
+        leader.hot_keys,
+        data_centre,
+        now_ns(),
+    )
+
+
 async def run_placement_duty(state: HostState) -> None:
     """Place shards on data centres whenever this host leads the global group."""
     group = state.global_group
@@ -179,6 +203,13 @@
     note_reports(leases, message.drained, message.released)
     note_bulk(leases, message.host.name, message.bulk_upstreams)
     note_latencies(leader.stragglers, message)
+    note_hot_keys(
+        leader.hot_keys,
+        message.host.name,
+        message.hot_keys,
+        message.upstream_rates,
+        now_ns(),
+    )
     return RenewLeasesReply(
         True,
         state.host.name,
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -23,6 +23,7 @@
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}\Z")
 REQUEST_POLICIES = (
     "early-refusal",
+    "hot-keys",
     "isolation",
     "retry-budget",
     "slow-start",
