End the ramp early for an upstream as quick as its warm peers

Cause: the ramp of 8 s outlasts a cold of 4 s and costs goodput.

Change: the mean of 20 answers within 1.5 times the median of 2 warm peers or more, of the same service and class, ends it; never in its first 2 s, never by answers with status 400 and above. A jump or an end of the upstream begins it anew as before. The watching moved from dispatch.py to cold_watch.py.

Hosts that dispatch for fewer than 2 warm peers keep 8 s, and so does a whole data centre that starts cold.

Seen failing first, each guard out by itself: floor of 2 s, the comparison, the end itself, peers that ramp, the least number of peers, the status, the service, and the ramp begun anew after an early end.

What ends it is held by the new unit tests.

--- a/packages/bergamotferry/src/bergamotferry/slow_start.py
+++ b/packages/bergamotferry/src/bergamotferry/slow_start.py
@@ -1,6 +1,7 @@
 """How much a freshly started upstream is given: few slots, and starts at a low rate.
 
-Both rise with the time since its incarnation was first seen. The ramp begins anew when
+Both rise with the time since its incarnation was first seen. The ramp ends early once
+the upstream answers as quickly as its warm peers of the service. It begins anew when
 the upstream's conduct looks like a cold start that nobody announced: its connections
 are reset, or its answers take several times as long as they used to.
 
@@ -9,6 +10,8 @@
 once answers to requests that were sent after it was first seen are slow as well.
 """
 
+import statistics
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from .records import TrafficClass
@@ -21,6 +24,10 @@
 JUMP_MIN_MS = 20.0
 N_ANSWERS_MIN = 20
 N_SLOW_ANSWERS = 3
+QUICK_FACTOR = 1.5
+N_QUICK_ANSWERS = 20
+N_WARM_PEERS_MIN = 2
+EARLY_END_MIN_S = 2.0
 # How often a request waits for its turn in the dispatcher's event loop.
 N_LOOP_TURNS = 8
 _RECENT_SMOOTHING = 0.3
@@ -43,18 +50,25 @@
 
 @dataclass(slots=True)
 class SlowStart:
-    """Where an upstream stands on its ramp, and how long its answers take."""
+    """Where an upstream stands on its ramp, and how long its answers take.
+
+    ``n_compared`` answers took ``ratio_sum`` times as long in all as warm peers take.
+    """
 
     began_ns: int
     tokens: float = BURST_STARTS
     refilled_ns: int = 0
     times: dict[TrafficClass, AnswerTimes] = field(default_factory=dict)
+    n_compared: int = 0
+    ratio_sum: float = 0.0
+    is_warm: bool = False
     is_enabled: bool = True
 
 
 def is_ramping(ramp: SlowStart, now_ns: int) -> bool:
     """Return whether the upstream is still held below its full load."""
-    return ramp.is_enabled and _age_s(ramp, now_ns) < RAMP_S
+    is_held = ramp.is_enabled and not ramp.is_warm
+    return is_held and _age_s(ramp, now_ns) < RAMP_S
 
 
 def n_slots_allowed(ramp: SlowStart, n_slots: int, now_ns: int) -> int:
@@ -92,9 +106,48 @@
     ramp.began_ns = now_ns
     ramp.refilled_ns = now_ns
     ramp.tokens = BURST_STARTS
+    ramp.n_compared = 0
+    ramp.ratio_sum = 0.0
+    ramp.is_warm = False
     ramp.times.clear()
 
 
+def warm_peers_ms(
+    peers: Iterable[SlowStart], traffic_class: TrafficClass, now_ns: int
+) -> float | None:
+    """Return how long a warm upstream usually takes; None if too few are known."""
+    usual_ms = [
+        peer.times[traffic_class].usual_ms
+        for peer in peers
+        if traffic_class in peer.times
+        and peer.times[traffic_class].n_answers >= N_ANSWERS_MIN
+        and not is_ramping(peer, now_ns)
+    ]
+    if len(usual_ms) < N_WARM_PEERS_MIN:
+        return None
+    return statistics.median_low(usual_ms)
+
+
+def compare_answer(
+    ramp: SlowStart, took_ms: float, peers_ms: float, now_ns: int
+) -> bool:
+    """Compare an answer with warm peers; return whether the ramp ended early for it.
+
+    Answers count in pieces of `N_QUICK_ANSWERS`, by their mean: single ones vary too
+    much.
+    """
+    if not is_ramping(ramp, now_ns):
+        return False
+    ramp.n_compared += 1
+    ramp.ratio_sum += took_ms / peers_ms
+    if ramp.n_compared < N_QUICK_ANSWERS:
+        return False
+    is_quick = ramp.ratio_sum <= QUICK_FACTOR * ramp.n_compared
+    ramp.n_compared, ramp.ratio_sum = 0, 0.0
+    ramp.is_warm = is_quick and _age_s(ramp, now_ns) >= EARLY_END_MIN_S
+    return ramp.is_warm
+
+
 def observe_answer(
     ramp: SlowStart,
     traffic_class: TrafficClass,
--- a/packages/bergamotferry/tests/test_slow_start.py
+++ b/packages/bergamotferry/tests/test_slow_start.py
@@ -5,14 +5,19 @@
 
 from bergamotferry.slow_start import (
     BURST_STARTS,
+    EARLY_END_MIN_S,
     FIRST_RATE_PER_S,
+    N_QUICK_ANSWERS,
     RAMP_S,
     SlowStart,
+    begin_ramp,
+    compare_answer,
     is_ramping,
     n_slots_allowed,
     observe_answer,
     rate_per_s,
     take_start,
+    warm_peers_ms,
 )
 
 S = 1_000_000_000
@@ -110,3 +115,37 @@
         took_ms = 45.0 if number % 40 == 39 else 5.0
         now_ns = WARM_NS + number * S // 100
         assert not observe_answer(ramp, "lookup", took_ms, now_ns)
+
+
+def end_of_ramp(took_ms, first_s, n_answers):
+    """Return which answer ended the ramp of an upstream whose warm peers take 5 ms."""
+    ramp = SlowStart(0)
+    for number in range(1, n_answers + 1):
+        now_ns = int((first_s + number / 1000) * S)
+        if compare_answer(ramp, took_ms, 5.0, now_ns):
+            assert not is_ramping(ramp, now_ns)
+            begin_ramp(ramp, now_ns)
+            assert is_ramping(ramp, now_ns)
+            return number
+        assert is_ramping(ramp, now_ns)
+    return None
+
+
+def test_the_ramp_ends_early_for_an_upstream_as_quick_as_its_peers():
+    assert end_of_ramp(6.0, EARLY_END_MIN_S, 100) == N_QUICK_ANSWERS
+    assert end_of_ramp(9.0, EARLY_END_MIN_S, 100) is None
+    # However quick it is, the first seconds of the ramp are held.
+    assert end_of_ramp(1.0, 0.0, 1000) is None
+
+
+def test_only_warm_peers_are_compared_with():
+    warm = [warm_ramp(usual_ms) for usual_ms in (5.0, 7.0, 90.0)]
+    assert warm_peers_ms(warm, "lookup", WARM_NS) == 7.0
+    assert warm_peers_ms(warm, "filing", WARM_NS) is None
+    assert warm_peers_ms(warm[:1], "lookup", WARM_NS) is None
+    begin_ramp(warm[0], WARM_NS)
+    begin_ramp(warm[1], WARM_NS)
+    # What they answer while they ramp says nothing of a warm upstream.
+    for _ in range(100):
+        observe_answer(warm[0], "lookup", 5.0, WARM_NS)
+    assert warm_peers_ms(warm, "lookup", WARM_NS) is None
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -30,16 +30,16 @@
 from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.records import Route, UpstreamSession
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.slow_start import SlowStart, observe_answer
+from bergamotferry.slow_start import SlowStart
 from bergamotferry.stragglers import N_ANSWERS_MIN, observe_latency
 
 from .clock import now_ns
+from .cold_watch import note_answer, note_slowness, sleep_and_note_delay
 from .crash_watch import note_end, note_good_run, verdict_now
 from .decision_log import log_dispatch
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .host_state import HostState
-from .logs import log
 from .orders import order_grants
 from .run_once import deliver, read_content, run_once
 from .upstream_call import check_owner, open_upstream_session, send_to_upstream
@@ -48,8 +48,6 @@
 NS_PER_MS = 1_000_000
 # A filing is waited for longer than its caller waits, so that its outcome is recorded.
 FILING_GRACE_NS = 30_000_000_000
-# Over about ten ticks: one late turn is no sign of a busy host.
-LOOP_DELAY_SMOOTHING = 0.1
 _TOO_SLOW = ResultCode.DEADLINE_EXPIRED_RUNNING
 
 
@@ -146,16 +144,7 @@
                     pending.add(task)
                     task.add_done_callback(pending.discard)
                 _start_ready(work)
-            await _tick(state)
-
-
-async def _tick(state: HostState) -> None:
-    due_ns = now_ns() + int(DISPATCHER_TICK_S * 1e9)
-    await asyncio.sleep(DISPATCHER_TICK_S)
-    late_ms = max(0.0, (now_ns() - due_ns) / NS_PER_MS)
-    usual_ms = state.dispatchers.loop_delay_ms
-    step_ms = LOOP_DELAY_SMOOTHING * (late_ms - usual_ms)
-    state.dispatchers.loop_delay_ms = usual_ms + step_ms
+            await sleep_and_note_delay(state, DISPATCHER_TICK_S)
 
 
 def observed_latencies(state: HostState) -> tuple[tuple[str, str, float], ...]:
@@ -220,7 +209,7 @@
         outcome = await run_abortable(work, call)
         if isinstance(outcome, Served):
             took_ms = (now_ns() - started_ns) / NS_PER_MS
-            _watch_for_cold_start(state, work, ticket, took_ms)
+            note_answer(state, work, ticket, took_ms, outcome.status)
             observe_latency(
                 state.dispatchers.latencies,
                 work.session.service,
@@ -232,8 +221,7 @@
             await note_end(state, work)
         elif outcome is not None and outcome.code is _TOO_SLOW:
             # It would have taken at least as long.
-            waited_ms = (now_ns() - started_ns) / NS_PER_MS
-            _watch_for_cold_start(state, work, ticket, waited_ms)
+            note_slowness(state, work, ticket, (now_ns() - started_ns) / NS_PER_MS)
         return outcome
     finally:
         finish(work.queue, ticket.request_id, took_ms)
@@ -241,20 +229,6 @@
         _start_ready(work)
 
 
-def _watch_for_cold_start(
-    state: HostState, work: UpstreamWork, ticket: Ticket, took_ms: float
-) -> None:
-    ramp = work.queue.ramp
-    own_delay_ms = state.dispatchers.loop_delay_ms
-    if observe_answer(ramp, ticket.traffic_class, took_ms, now_ns(), own_delay_ms):
-        log(
-            "ramp began anew",
-            upstream=work.session.name,
-            took_ms=round(took_ms, 2),
-            own_delay_ms=round(own_delay_ms, 2),
-        )
-
-
 async def _run_idempotent(
     state: HostState,
     work: UpstreamWork,
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -187,6 +187,7 @@
     "short": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata",
     "no length": b"HTTP/1.1 200 OK\r\n\r\ndata",
     "half chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata",
+    "missing": b"HTTP/1.1 404 None\r\nContent-Length: 4\r\n\r\nnone",
     "shed": (
         b"HTTP/1.1 503 Busy\r\nBergamotferry-Not-Started: true\r\n"
         b"Content-Length: 0\r\n\r\n"
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -10,8 +10,15 @@
 from bergamotferry.messages import Propose
 from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.result_codes import ResultCode as Code
-from bergamotferry.slow_start import SlowStart
+from bergamotferry.slow_start import (
+    N_ANSWERS_MIN,
+    N_QUICK_ANSWERS,
+    AnswerTimes,
+    SlowStart,
+    is_ramping,
+)
 from bergamotferry_host import dispatch
+from bergamotferry_host.clock import now_ns
 from bergamotferry_host.dispatcher_table import UpstreamWork
 from bergamotferry_host.exchange import RequestBody, Served, no_body
 
@@ -27,6 +34,16 @@
     return work
 
 
+def add_warm_peers(upstream, service, n_peers):
+    works = upstream.state.dispatchers.works
+    for number in range(n_peers):
+        session = works["u1"].session._replace(name=f"p{number}", service=service)
+        # So slow that this test's own machine is quicker.
+        times = {"lookup": AnswerTimes(N_ANSWERS_MIN, 500.0, 500.0)}
+        queue = UpstreamQueue(2, SlowStart(0, times=times))
+        works[session.name] = UpstreamWork(session, 6, queue)
+
+
 def start(upstream, head, sink=None):
     body = RequestBody(no_body())
     work = dispatch.dispatch_here(upstream.state, head, body, sink or KeepingSink())
@@ -186,3 +203,20 @@
 
     for row in table:
         asyncio.run(asyncio.wait_for(run(*row), 10.0))
+
+
+def test_the_ramp_ends_early_only_beside_warm_peers_and_for_good_answers():
+    async def run(script, service, n_peers):
+        async with RawUpstream(script) as upstream:
+            work = add_work(upstream)
+            add_warm_peers(upstream, service, n_peers)
+            work.queue.ramp = SlowStart(now_ns() - 3_000_000_000)
+            for _ in range(N_QUICK_ANSWERS):
+                work.queue.ramp.tokens = 1.0
+                assert isinstance(await start(upstream, LOOKUP), Served)
+            return is_ramping(work.queue.ramp, work.queue.ramp.began_ns)
+
+    assert not asyncio.run(run("whole", "testlog", 2))
+    assert asyncio.run(run("whole", "testlog", 1))
+    assert asyncio.run(run("whole", "other", 2))
+    assert asyncio.run(run("missing", "testlog", 2))
