Show that an unannounced cold start begins the ramp anew

Contract test at the dispatcher against a small fake upstream: its answers come 0.3 s late, or not within the deadline, or it ends. Nothing but the pure rule was tested before. Seen failing first: without answers watched (late, silent), without timeouts watched (silent), without the ramp begun anew at an end (end). Not shown with processes.

--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -134,6 +134,10 @@
         self.is_over = True
 
 
+# Far longer than an answer takes on a busy machine.
+LATE_S = 0.3
+
+
 class RawUpstream:
     """Answers each request by the next line of a script, or the last of them."""
 
@@ -174,6 +178,9 @@
                 return
             if action == "silent":
                 continue
+            if action.startswith("late "):
+                await asyncio.sleep(LATE_S)
+                action = action.removeprefix("late ")
             is_closing = action.endswith("close")
             writer.write(ANSWERS[action.removesuffix(" close")])
             await writer.drain()
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from request_fakes import SHARD, KeepingSink, RawUpstream, make_head
 
 from bergamotferry.admission import UpstreamQueue
@@ -220,3 +221,21 @@
     assert asyncio.run(run("whole", "testlog", 1))
     assert asyncio.run(run("whole", "other", 2))
     assert asyncio.run(run("missing", "testlog", 2))
+
+
+@pytest.mark.parametrize("fault", ["late whole", "silent", "end"])
+def test_a_cold_start_that_nobody_announced_begins_the_ramp_anew(fault):
+    async def run():
+        async with RawUpstream("whole") as upstream:
+            ramp = add_work(upstream).queue.ramp = SlowStart(0)
+            for _ in range(2 * N_ANSWERS_MIN):
+                await start(upstream, LOOKUP)
+            assert not is_ramping(ramp, now_ns())
+            upstream.script = [fault]
+            for _ in range(N_ANSWERS_MIN):
+                await start(upstream, LOOKUP._replace(deadline_ms=500))
+                if is_ramping(ramp, now_ns()):
+                    return True
+            return False
+
+    assert asyncio.run(run())
