--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -21,7 +21,7 @@
 from bergamotferry_host import dispatch
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.dispatcher_table import UpstreamWork
-from bergamotferry_host.exchange import RequestBody, Served, no_body
+from bergamotferry_host.exchange import RequestBody, Served
 
 LOOKUP = make_head()
 FILING = make_head("filing", "POST", idempotency_key="i1")
@@ -46,7 +46,7 @@
 
 
 def start(upstream, head, sink=None):
-    body = RequestBody(no_body())
+    body = RequestBody.empty()
     work = dispatch.dispatch_here(upstream.state, head, body, sink or KeepingSink())
     return asyncio.create_task(work)
 
@@ -239,3 +239,15 @@
             return False
 
     assert asyncio.run(run())
+
+
+def test_host_that_catches_up_dispatches_nothing():
+    async def run(head):
+        async with RawUpstream("whole") as upstream:
+            add_work(upstream)
+            upstream.state.is_caught_up = False
+            refusal = await start(upstream, head)
+            return refusal.code, refusal.is_not_run, upstream.requests
+
+    for head in (LOOKUP, FILING):
+        assert asyncio.run(run(head)) == (Code.HOST_NOT_READY, True, [])
--- a/packages/bergamotferry_host/tests/test_peer_network.py
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -2,20 +2,32 @@
 
 import asyncio
 import gc
+import logging
 
 import pytest
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
-from bergamotferry.messages import HostStatusRequest
+from bergamotferry.messages import (
+    AppendEntries,
+    CapacityReport,
+    FindGrant,
+    HostStatusRequest,
+    JoinGroup,
+    Member,
+    TimeoutNow,
+)
 from bergamotferry.records import HostAddress
+from bergamotferry_host.background import log_library_failures
 from bergamotferry_host.codec import encode
-from bergamotferry_host.peer_link import FrameKind, PeerHandlers
+from bergamotferry_host.peer_link import FrameKind, PeerHandlers, PeerLink
 from bergamotferry_host.peer_network import PeerNetwork
 from bergamotferry_testkit.local_deployment import free_ports
 
 TOKEN = "peer-token-of-16"
 CALL = encode((7, int(FrameKind.CALL), HostStatusRequest(0, 0)))
+MEMBER = Member("h", "1", True)
+APPEND = AppendEntries("dc:a", 1, MEMBER, 0, 0, (), 0, 0)
 BAD_FRAMES = [
     b"",
     b"\xff\xff\xff",
@@ -27,6 +39,12 @@
     encode({"kind": 7}),
     b"\x83\x00\x05\xd9\x9c\xa4\x82\x64None\x01",
     "text",
+    encode((7, int(FrameKind.CALL), HostStatusRequest("0", None))),
+    encode((7, int(FrameKind.CALL), FindGrant(("testlog", "", 1)))),
+    encode((7, int(FrameKind.CALL), JoinGroup("dc:a", Member("h", 1, True)))),
+    encode((7, int(FrameKind.CALL), CapacityReport("a", (("s", "1"),), ()))),
+    encode((0, int(FrameKind.NOTICE), TimeoutNow("dc:a", "2", MEMBER))),
+    encode((0, int(FrameKind.NOTICE), AppendEntries(*APPEND[:5], (7,), 1, 1))),
 ]
 
 
@@ -74,6 +92,32 @@
     assert asyncio.run(run(work)) == 401
 
 
+def test_failure_that_only_a_library_sees_is_one_line(capfd, caplog, monkeypatch):
+    async def fail(link):
+        raise RuntimeError("secret")
+
+    monkeypatch.setattr(PeerLink, "run", fail)
+    own = logging.getLogger("bergamotferry")
+    monkeypatch.setattr(own, "propagate", False)
+    monkeypatch.setattr(own, "handlers", [caplog.handler])
+    root = logging.getLogger()
+    monkeypatch.setattr(root, "handlers", list(root.handlers))
+    log_library_failures()
+
+    async def work(url):
+        async with dial(url) as connection:
+            with pytest.raises(ConnectionClosed):
+                await asyncio.wait_for(connection.recv(), 5)
+
+    asyncio.run(run(work))
+    rows = [row for row in caplog.records if row.message == "library_failed"]
+    assert [(row.library, row.error) for row in rows] == [
+        ("websockets.server", "RuntimeError")
+    ]
+    assert "secret" not in rows[0].place
+    assert "Traceback" not in capfd.readouterr().err
+
+
 def test_caller_who_gives_up_leaves_no_failed_dial_behind():
     reported = []
     peer_address = f"127.0.0.1:{free_ports(1)[0]}"
