--- a/packages/bergamotferry/src/bergamotferry/slow_start.py
+++ b/packages/bergamotferry/src/bergamotferry/slow_start.py
@@ -1,38 +1,74 @@
 """How much a freshly started upstream is given: few slots, and starts at a low rate.
 
-Both rise with the time since its incarnation was first seen. The ramp begins anew when
+Both rise with the time since its incarnation was first seen. The ramp ends early once
+the upstream answers as quickly as its warm peers of the service. It begins anew when
 the upstream's conduct looks like a cold start that nobody announced: its connections
 are reset, or its answers take several times as long as they used to.
+
+A host that stood still, or has more to do than its processor allows, sees every answer
+late. So a jump must also exceed what the host's own delay explains, and counts only
+once answers to requests that were sent after it was first seen are slow as well.
 """
 
-from dataclasses import dataclass
+import statistics
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .records import TrafficClass
 
 RAMP_S = 8.0
 FIRST_RATE_PER_S = 20.0
 RATE_DOUBLES_EVERY_S = 1.0
 BURST_STARTS = 1.0
 JUMP_FACTOR = 4.0
+JUMP_MIN_MS = 20.0
 N_ANSWERS_MIN = 20
+N_SLOW_ANSWERS = 3
+QUICK_FACTOR = 1.5
+N_QUICK_ANSWERS = 20
+N_WARM_PEERS_MIN = 2
+EARLY_END_MIN_S = 2.0
+# How often a request waits for its turn in the dispatcher's event loop.
+N_LOOP_TURNS = 8
 _RECENT_SMOOTHING = 0.3
 _USUAL_SMOOTHING = 0.02
 
 
+@dataclass(slots=True)
+class AnswerTimes:
+    """How long an upstream's answers of one class take.
+
+    ``jumped_ns`` is when they were first seen to take longer; 0 if they don't.
+    """
+
+    n_answers: int = 0
+    recent_ms: float = 0.0
+    usual_ms: float = 0.0
+    jumped_ns: int = 0
+    n_slow: int = 0
+
+
 @dataclass(slots=True)
 class SlowStart:
-    """Where an upstream stands on its ramp, and how long its answers take."""
+    """Where an upstream stands on its ramp, and how long its answers take.
+
+    ``n_compared`` answers took ``ratio_sum`` times as long in all as warm peers take.
+    """
 
     began_ns: int
     tokens: float = BURST_STARTS
     refilled_ns: int = 0
-    n_answers: int = 0
-    recent_ms: float = 0.0
-    usual_ms: float = 0.0
+    times: dict[TrafficClass, AnswerTimes] = field(default_factory=dict)
+    n_compared: int = 0
+    ratio_sum: float = 0.0
+    is_warm: bool = False
     is_enabled: bool = True
 
 
 def is_ramping(ramp: SlowStart, now_ns: int) -> bool:
     """Return whether the upstream is still held below its full load."""
-    return ramp.is_enabled and _age_s(ramp, now_ns) < RAMP_S
+    is_held = ramp.is_enabled and not ramp.is_warm
+    return is_held and _age_s(ramp, now_ns) < RAMP_S
 
 
 def n_slots_allowed(ramp: SlowStart, n_slots: int, now_ns: int) -> int:
@@ -70,21 +106,83 @@
     ramp.began_ns = now_ns
     ramp.refilled_ns = now_ns
     ramp.tokens = BURST_STARTS
-    ramp.n_answers = 0
-
-
-def observe_answer(ramp: SlowStart, took_ms: float, now_ns: int) -> bool:
-    """Note how long an answer took; return whether the ramp began anew for it."""
-    if ramp.n_answers == 0:
-        ramp.recent_ms = ramp.usual_ms = took_ms
-    ramp.n_answers += 1
-    ramp.recent_ms += _RECENT_SMOOTHING * (took_ms - ramp.recent_ms)
-    ramp.usual_ms += _USUAL_SMOOTHING * (took_ms - ramp.usual_ms)
-    is_known = ramp.n_answers >= N_ANSWERS_MIN and not is_ramping(ramp, now_ns)
-    if is_known and ramp.recent_ms > JUMP_FACTOR * ramp.usual_ms:
-        begin_ramp(ramp, now_ns)
-        return True
-    return False
+    ramp.n_compared = 0
+    ramp.ratio_sum = 0.0
+    ramp.is_warm = False
+    ramp.times.clear()
+
+
+def warm_peers_ms(
+    peers: Iterable[SlowStart], traffic_class: TrafficClass, now_ns: int
+) -> float | None:
+    """Return how long a warm upstream usually takes; None if too few are known."""
+    usual_ms = [
+        peer.times[traffic_class].usual_ms
+        for peer in peers
+        if traffic_class in peer.times
+        and peer.times[traffic_class].n_answers >= N_ANSWERS_MIN
+        and not is_ramping(peer, now_ns)
+    ]
+    if len(usual_ms) < N_WARM_PEERS_MIN:
+        return None
+    return statistics.median_low(usual_ms)
+
+
+def compare_answer(
+    ramp: SlowStart, took_ms: float, peers_ms: float, now_ns: int
+) -> bool:
+    """Compare an answer with warm peers; return whether the ramp ended early for it.
+
+    Answers count in pieces of `N_QUICK_ANSWERS`, by their mean: single ones vary too
+    much.
+    """
+    if not is_ramping(ramp, now_ns):
+        return False
+    ramp.n_compared += 1
+    ramp.ratio_sum += took_ms / peers_ms
+    if ramp.n_compared < N_QUICK_ANSWERS:
+        return False
+    is_quick = ramp.ratio_sum <= QUICK_FACTOR * ramp.n_compared
+    ramp.n_compared, ramp.ratio_sum = 0, 0.0
+    ramp.is_warm = is_quick and _age_s(ramp, now_ns) >= EARLY_END_MIN_S
+    return ramp.is_warm
+
+
+def observe_answer(
+    ramp: SlowStart,
+    traffic_class: TrafficClass,
+    took_ms: float,
+    now_ns: int,
+    own_delay_ms: float = 0.0,
+) -> bool:
+    """Note how long an answer took; return whether the ramp began anew for it.
+
+    Parameters
+    ----------
+    own_delay_ms : float
+        How late the dispatcher's own event loop was at the time.
+    """
+    if traffic_class == "bulk":
+        # It takes as long as its caller reads.
+        return False
+    row = ramp.times.setdefault(traffic_class, AnswerTimes(0, took_ms, took_ms))
+    row.n_answers += 1
+    row.recent_ms += _RECENT_SMOOTHING * (took_ms - row.recent_ms)
+    slow_ms = max(JUMP_FACTOR * row.usual_ms, row.usual_ms + JUMP_MIN_MS)
+    slow_ms += N_LOOP_TURNS * own_delay_ms
+    is_known = row.n_answers >= N_ANSWERS_MIN and not is_ramping(ramp, now_ns)
+    if not is_known or row.recent_ms <= slow_ms:
+        row.usual_ms += _USUAL_SMOOTHING * (took_ms - row.usual_ms)
+        row.jumped_ns = row.n_slow = 0
+        return False
+    if not row.jumped_ns:
+        row.jumped_ns = now_ns
+    elif took_ms > slow_ms and now_ns - int(took_ms * 1e6) >= row.jumped_ns:
+        row.n_slow += 1
+    if row.n_slow < N_SLOW_ANSWERS:
+        return False
+    begin_ramp(ramp, now_ns)
+    return True
 
 
 def _age_s(ramp: SlowStart, now_ns: int) -> float:
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -31,10 +31,11 @@
 from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.records import Route, UpstreamSession
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.slow_start import SlowStart, observe_answer
+from bergamotferry.slow_start import SlowStart
 
 from .background import report_failure, start_task
 from .clock import now_ns
+from .cold_watch import note_answer, note_slowness, sleep_and_note_delay
 from .crash_watch import note_end, note_good_run, verdict_now
 from .decision_log import log_dispatch
 from .dispatcher_table import UpstreamWork
@@ -49,6 +50,7 @@
 NS_PER_MS = 1_000_000
 # A filing is waited for longer than its caller waits, so that its outcome is recorded.
 FILING_GRACE_NS = 30_000_000_000
+_TOO_SLOW = ResultCode.DEADLINE_EXPIRED_RUNNING
 
 
 @dataclass(slots=True)
@@ -149,7 +151,7 @@
                 if not (work.is_ordering or is_settled) and state.has_host_lease:
                     start_task(order_grants(state, http, work), pending)
                 _start_ready(work)
-            await asyncio.sleep(DISPATCHER_TICK_S)
+            await sleep_and_note_delay(state, DISPATCHER_TICK_S)
 
 
 async def _admit(
@@ -204,10 +206,13 @@
         outcome = await run_abortable(work, call)
         if isinstance(outcome, Served):
             took_ms = (now_ns() - started_ns) / NS_PER_MS
-            observe_answer(work.queue.ramp, took_ms, now_ns())
+            note_answer(state, work, ticket, took_ms, outcome.status)
             note_good_run(state, work, ticket)
         elif request.progress.is_reset:
             await note_end(state, work)
+        elif outcome is not None and outcome.code is _TOO_SLOW:
+            # It would have taken at least as long.
+            note_slowness(state, work, ticket, (now_ns() - started_ns) / NS_PER_MS)
         note_latency(state, work, request, outcome, started_ns)
         return outcome
     finally:
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -48,6 +48,7 @@
     """All upstreams that this host dispatches for, by name.
 
     Requests go over these two sessions only, whose tracing "not run" rests on.
+    ``loop_delay_ms`` is how late this host's own event loop was of late.
     """
 
     works: dict[str, UpstreamWork] = field(default_factory=dict)
@@ -60,4 +61,5 @@
     link_budget: LinkBudget | None = None
     latencies: LatencyTable = field(default_factory=LatencyTable)
     hot_keys: HotKeyCounts = field(default_factory=HotKeyCounts)
+    loop_delay_ms: float = 0.0
     ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -136,6 +136,10 @@
         self.is_over = True
 
 
+# Far longer than an answer takes on a busy machine.
+LATE_S = 0.3
+
+
 class RawUpstream:
     """Answers each request by the next line of a script, or the last of them."""
 
@@ -176,6 +180,9 @@
                 return
             if action == "silent":
                 continue
+            if action.startswith("late "):
+                await asyncio.sleep(LATE_S)
+                action = action.removeprefix("late ")
             is_closing = action.endswith("close")
             writer.write(ANSWERS[action.removesuffix(" close")])
             await writer.drain()
@@ -189,6 +196,7 @@
     "short": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata",
     "no length": b"HTTP/1.1 200 OK\r\n\r\ndata",
     "half chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata",
+    "missing": b"HTTP/1.1 404 None\r\nContent-Length: 4\r\n\r\nnone",
     "shed": (
         b"HTTP/1.1 503 Busy\r\nBergamotferry-Not-Started: true\r\n"
         b"Content-Length: 0\r\n\r\n"
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from request_fakes import SHARD, KeepingSink, RawUpstream, make_head
 
 from bergamotferry.admission import UpstreamQueue
@@ -13,8 +14,15 @@
 from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.result_codes import ResultCode as Code
 from bergamotferry.shards import hash_of_key
-from bergamotferry.slow_start import SlowStart
+from bergamotferry.slow_start import (
+    N_ANSWERS_MIN,
+    N_QUICK_ANSWERS,
+    AnswerTimes,
+    SlowStart,
+    is_ramping,
+)
 from bergamotferry_host import dispatch
+from bergamotferry_host.clock import now_ns
 from bergamotferry_host.dispatcher_table import UpstreamWork
 from bergamotferry_host.exchange import RequestBody, Served
 
@@ -30,6 +38,16 @@
     return work
 
 
+def add_warm_peers(upstream, service, n_peers):
+    works = upstream.state.dispatchers.works
+    for number in range(n_peers):
+        session = works["u1"].session._replace(name=f"p{number}", service=service)
+        # So slow that this test's own machine is quicker.
+        times = {"lookup": AnswerTimes(N_ANSWERS_MIN, 500.0, 500.0)}
+        queue = UpstreamQueue(2, SlowStart(0, times=times))
+        works[session.name] = UpstreamWork(session, 6, queue)
+
+
 def start(upstream, head, sink=None):
     body = RequestBody.empty()
     work = dispatch.dispatch_here(upstream.state, head, body, sink or KeepingSink())
@@ -225,6 +243,41 @@
     assert asyncio.run(run()) == expected
 
 
+def test_the_ramp_ends_early_only_beside_warm_peers_and_for_good_answers():
+    async def run(script, service, n_peers):
+        async with RawUpstream(script) as upstream:
+            work = add_work(upstream)
+            add_warm_peers(upstream, service, n_peers)
+            work.queue.ramp = SlowStart(now_ns() - 3_000_000_000)
+            for _ in range(N_QUICK_ANSWERS):
+                work.queue.ramp.tokens = 1.0
+                assert isinstance(await start(upstream, LOOKUP), Served)
+            return is_ramping(work.queue.ramp, work.queue.ramp.began_ns)
+
+    assert not asyncio.run(run("whole", "testlog", 2))
+    assert asyncio.run(run("whole", "testlog", 1))
+    assert asyncio.run(run("whole", "other", 2))
+    assert asyncio.run(run("missing", "testlog", 2))
+
+
+@pytest.mark.parametrize("fault", ["late whole", "silent", "end"])
+def test_a_cold_start_that_nobody_announced_begins_the_ramp_anew(fault):
+    async def run():
+        async with RawUpstream("whole") as upstream:
+            ramp = add_work(upstream).queue.ramp = SlowStart(0)
+            for _ in range(2 * N_ANSWERS_MIN):
+                await start(upstream, LOOKUP)
+            assert not is_ramping(ramp, now_ns())
+            upstream.script = [fault]
+            for _ in range(N_ANSWERS_MIN):
+                await start(upstream, LOOKUP._replace(deadline_ms=500))
+                if is_ramping(ramp, now_ns()):
+                    return True
+            return False
+
+    assert asyncio.run(run())
+
+
 def test_host_that_catches_up_dispatches_nothing():
     async def run(head):
         async with RawUpstream("whole") as upstream:
