--- /dev/null
+++ b/packages/bergamotferry/tests/replication_cluster.py
@@ -0,0 +1,398 @@
+"""A group of replicas with simulated time, clocks, network and disks.
+
+What must hold is checked after each step of a host: one leader in a term, one lease at
+a time, the same entry committed at an index everywhere, and each new leader has all of
+them. Tests choose the faults.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from bergamotferry import replication_snapshot, replication_state
+from bergamotferry.commands import FinishHandover
+from bergamotferry.messages import Member, Membership
+from bergamotferry.records import HostAddress, ShardId
+from bergamotferry.replication import (
+    Replica,
+    Snapshot,
+    accept_committed,
+    begin_transfer,
+    compact_log,
+    entries_from,
+    install_snapshot,
+    last_index,
+    leader_lease_until_ns,
+    mark_persisted,
+    membership_at,
+    propose,
+    receive,
+    start_replica,
+    take_messages,
+    take_prompt_messages,
+    take_unpersisted,
+    term_at,
+    tick,
+)
+from bergamotferry.replication_membership import Joiner, plan_membership
+
+NS_PER_MS = 1_000_000
+TICK_NS = 20 * NS_PER_MS
+GROUP = "dc:a"
+N_FAULTS = 100
+SEEDS = (
+    HostAddress("a1", "a", "r", "", True),
+    HostAddress("a2", "a", "r", "", False),
+    HostAddress("a3", "a", "r", "", False),
+    HostAddress("b1", "b", "r", "", True),
+)
+HOSTS = [seed.name for seed in SEEDS]
+FIRST = Membership((Member("a1", "first", True), Member("b1", "first", True)), ())
+
+
+@dataclass
+class Disk:
+    """What a disk holds: the last snapshot and everything persisted after it."""
+
+    term: int = 0
+    voted_for: Member | None = None
+    entries: list = field(default_factory=list)
+    snapshot: Snapshot | None = None
+
+    def write(self, unpersisted):
+        self.term, self.voted_for = unpersisted.term, unpersisted.voted_for
+        first = unpersisted.truncate_from
+        if unpersisted.snapshot is not None:
+            self.snapshot = unpersisted.snapshot
+            self.entries = []
+        elif first:
+            self.entries = [e for e in self.entries if e.log_index < first]
+        self.entries.extend(unpersisted.entries)
+
+
+@dataclass
+class Host:
+    """A host of the simulation, with a clock of its own rate and offset."""
+
+    me: Member
+    replica: Replica
+    disk: Disk | None
+    clock_offset_ns: int
+    clock_percent: int
+    is_paused: bool = False
+    in_flight: tuple | None = None
+    inbox: list = field(default_factory=list)
+    applied_index: int = 0
+    digest: int = 0
+
+
+class ClusterModel:
+    """Hosts of a data centre and one of its sibling, with links that can be cut."""
+
+    waits_for_disk = True
+    plans_membership = True
+    # A message for which this holds never arrives.
+    is_dropped = staticmethod(lambda message: False)
+
+    def start(self, seed):
+        self.rng = random.Random(seed)
+        replication_snapshot.SNAPSHOT_CHUNK_BYTES = 16
+        # Small messages make entries of earlier terms arrive by themselves.
+        replication_state.ENTRIES_PER_MESSAGE_MAX = self.rng.choice([1, 256])
+        self.now_ns = 10**12
+        self.n_started = 0
+        self.n_proposed = 0
+        self.cut = set()
+        self.fault_rate = 0.0
+        self.leaders = {}
+        self.entries = {}
+        self.committed = {}
+        self.digests = {0: 0}
+        self.hosts = {}
+        for seed_row in SEEDS:
+            is_first = seed_row.is_durable
+            self._start_host(seed_row, Disk() if is_first else None, is_first)
+        self._run(4000)
+        assert any(len(h.replica.membership.voters) == 3 for h in self.hosts.values())
+
+    def _start_host(self, row, disk, is_first=False):
+        self.n_started += 1
+        incarnation = "first" if is_first else str(self.n_started)
+        me = Member(row.name, incarnation, row.is_durable)
+        membership = FIRST if is_first else Membership((), ())
+        replica = Replica(GROUP, me, membership, random.Random(self.rng.random()))
+        host = Host(
+            me, replica, disk, self.rng.randrange(10**12), self.rng.randint(99, 101)
+        )
+        if disk is not None:
+            replica.term, replica.voted_for = disk.term, disk.voted_for
+            if disk.snapshot is not None:
+                replica.snapshot = disk.snapshot
+                replica.membership = disk.snapshot.membership
+                replica.snapshot_index = disk.snapshot.last_index
+                replica.snapshot_term = disk.snapshot.last_term
+                self._load(host, disk.snapshot)
+            replica.log = list(disk.entries)
+        start_replica(replica, self._clock(host))
+        self.hosts[row.name] = host
+
+    def _clock(self, host):
+        return host.clock_offset_ns + self.now_ns * host.clock_percent // 100
+
+    def _load(self, host, snapshot):
+        index, digest = eval(snapshot.data.decode())
+        assert index == snapshot.last_index
+        host.applied_index, host.digest = index, digest
+
+    def _send(self, host, messages):
+        for row in messages:
+            self._deliver_later(host.me.host, row.host, row.message)
+
+    def _deliver_later(self, sender, receiver, message):
+        delay_ns = 0
+        if self.rng.random() < self.fault_rate:
+            delay_ns = self.rng.choice([1, 2, 5, 20, 50]) * TICK_NS
+        inbox = self.hosts[receiver].inbox
+        inbox.append((self.now_ns + delay_ns, sender, message))
+
+    def _step(self, host):
+        now_ns = self._clock(host)
+        inbox, host.inbox = host.inbox, []
+        if self.fault_rate:
+            self.rng.shuffle(inbox)
+        for due_ns, sender, message in inbox:
+            if due_ns > self.now_ns:
+                host.inbox.append((due_ns, sender, message))
+                continue
+            chance = self.rng.random()
+            is_lost = (sender, host.me.host) in self.cut or self.is_dropped(message)
+            if is_lost or chance < self.fault_rate / 4:
+                continue
+            if chance > 1 - self.fault_rate / 4:
+                self._deliver_later(sender, host.me.host, message)
+            receive(host.replica, message, now_ns)
+            self._check_leader(host)
+        tick(host.replica, now_ns)
+        self._flush(host, now_ns, self.rng.random() < 2 * self.fault_rate)
+
+    def _flush(self, host, now_ns, is_disk_slow):
+        replica = host.replica
+        self._send(host, take_prompt_messages(replica))
+        if not self.waits_for_disk:
+            self._send(host, take_messages(replica))
+        if host.in_flight is None:
+            unpersisted = take_unpersisted(replica)
+            held = take_messages(replica)
+            host.in_flight = (unpersisted, held, replica.term, last_index(replica))
+        if not is_disk_slow:
+            self._finish_write(host, now_ns)
+        self._check_leader(host)
+        self._apply(host)
+
+    def _finish_write(self, host, now_ns):
+        unpersisted, held, term, index = host.in_flight
+        host.in_flight = None
+        if unpersisted is not None:
+            if host.disk is not None:
+                host.disk.write(unpersisted)
+            mark_persisted(host.replica, term, index, now_ns)
+        self._send(host, held)
+
+    def _apply(self, host):
+        replica = host.replica
+        if host.applied_index < replica.snapshot_index:
+            self._load(host, replica.snapshot)
+        for entry in entries_from(replica, host.applied_index + 1):
+            if entry.log_index > replica.commit_index:
+                break
+            host.applied_index = entry.log_index
+            host.digest = hash((host.digest, entry))
+        known = self.digests.setdefault(host.applied_index, host.digest)
+        assert known == host.digest, "tables differ after the same index"
+
+    def _check_leader(self, host):
+        replica = host.replica
+        if replica.role != "leader" or replica.term in self.leaders:
+            if replica.role == "leader":
+                assert self.leaders[replica.term] == host.me, "two leaders in a term"
+            return
+        is_newest = replica.term > max(self.leaders, default=-1)
+        self.leaders[replica.term] = host.me
+        if is_newest:
+            for index, entry in self.committed.items():
+                if index > replica.snapshot_index:
+                    known = entries_from(replica, index)[:1]
+                    assert known == [entry], f"the new leader lacks committed {index}"
+
+    def run(self, milliseconds):
+        self.fault_rate = 0.0
+        self._run(milliseconds)
+
+    def run_with_faults(self, fault_rate, seed):
+        """Bad links, slow disks, and some other rule every few hundred ms."""
+        self.rng = random.Random(seed)
+        self.fault_rate = fault_rate
+        for _ in range(N_FAULTS):
+            self._run(self.rng.choice([60, 300, 900]))
+            self._fault()
+        self.cut = set()
+        for host in self.hosts.values():
+            host.is_paused = False
+
+    def _fault(self):
+        rng, name = self.rng, self.rng.choice(HOSTS)
+        is_yes = rng.random() < 0.5
+        pairs = [(a, b) for a in HOSTS for b in HOSTS if a != b]
+        kind = rng.randrange(9)
+        if kind == 0:
+            self.pause(name, not self.hosts[name].is_paused)
+        elif kind == 1:
+            self.restart(name, is_yes, rng.random() < 0.2)
+        elif kind == 2:
+            self.cut_links(set(rng.sample(pairs, rng.randrange(9))))
+        elif kind == 3:
+            self.cut_links(set())
+        elif kind == 4:
+            self.compact(name)
+        elif kind == 5:
+            self.fetch(name, rng.choice(HOSTS))
+        elif kind == 6 and is_yes:
+            self.hand_over()
+        elif kind == 7 and rng.random() < 0.3:
+            self.restart_all(is_yes)
+        self.propose_at_leaders(3)
+
+    def _run(self, milliseconds, is_over=lambda: False):
+        """Run, or stop in the middle of a tick; return whether that was so."""
+        for _ in range(milliseconds * NS_PER_MS // TICK_NS):
+            self.now_ns += TICK_NS
+            for name in self.rng.sample(HOSTS, len(HOSTS)):
+                if not self.hosts[name].is_paused:
+                    self._step(self.hosts[name])
+                if is_over():
+                    return True
+            if self.plans_membership:
+                self._plan()
+            self.check_leases()
+        return False
+
+    def run_until(self, condition, milliseconds=6000):
+        """Run until a condition holds; what was sent last can still be cut off."""
+        assert self._run(milliseconds, condition), "the condition did not come about"
+        self.check_leases()
+        self.check_logs()
+
+    def leading(self):
+        """Return the leader of the newest term."""
+        leaders = [h for h in self.hosts.values() if h.replica.role == "leader"]
+        return max(leaders, key=lambda host: host.replica.term)
+
+    def link_only(self, *pairs):
+        """Cut every link but those between the pairs, both ways."""
+        kept = {(a, b) for pair in pairs for a, b in (pair, pair[::-1])}
+        self.cut = {(a, b) for a in HOSTS for b in HOSTS if a != b} - kept
+
+    def _plan(self):
+        """Every leader plans, also one that does not know that it was replaced."""
+        for host in self.hosts.values():
+            replica = host.replica
+            if host.is_paused or replica.role != "leader" or self.rng.random() < 0.7:
+                continue
+            now_ns = self._clock(host)
+            joiners = {
+                name: Joiner(other.me, now_ns)
+                for name, other in self.hosts.items()
+                if not other.is_paused and (name, host.me.host) not in self.cut
+            }
+            membership = plan_membership(replica, joiners, SEEDS, now_ns)
+            if membership is not None:
+                propose(replica, membership, now_ns)
+
+    def propose_commands(self, name, count):
+        for _ in range(count):
+            self.n_proposed += 1
+            command = FinishHandover(ShardId("s", "", self.n_proposed), 1)
+            host = self.hosts[name]
+            propose(host.replica, command, self._clock(host))
+
+    def propose_at_leaders(self, count):
+        for name, host in self.hosts.items():
+            if host.replica.role == "leader":
+                self.propose_commands(name, count)
+
+    def pause(self, name, is_paused):
+        self.hosts[name].is_paused = is_paused
+
+    def cut_links(self, pairs):
+        self.cut = pairs
+
+    def restart(self, name, writes, loses_disk):
+        self._restart(name, writes, loses_disk and name == "b1")
+
+    def restart_all(self, writes):
+        for name in HOSTS:
+            self._restart(name, writes, False)
+
+    def _restart(self, name, writes, loses_disk):
+        host = self.hosts[name]
+        if writes and host.in_flight is not None and host.disk is not None:
+            # The write reached the disk, but nobody was told.
+            if host.in_flight[0] is not None:
+                host.disk.write(host.in_flight[0])
+        row = SEEDS[HOSTS.index(name)]
+        if not row.is_durable:
+            self._start_host(row, None)
+        elif loses_disk:
+            self._start_host(row, Disk())
+        else:
+            self._start_host(row, host.disk, host.me.incarnation == "first")
+            self.hosts[name].me = self.hosts[name].replica.me = host.me
+
+    def compact(self, name):
+        host = self.hosts[name]
+        replica = host.replica
+        if host.applied_index > replica.snapshot_index:
+            index = host.applied_index
+            data = repr((index, host.digest)).encode()
+            membership = membership_at(replica, index)
+            term = term_at(replica, index)
+            compact_log(replica, Snapshot(index, term, membership, data))
+            replica.is_snapshot_dirty = True
+
+    def fetch(self, name, source):
+        host, other = self.hosts[name].replica, self.hosts[source].replica
+        if host is other or self.hosts[name].is_paused:
+            return
+        if host.commit_index < other.snapshot_index:
+            now_ns = self._clock(self.hosts[name])
+            install_snapshot(host, other.snapshot, now_ns)
+        after = host.commit_index - other.snapshot_index
+        entries = tuple(
+            e for e in other.log[max(0, after) :] if e.log_index <= other.commit_index
+        )
+        now_ns = self._clock(self.hosts[name])
+        accept_committed(host, entries, other.commit_index, now_ns)
+
+    def hand_over(self):
+        for host in self.hosts.values():
+            begin_transfer(host.replica, self._clock(host))
+
+    def check_leases(self):
+        holders = [
+            host.me
+            for host in self.hosts.values()
+            if self._clock(host) < leader_lease_until_ns(host.replica)
+        ]
+        assert len(holders) <= 1, f"two leader leases: {holders}"
+
+    def check_logs(self):
+        for host in self.hosts.values():
+            for entry in host.replica.log:
+                place = (entry.log_index, entry.term)
+                assert self.entries.setdefault(place, entry) == entry, place
+                if entry.log_index <= host.replica.commit_index:
+                    known = self.committed.setdefault(entry.log_index, entry)
+                    assert known == entry, "two entries committed at an index"
+
+    def teardown(self):
+        replication_snapshot.SNAPSHOT_CHUNK_BYTES = 256 * 1024
+        replication_state.ENTRIES_PER_MESSAGE_MAX = 256
--- a/packages/bergamotferry/tests/test_replication_rules.py
+++ b/packages/bergamotferry/tests/test_replication_rules.py
@@ -105,6 +105,15 @@
     assert take_unpersisted(voter).voted_for == A
 
 
+def test_vote_is_written_also_in_a_term_that_is_on_disk_already():
+    voter = make_replica(me=B)
+    voter.term = 2
+    late_ns = START_NS + ELECTION_MIN_NS
+    receive(voter, RequestVote("g", 2, A, 0, 0, False, False), late_ns)
+    assert take_messages(voter)[0].message.is_granted
+    assert take_unpersisted(voter)[:2] == (2, A)
+
+
 def test_entry_of_an_earlier_term_is_committed_only_with_one_of_this_term():
     now_ns = START_NS + 10**9
     leader = make_leader(now_ns, terms=(1, 1))
