End a stop of all hosts when their own work is done, and lead until then

Cause: a host that stops waited 3 s for another to take its upstreams over, also when all others were stopping or gone; and it gave its leadership up before its work was done, so that with all hosts stopping no group had a leader to commit the outcomes of filings in flight. Ruled out: learning of it from the leader's reply to a renewal, which would change that message; a host's own status says already whether it stops. Change: a host that stops asks the others of its data centre every 0.3 s, and the voters of its groups once, whether they stay. Without a successor it refuses at once, finishes its work, and only then gives up the leadership of groups that no staying voter can lead. This moves from daemon.py into planned_stop.py. Conclusion: a run of real processes is not part of this change.

--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -26,13 +26,12 @@
 
 from .bootstrap import DATA_CENTRE_PREFIX, groups_of_host
 from .caller_edge import build_caller_app
-from .clock import now_ns
 from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
 from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
-from .group import Group, answer_propose, hand_over_leadership, post
+from .group import Group, answer_propose, post
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .group_start import start_group
@@ -53,16 +52,13 @@
 from .operator_queries import answer_query
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
+from .planned_stop import drain
 from .readiness import run_readiness
 from .request_path import serve_peer
 from .settings import Settings, split_address
 from .upstream_edge import add_upstream_routes
 from .write_guard import guarded_client
 
-DRAIN_NOTICE_S = 1.0
-DRAIN_POLL_S = 0.02
-REFUSE_NOTICE_S = 0.3
-SUCCESSOR_WAIT_NS = 3_000_000_000
 EDGE_STOP_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 1024
 
@@ -85,7 +81,7 @@
         )
         failed = [task for task in done if task is not stop_task]
         if not failed:
-            await _drain(state)
+            await drain(state)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -216,41 +212,3 @@
         ).start()
         runners.append(runner)
     return runners
-
-
-async def _drain(state: HostState) -> None:
-    """Hand over what this host holds, and let work in flight finish.
-
-    The host goes on serving while it is no longer ready, until the balancer has seen
-    that and its upstreams have other dispatchers; only then does it refuse.
-    """
-    log("stopping", n_in_flight=state.n_in_flight)
-    deadline_ns = now_ns() + int(state.settings.stop_grace_s * 1e9)
-    state.is_stopping = True
-    await asyncio.sleep(DRAIN_NOTICE_S)
-    await _wait_handed_over(state, deadline_ns)
-    await asyncio.gather(*map(hand_over_leadership, state.groups.values()))
-    state.is_refusing = True
-    await asyncio.sleep(REFUSE_NOTICE_S)
-    while now_ns() < deadline_ns:
-        is_dispatching = any(
-            work.in_flight for work in state.dispatchers.works.values()
-        )
-        if not state.n_in_flight and not is_dispatching:
-            return
-        await asyncio.sleep(DRAIN_POLL_S)
-
-
-async def _wait_handed_over(state: HostState, deadline_ns: int) -> None:
-    started_ns = now_ns()
-    while now_ns() < deadline_ns:
-        mine = [
-            row
-            for row in state.own_tables.dispatchers.values()
-            if row.host == state.host.name
-        ]
-        # When no host is left to take over, waiting for one would only cost time.
-        is_idle = not any(w.in_flight for w in state.dispatchers.works.values())
-        if not mine or (is_idle and now_ns() - started_ns > SUCCESSOR_WAIT_NS):
-            return
-        await asyncio.sleep(DRAIN_POLL_S)
