--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -15,6 +15,7 @@
 from bergamotferry.retry_budget import backoff_ms, earn_try, spend_try
 from bergamotferry.routing import find_owner, home_of_shard
 
+from .background import report_failure
 from .clock import now_ns
 from .decision_log import log_attempt
 from .dispatch import dispatch_here
@@ -24,12 +25,10 @@
     Served,
     caller_gone,
     is_taken,
-    no_body,
 )
 from .host_state import HostState
 from .peer_link import PeerStream, PeerUnreachable, StreamBroken
-from .peer_network import hosts_of_data_centre
-from .slow_link import SlowLink
+from .slow_link import SlowLink, traffic_class_of
 
 NS_PER_MS = 1_000_000
 N_ATTEMPTS_MAX = 60
@@ -45,8 +44,11 @@
         ResultCode.UPSTREAM_SHED,
         ResultCode.NO_LEADER,
         ResultCode.HOST_STOPPING,
+        ResultCode.HOST_NOT_READY,
     }
 )
+# These hold for all that is asked of a host just now.
+_OF_THE_HOST = frozenset({ResultCode.HOST_STOPPING, ResultCode.HOST_NOT_READY})
 # These have cost an upstream work, so that trying again is budgeted.
 _COSTLY = frozenset(
     {
@@ -60,7 +62,6 @@
 
 async def serve_request(
     state: HostState,
-    data_centre: str,
     is_idempotent: bool,
     head: RequestHead,
     body: RequestBody,
@@ -81,12 +82,11 @@
         if isinstance(home, Refused):
             refusal = home
             break
-        data_centre = home
-        outcome = await _attempt(state, data_centre, attempt, body, sink)
+        outcome = await _attempt(state, home, attempt, body, sink)
         if isinstance(outcome, Served) or outcome.code is ResultCode.CALLER_GONE:
             return outcome
         if sink.has_head:
-            return await _resume(state, data_centre, head, deadline_ns, sink, outcome)
+            return await _resume(state, home, head, deadline_ns, sink, outcome)
         refusal = outcome
         if not outcome.is_not_run:
             maybe_run = outcome
@@ -141,7 +141,7 @@
             range_header=f"bytes={sink.n_bytes}-",
             if_match=sink.etag,
         )
-        body = RequestBody(no_body())
+        body = RequestBody.empty()
         rest = _RestSink(sink)
         outcome = await _attempt(state, data_centre, attempt, body, rest)
         if isinstance(outcome, Served):
@@ -160,6 +160,7 @@
     """Dispatch a request that another host forwarded."""
     body = RequestBody(stream)
     link = SlowLink.from_request(state, stream.link.peer, head)
+    stream.traffic_class = link.traffic_class
     sink = _PeerSink(stream, link)
     outcome: Served | Refused | None = link.refusal(head.deadline_ms)
     if state.is_refusing:
@@ -177,7 +178,7 @@
         refusal = ResponseHead(
             outcome.code, outcome.detail, 0, (), dispatcher, 0, False
         )
-        await stream.send_head(refusal)
+        await stream.send_head(refusal, True)
 
 
 class CountingSink:
@@ -289,7 +290,7 @@
         if not isinstance(owner, Refused):
             return owner.dispatcher.host
         return state.host.name
-    hosts = hosts_of_data_centre(state.network.addresses, data_centre)
+    hosts = state.network.hosts.get(data_centre, ())
     hint = state.dispatcher_hints.get((data_centre, head.shard), "")
     if hint in hosts and state.network.is_reachable(hint):
         return hint
@@ -321,15 +322,22 @@
     sink: AnswerSink,
 ) -> Served | Refused:
     try:
-        stream = await state.network.open_stream(host, head)
+        stream = await state.network.open_stream(
+            host, head, body.is_empty, traffic_class_of(state, head)
+        )
     except PeerUnreachable:
         return Refused(ResultCode.OWNER_UNREACHABLE, f"host {host} is unreachable")
-    sender = asyncio.create_task(_send_body(stream, body))
+    sender = None
+    if not body.is_empty:
+        sender = asyncio.create_task(_send_body(stream, body))
+        sender.add_done_callback(report_failure)
     try:
         async with asyncio.timeout(head.deadline_ms / 1000 + 0.5):
-            response: ResponseHead = await stream.receive_head()
+            response = await stream.receive_head()
+            if not isinstance(response, ResponseHead):
+                raise StreamBroken("the answer has no head")
             if response.status == 0:
-                if response.code == ResultCode.HOST_STOPPING:
+                if response.code in _OF_THE_HOST:
                     state.network.note_unreachable(host)
                 detail = response.dispatcher or response.detail
                 return Refused(ResultCode(response.code), detail)
@@ -341,9 +349,10 @@
             return Refused(ResultCode.CALLER_GONE, "the body broke off")
         return Refused(ResultCode.ANSWER_BROKEN, f"the stream to {host} broke")
     finally:
-        sender.cancel()
-        # Waited for, since two readers of one body would take parts of each other.
-        await asyncio.wait([sender])
+        if sender is not None:
+            sender.cancel()
+            # Waited for, since two readers of one body would take parts of each other.
+            await asyncio.wait([sender])
         await stream.cancel()
 
 
@@ -354,10 +363,12 @@
         await stream.end()
     except (StreamBroken, PeerUnreachable):
         return
-    except (aiohttp.ClientError, OSError):
+    except Exception as error:
         # The caller's body broke: the dispatcher must not take it for whole.
         await stream.cancel()
         stream.break_off()
+        if not isinstance(error, aiohttp.ClientError | OSError):
+            raise
 
 
 async def _pass_on(
