Prove that the epochs of grants and dispatchers only rise

Ruled out: that the machine's upstreams catch it; a shared epoch looks to them like the grant that they know. Change: random commands on a data centre's tables, five seeds; each grant of a shard has a higher epoch than all before, an epoch has one owner and an upstream's dispatcher epoch one host. Seen failing: without raising the counter at a grant, and without raising it at a new dispatcher, 5 of 5 seeds each.

--- /dev/null
+++ b/packages/bergamotferry/tests/test_epochs.py
@@ -0,0 +1,62 @@
+"""Epochs of grants and dispatchers only rise, whatever is committed in what order."""
+
+import random
+
+import pytest
+
+from bergamotferry.commands import (
+    AssignDispatcher,
+    CloseSession,
+    ConfirmRelease,
+    GrantShards,
+    OpenSession,
+    RevokeShards,
+)
+from bergamotferry.data_centre_tables import (
+    DataCentreTables,
+    apply_data_centre_command,
+)
+from bergamotferry.records import ShardId
+
+SHARDS = tuple(ShardId("s", "", number) for number in range(3))
+N_COMMANDS = 400
+
+
+def draw_command(rng, tables):
+    name = rng.choice(("u1", "u2"))
+    session = tables.sessions.get(name)
+    if session is None or rng.random() < 0.05:
+        incarnation = rng.choice((1, 2, 3))
+        return OpenSession(name, "s", f"{name}:1", incarnation, 2, 9, True)
+    dispatcher = tables.dispatchers.get(name)
+    shards = tuple(rng.sample(SHARDS, 2))
+    grants = [tables.grants[shard] for shard in shards if shard in tables.grants]
+    held = tuple(grant.shard for grant in grants)
+    epochs = tuple(grant.epoch for grant in grants)
+    commands = [
+        GrantShards(name, session.incarnation, shards, (1, 1)),
+        RevokeShards(held, epochs),
+        ConfirmRelease(held, epochs),
+        AssignDispatcher(name, rng.choice("hk"), dispatcher.epoch if dispatcher else 0),
+        CloseSession(name, session.incarnation, "left", session.opened_epoch),
+    ]
+    return rng.choices(commands, (6, 4, 4, 1, 0.3))[0]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_epoch_of_a_shard_rises_with_each_grant(seed):
+    rng, tables = random.Random(seed), DataCentreTables()
+    newest, sent_by, n_grants = {}, {}, 0
+    for _ in range(N_COMMANDS):
+        before = dict(tables.grants)
+        apply_data_centre_command(tables, draw_command(rng, tables))
+        for shard, grant in tables.grants.items():
+            owner = (grant.upstream, grant.incarnation)
+            if shard not in before:
+                assert grant.epoch > newest.get(shard, (0,))[0]
+                newest[shard] = (grant.epoch, owner)
+                n_grants += 1
+            assert newest[shard] == (grant.epoch, owner)
+        for row in tables.dispatchers.values():
+            assert sent_by.setdefault((row.upstream, row.epoch), row.host) == row.host
+    assert n_grants > N_COMMANDS / 20
