--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/filings.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/filings.py
@@ -1,7 +1,9 @@
 """Sends filings as a caller does, and counts how often the stand-ins ran each."""
 
+import asyncio
+import random
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -13,6 +15,8 @@
 from .records_check import read_records
 
 BROKEN = -1
+OUTCOME_UNKNOWN = 2001
+N_TRIES_MAX = 12
 
 
 class FilingAnswer(NamedTuple):
@@ -50,6 +54,31 @@
     return FilingAnswer(code, is_not_run)
 
 
+async def file_until_known(
+    http: aiohttp.ClientSession,
+    hosts: Sequence[HostProcess],
+    number: int,
+    told: list[FilingAnswer],
+) -> None:
+    """Send a filing until its outcome is known, through one host after another.
+
+    ``told`` gets every answer. Some callers send twice from the start.
+    """
+    rng = random.Random(number)
+    tries = [rng.sample(hosts, 2)] if number % 5 == 0 else []
+    tries += [[rng.choice(hosts)] for _ in range(N_TRIES_MAX)]
+    for chosen in tries:
+        sends = [
+            send_filing(http, host, f"key-{number % 97}", f"f{number}")
+            for host in chosen
+        ]
+        answers = await asyncio.gather(*sends)
+        told += answers
+        if any(answer.code in (0, OUTCOME_UNKNOWN) for answer in answers):
+            return
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
+
 def count_filing_runs(paths: Iterable[Path]) -> Counter[str]:
     """Return how often each filing ran, by its idempotency key."""
     return Counter(
--- a/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import random
 import signal
 import time
 from collections import Counter
@@ -17,7 +16,11 @@
     RouteShape,
     ServiceShape,
 )
-from bergamotferry_testkit.filings import count_filing_runs, send_filing
+from bergamotferry_testkit.filings import (
+    count_filing_runs,
+    file_until_known,
+    send_filing,
+)
 from bergamotferry_testkit.local_deployment import LocalDeployment, wait_ready
 from bergamotferry_testkit.measure_faults import _set_state, start_ready
 
@@ -35,27 +38,10 @@
 MOVE_TIMEOUT_S = 15.0
 N_FILINGS = 500
 RATE_PER_S = 100.0
-N_TRIES_MAX = 12
 CALLER_TIMEOUT_S = 4.0
 SERVED_SHARE_MIN = 0.9
 
 
-async def file(http, hosts, number, told):
-    """Send a filing until its outcome is known, through one host after another."""
-    rng = random.Random(number)
-    key, idempotency_key = f"key-{number % 97}", f"f{number}"
-    # Some callers send twice from the start.
-    tries = [rng.sample(hosts, 2)] if number % 5 == 0 else []
-    tries += [[rng.choice(hosts)] for _ in range(N_TRIES_MAX)]
-    for chosen in tries:
-        sends = [send_filing(http, host, key, idempotency_key) for host in chosen]
-        answers = await asyncio.gather(*sends)
-        told[idempotency_key] += answers
-        if any(code in (0, 2001) for code, _ in answers):
-            return
-        await asyncio.sleep(rng.uniform(0.0, 0.2))
-
-
 async def play(deployment):
     """Send the filings while hosts and an upstream are ended and frozen."""
     timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
@@ -79,7 +65,7 @@
                 done = faults[number]()
                 if done is not None:
                     tasks.append(asyncio.create_task(done))
-            work = file(http, deployment.hosts, number, told)
+            work = file_until_known(http, deployment.hosts, number, told[f"f{number}"])
             tasks.append(asyncio.create_task(work))
             await asyncio.sleep(1 / RATE_PER_S)
         await asyncio.gather(*tasks)
