--- /dev/null
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/filings.py
@@ -0,0 +1,88 @@
+"""Sends filings as a caller does, and counts how often the stand-ins ran each."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+
+from .answers import filing_answer
+from .deployments import CALLER_TOKENS
+from .local_deployment import HostProcess
+from .records_check import read_records
+
+BROKEN = -1
+OUTCOME_UNKNOWN = 2001
+N_TRIES_MAX = 12
+
+
+class FilingAnswer(NamedTuple):
+    """The result code, or `BROKEN` if no whole answer came, and "not run"."""
+
+    code: int
+    is_not_run: bool
+
+
+async def send_filing(
+    http: aiohttp.ClientSession, host: HostProcess, key: str, idempotency_key: str
+) -> FilingAnswer:
+    """Send a filing of the service ``testlog`` once.
+
+    Raises
+    ------
+    ValueError
+        If it was served with the answer of another request.
+    """
+    headers = {
+        "Authorization": f"Bearer {CALLER_TOKENS['inspectors']}",
+        "Idempotency-Key": idempotency_key,
+    }
+    url = f"http://{host.caller_address}/v1/testlog/filing/{key}"
+    body = b"filing " + idempotency_key.encode()
+    try:
+        async with http.post(url, headers=headers, data=body) as response:
+            got = await response.read()
+            code = int(response.headers["Bergamotferry-Code"])
+            is_not_run = response.headers["Bergamotferry-Not-Run"] == "true"
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return FilingAnswer(BROKEN, False)
+    if code == 0 and got != filing_answer("testlog", "filing", key, body):
+        raise ValueError(f"{idempotency_key}: the answer is of another request")
+    return FilingAnswer(code, is_not_run)
+
+
+async def file_until_known(
+    http: aiohttp.ClientSession,
+    hosts: Sequence[HostProcess],
+    number: int,
+    told: list[FilingAnswer],
+) -> None:
+    """Send a filing until its outcome is known, through one host after another.
+
+    ``told`` gets every answer. Some callers send twice from the start.
+    """
+    rng = random.Random(number)
+    tries = [rng.sample(hosts, 2)] if number % 5 == 0 else []
+    tries += [[rng.choice(hosts)] for _ in range(N_TRIES_MAX)]
+    for chosen in tries:
+        sends = [
+            send_filing(http, host, f"key-{number % 97}", f"f{number}")
+            for host in chosen
+        ]
+        answers = await asyncio.gather(*sends)
+        told += answers
+        if any(answer.code in (0, OUTCOME_UNKNOWN) for answer in answers):
+            return
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
+
+def count_filing_runs(paths: Iterable[Path]) -> Counter[str]:
+    """Return how often each filing ran, by its idempotency key."""
+    return Counter(
+        record["idempotency_key"]
+        for record in read_records(paths)
+        if record["event"] == "run" and record["idempotency_key"]
+    )
