--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -14,9 +14,12 @@
     Command,
     ConfirmRelease,
     DrainSession,
+    DropExceptions,
+    EndExceptions,
     ForgetIntent,
     GrantShards,
     ImportOutcomes,
+    MakeException,
     OpenSession,
     RecordCrash,
     RecordIntent,
@@ -26,8 +29,14 @@
     RetireDispatcher,
     RevokeShards,
 )
+from .key_exceptions import (
+    drop_exceptions,
+    end_exceptions,
+    homes_with_exceptions,
+    make_exception,
+    may_be_granted,
+)
 from .outcome_tables import (
-    HOME_EPOCH_SHIFT,
     forget_intent,
     import_outcomes,
     record_intent,
@@ -36,8 +45,10 @@
 from .outcomes import Accepted, Refused
 from .quarantine import record_crash
 from .records import (
+    HOME_EPOCH_SHIFT,
     Dispatcher,
     Grant,
+    KeyException,
     OutcomeRecord,
     QuarantineRecord,
     ShardId,
@@ -62,6 +73,8 @@
     quarantine: dict[str, QuarantineRecord] = field(default_factory=dict)
     outcome_body_bytes: int = 0
     imported_homes: dict[ShardId, int] = field(default_factory=dict)
+    key_exceptions: dict[ShardId, KeyException] = field(default_factory=dict)
+    exception_shards: dict[tuple[ShardId, int], ShardId] = field(default_factory=dict)
 
 
 def apply_data_centre_command(
@@ -89,6 +102,12 @@
             return _confirm_release(tables, command)
         case ReleaseHomes():
             return _release_homes(tables, command)
+        case MakeException():
+            return make_exception(tables, command)
+        case EndExceptions():
+            return end_exceptions(tables, command)
+        case DropExceptions():
+            return drop_exceptions(tables, command)
         case RetireDispatcher():
             return _retire_dispatcher(tables, command)
         case AssignDispatcher():
@@ -139,7 +158,7 @@
 def _supersede(tables: DataCentreTables, name: str) -> None:
     # A new incarnation at the same address proves that the old process has ended, but
     # not that its dispatcher knows: until that one has stopped, it may send work for
-    # the old grants to the new process. They are freed with the next dispatcher.
+    # the old grants to the new process. The next dispatcher asks that for them.
     dispatcher = tables.dispatchers.get(name)
     if dispatcher is None:
         _drop_session(tables, name)
@@ -202,7 +221,8 @@
     for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
         is_free = shard not in tables.grants and shard.service == session.service
         # A leader whose global tables lag must not grant what was released for good.
-        if is_free and home_epoch > tables.released_homes.get(shard, 0):
+        is_here = home_epoch > tables.released_homes.get(shard, 0)
+        if is_free and is_here and may_be_granted(tables, shard, home_epoch):
             tables.last_epoch += 1
             epoch = (home_epoch << HOME_EPOCH_SHIFT) | tables.last_epoch
             tables.grants[shard] = Grant(
@@ -228,8 +248,9 @@
 
 
 def _release_homes(tables: DataCentreTables, command: ReleaseHomes) -> Accepted:
+    kept = homes_with_exceptions(tables)
     for shard, home_epoch in zip(command.shards, command.home_epochs, strict=True):
-        if shard not in tables.grants:
+        if shard not in tables.grants and shard not in kept:
             known = tables.released_homes.get(shard, 0)
             tables.released_homes[shard] = max(known, home_epoch)
     return Accepted(tables.last_epoch)
@@ -256,8 +277,4 @@
     tables.dispatchers[command.upstream] = Dispatcher(
         command.upstream, command.host, tables.last_epoch, "serving"
     )
-    # The old dispatcher has stopped, so nobody sends under an old incarnation's grants.
-    for shard, grant in list(tables.grants.items()):
-        if grant.upstream == session.name and grant.incarnation != session.incarnation:
-            del tables.grants[shard]
     return Accepted(tables.last_epoch)
--- a/packages/bergamotferry/src/bergamotferry/global_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/global_placement.py
@@ -26,9 +26,13 @@
 
 @dataclass(slots=True)
 class RebalanceState:
-    """Since when shards of a service and home domain are unevenly spread."""
+    """Since when shards of a service and home domain are unevenly spread.
+
+    ``looked_at`` is what the systems read when they last found nothing to do.
+    """
 
     uneven_since_ns: dict[tuple[str, str], int] = field(default_factory=dict)
+    looked_at: object = None
 
 
 def run_global_placement(
@@ -46,6 +50,19 @@
     return commands
 
 
+def is_placement_due(rebalance: RebalanceState, seen: object) -> bool:
+    """Return whether the systems must run; ``seen`` is the state of what they read.
+
+    Only unevenness calls for something by the time that it lasts.
+    """
+    return bool(rebalance.uneven_since_ns) or seen != rebalance.looked_at
+
+
+def note_placement(rebalance: RebalanceState, seen: object, has_acted: bool) -> None:
+    """Note that the systems ran; what they decided may not come about."""
+    rebalance.looked_at = None if has_acted else seen
+
+
 def capacity_after_out(
     tables: GlobalTables, reports: Mapping[str, CapacityReport], name: str
 ) -> list[CapacityAfterOut]:
@@ -145,7 +162,10 @@
 def begin_handovers(
     tables: GlobalTables, reports: Mapping[str, CapacityReport]
 ) -> list[GlobalCommand]:
-    """Hand over the shards of data centres that are out or have no slots for them."""
+    """Hand over the shards of data centres that are out or may not or can't hold them.
+
+    A data centre may not if the shard's home region no longer names its region.
+    """
     leaving = [
         shard
         for shard, home in tables.shard_homes.items()
@@ -190,6 +210,9 @@
     row = tables.data_centres.get(data_centre)
     if row is None or row.state != "in":
         return True
+    if shard.domain and row.region not in regions_allowed_for_shard(tables, shard):
+        # The home region was changed since the shard was placed.
+        return True
     report = reports.get(data_centre)
     return report is not None and not dict(report.n_slots).get(shard.service, 0)
 
--- a/packages/bergamotferry/src/bergamotferry/ownership.py
+++ b/packages/bergamotferry/src/bergamotferry/ownership.py
@@ -20,7 +20,9 @@
     RevokeShards,
 )
 from .data_centre_tables import DataCentreTables
-from .global_tables import GlobalTables
+from .dispatcher_spread import spread_dispatchers
+from .global_tables import GlobalTables, is_withdrawn
+from .key_exceptions import homes_with_exceptions
 from .leases import (
     NS_PER_MS,
     LeaseTable,
@@ -31,15 +33,17 @@
     is_session_expired,
     live_hosts,
 )
-from .outcome_tables import HOME_EPOCH_SHIFT
 from .placement import choose_targets, shards_over_share, shards_to_fill
-from .records import Dispatcher, Grant, ShardId
+from .records import HOME_EPOCH_SHIFT, Dispatcher, Grant, ShardId
 
 N_MOVES_PER_TICK = 8
 N_MOVES_IN_FLIGHT = 16
 FILL_INTERVAL_MS = 300
 # How long a data centre that is taken out goes on with shards that no other may take.
 OUT_GRACE_MS = 1500
+# Capacity is counted in whole numbers, and a slow upstream's is a part of its slots.
+CAPACITY_SCALE = 100
+EVEN: Mapping[str, float] = {}
 
 
 def run_ownership(
@@ -48,12 +52,12 @@
     leases: LeaseTable,
     data_centre: str,
     now_ns: int,
-    is_placing: bool = True,
+    share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Run the systems once and return the commands to commit, in order.
 
-    Leases are looked at every time. Placement reads all shards, and need run only when
-    the tables have changed, or now and then: see ``is_placing``.
+    ``share_weights`` is what the share of some upstreams is multiplied by, because they
+    are slow. See ``ownership_pace`` for when to run.
     """
     follow_sessions(leases, tables.sessions, now_ns)
     forget_reports(leases, tables.dispatchers, tables.grants)
@@ -61,13 +65,13 @@
     commands += close_sessions(tables, leases, now_ns)
     commands += assign_dispatchers(tables, leases, now_ns)
     commands += confirm_releases(tables, leases, now_ns)
-    if not is_placing:
-        return commands
+    if not commands:
+        commands += spread_dispatchers(tables, leases, now_ns)
     commands += release_homes(tables, global_tables, leases, data_centre, now_ns)
     commands += revoke_leaving(tables)
     if not _is_out(global_tables, data_centre):
-        commands += grant_free_shards(tables, global_tables, data_centre)
-        commands += move_shards(tables, global_tables, leases, now_ns)
+        commands += grant_free_shards(tables, global_tables, data_centre, share_weights)
+        commands += move_shards(tables, global_tables, leases, now_ns, share_weights)
     return commands
 
 
@@ -163,6 +167,8 @@
 ) -> list[DataCentreCommand]:
     """Revoke shards that do not belong here, and give up those that are handed over.
 
+    Those of a withdrawn service or home region belong nowhere.
+
     While operators take the data centre out, a shard is served here until its handover
     begins; what can go nowhere else stops with the end of `OUT_GRACE_MS`. Homes older
     than a grant come from global tables that lag, and say nothing about it.
@@ -171,17 +177,23 @@
     revoked: list[Grant] = []
     for grant in tables.grants.values():
         home = global_tables.shard_homes.get(grant.shard)
-        if home is None or home.epoch < grant.epoch >> HOME_EPOCH_SHIFT:
+        if home is None:
+            if grant.state == "held" and is_withdrawn(global_tables, grant.shard):
+                revoked.append(grant)
+            continue
+        if home.epoch < grant.epoch >> HOME_EPOCH_SHIFT:
             continue
         is_staying = home.data_centre == data_centre and not home.next_data_centre
         if grant.state == "held" and (is_over or not is_staying):
             revoked.append(grant)
+    kept = homes_with_exceptions(tables)
     given_up = [
         (shard, home.epoch)
         for shard, home in global_tables.shard_homes.items()
         if home.data_centre == data_centre
         and home.next_data_centre
         and shard not in tables.grants
+        and shard not in kept
         and tables.released_homes.get(shard, 0) < home.epoch
     ]
     commands: list[DataCentreCommand] = []
@@ -206,12 +218,15 @@
 
 
 def grant_free_shards(
-    tables: DataCentreTables, global_tables: GlobalTables, data_centre: str
+    tables: DataCentreTables,
+    global_tables: GlobalTables,
+    data_centre: str,
+    share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Grant the shards that belong here and have no owner."""
     commands: list[DataCentreCommand] = []
     for service in global_tables.services:
-        weights = _serving_slots(tables, service)
+        weights = _serving_capacity(tables, service, share_weights)
         homes = {
             shard: home.epoch
             for shard, home in global_tables.shard_homes.items()
@@ -237,6 +252,7 @@
     global_tables: GlobalTables,
     leases: LeaseTable,
     now_ns: int,
+    share_weights: Mapping[str, float] = EVEN,
 ) -> list[DataCentreCommand]:
     """Revoke some shards of upstreams that hold more than their share.
 
@@ -247,25 +263,38 @@
     if n_moves <= 0:
         return []
     is_fill_due = now_ns - leases.fill_checked_ns >= FILL_INTERVAL_MS * NS_PER_MS
+    is_fill_due = is_fill_due and is_fill_open(leases)
     if is_fill_due:
         leases.fill_checked_ns = now_ns
     shards: list[ShardId] = []
     for service in global_tables.services:
-        weights = _serving_slots(tables, service)
+        weights = _serving_capacity(tables, service, share_weights)
         if weights:
             owned = _owners(tables, service)
             shards += shards_over_share(owned, weights, n_moves)
             if is_fill_due and not shards:
                 shards += shards_to_fill(owned, weights, n_moves)
     held = [
-        tables.grants[shard] for shard in shards if _is_movable(tables, leases, shard)
+        tables.grants[shard] for shard in shards if is_movable(tables, leases, shard)
     ][:n_moves]
     return [_revoke(held)] if held else []
 
 
-def _is_movable(tables: DataCentreTables, leases: LeaseTable, shard: ShardId) -> bool:
-    # Only a live dispatcher can get a shard back, so without one it is served longer
-    # where it is.
+def is_fill_open(leases: LeaseTable) -> bool:
+    """Return whether upstreams may hold too little that were not looked for yet.
+
+    That ranks all upstreams for each shard, so it isn't done again for the same tables.
+    """
+    changed_ns = leases.tables_changed_ns
+    return changed_ns is None or leases.fill_checked_ns < changed_ns
+
+
+def is_movable(tables: DataCentreTables, leases: LeaseTable, shard: ShardId) -> bool:
+    """Return whether a held shard can be got back, and so be moved, just now.
+
+    Only a live dispatcher can get a shard back, so without one it is served longer
+    where it is.
+    """
     grant = tables.grants[shard]
     dispatcher = tables.dispatchers.get(grant.upstream)
     if grant.state != "held" or dispatcher is None or dispatcher.state != "serving":
@@ -301,17 +330,29 @@
     )
 
 
-def _serving_slots(tables: DataCentreTables, service: str) -> dict[str, int]:
+def _serving_capacity(
+    tables: DataCentreTables, service: str, share_weights: Mapping[str, float]
+) -> dict[str, int]:
+    """Return the slots of each upstream in hundredths, with its weight if it is slow.
+
+    None is nothing: a straggler keeps a shard, by whose requests its return is seen.
+    """
     return {
-        session.name: session.n_slots
+        session.name: max(
+            1,
+            round(
+                session.n_slots * CAPACITY_SCALE * share_weights.get(session.name, 1.0)
+            ),
+        )
         for session in tables.sessions.values()
         if session.service == service and session.state == "serving"
     }
 
 
 def _owners(tables: DataCentreTables, service: str) -> Mapping[ShardId, str]:
+    # Shards of single keys are placed by their load, see ``hot_key_placement``.
     return {
         shard: grant.upstream
         for shard, grant in tables.grants.items()
-        if shard.service == service
+        if shard.service == service and shard not in tables.key_exceptions
     }
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -25,13 +25,13 @@
     take_ready,
     withdraw,
 )
+from bergamotferry.hot_keys import count_request
 from bergamotferry.messages import RequestHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.quarantine import request_fingerprint
 from bergamotferry.records import Route, UpstreamSession
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.slow_start import SlowStart, observe_answer
-from bergamotferry.stragglers import N_ANSWERS_MIN, observe_latency
 
 from .background import report_failure, start_task
 from .clock import now_ns
@@ -40,9 +40,10 @@
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .host_state import HostState
+from .observations import note_latency
 from .orders import order_grants
 from .run_once import deliver, read_content, run_once
-from .upstream_call import check_owner, open_upstream_session, send_to_upstream
+from .upstream_call import check_owner_of_key, open_upstream_session, send_to_upstream
 
 DISPATCHER_TICK_S = 0.02
 NS_PER_MS = 1_000_000
@@ -98,18 +99,20 @@
         return Refused(ResultCode.MISSING_IDEMPOTENCY_KEY, "send Idempotency-Key")
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
     # Asked before the body is read, and again after: it may come slowly.
-    owner = check_owner(state, head.shard)
+    owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
     content = await read_content(body, route, deadline_ns)
     if isinstance(content, Refused):
         return content
-    owner = check_owner(state, head.shard)
+    owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
+    count_request(state.dispatchers.hot_keys, head, owner.session.name, now_ns())
+    place = (owner.grant.shard, owner.grant.epoch)
     trace.upstream, trace.epoch = owner.session.name, owner.grant.epoch
     work = state.dispatchers.works.get(owner.session.name)
-    if work is None or work.confirmed.get(head.shard) != owner.grant.epoch:
+    if work is None or work.confirmed.get(place[0]) != place[1]:
         return Refused(ResultCode.NO_OWNER, "the owner has not confirmed the grant yet")
     queued_ns = now_ns()
     ticket = await _admit(state, work, head, route, content, deadline_ns)
@@ -120,7 +123,8 @@
     request = UpstreamRequest(
         owner, route, head, body, deadline_ns, give_up_ns, content
     )
-    work.in_flight[head.shard] = work.in_flight.get(head.shard, 0) + 1
+    work.in_flight[place] = work.in_flight.get(place, 0) + 1
+    work.n_bulk_in_flight += route.traffic_class == "bulk"
     if route.is_idempotent:
         return await _run_idempotent(state, work, ticket, request, sink)
     return await _run_filing(state, work, ticket, request, sink)
@@ -141,22 +145,13 @@
         while True:
             _follow_sessions(state)
             for work in state.dispatchers.works.values():
-                if not work.is_ordering and state.has_host_lease:
+                is_settled = work.settled_index == state.own_group.applied_index
+                if not (work.is_ordering or is_settled) and state.has_host_lease:
                     start_task(order_grants(state, http, work), pending)
                 _start_ready(work)
             await asyncio.sleep(DISPATCHER_TICK_S)
 
 
-def observed_latencies(state: HostState) -> tuple[tuple[str, str, float], ...]:
-    """Return service, upstream and latency of what this host dispatches for."""
-    rows = state.dispatchers.latencies.rows
-    return tuple(
-        (row.service, name, row.latency_ms)
-        for name, row in rows.items()
-        if name in state.dispatchers.works and row.n_answers >= N_ANSWERS_MIN
-    )
-
-
 async def _admit(
     state: HostState,
     work: UpstreamWork,
@@ -210,15 +205,10 @@
         if isinstance(outcome, Served):
             took_ms = (now_ns() - started_ns) / NS_PER_MS
             observe_answer(work.queue.ramp, took_ms, now_ns())
-            observe_latency(
-                state.dispatchers.latencies,
-                work.session.service,
-                work.session.name,
-                took_ms,
-            )
             note_good_run(state, work, ticket)
         elif request.progress.is_reset:
             await note_end(state, work)
+        note_latency(state, work, request, outcome, started_ns)
         return outcome
     finally:
         finish(work.queue, ticket.request_id, took_ms)
@@ -236,7 +226,7 @@
     try:
         outcome = await _send(state, work, ticket, request, sink)
     finally:
-        _end(work, request.head)
+        _end(work, request)
     if outcome is not None:
         return outcome
     if request.progress.has_head:
@@ -265,7 +255,7 @@
     # The caller may be gone when it ends.
     task.add_done_callback(report_failure)
     task.add_done_callback(lambda _: free_slot())
-    task.add_done_callback(lambda _: _end(work, request.head))
+    task.add_done_callback(lambda _: _end(work, request))
     left_s = (request.deadline_ns - now_ns()) / 1e9
     done, _ = await asyncio.wait([task], timeout=max(0.0, left_s))
     if not done:
@@ -291,10 +281,12 @@
     return None if task.cancelled() else task.result()
 
 
-def _end(work: UpstreamWork, head: RequestHead) -> None:
-    work.in_flight[head.shard] -= 1
-    if not work.in_flight[head.shard]:
-        del work.in_flight[head.shard]
+def _end(work: UpstreamWork, request: UpstreamRequest) -> None:
+    work.n_bulk_in_flight -= request.route.traffic_class == "bulk"
+    place = (request.owner.grant.shard, request.owner.grant.epoch)
+    work.in_flight[place] -= 1
+    if not work.in_flight[place]:
+        del work.in_flight[place]
 
 
 async def _wait_for_slot(work: UpstreamWork, ticket: Ticket) -> Refused | None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -7,10 +7,13 @@
 from bergamotferry.data_centre_tables import DataCentreTables
 from bergamotferry.global_placement import RebalanceState
 from bergamotferry.global_tables import GlobalTables
+from bergamotferry.hot_keys import HotKeyReports
 from bergamotferry.leases import LeaseTable
 from bergamotferry.messages import CapacityReport
 from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.ownership_pace import OwnershipPace
 from bergamotferry.records import HostAddress, ShardId
+from bergamotferry.stragglers import LatencyTable
 
 from .bootstrap import GLOBAL_GROUP, data_centre_group
 from .clock import now_ns
@@ -30,6 +33,16 @@
     waiters: list["asyncio.Future[Accepted | Refused]"] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class StragglerState:
+    """Latencies as hosts last reported them, the verdicts, and the weights in use."""
+
+    reports: dict[str, tuple[tuple[str, str, float], ...]] = field(default_factory=dict)
+    table: LatencyTable = field(default_factory=LatencyTable)
+    weights: dict[str, float] = field(default_factory=dict)
+    judged_ns: int = 0
+
+
 @dataclass(slots=True)
 class LeaderState:
     """What a leader holds in memory; it is void once leadership is lost."""
@@ -40,6 +53,9 @@
     report_times_ns: dict[str, int] = field(default_factory=dict)
     rebalance: RebalanceState = field(default_factory=RebalanceState)
     exported_homes: dict[ShardId, int] = field(default_factory=dict)
+    pace: OwnershipPace = field(default_factory=OwnershipPace)
+    stragglers: StragglerState = field(default_factory=StragglerState)
+    hot_keys: HotKeyReports = field(default_factory=HotKeyReports)
 
 
 @dataclass(slots=True)
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -9,8 +9,16 @@
 import asyncio
 from collections.abc import Sequence
 
-from bergamotferry.commands import Command
-from bergamotferry.global_placement import capacity_after_out, run_global_placement
+from bergamotferry.commands import Command, DataCentreCommand
+from bergamotferry.dispatcher_spread import note_bulk
+from bergamotferry.global_placement import (
+    capacity_after_out,
+    is_placement_due,
+    note_placement,
+    run_global_placement,
+)
+from bergamotferry.hot_key_placement import run_key_exceptions
+from bergamotferry.hot_keys import note_hot_keys
 from bergamotferry.leases import (
     HOST_LEASE_MS,
     SESSION_LEASE_MS,
@@ -28,6 +36,7 @@
 )
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.ownership import run_ownership
+from bergamotferry.ownership_pace import is_look_due, note_look
 from bergamotferry.replication import last_index, term_at
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
@@ -39,10 +48,11 @@
 from .outcome_transfer import handed_over, open_shards_of_fenced, send_outcomes
 from .peer_link import PeerUnreachable
 from .peer_network import hosts_of_data_centre
+from .straggler_duty import judge_if_due, note_latencies
 
 OWNERSHIP_TICK_S = 0.02
+HOT_KEYS_INTERVAL_NS = 100_000_000
 NEXT_DECISION_S = 0.005
-PLACING_NS = 100_000_000
 PLACEMENT_TICK_S = 0.2
 REPORT_TIMEOUT_S = 0.5
 REPORT_MAX_AGE_NS = 3_000_000_000
@@ -52,8 +62,7 @@
     """Run the ownership systems whenever this host leads a data centre's group."""
     data_centre = group.name.removeprefix(DATA_CENTRE_PREFIX)
     has_acted = False
-    placed_ns = 0
-    placed_at = (0, 0)
+    hot_keys_ns = 0
     while True:
         # One decision often makes the next one due, as a release does a grant.
         await asyncio.sleep(NEXT_DECISION_S if has_acted else OWNERSHIP_TICK_S)
@@ -61,20 +70,46 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
-        applied = (group.applied_index, state.global_group.applied_index)
-        is_placing = applied != placed_at or now_ns() - placed_ns > PLACING_NS
-        if is_placing:
-            placed_ns, placed_at = now_ns(), applied
-        commands = run_ownership(
-            group.tables,
-            state.global_tables,
-            leader.leases,
-            data_centre,
-            now_ns(),
-            is_placing,
+        if "stragglers" not in state.settings.request_policies_off:
+            judge_if_due(leader.stragglers, group.tables, group.name, now_ns())
+        seen = (
+            group.applied_index,
+            state.global_group.applied_index,
+            tuple(leader.stragglers.weights.items()),
         )
-        await _commit_all(group, commands)
+        commands: list[DataCentreCommand] = []
+        is_due = is_look_due(leader.pace, leader.leases, seen, now_ns())
+        if is_due:
+            commands += run_ownership(
+                group.tables,
+                state.global_tables,
+                leader.leases,
+                data_centre,
+                now_ns(),
+                leader.stragglers.weights,
+            )
+        if is_due or now_ns() - hot_keys_ns >= HOT_KEYS_INTERVAL_NS:
+            hot_keys_ns = now_ns()
+            commands += _hot_key_commands(state, group, leader, data_centre)
         has_acted = bool(commands)
+        if is_due:
+            note_look(leader.pace, leader.leases, has_acted, now_ns())
+        await _commit_all(group, commands)
+
+
+def _hot_key_commands(
+    state: HostState, group: Group, leader: LeaderState, data_centre: str
+) -> list[DataCentreCommand]:
+    if "hot-keys" in state.settings.request_policies_off:
+        return []
+    return run_key_exceptions(
+        group.tables,
+        state.global_tables,
+        leader.leases,
+        leader.hot_keys,
+        data_centre,
+        now_ns(),
+    )
 
 
 async def run_placement_duty(state: HostState) -> None:
@@ -85,9 +120,14 @@
         leader = leader_state(state, group)
         if leader is None:
             continue
+        reports = fresh_reports(leader)
+        seen = (group.applied_index, reports)
+        if not is_placement_due(leader.rebalance, seen):
+            continue
         commands = run_global_placement(
-            group.tables, fresh_reports(leader), leader.rebalance, now_ns()
+            group.tables, reports, leader.rebalance, now_ns()
         )
+        note_placement(leader.rebalance, seen, bool(commands))
         await _commit_all(group, commands)
 
 
@@ -161,6 +201,15 @@
         if not is_known or not renew_session(leases, session, now_ns()):
             lost.append(name)
     note_reports(leases, message.drained, message.released)
+    note_bulk(leases, message.host.name, message.bulk_upstreams)
+    note_latencies(leader.stragglers, message)
+    note_hot_keys(
+        leader.hot_keys,
+        message.host.name,
+        message.hot_keys,
+        message.upstream_rates,
+        now_ns(),
+    )
     return RenewLeasesReply(
         True,
         state.host.name,
--- a/packages/bergamotferry_host/tests/test_orders.py
+++ b/packages/bergamotferry_host/tests/test_orders.py
@@ -17,6 +17,7 @@
 from bergamotferry.data_centre_tables import apply_data_centre_command
 from bergamotferry.records import ShardId
 from bergamotferry_host.orders import (
+    _is_settled,
     _may_order,
     _orders_due,
     drained_upstreams,
@@ -46,7 +47,7 @@
     [
         (RetireDispatcher("u1", 2), {}, True),
         (RetireDispatcher("u1", 2), {"is_ordering": True}, False),
-        (RetireDispatcher("u1", 2), {"in_flight": {SHARDS[0]: 1}}, False),
+        (RetireDispatcher("u1", 2), {"in_flight": {(SHARDS[0], 3): 1}}, False),
         (DrainSession("u1", 1, False), {}, False),
         (DrainSession("u1", 1, True, 1), {}, True),
     ],
@@ -64,15 +65,22 @@
 
 
 def test_release_is_ordered_only_when_nothing_of_the_shard_is_in_flight() -> None:
-    host = _host_with_work(in_flight={SHARDS[0]: 1})
+    host = _host_with_work(in_flight={(SHARDS[0], 3): 1})
     tables = host.own_tables
     apply_data_centre_command(tables, GrantShards("u1", 1, (SHARDS[0],), (1,)))
     epoch = tables.grants[SHARDS[0]].epoch
     apply_data_centre_command(tables, RevokeShards((SHARDS[0],), (epoch,)))
     work = host.dispatchers.works["u1"]
     assert _orders_due(host, work) == ([], [])
+    assert not _is_settled(host, work)
     work.in_flight.clear()
     assert _orders_due(host, work) == ([], [(SHARDS[0], epoch)])
+    work.released.add((SHARDS[0], epoch))
+    assert _orders_due(host, work) == ([], [])
+    assert _is_settled(host, work)
+    # What is due without the lease shows when the host has it again.
+    host.lease_until_ns = 0
+    assert not _is_settled(host, work)
 
 
 class _Reply:
