Bound how often all requests that wait on a host try together

Each waiting request tried again after 100 to 200 ms until its deadline, however many others waited. Ruled out: the retry budget; waiting for an owner costs no upstream anything and is not part of it. Test: the tries of 1 to 5,000 that wait, seen failing with the bound out (200, 1,000 and 5,000).

--- a/packages/bergamotferry/tests/test_retry_budget.py
+++ b/packages/bergamotferry/tests/test_retry_budget.py
@@ -1,9 +1,12 @@
 """Retries stay a bounded share of the load, and pauses grow with jitter."""
 
+import pytest
+
 from bergamotferry.retry_budget import (
     PAUSE_MAX_MS,
     TRIES_MAX,
     TRIES_PER_REQUEST,
+    WAITING_TRIES_PER_S,
     RetryBudget,
     backoff_ms,
     earn_try,
@@ -28,5 +31,11 @@
 
 
 def test_pauses_double_up_to_a_bound_with_jitter():
-    assert [backoff_ms(n, 1.0) for n in range(5)] == [20, 40, 80, 160, PAUSE_MAX_MS]
-    assert [backoff_ms(n, 0.0) for n in (0, 1000)] == [10, PAUSE_MAX_MS / 2]
+    assert [backoff_ms(n, 1, 1.0) for n in range(5)] == [20, 40, 80, 160, PAUSE_MAX_MS]
+    assert [backoff_ms(n, 1, 0.0) for n in (0, 1000)] == [10, PAUSE_MAX_MS / 2]
+
+
+@pytest.mark.parametrize("n_waiting", [1, 60, 200, 1000, 5000])
+def test_requests_that_wait_try_no_more_often_together_than_a_host_bears(n_waiting):
+    shortest_s = backoff_ms(1000, n_waiting, 0.0) / 1000
+    assert n_waiting / shortest_s <= 2 * WAITING_TRIES_PER_S
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -13,7 +13,7 @@
 from bergamotferry.messages import RequestHead, ResponseHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.retry_budget import backoff_ms, earn_try, spend_try
+from bergamotferry.retry_budget import RetryBudget, backoff_ms, earn_try, spend_try
 from bergamotferry.routing import find_owner, home_of_shard
 
 from .background import report_failure
@@ -97,12 +97,17 @@
             state.metrics.incr("requests.retry_budget_spent")
             break
         if not _learn_dispatcher(state, head, outcome):
-            await _pause(n_tries)
+            await _pause(budget, n_tries)
     return _final_refusal(refusal, maybe_run, is_idempotent)
 
 
-async def _pause(n_tries: int) -> None:
-    await asyncio.sleep(backoff_ms(n_tries, random.random()) / 1000)
+async def _pause(budget: RetryBudget, n_tries: int) -> None:
+    budget.n_waiting += 1
+    try:
+        pause_ms = backoff_ms(n_tries, budget.n_waiting, random.random())
+        await asyncio.sleep(pause_ms / 1000)
+    finally:
+        budget.n_waiting -= 1
 
 
 def _may_try_again(outcome: Refused, body: RequestBody) -> bool:
@@ -153,7 +158,7 @@
         if rest.is_refused or not is_passing:
             break
         _learn_dispatcher(state, head, outcome)
-        await _pause(n_tries)
+        await _pause(state.dispatchers.retry_budget, n_tries)
     return broken
 
 
