Tell a host that has started how long its upstreams have run

Ruled out: a time of day in the session's row, which clocks that are set would make wrong in the dangerous direction. Change: a leader keeps since when it knows a session, and tells a host at its first renewal. The host takes an incarnation for as old as that at most. A new leader knows only the time since it leads; a lost answer isn't repeated: cold. Tests: ages by renewal, new opening and new leader; the ramp of a host that was told before or after it read the log, for this and another incarnation.

--- a/packages/bergamotferry/src/bergamotferry/leases.py
+++ b/packages/bergamotferry/src/bergamotferry/leases.py
@@ -34,10 +34,11 @@
 
 
 class SessionLease(NamedTuple):
-    """The lease of one opening of an upstream's session."""
+    """The lease of one opening of an upstream's session, and since when it is known."""
 
     opened_epoch: int
     expires_ns: int
+    seen_ns: int
 
 
 @dataclass(slots=True)
@@ -115,10 +116,32 @@
     if session.state == "expired" or is_session_expired(leases, session, now_ns):
         return False
     expires_ns = now_ns + granted_ns(SESSION_LEASE_MS)
-    leases.sessions[session.name] = SessionLease(session.opened_epoch, expires_ns)
+    is_known = _is_same_opening(leases, session)
+    seen_ns = leases.sessions[session.name].seen_ns if is_known else now_ns
+    lease = SessionLease(session.opened_epoch, expires_ns, seen_ns)
+    leases.sessions[session.name] = lease
     return True
 
 
+def session_ages(
+    leases: LeaseTable, sessions: Mapping[str, UpstreamSession], now_ns: int
+) -> tuple[tuple[str, int, int], ...]:
+    """Return name, incarnation and age in ms of each upstream.
+
+    The age is what this leader has seen of it, and so never too high. A host that has
+    just started is told, or it would take warm upstreams for cold ones.
+    """
+    return tuple(
+        (
+            name,
+            session.incarnation,
+            (now_ns - leases.sessions[name].seen_ns) // NS_PER_MS,
+        )
+        for name, session in sorted(sessions.items())
+        if _is_same_opening(leases, session)
+    )
+
+
 def follow_sessions(
     leases: LeaseTable, sessions: Mapping[str, UpstreamSession], now_ns: int
 ) -> None:
@@ -126,7 +149,7 @@
     for session in sessions.values():
         if not _is_same_opening(leases, session):
             expires_ns = now_ns + granted_ns(SESSION_LEASE_MS)
-            lease = SessionLease(session.opened_epoch, expires_ns)
+            lease = SessionLease(session.opened_epoch, expires_ns, now_ns)
             leases.sessions[session.name] = lease
     for name in leases.sessions.keys() - sessions.keys():
         del leases.sessions[name]
--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -222,6 +222,7 @@
     """Remaining lease times, counted by the holder from sending the renewal.
 
     The holder acts only once it has applied its data centre's log to ``since_index``.
+    ``session_ages`` tell a host that has just started how long upstreams have run.
     """
 
     is_leader: bool
@@ -230,6 +231,7 @@
     session_lease_ms: int
     lost_sessions: tuple[str, ...]
     since_index: int
+    session_ages: tuple[tuple[str, int, int], ...] = ()
 
 
 class CapacityReport(NamedTuple):
--- a/packages/bergamotferry/tests/test_leases.py
+++ b/packages/bergamotferry/tests/test_leases.py
@@ -21,12 +21,14 @@
     NS_PER_MS,
     SESSION_LEASE_MS,
     LeaseTable,
+    assume_all_granted,
     follow_sessions,
     forget_reports,
     granted_ns,
     note_reports,
     renew_host,
     renew_session,
+    session_ages,
 )
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.ownership import (
@@ -171,6 +173,21 @@
     assert isinstance(_apply(tables, _open(2)), Accepted)
 
 
+def test_age_of_an_upstream_is_never_more_than_the_leader_has_seen() -> None:
+    tables = _served()
+    leases = _leases(tables)
+    ms = NS_PER_MS
+    renew_session(leases, tables.sessions["u"], 50 * ms)
+    assert session_ages(leases, tables.sessions, 60 * ms) == (("u", 1, 60),)
+    _apply(tables, _open(2))
+    # Until the leader has followed the new incarnation it knows nothing of it.
+    assert session_ages(leases, tables.sessions, 70 * ms) == ()
+    follow_sessions(leases, tables.sessions, 80 * ms)
+    assert session_ages(leases, tables.sessions, 90 * ms) == (("u", 2, 10),)
+    assume_all_granted(leases, ["h1"], tables.sessions, 100 * ms)
+    assert session_ages(leases, tables.sessions, 101 * ms) == (("u", 2, 1),)
+
+
 def test_new_leader_keeps_dispatchers_of_hosts_it_has_not_heard_from() -> None:
     tables = _served()
     leases = _leases(tables)
--- a/packages/bergamotferry_host/src/bergamotferry_host/cold_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/cold_watch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 from bergamotferry.admission import Ticket
 from bergamotferry.slow_start import (
@@ -59,6 +60,35 @@
         )
 
 
+def note_session_ages(
+    state: HostState, session_ages: Iterable[tuple[str, int, int]]
+) -> None:
+    """Take from the leader how long upstreams have run, as a host that has started."""
+    table = state.dispatchers
+    for name, incarnation, age_ms in session_ages:
+        place = (name, incarnation)
+        seen_ns = now_ns() - age_ms * NS_PER_MS
+        if place in table.first_seen_ns:
+            seen_ns = min(seen_ns, table.first_seen_ns[place])
+            table.first_seen_ns[place] = seen_ns
+        else:
+            # The log that names this incarnation has yet to be read.
+            table.told_seen_ns[place] = seen_ns
+
+
+def see_incarnations(state: HostState) -> None:
+    """Note since when each incarnation is known, so that a new dispatcher knows too."""
+    table = state.dispatchers
+    known, told = table.first_seen_ns, table.told_seen_ns
+    sessions = state.own_tables.sessions.values()
+    present = {(row.name, row.incarnation) for row in sessions}
+    for place in present - known.keys():
+        known[place] = min(now_ns(), told.pop(place, now_ns()))
+    for place in known.keys() - present:
+        del known[place]
+        table.latencies.rows.pop(place[0], None)
+
+
 async def sleep_and_note_delay(state: HostState, pause_s: float) -> None:
     """Sleep, and note how late the event loop woke this up."""
     due_ns = now_ns() + int(pause_s * 1e9)
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -35,7 +35,12 @@
 
 from .background import report_failure, start_task
 from .clock import now_ns
-from .cold_watch import note_answer, note_slowness, sleep_and_note_delay
+from .cold_watch import (
+    note_answer,
+    note_slowness,
+    see_incarnations,
+    sleep_and_note_delay,
+)
 from .crash_watch import note_end, note_good_run, verdict_now
 from .decision_log import log_dispatch
 from .dispatcher_table import UpstreamWork
@@ -330,7 +335,7 @@
 def _follow_sessions(state: HostState) -> None:
     tables = state.own_tables
     works = state.dispatchers.works
-    _see_incarnations(state)
+    see_incarnations(state)
     for name, dispatcher in tables.dispatchers.items():
         session = tables.sessions.get(name)
         if session is None or dispatcher.host != state.host.name:
@@ -351,18 +356,6 @@
             _drop_work(state, name)
 
 
-def _see_incarnations(state: HostState) -> None:
-    # Every host notes these, so that a new dispatcher knows how warm an upstream is.
-    known = state.dispatchers.first_seen_ns
-    sessions = state.own_tables.sessions.values()
-    present = {(row.name, row.incarnation) for row in sessions}
-    for place in present - known.keys():
-        known[place] = now_ns()
-    for place in known.keys() - present:
-        del known[place]
-        state.dispatchers.latencies.rows.pop(place[0], None)
-
-
 def _new_queue(state: HostState, session: UpstreamSession) -> UpstreamQueue:
     began_ns = state.dispatchers.first_seen_ns[session.name, session.incarnation]
     off = state.dispatchers.policies_off
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -56,6 +56,7 @@
     fresh_http: aiohttp.ClientSession | None = None
     filings: set["asyncio.Task[object]"] = field(default_factory=set)
     first_seen_ns: dict[tuple[str, int], int] = field(default_factory=dict)
+    told_seen_ns: dict[tuple[str, int], int] = field(default_factory=dict)
     policies_off: frozenset[str] = frozenset()
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     link_budget: LinkBudget | None = None
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -26,6 +26,7 @@
     note_reports,
     renew_host,
     renew_session,
+    session_ages,
 )
 from bergamotferry.messages import (
     CapacityAnswer,
@@ -186,6 +187,8 @@
     if group is None or leader is None:
         return RenewLeasesReply(False, group.leader if group else "", 0, 0, (), 0)
     leases = leader.leases
+    known = leases.hosts.get(message.host.name)
+    has_just_started = known is None or known.incarnation != message.incarnation
     lease = renew_host(
         leases,
         message.host.name,
@@ -217,6 +220,9 @@
         SESSION_LEASE_MS,
         tuple(lost),
         lease.since_index,
+        session_ages(leases, group.tables.sessions, now_ns())
+        if has_just_started
+        else (),
     )
 
 
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from request_fakes import SHARD, KeepingSink, RawUpstream, make_head
+from request_fakes import SHARD, KeepingSink, RawUpstream, make_head, make_state
 
 from bergamotferry.admission import UpstreamQueue
 from bergamotferry.commands import MakeException, RecordCrash
@@ -17,12 +17,14 @@
 from bergamotferry.slow_start import (
     N_ANSWERS_MIN,
     N_QUICK_ANSWERS,
+    RAMP_S,
     AnswerTimes,
     SlowStart,
     is_ramping,
 )
 from bergamotferry_host import dispatch
 from bergamotferry_host.clock import now_ns
+from bergamotferry_host.cold_watch import note_session_ages, see_incarnations
 from bergamotferry_host.dispatcher_table import UpstreamWork
 from bergamotferry_host.exchange import RequestBody, Served
 
@@ -278,6 +280,23 @@
     assert asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_told_first", [True, False])
+@pytest.mark.parametrize(("incarnation", "is_cold"), [(1, False), (2, True)])
+def test_host_that_has_started_learns_how_warm_upstreams_are(
+    is_told_first, incarnation, is_cold
+):
+    state = make_state()
+    ages = [("u1", incarnation, int(1000 * RAMP_S))]
+    if is_told_first:
+        note_session_ages(state, ages)
+        see_incarnations(state)
+    else:
+        see_incarnations(state)
+        note_session_ages(state, ages)
+    queue = dispatch._new_queue(state, state.own_tables.sessions["u1"])
+    assert is_ramping(queue.ramp, now_ns()) == is_cold
+
+
 def test_host_that_catches_up_dispatches_nothing():
     async def run(head):
         async with RawUpstream("whole") as upstream:
