Give the start of a deployment, and operators' questions, modules of their own

Cause: eighteen modules and tests imported from the demo and from the measurement of faults what has nothing to do with either, two of them private names of it. Change: deployment_start brings a deployment to where requests can be sent; leader_of_group and set_data_centre_state are with the other questions in control.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/compare_policies.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/compare_policies.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from .demo import addresses_by_region, apply_first_note, wait_owned
+from .deployment_start import addresses_by_region, apply_first_note, wait_owned
 from .deployments import DeploymentShape, RouteShape, ServiceShape
 from .load import plan_load, run_load
 from .local_deployment import LocalDeployment, wait_ready
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/control.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/control.py
@@ -1,5 +1,6 @@
 """Asks a host's control address as an operator, for the testkit's own use."""
 
+import json
 from collections.abc import Callable
 from typing import Any
 
@@ -7,7 +8,7 @@
 
 from bergamotferry.shards import shard_of_key
 
-from .local_deployment import OPERATOR_TOKEN
+from .local_deployment import OPERATOR_TOKEN, LocalDeployment
 
 N_KEYS_TRIED = 400
 _HEADERS = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
@@ -43,6 +44,32 @@
     return keys
 
 
+async def leader_of_group(deployment: LocalDeployment, group: str) -> str:
+    """Return the host that leads a group, as the first host knows it."""
+    status = await ask_control(deployment.hosts[0].control_address, "status")
+    for host in status["hosts"]:
+        for row in host.get("groups", []):
+            if row["group"] == group and row["role"] == "leader":
+                return str(host["host"])
+    raise RuntimeError(f"{group} has no leader")
+
+
+async def set_data_centre_state(
+    deployment: LocalDeployment, number: int, name: str, region: str, state: str
+) -> None:
+    """Take a data centre out or in with a release note of its own."""
+    row = {"name": name, "region": region, "state": state}
+    note = {
+        "number": number,
+        "based_on": number - 1,
+        "changed": {"data_centres": [row]},
+    }
+    address = deployment.hosts[-1].control_address
+    answer = await post_control(address, "notes", json.dumps(note))
+    if "revision" not in answer:
+        raise RuntimeError(f"note {number} was refused: {answer}")
+
+
 async def _ask(
     method: str, address: str, path: str, text: str | None
 ) -> dict[str, Any]:
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/demo.py
@@ -3,19 +3,21 @@
 import argparse
 import asyncio
 import json
-import subprocess
-import sys
 import time
 from pathlib import Path
 from typing import Any
 
-from .control import ask_control
-from .deployments import SHAPES, first_note
+from .deployment_start import (
+    READY_TIMEOUT_S,
+    addresses_by_region,
+    apply_first_note,
+    wait_owned,
+)
+from .deployments import SHAPES
 from .load import LoadResult, plan_load, run_load
-from .local_deployment import OPERATOR_TOKEN, LocalDeployment, wait_ready
+from .local_deployment import LocalDeployment, wait_ready
 from .records_check import RunCheck, check_runs
 
-READY_TIMEOUT_S = 20.0
 PERCENTILES = (50.0, 99.0)
 
 
@@ -51,26 +53,6 @@
     return build_report(arguments.deployment, result, check, ready_s)
 
 
-async def wait_owned(deployment: LocalDeployment, timeout_s: float) -> int:
-    """Wait until every shard has an owner; return how many have one."""
-    deadline_s = time.monotonic() + timeout_s
-    n_expected = sum(service.n_shards for service in deployment.shape.services)
-    # The first service has a home domain of its own as well.
-    n_expected += deployment.shape.services[0].n_shards
-    n_owned = 0
-    while time.monotonic() < deadline_s:
-        n_owned = 0
-        for data_centre in deployment.stand_in_words:
-            host = deployment.hosts_of(data_centre)[0]
-            body = await ask_control(host.control_address, "upstreams")
-            n_owned += sum(row["n_shards"] for row in body.get("upstreams", []))
-        if n_owned >= n_expected:
-            await asyncio.sleep(0.3)
-            return n_owned
-        await asyncio.sleep(0.1)
-    return n_owned
-
-
 def build_report(
     name: str, result: LoadResult, check: RunCheck, ready_s: float
 ) -> dict[str, Any]:
@@ -143,34 +125,6 @@
     raise SystemExit(0 if is_good(report) else 1)
 
 
-async def apply_first_note(deployment: LocalDeployment) -> None:
-    """Apply the first release note, trying again while the groups elect leaders."""
-    path = deployment.folder / "note-1.json"
-    path.write_text(json.dumps(first_note(deployment.shape), indent=2))
-    addresses = ",".join(host.control_address for host in deployment.hosts)
-    command = [sys.executable, "-m", "bergamotferry_ctl.main", "--json"]
-    command += ["--addresses", addresses, "--token", OPERATOR_TOKEN]
-    deadline_s = time.monotonic() + READY_TIMEOUT_S
-    while True:
-        done = await asyncio.to_thread(
-            subprocess.run, [*command, "apply", str(path)], capture_output=True
-        )
-        if done.returncode == 0:
-            _say(f"applied: {done.stdout.decode().strip()}")
-            return
-        if time.monotonic() > deadline_s:
-            raise RuntimeError(f"the note was not applied: {done.stdout.decode()}")
-        await asyncio.sleep(0.2)
-
-
-def addresses_by_region(deployment: LocalDeployment) -> dict[str, list[str]]:
-    """Return the callers' addresses of each region."""
-    addresses: dict[str, list[str]] = {}
-    for host in deployment.hosts:
-        addresses.setdefault(host.region, []).append(host.caller_address)
-    return addresses
-
-
 def _say(text: str) -> None:
     print(f"demo: {text}", flush=True)
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_faults.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_faults.py
@@ -7,31 +7,27 @@
 from pathlib import Path
 from typing import Any
 
-from .control import ask_control, find_keys, post_control
-from .demo import addresses_by_region, apply_first_note, wait_owned
+from .control import (
+    ask_control,
+    find_keys,
+    leader_of_group,
+    post_control,
+    set_data_centre_state,
+)
+from .deployment_start import addresses_by_region, start_ready
 from .deployments import DeploymentShape
 from .fault_plan import host_named, set_stand_in_fault
 from .load import LoadResult, plan_load, run_load
-from .local_deployment import HostProcess, LocalDeployment, wait_ready
+from .local_deployment import HostProcess, LocalDeployment
 from .probes import judge_probes, probe_keys
 from .recorded_owners import wait_stable
 
-READY_TIMEOUT_S = 20.0
 PROBE_EVERY_S = 0.05
 PROBE_BEFORE_S = 1.0
 PROBE_AFTER_S = 4.0
 N_PROBE_KEYS = 8
 
 
-async def start_ready(deployment: LocalDeployment) -> None:
-    """Start a deployment and wait until every shard has an owner."""
-    deployment.start()
-    await apply_first_note(deployment)
-    if not await wait_ready(deployment.hosts, READY_TIMEOUT_S):
-        raise RuntimeError("the hosts did not become ready in time")
-    await wait_owned(deployment, READY_TIMEOUT_S)
-
-
 async def measure_failover(
     shape: DeploymentShape, folder: Path, is_quick: bool
 ) -> dict[str, Any]:
@@ -92,11 +88,11 @@
         )
         load = asyncio.create_task(run_load(planned, deployment.archive_bytes))
         await asyncio.sleep(3.0)
-        await _set_state(deployment, 2, data_centre, region, "out")
+        await set_data_centre_state(deployment, 2, data_centre, region, "out")
         out_s = time.clock_gettime(time.CLOCK_BOOTTIME)
         await asyncio.sleep(6.0)
         in_s = time.clock_gettime(time.CLOCK_BOOTTIME)
-        await _set_state(deployment, 3, data_centre, region, "in")
+        await set_data_centre_state(deployment, 3, data_centre, region, "in")
         result = await load
     finally:
         deployment.stop()
@@ -160,7 +156,7 @@
         victim = mine[0]["dispatcher"]
     elif kind != "upstream":
         group = "global" if kind.startswith("global") else f"dc:{data_centre}"
-        victim = await _leader(deployment, group)
+        victim = await leader_of_group(deployment, group)
     asker = next(
         host
         for host in deployment.hosts
@@ -178,35 +174,11 @@
     return victim, keys, asker
 
 
-async def _leader(deployment: LocalDeployment, group: str) -> str:
-    status = await ask_control(deployment.hosts[0].control_address, "status")
-    for host in status["hosts"]:
-        for row in host.get("groups", []):
-            if row["group"] == group and row["role"] == "leader":
-                return str(host["host"])
-    raise RuntimeError(f"{group} has no leader")
-
-
 async def _upstreams(deployment: LocalDeployment, data_centre: str) -> dict[str, Any]:
     host = deployment.hosts_of(data_centre)[0]
     return await ask_control(host.control_address, "upstreams")
 
 
-async def _set_state(
-    deployment: LocalDeployment, number: int, name: str, region: str, state: str
-) -> None:
-    row = {"name": name, "region": region, "state": state}
-    note = {
-        "number": number,
-        "based_on": number - 1,
-        "changed": {"data_centres": [row]},
-    }
-    address = deployment.hosts[-1].control_address
-    answer = await post_control(address, "notes", json.dumps(note))
-    if "revision" not in answer:
-        raise RuntimeError(f"note {number} was refused: {answer}")
-
-
 def _last_run_s(path: Path, out_s: float, in_s: float) -> float:
     last_s = 0.0
     for line in path.read_text().splitlines():
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_hot_keys.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_hot_keys.py
@@ -16,9 +16,9 @@
 from bergamotferry.slow_start import RAMP_S
 
 from .answers import lookup_answer
+from .deployment_start import start_ready
 from .deployments import CALLER_TOKENS, EZO_LUMEN, DeploymentShape, ServiceShape
 from .local_deployment import LocalDeployment
-from .measure_faults import start_ready
 from .measure_load import POLICIES_VARIABLE
 from .ownership_check import check_keys, check_ownership
 from .paced_load import Lookup, PacedResult, run_paced
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_load.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_load.py
@@ -6,12 +6,11 @@
 from pathlib import Path
 from typing import Any
 
-from .demo import addresses_by_region
+from .deployment_start import addresses_by_region, start_ready
 from .deployments import DeploymentShape, RouteShape, ServiceShape
 from .fault_plan import set_stand_in_fault
 from .load import LoadResult, plan_load, run_load
 from .local_deployment import LocalDeployment
-from .measure_faults import start_ready
 
 POLICIES_VARIABLE = "BERGAMOTFERRY_REQUEST_POLICIES_OFF"
 SLOW_SERVICE_MS = 60.0
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_ownership.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_ownership.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 from typing import Any
 
+from .deployment_start import start_ready
 from .deployments import DeploymentShape
 from .fault_plan import set_stand_in_fault
 from .local_deployment import LocalDeployment
-from .measure_faults import start_ready
 from .recorded_owners import STABLE_FOR_S, GrantedShard, wait_stable
 
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/soak.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/soak.py
@@ -7,12 +7,11 @@
 from pathlib import Path
 from typing import Any
 
-from .demo import (
+from .demo import build_report, print_report
+from .deployment_start import (
     READY_TIMEOUT_S,
     addresses_by_region,
     apply_first_note,
-    build_report,
-    print_report,
     wait_owned,
 )
 from .deployments import SHAPES
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/two_host_bench.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/two_host_bench.py
@@ -17,7 +17,7 @@
 from bergamotferry_host.orders import shard_text
 
 from .answers import lookup_answer
-from .demo import READY_TIMEOUT_S, apply_first_note, wait_owned
+from .deployment_start import READY_TIMEOUT_S, apply_first_note, wait_owned
 from .deployments import CALLER_TOKENS, DeploymentShape, RouteShape, ServiceShape
 from .local_deployment import HOST_MODULE, HostProcess, LocalDeployment, wait_ready
 from .paced_load import Lookup
--- a/packages/bergamotferry_testkit/tests/test_dispatchers_spread_back.py
+++ b/packages/bergamotferry_testkit/tests/test_dispatchers_spread_back.py
@@ -7,13 +7,13 @@
 
 from bergamotferry_testkit.balanced_load import BalancedLoad
 from bergamotferry_testkit.control import ask_control
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import (
     DeploymentShape,
     RouteShape,
     ServiceShape,
 )
 from bergamotferry_testkit.local_deployment import LocalDeployment, stop_processes
-from bergamotferry_testkit.measure_faults import start_ready
 
 SHAPE = DeploymentShape(
     "spread",
--- a/packages/bergamotferry_testkit/tests/test_filings_by_role.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_by_role.py
@@ -9,7 +9,8 @@
 
 import aiohttp
 
-from bergamotferry_testkit.control import ask_control
+from bergamotferry_testkit.control import ask_control, leader_of_group
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import DeploymentShape, RouteShape, ServiceShape
 from bergamotferry_testkit.fault_plan import host_named
 from bergamotferry_testkit.filings import (
@@ -19,7 +20,6 @@
     send_filing,
 )
 from bergamotferry_testkit.local_deployment import LocalDeployment
-from bergamotferry_testkit.measure_faults import _leader, start_ready
 from bergamotferry_testkit.ownership_check import check_ownership
 
 SHAPE = DeploymentShape(
@@ -42,7 +42,7 @@
     """Return the process that has a role in data centre a, and how to start it."""
     if role == "upstream":
         return deployment.stand_ins["a"], lambda: deployment.start_stand_ins("a")
-    leader = await _leader(deployment, "dc:a")
+    leader = await leader_of_group(deployment, "dc:a")
     name = leader
     if role == "dispatcher":
         host = deployment.hosts_of("a")[0]
--- a/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
@@ -10,7 +10,12 @@
 
 import aiohttp
 
-from bergamotferry_testkit.demo import apply_first_note, wait_owned
+from bergamotferry_testkit.control import set_data_centre_state
+from bergamotferry_testkit.deployment_start import (
+    apply_first_note,
+    start_ready,
+    wait_owned,
+)
 from bergamotferry_testkit.deployments import (
     DeploymentShape,
     RouteShape,
@@ -22,7 +27,6 @@
     send_filing,
 )
 from bergamotferry_testkit.local_deployment import LocalDeployment, wait_ready
-from bergamotferry_testkit.measure_faults import _set_state, start_ready
 
 SHAPE = DeploymentShape(
     "filings",
@@ -89,7 +93,7 @@
         first = [
             await send_filing(http, hosts[n % 2], *names[n]) for n in range(len(names))
         ]
-        await _set_state(deployment, 2, "a", "north", "out")
+        await set_data_centre_state(deployment, 2, "a", "north", "out")
         again = []
         for name in names:
             deadline_s = time.monotonic() + MOVE_TIMEOUT_S
--- a/packages/bergamotferry_testkit/tests/test_home_region.py
+++ b/packages/bergamotferry_testkit/tests/test_home_region.py
@@ -6,9 +6,9 @@
 from websockets.frames import Frame, Opcode
 
 from bergamotferry_testkit.capture import read_captures, websocket_payload
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN
 from bergamotferry_testkit.local_deployment import LocalDeployment
-from bergamotferry_testkit.measure_faults import start_ready
 
 MARKER = "marker-4f1e9a77c0d2"
 HEADERS = {"Authorization": f"Bearer {CALLER_TOKENS['home']}"}
--- a/packages/bergamotferry_testkit/tests/test_link_between_regions.py
+++ b/packages/bergamotferry_testkit/tests/test_link_between_regions.py
@@ -11,6 +11,7 @@
 from bergamotferry.link_budget import BULK_BURST_BYTES
 from bergamotferry_testkit.answers import lookup_answer
 from bergamotferry_testkit.control import find_keys, post_control
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import (
     CALLER_TOKENS,
     DeploymentShape,
@@ -18,7 +19,6 @@
     ServiceShape,
 )
 from bergamotferry_testkit.local_deployment import LocalDeployment
-from bergamotferry_testkit.measure_faults import start_ready
 from bergamotferry_testkit.paced_load import Lookup, run_paced
 
 # The users' link: 30 Mbit/s each way, 12 ms one way.
--- a/packages/bergamotferry_testkit/tests/test_operator_tool.py
+++ b/packages/bergamotferry_testkit/tests/test_operator_tool.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from bergamotferry_testkit.demo import wait_owned
+from bergamotferry_testkit.deployment_start import wait_owned
 from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN, first_note
 from bergamotferry_testkit.local_deployment import (
     OPERATOR_TOKEN,
--- a/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_ownership_under_faults.py
@@ -19,7 +19,7 @@
 
 from bergamotferry_testkit.balanced_load import BalancedLoad
 from bergamotferry_testkit.control import ask_control, find_keys
-from bergamotferry_testkit.demo import (
+from bergamotferry_testkit.deployment_start import (
     READY_TIMEOUT_S,
     apply_first_note,
     wait_owned,
--- a/packages/bergamotferry_testkit/tests/test_requests_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_requests_under_faults.py
@@ -17,7 +17,7 @@
     rate_per_s,
 )
 from bergamotferry_testkit.answers import archive_block, lookup_answer
-from bergamotferry_testkit.demo import apply_first_note, wait_owned
+from bergamotferry_testkit.deployment_start import apply_first_note, wait_owned
 from bergamotferry_testkit.deployments import (
     CALLER_TOKENS,
     DeploymentShape,
--- a/packages/bergamotferry_testkit/tests/test_stragglers_lose_shards.py
+++ b/packages/bergamotferry_testkit/tests/test_stragglers_lose_shards.py
@@ -6,6 +6,7 @@
 
 from bergamotferry_testkit.balanced_load import BalancedLoad
 from bergamotferry_testkit.control import ask_control
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import (
     DeploymentShape,
     RouteShape,
@@ -13,7 +14,6 @@
 )
 from bergamotferry_testkit.fault_plan import set_stand_in_fault
 from bergamotferry_testkit.local_deployment import LocalDeployment
-from bergamotferry_testkit.measure_faults import start_ready
 
 N_UPSTREAMS = 8
 SHAPE = DeploymentShape(
--- a/packages/bergamotferry_testkit/tests/test_streaming.py
+++ b/packages/bergamotferry_testkit/tests/test_streaming.py
@@ -6,9 +6,9 @@
 import aiohttp
 
 from bergamotferry_testkit.answers import BLOCK_BYTES, archive_block
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import CALLER_TOKENS, EZO_LUMEN
 from bergamotferry_testkit.local_deployment import LocalDeployment
-from bergamotferry_testkit.measure_faults import start_ready
 
 ARCHIVE_BYTES = 64 << 20
 GROWTH_LIMIT_BYTES = 32 << 20
--- a/packages/bergamotferry_testkit/tests/test_upstream_leaves.py
+++ b/packages/bergamotferry_testkit/tests/test_upstream_leaves.py
@@ -4,10 +4,10 @@
 import random
 
 from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.deployment_start import start_ready
 from bergamotferry_testkit.deployments import DeploymentShape, RouteShape, ServiceShape
 from bergamotferry_testkit.fault_plan import set_stand_in_fault
 from bergamotferry_testkit.local_deployment import LocalDeployment
-from bergamotferry_testkit.measure_faults import start_ready
 from bergamotferry_testkit.ownership_check import check_ownership
 from bergamotferry_testkit.recorded_owners import owners_of_records, wait_stable
 from bergamotferry_testkit.records_check import check_runs, read_records
