--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -14,6 +14,7 @@
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.routing import RoutedRequest, find_account, route_request
 
+from .answer_sinks import CountingSink
 from .caller_body import BodyBroken, CallerBody, begin_body
 from .caller_request import CallerRequest, read_caller_request
 from .clock import now_ns
@@ -22,7 +23,7 @@
 from .host_state import HostState
 from .http_answers import bearer_token, outcome_headers, refusal_response
 from .readiness import has_configuration, is_ready
-from .request_path import CountingSink, serve_request
+from .request_path import serve_request
 
 _BODY_POLL_S = 0.05
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -16,6 +16,7 @@
 from bergamotferry.retry_budget import RetryBudget, backoff_ms, earn_try, spend_try
 from bergamotferry.routing import find_owner, home_of_shard
 
+from .answer_sinks import CountingSink, PeerSink, RestSink
 from .background import report_failure
 from .clock import now_ns
 from .decision_log import log_attempt
@@ -66,7 +67,7 @@
     is_idempotent: bool,
     head: RequestHead,
     body: RequestBody,
-    sink: "CountingSink",
+    sink: CountingSink,
 ) -> Served | Refused:
     """Serve a request, trying again while that is safe and the deadline allows."""
     deadline_ns = now_ns() + head.deadline_ms * NS_PER_MS
@@ -134,7 +135,7 @@
     data_centre: str,
     head: RequestHead,
     deadline_ns: int,
-    sink: "CountingSink",
+    sink: CountingSink,
     broken: Refused,
 ) -> Served | Refused:
     """Fetch the rest of an answer that broke off, from the same version only."""
@@ -148,7 +149,7 @@
             if_match=sink.etag,
         )
         body = RequestBody.empty()
-        rest = _RestSink(sink)
+        rest = RestSink(sink)
         outcome = await _attempt(state, data_centre, attempt, body, rest)
         if isinstance(outcome, Served):
             if not rest.is_same_version:
@@ -167,7 +168,7 @@
     body = RequestBody(stream)
     link = SlowLink.from_request(state, stream.link.peer, head)
     stream.traffic_class = link.traffic_class
-    sink = _PeerSink(stream, link)
+    sink = PeerSink(stream, link)
     outcome: Served | Refused | None = link.refusal(head.deadline_ms)
     if state.is_refusing:
         outcome = Refused(ResultCode.HOST_STOPPING, "")
@@ -187,90 +188,6 @@
         await stream.send_head(refusal, True)
 
 
-class CountingSink:
-    """Passes an answer to the caller and remembers how far it came."""
-
-    def __init__(self, target: AnswerSink) -> None:
-        self.target = target
-        self.has_head = False
-        self.code = ResultCode.SERVED
-        self.status = 0
-        self.etag = ""
-        self.size_bytes = -1
-        self.n_bytes = 0
-
-    @property
-    def is_resumable(self) -> bool:
-        """Whether the rest can be asked for by range, from the same version."""
-        is_strong = self.etag.startswith('"')
-        return self.status == 200 and is_strong and self.n_bytes < self.size_bytes
-
-    async def head(self, head: ResponseHead) -> None:
-        """Take the head; no other attempt is made after this."""
-        self.has_head = True
-        self.code = ResultCode(head.code)
-        self.status = head.status
-        headers = dict(head.headers)
-        self.etag = headers.get("ETag", "")
-        self.size_bytes = int(headers.get("Content-Length", "-1"))
-        await self.target.head(head)
-
-    async def data(self, data: bytes) -> None:
-        """Take a part of the body."""
-        self.n_bytes += len(data)
-        await self.target.data(data)
-
-    async def end(self) -> None:
-        """Take the end of the body."""
-        await self.target.end()
-
-
-class _RestSink:
-    """Takes the rest of an answer, if it is of the same version and place."""
-
-    def __init__(self, sink: CountingSink) -> None:
-        self.sink = sink
-        self.is_same_version = False
-        self.is_refused = False
-
-    async def head(self, head: ResponseHead) -> None:
-        headers = dict(head.headers)
-        size = self.sink.size_bytes
-        expected = f"bytes {self.sink.n_bytes}-{size - 1}/{size}"
-        self.is_same_version = (
-            head.status == 206
-            and headers.get("ETag") == self.sink.etag
-            and headers.get("Content-Range") == expected
-        )
-        self.is_refused = not self.is_same_version
-
-    async def data(self, data: bytes) -> None:
-        if self.is_same_version:
-            await self.sink.data(data)
-
-    async def end(self) -> None:
-        if self.is_same_version:
-            await self.sink.end()
-
-
-class _PeerSink:
-    def __init__(self, stream: PeerStream, link: SlowLink) -> None:
-        self.stream = stream
-        self.link = link
-        self.has_head = False
-
-    async def head(self, head: ResponseHead) -> None:
-        self.has_head = True
-        await self.stream.send_head(head)
-
-    async def data(self, data: bytes) -> None:
-        await self.link.pace(len(data))
-        await self.stream.send(data)
-
-    async def end(self) -> None:
-        await self.stream.end()
-
-
 async def _attempt(
     state: HostState,
     data_centre: str,
