--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -12,19 +12,15 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any, TextIO
 
 import aiohttp
 from aiohttp import web
 
-from .answers import (
-    BLOCK_BYTES,
-    archive_block,
-    archive_size_bytes,
-    filing_answer,
-    lookup_answer,
-)
+from .answers import filing_answer, lookup_answer
+from .archive_stream import stream_archive
 
 ANNOUNCE_PAUSE_S = 0.1
 ANNOUNCE_TIMEOUT_S = 1.0
@@ -301,37 +297,17 @@
         data = filing_answer(upstream.service, route, key, body)
         return web.Response(body=data, content_type="application/json")
     if route == "bundle" or route == "proof":
-        return await _stream_archive(upstream, request, key)
+        return await stream_archive(
+            request, key, upstream.archive_bytes, partial(_takes_break, upstream)
+        )
     data = lookup_answer(upstream.service, route, key)
     return web.Response(body=data, content_type="application/json")
 
 
-async def _stream_archive(
-    upstream: StandIn, request: web.Request, key: str
-) -> web.StreamResponse:
-    size_bytes = archive_size_bytes(key, upstream.archive_bytes)
-    etag = f'"{key}-1"'
-    if request.headers.get("If-Match", etag) != etag:
-        return web.Response(status=412)
-    start = request.http_range.start or 0
-    headers = {"ETag": etag, "Accept-Ranges": "bytes"}
-    if start:
-        headers["Content-Range"] = f"bytes {start}-{size_bytes - 1}/{size_bytes}"
-    response = web.StreamResponse(status=206 if start else 200, headers=headers)
-    response.content_length = size_bytes - start
-    await response.prepare(request)
-    first, skipped = divmod(start, BLOCK_BYTES)
-    n_blocks = size_bytes // BLOCK_BYTES
-    for number in range(first, n_blocks):
-        if upstream.n_breaks and number == (first + n_blocks) // 2:
-            upstream.n_breaks -= 1
-            if request.transport is not None:
-                request.transport.abort()
-            return response
-        block = archive_block(key, number)
-        await response.write(block[skipped:] if number == first else block)
-    await response.write_eof()
-    return response
+def _takes_break(upstream: StandIn) -> bool:
+    has_break = upstream.n_breaks > 0
+    upstream.n_breaks -= has_break
+    return has_break
 
 
 async def run_stand_ins(arguments: argparse.Namespace, record_file: TextIO) -> None:
