--- a/packages/bergamotferry/src/bergamotferry/commands.py
+++ b/packages/bergamotferry/src/bergamotferry/commands.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from .fleet_commands import FleetCommand
 from .records import OutcomeRecord, OutcomeState, ShardId
 
 
@@ -241,4 +242,4 @@
     | RecordCrash
     | ReleaseQuarantine
 )
-Command = GlobalCommand | DataCentreCommand
+Command = GlobalCommand | DataCentreCommand | FleetCommand
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/fleet_commands.py
@@ -0,0 +1,54 @@
+"""Commands of the fleet group, the one log of a deployment that sends directly.
+
+Like all commands they are deterministic and may be sent again without harm.
+"""
+
+from typing import Literal, NamedTuple
+
+LeavingState = Literal["draining", "gone"]
+
+
+class SetConfiguration(NamedTuple):
+    """Put a whole configuration in force; a version that is not higher changes nothing.
+
+    ``source`` is the text as the operator sent it, which reads return unchanged.
+    """
+
+    version: int
+    source: bytes
+
+
+class SetEvacuation(NamedTuple):
+    """Begin or end the evacuation of a data centre."""
+
+    data_centre: str
+    is_evacuated: bool
+
+
+class RetireUpstream(NamedTuple):
+    """An incarnation of an upstream leaves; nothing brings it back."""
+
+    name: str
+    born_ms: int
+    state: LeavingState
+
+
+class AssignRange(NamedTuple):
+    """Give a range of keys, both ends included, to an incarnation of an upstream.
+
+    The index of its log entry becomes the range's fencing token, so tokens only rise.
+    ``previous_token`` is that of the range it replaces, 0 for none: of two assignments
+    that were planned from the same state only the first takes effect.
+    """
+
+    service: str
+    first_key: int
+    last_key: int
+    upstream: str
+    born_ms: int
+    address: str
+    handover: str
+    previous_token: int
+
+
+FleetCommand = SetConfiguration | SetEvacuation | RetireUpstream | AssignRange
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -0,0 +1,78 @@
+"""Messages between the hosts of a deployment that sends directly."""
+
+from typing import NamedTuple
+
+from .fleet_tables import KeyRange
+from .upstream_sessions import Alive, SessionRow
+
+
+class FollowFleet(NamedTuple):
+    """A host that takes requests asks a control host for what changed.
+
+    ``source`` is the process that gave the last answer; the other fields are positions
+    in what that process told, and count for nothing elsewhere.
+    """
+
+    host: str
+    data_centre: str
+    source: str
+    session_change: int
+    revision: int
+    configuration_version: int
+    wait_ms: int
+
+
+class FleetChanges(NamedTuple):
+    """What changed; ``is_current`` tells that the sender hears the leader.
+
+    ``configuration_source`` is empty if the asker has that version. ``n_followers``
+    counts the hosts in the asker's data centre that take requests.
+    """
+
+    source: str
+    is_current: bool
+    session_change: int
+    sessions: tuple[SessionRow, ...]
+    revision: int
+    configuration_version: int
+    configuration_source: bytes
+    evacuated: tuple[str, ...]
+    ranges: tuple[KeyRange, ...]
+    control_hosts: tuple[str, ...]
+    n_followers: int
+    n_followers_all: int
+
+
+class SessionNews(NamedTuple):
+    """Control hosts tell each other which upstreams they heard, and what changed."""
+
+    host: str
+    rows: tuple[SessionRow, ...]
+    alive: tuple[Alive, ...]
+    n_followers: int
+    control_hosts: tuple[str, ...]
+
+
+class AskSessions(NamedTuple):
+    """Ask a control host for all the rows that it has."""
+
+    host: str
+
+
+class SessionsReply(NamedTuple):
+    """All rows of a control host."""
+
+    rows: tuple[SessionRow, ...]
+
+
+class ReadIndex(NamedTuple):
+    """Ask the leader for an index that covers all that was acknowledged before."""
+
+    group: str
+
+
+class ReadIndexReply(NamedTuple):
+    """The index, or -1 from a host that can't vouch for one; ``leader`` is a hint."""
+
+    log_index: int
+    leader: str
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/window_budget.py
@@ -0,0 +1,50 @@
+"""Sends beyond the first of each request, held within a share of the load.
+
+The bound is summed over all hosts and holds in any sliding window. A host that divides
+it by what it saw itself needs no word from the others: its own requests earn a share,
+and a fixed reserve is split among the hosts.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+NS_PER_S = 1_000_000_000
+# Two hosts can disagree on how many hosts there are, so a part stays unspent.
+RESERVE_USED = 0.8
+SHARE_USED = 0.9
+
+
+@dataclass(slots=True)
+class WindowBudget:
+    """Times of requests and of repeated sends within the last window."""
+
+    ratio: float
+    reserve: float
+    window_s: float
+    n_hosts: int = 1
+    requests: deque[int] = field(default_factory=deque)
+    repeats: deque[int] = field(default_factory=deque)
+
+
+def note_request(budget: WindowBudget, now_ns: int) -> None:
+    """Note a new request."""
+    budget.requests.append(now_ns)
+    _forget(budget, now_ns)
+
+
+def take_repeat(budget: WindowBudget, now_ns: int) -> bool:
+    """Take the right to one more send; False if none is left."""
+    _forget(budget, now_ns)
+    earned = SHARE_USED * budget.ratio * len(budget.requests)
+    reserve = RESERVE_USED * budget.reserve / max(1, budget.n_hosts)
+    if len(budget.repeats) + 1 > earned + reserve:
+        return False
+    budget.repeats.append(now_ns)
+    return True
+
+
+def _forget(budget: WindowBudget, now_ns: int) -> None:
+    since_ns = now_ns - int(budget.window_s * NS_PER_S)
+    for times in (budget.requests, budget.repeats):
+        while times and times[0] < since_ns:
+            times.popleft()
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -10,7 +10,16 @@
 
 import cbor2
 
-from bergamotferry import commands, hot_key_messages, messages, records
+from bergamotferry import (
+    commands,
+    fleet_commands,
+    fleet_messages,
+    fleet_tables,
+    hot_key_messages,
+    messages,
+    records,
+    upstream_sessions,
+)
 
 from .field_types import has_field_types
 
@@ -34,6 +43,10 @@
 _TYPES: dict[str, type] = {
     **_named_tuples(records),
     **_named_tuples(commands),
+    **_named_tuples(fleet_commands),
+    **_named_tuples(fleet_tables),
+    **_named_tuples(upstream_sessions),
+    **_named_tuples(fleet_messages),
     **_named_tuples(hot_key_messages),
     **_named_tuples(messages),
 }
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
@@ -17,8 +17,8 @@
 from .dispatcher_table import UpstreamWork
 from .group import commit
 from .host_state import HostState
+from .http_address import split_address
 from .logs import log
-from .settings import split_address
 
 CONNECT_CHECK_S = 0.2
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -38,6 +38,7 @@
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .group_start import start_group
 from .host_state import HostState
+from .http_address import split_address
 from .http_edge import EdgeLimits, edge_runner
 from .leader_duties import (
     answer_capacity,
@@ -57,7 +58,7 @@
 from .planned_stop import drain
 from .readiness import run_readiness
 from .request_path import serve_peer
-from .settings import Settings, split_address
+from .settings import Settings
 from .upstream_edge import add_upstream_routes
 from .write_guard import guarded_client
 
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -0,0 +1,204 @@
+"""One send of a request to an upstream, and what its answer says.
+
+An answer counts only if it is whole, bears the request's id, and its bytes are not
+encoded on the way. Whether the upstream may have run the request follows from how far
+the send came: until the head was handed to a connection it has not.
+"""
+
+import errno
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Literal, NamedTuple
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from bergamotferry.direct_placement import LoadReport
+
+from .fleet_settings import DirectHeaders
+
+CONNECT_TIMEOUT_S = 0.4
+# Upstreams close idle connections; one that is older is left alone.
+KEEPALIVE_S = 3.0
+ANSWER_SLACK_S = 0.05
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    )
+)
+
+SendResult = Literal[
+    "answered", "not_run", "other_upstream", "no_connection", "no_process", "broken"
+]
+
+
+class DirectSend(NamedTuple):
+    """A request as it goes to one upstream."""
+
+    method: str
+    target: str
+    address: str
+    upstream: str
+    request_id: str
+    headers: Mapping[str, str]
+    body: bytes
+    left_ms: float
+
+
+@dataclass(slots=True)
+class SendOutcome:
+    """What became of a send; ``answered`` has a status, headers and the whole body."""
+
+    result: SendResult
+    detail: str = ""
+    status: int = 0
+    headers: CIMultiDict[str] | None = None
+    body: bytes = b""
+    report: LoadReport | None = None
+    cold_left_ms: int = 0
+    is_timeout: bool = False
+
+
+@dataclass(slots=True)
+class _Progress:
+    is_sent: bool = False
+    is_reused: bool = False
+
+
+class SentTwiceError(aiohttp.ClientError):
+    """The client library was about to send a request a second time by itself."""
+
+
+def open_direct_session() -> aiohttp.ClientSession:
+    """Return the session for all requests to upstreams."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        trace_configs=[_trace_progress()],
+    )
+
+
+async def send_direct(
+    http: aiohttp.ClientSession, names: DirectHeaders, send: DirectSend
+) -> SendOutcome:
+    """Send a request to one upstream and read its whole answer."""
+    progress = _Progress()
+    headers = CIMultiDict(send.headers)
+    headers[names.deadline_ms] = str(max(1, int(send.left_ms)))
+    headers[names.expected_upstream] = send.upstream
+    timeout = aiohttp.ClientTimeout(
+        total=send.left_ms / 1000 + ANSWER_SLACK_S, sock_connect=CONNECT_TIMEOUT_S
+    )
+    try:
+        async with http.request(
+            send.method,
+            URL(f"http://{send.address}{send.target}", encoded=True),
+            headers=headers,
+            data=send.body or None,
+            timeout=timeout,
+            allow_redirects=False,
+            trace_request_ctx=progress,
+        ) as response:
+            return await _read_answer(response, names, send)
+    except aiohttp.ClientConnectorError as error:
+        is_refused = error.os_error.errno == errno.ECONNREFUSED
+        return SendOutcome("no_process" if is_refused else "no_connection", str(error))
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        why = type(error).__name__
+        if not progress.is_sent:
+            return SendOutcome("no_connection", why)
+        return SendOutcome("broken", why, is_timeout=isinstance(error, TimeoutError))
+
+
+def load_report(text: str) -> LoadReport | None:
+    """Return an upstream's report of its load; None if it can't be read."""
+    parts = text.split(",")
+    if len(parts) < 3:
+        return None
+    try:
+        n_running, n_waiting, n_slots = (int(part) for part in parts[:3])
+        slowness = float(parts[3]) / 100 if len(parts) > 3 else 1.0
+    except ValueError:
+        return None
+    if min(n_running, n_waiting, n_slots) < 0 or not 0 < slowness < 1000:
+        return None
+    return LoadReport(n_running, n_waiting, n_slots, slowness)
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse, names: DirectHeaders, send: DirectSend
+) -> SendOutcome:
+    headers = response.headers
+    if headers.get(names.request_id) not in (None, send.request_id):
+        response.close()
+        return SendOutcome("broken", "the answer belongs to another request")
+    report = load_report(headers.get(names.load, ""))
+    cold_left_ms = _cold_left_ms(headers.get(names.cold_left_ms, ""))
+    body = await response.read()
+    if response.status == 421:
+        return SendOutcome("other_upstream", "status 421", report=report)
+    if names.not_run in headers:
+        why = f"status {response.status}"
+        return SendOutcome("not_run", why, response.status, report=report)
+    if headers.get(names.request_id) != send.request_id:
+        response.close()
+        return SendOutcome("broken", "the answer bears no id")
+    if "Content-Encoding" in headers:
+        return SendOutcome("broken", "the answer is encoded")
+    if not _has_length(response):
+        # The library ends it alike for an orderly end and for a reset.
+        return SendOutcome("broken", "the answer has neither a length nor chunks")
+    passed = CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in HOP_HEADERS
+    )
+    return SendOutcome(
+        "answered", "", response.status, passed, body, report, cold_left_ms
+    )
+
+
+def _has_length(response: aiohttp.ClientResponse) -> bool:
+    if response.status in (204, 304) or response.method == "HEAD":
+        return True
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or response.content_length is not None
+
+
+def _cold_left_ms(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 8 else 0
+
+
+def _trace_progress() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+
+    async def on_reuse(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionReuseconnParams,
+    ) -> None:
+        context.trace_request_ctx.is_reused = True
+
+    async def on_head(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        if context.trace_request_ctx.is_sent:
+            raise SentTwiceError("sent once already")
+        context.trace_request_ctx.is_sent = True
+
+    trace.on_connection_reuseconn.append(on_reuse)
+    trace.on_request_headers_sent.append(on_head)
+    return trace
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -0,0 +1,223 @@
+"""A host that takes requests and sends them to upstreams itself.
+
+It follows one control host and holds what that tells: configuration, upstreams, ranges
+of keys, evacuations. It goes on with what it has when no control host can be reached.
+A control host that does not hear its leader, or lags behind what is known here, is
+exchanged for another.
+"""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bergamotferry.cold_rate import ColdRate, note_cold
+from bergamotferry.configuration import Configuration, ConfigurationError
+from bergamotferry.direct_placement import UpstreamLoad, WorkTime
+from bergamotferry.fleet_messages import FleetChanges, FollowFleet
+from bergamotferry.fleet_tables import KeyRange
+from bergamotferry.upstream_sessions import SessionRow, is_newer_row
+from bergamotferry.window_budget import WindowBudget
+
+from .clock import now_ns
+from .fleet_settings import FleetSettings
+from .logs import log, log_warning
+from .peer_link import PeerUnreachable
+from .peer_network import PeerNetwork
+
+FOLLOW_WAIT_MS = 250
+FOLLOW_TIMEOUT_S = 0.6
+RETRY_PAUSE_S = 0.05
+# Without news for this long, a dial or a call may hang, and another host is asked.
+LOST_AFTER_NS = 1_000_000_000
+
+DecodeConfiguration = Callable[[bytes], Configuration | list[ConfigurationError]]
+
+
+@dataclass(slots=True)
+class Upstream:
+    """An upstream as this host knows it."""
+
+    row: SessionRow
+    load: UpstreamLoad
+    cold: ColdRate = field(default_factory=ColdRate)
+
+
+@dataclass(slots=True)
+class DirectHost:
+    """State of one host that sends directly.
+
+    ``session_change`` and ``source`` are positions in what the followed host told;
+    ``idle`` is set while no request is under way.
+    """
+
+    settings: FleetSettings
+    network: PeerNetwork
+    decode_configuration: DecodeConfiguration
+    configuration: Configuration = field(default_factory=lambda: Configuration(0))
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    by_service: dict[str, list[Upstream]] = field(default_factory=dict)
+    ranges: dict[str, list[KeyRange]] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
+    work_times: dict[str, WorkTime] = field(default_factory=dict)
+    budgets: dict[str, WindowBudget] = field(default_factory=dict)
+    source: str = ""
+    session_change: int = 0
+    revision: int = -1
+    control_hosts: list[str] = field(default_factory=list)
+    n_hosts_here: int = 1
+    n_hosts_all: int = 1
+    heard_ns: int = 0
+    n_in_flight: int = 0
+    idle: asyncio.Event = field(default_factory=asyncio.Event)
+    is_stopping: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.configuration.version > 0 and not self.is_stopping
+
+
+async def run_follower(host: DirectHost) -> None:
+    """Follow one control host after the other until cancelled."""
+    host.control_hosts = _in_order(host, host.settings.seeds)
+    position = 0
+    while True:
+        control_host = host.control_hosts[position % len(host.control_hosts)]
+        try:
+            await _follow(host, control_host)
+        except PeerUnreachable as error:
+            if host.heard_ns and now_ns() - host.heard_ns > LOST_AFTER_NS:
+                log_warning("control host lost", peer=control_host, why=str(error))
+            link = host.network.links.get((control_host, "control"))
+            if link is not None and not link.is_closed:
+                link.connection.transport.abort()
+        position += 1
+        if position % len(host.control_hosts) == 0:
+            host.control_hosts = _in_order(host, host.control_hosts)
+        await asyncio.sleep(RETRY_PAUSE_S * (1 + secrets.randbelow(100) / 100))
+
+
+def budget_of(host: DirectHost, service: str) -> WindowBudget:
+    """Return this host's part of a service's budget for repeated sends."""
+    budget = host.budgets.get(service)
+    if budget is None:
+        bounds = host.settings.bounds
+        budget = host.budgets[service] = WindowBudget(
+            bounds.retry_budget_ratio,
+            bounds.retry_budget_reserve,
+            bounds.retry_window_s,
+        )
+    budget.n_hosts = host.n_hosts_all
+    return budget
+
+
+def holder_of_key(host: DirectHost, service: str, key: int) -> KeyRange | None:
+    """Return who holds a key of a sharded service, as far as this host knows."""
+    for row in host.ranges.get(service, ()):
+        if row.first_key <= key <= row.last_key:
+            return row
+    return None
+
+
+async def _follow(host: DirectHost, control_host: str) -> None:
+    """Take changes from one control host for as long as it is current."""
+    is_first = True
+    while True:
+        message = FollowFleet(
+            host.settings.name,
+            host.settings.data_centre,
+            host.source,
+            host.session_change,
+            host.revision,
+            host.configuration.version,
+            0 if is_first else FOLLOW_WAIT_MS,
+        )
+        reply = await host.network.call(control_host, message, FOLLOW_TIMEOUT_S)
+        if not isinstance(reply, FleetChanges):
+            return
+        is_lagging = reply.revision < host.revision
+        if is_first and not is_lagging and reply.is_current:
+            log("control host followed", peer=control_host, revision=reply.revision)
+        _take(host, reply)
+        if not reply.is_current or is_lagging:
+            return
+        host.heard_ns = now_ns()
+        is_first = False
+
+
+def _take(host: DirectHost, reply: FleetChanges) -> None:
+    is_same_source = reply.source == host.source
+    host.source, host.session_change = reply.source, reply.session_change
+    for row in reply.sessions:
+        _take_row(host, row)
+    if reply.sessions:
+        _index_upstreams(host)
+    host.control_hosts += [
+        name for name in reply.control_hosts if name not in host.control_hosts
+    ]
+    host.n_hosts_here = max(1, reply.n_followers)
+    host.n_hosts_all = max(1, reply.n_followers_all)
+    if reply.revision < host.revision:
+        return
+    if reply.revision > host.revision or not is_same_source:
+        host.evacuated = frozenset(reply.evacuated)
+        host.ranges = {}
+        for key_range in reply.ranges:
+            host.ranges.setdefault(key_range.service, []).append(key_range)
+        host.revision = reply.revision
+    if reply.configuration_source:
+        _take_configuration(host, reply)
+
+
+def _take_configuration(host: DirectHost, reply: FleetChanges) -> None:
+    if reply.configuration_version <= host.configuration.version:
+        return
+    decoded = host.decode_configuration(reply.configuration_source)
+    if isinstance(decoded, list):
+        log_warning("configuration not understood", errors=len(decoded))
+        return
+    host.configuration = decoded
+    log("configuration in force", version=decoded.version, revision=reply.revision)
+
+
+def _take_row(host: DirectHost, row: SessionRow) -> None:
+    known = host.upstreams.get(row.name)
+    if not is_newer_row(row, known.row if known else None):
+        return
+    if known is None or known.row.born_ms != row.born_ms:
+        host.upstreams[row.name] = known = Upstream(row, UpstreamLoad(row.n_slots))
+        log("upstream known", upstream=row.name, service=row.service, phase=row.phase)
+    elif known.row.phase != row.phase:
+        log("upstream changed", upstream=row.name, phase=row.phase)
+    known.row = row
+    if row.cold_left_ms:
+        note_cold(known.cold, row.cold_left_ms, now_ns())
+
+
+def _index_upstreams(host: DirectHost) -> None:
+    host.by_service = {}
+    for name, upstream in list(host.upstreams.items()):
+        if upstream.row.phase == "ready":
+            host.by_service.setdefault(upstream.row.service, []).append(upstream)
+        elif upstream.load.n_in_flight == 0 and upstream.row.phase == "lost":
+            del host.upstreams[name]
+
+
+def _in_order(host: DirectHost, names: "list[str] | tuple[str, ...]") -> list[str]:
+    """Put the control hosts of the same network first: those are near.
+
+    Hosts of one data centre share the leading parts of their numbers.
+    """
+
+    def distance(name: str) -> tuple[int, str]:
+        own, other = host.settings.name.split("."), name.split(".")
+        n_common = 0
+        while (
+            n_common < len(own)
+            and own[n_common : n_common + 1] == other[n_common : n_common + 1]
+        ):
+            n_common += 1
+        return -n_common, name
+
+    return sorted(set(names), key=distance)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -0,0 +1,299 @@
+"""A control host: takes heartbeats and operators' orders, and keeps the fleet group.
+
+What it acknowledges of an order is committed first. A heartbeat that tells nothing but
+"ready" is soft state and costs no commit; one that says that its upstream leaves is
+committed, so that it binds whatever becomes of this host.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bergamotferry.commands import Command
+from bergamotferry.configuration import Configuration, ConfigurationError
+from bergamotferry.fleet_commands import (
+    RetireUpstream,
+    SetConfiguration,
+    SetEvacuation,
+)
+from bergamotferry.fleet_messages import ReadIndex, ReadIndexReply
+from bergamotferry.fleet_tables import FleetTables, apply_fleet_command, is_retired
+from bergamotferry.messages import Member, Membership
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.records import HostAddress
+from bergamotferry.replication import Replica, term_at
+from bergamotferry.replication_membership import GLOBAL_GROUP
+from bergamotferry.result_codes import ResultCode
+from bergamotferry.upstream_sessions import (
+    Heartbeat,
+    SessionRow,
+    Sessions,
+    take_heartbeat,
+    take_retired,
+)
+
+from .clock import now_ns
+from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
+from .fleet_settings import FleetSettings
+from .group import Group, commit, wait_applied
+from .group_start import recover_group
+from .logs import log, log_warning
+from .peer_link import PeerUnreachable
+from .peer_network import PeerNetwork
+
+ORDER_TIMEOUT_S = 0.8
+READ_TIMEOUT_S = 0.8
+APPLY_TIMEOUT_S = 0.5
+# A follower that heard its leader within this time knows all but the newest commits.
+LEADER_RECENT_NS = 500_000_000
+
+DecodeConfiguration = Callable[[bytes], Configuration | list[ConfigurationError]]
+
+
+@dataclass(slots=True)
+class ControlHost:
+    """State of one control host.
+
+    ``news`` is set, and replaced, whenever followers should look again. ``changed``
+    holds rows, and ``heard`` incarnations, that other control hosts must hear of.
+    """
+
+    settings: FleetSettings
+    network: PeerNetwork
+    group: Group
+    decode_configuration: DecodeConfiguration
+    process_id: str
+    sessions: Sessions = field(default_factory=Sessions)
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+    changed: dict[str, SessionRow] = field(default_factory=dict)
+    heard: dict[str, int] = field(default_factory=dict)
+    followers_ns: dict[str, int] = field(default_factory=dict)
+    follower_places: dict[str, str] = field(default_factory=dict)
+    n_followers_of: dict[str, int] = field(default_factory=dict)
+    control_hosts: set[str] = field(default_factory=set)
+    configuration: Configuration = field(default_factory=lambda: Configuration(0))
+    is_stopping: bool = False
+
+    @property
+    def tables(self) -> FleetTables:
+        """The tables as far as this host has applied the log."""
+        tables = self.group.tables
+        assert isinstance(tables, FleetTables)
+        return tables
+
+
+def start_fleet_group(
+    settings: FleetSettings, network: PeerNetwork, folder: DataFolder
+) -> Group:
+    """Return the fleet group's replica on this host, recovered from its data folder.
+
+    The seeds are the first voters, and only the first start of a deployment knows so.
+    """
+    seeds = sorted(settings.seeds)
+    if len(seeds) % 2 == 0:
+        # An even number of voters bears no more losses than one fewer.
+        seeds = seeds[:-1]
+    first = Membership(
+        tuple(Member(seed, BOOTSTRAP_INCARNATION, True) for seed in seeds), ()
+    )
+    me = Member(settings.name, folder.incarnation, True)
+    membership = first if me in first.voters else Membership((), ())
+    rng = random.Random(f"{me.host} {me.incarnation}")
+    replica = Replica(GLOBAL_GROUP, me, membership, rng)
+    group = Group(
+        GLOBAL_GROUP,
+        FleetTables(),
+        apply_fleet_command,
+        network,
+        list(settings.seeds),
+        replica,
+        may_join=True,
+    )
+    recover_group(group, folder)
+    return group
+
+
+def fleet_address(settings: FleetSettings) -> HostAddress:
+    """Return a host's own address for the peer network."""
+    peer_address = f"{settings.name}:{settings.peer_port}"
+    return HostAddress(
+        settings.name,
+        settings.data_centre,
+        settings.region,
+        peer_address,
+        settings.data_dir is not None,
+    )
+
+
+def is_current(host: ControlHost) -> bool:
+    """Return whether this host leads, or has just heard its leader."""
+    group = host.group
+    if group.is_leader:
+        return True
+    is_recent = now_ns() - group.replica.heard_leader_ns < LEADER_RECENT_NS
+    return is_recent and group.replica.leader is not None
+
+
+def announce_news(host: ControlHost) -> None:
+    """Wake every follower that waits for changes."""
+    host.news.set()
+    host.news = asyncio.Event()
+
+
+async def run_tables_watch(host: ControlHost) -> None:
+    """Bring sessions and configuration up to date with the log, until cancelled."""
+    group = host.group
+    revision = -1
+    while True:
+        if host.tables.revision != revision:
+            revision = host.tables.revision
+            take_retired(host.sessions, host.tables, now_ns())
+            _take_configuration(host)
+            announce_news(host)
+        async with group.applied:
+            while host.tables.revision == revision:
+                await group.applied.wait()
+
+
+async def take_upstream_heartbeat(
+    host: ControlHost, heartbeat: Heartbeat
+) -> Accepted | Refused:
+    """Note a heartbeat; one of an upstream that leaves is committed first."""
+    known = is_retired(host.tables, heartbeat.name, heartbeat.born_ms)
+    if heartbeat.phase == "draining" and known is None:
+        outcome = await _order(
+            host, RetireUpstream(heartbeat.name, heartbeat.born_ms, "draining")
+        )
+        if isinstance(outcome, Refused):
+            return outcome
+        log("upstream drains", upstream=heartbeat.name, born_ms=heartbeat.born_ms)
+    is_news = take_heartbeat(host.sessions, host.tables, heartbeat, now_ns())
+    session = host.sessions.rows.get(heartbeat.name)
+    if session is not None and session.row.born_ms == heartbeat.born_ms:
+        host.heard[heartbeat.name] = heartbeat.born_ms
+        if is_news:
+            host.changed[heartbeat.name] = session.row
+            announce_news(host)
+            log(
+                "upstream changed",
+                upstream=heartbeat.name,
+                service=heartbeat.service,
+                phase=session.row.phase,
+                sequence=heartbeat.sequence,
+                cold_left_ms=heartbeat.cold_left_ms,
+            )
+    return Accepted(0)
+
+
+async def retire_upstream(host: ControlHost, name: str) -> Accepted | Refused:
+    """Note that an upstream says that it is gone; its newest incarnation is meant."""
+    session = host.sessions.rows.get(name)
+    if session is None:
+        return Accepted(0)
+    known = is_retired(host.tables, name, session.row.born_ms)
+    if known is not None and known.state == "gone":
+        return Accepted(0)
+    outcome = await _order(host, RetireUpstream(name, session.row.born_ms, "gone"))
+    log("upstream leaves", upstream=name, born_ms=session.row.born_ms)
+    return outcome
+
+
+async def set_configuration(
+    host: ControlHost, source: bytes
+) -> Accepted | Refused | list[ConfigurationError]:
+    """Commit a configuration; all its errors are returned if it has any."""
+    decoded = host.decode_configuration(source)
+    if isinstance(decoded, list):
+        return decoded
+    outcome = await _order(host, SetConfiguration(decoded.version, source))
+    log(
+        "configuration ordered",
+        version=decoded.version,
+        n_routes=len(decoded.routes),
+        code=int(outcome.code) if isinstance(outcome, Refused) else 0,
+    )
+    return outcome
+
+
+async def set_evacuation(
+    host: ControlHost, data_centre: str, is_evacuated: bool
+) -> Accepted | Refused:
+    """Commit the beginning or the end of an evacuation."""
+    outcome = await _order(host, SetEvacuation(data_centre, is_evacuated))
+    log(
+        "evacuation ordered",
+        data_centre=data_centre,
+        is_evacuated=is_evacuated,
+        code=int(outcome.code) if isinstance(outcome, Refused) else 0,
+    )
+    return outcome
+
+
+async def read_configuration(host: ControlHost) -> bytes | Refused:
+    """Return the newest configuration, or refuse if none can be vouched for."""
+    index = await _read_index(host)
+    if index < 0:
+        return Refused(ResultCode.NO_LEADER, "no leader vouches for the newest state")
+    if await wait_applied(host.group, index, READ_TIMEOUT_S) < index:
+        return Refused(ResultCode.NO_LEADER, "this host has not caught up")
+    source = host.tables.configuration_source
+    if not source:
+        return Refused(ResultCode.HOST_NOT_READY, "there is no configuration yet")
+    return source
+
+
+def answer_read_index(host: ControlHost) -> ReadIndexReply:
+    """Return the index up to which all that was acknowledged is covered.
+
+    A leader whose own term has committed nothing yet may not know all of it.
+    """
+    replica = host.group.replica
+    is_own_term = term_at(replica, replica.commit_index) == replica.term
+    if host.group.is_leader and is_own_term:
+        return ReadIndexReply(replica.commit_index, host.settings.name)
+    leader = host.group.leader
+    return ReadIndexReply(-1, leader if leader != host.settings.name else "")
+
+
+async def _read_index(host: ControlHost) -> int:
+    own = answer_read_index(host)
+    if own.log_index >= 0 or not own.leader:
+        return own.log_index
+    try:
+        reply = await host.network.call(
+            own.leader, ReadIndex(GLOBAL_GROUP), READ_TIMEOUT_S
+        )
+    except PeerUnreachable as error:
+        log_warning("leader not reached for a read", why=str(error))
+        return -1
+    return reply.log_index if isinstance(reply, ReadIndexReply) else -1
+
+
+async def _order(host: ControlHost, command: Command) -> Accepted | Refused:
+    """Commit a command, and have it in force here before it is acknowledged."""
+    outcome = await commit(host.group, command, ORDER_TIMEOUT_S)
+    if isinstance(outcome, Accepted):
+        async with host.group.applied:
+            try:
+                async with asyncio.timeout(APPLY_TIMEOUT_S):
+                    await host.group.applied.wait_for(
+                        lambda: host.tables.revision >= outcome.revision
+                    )
+            except TimeoutError:
+                return Refused(ResultCode.NO_LEADER, "this host has not caught up")
+        take_retired(host.sessions, host.tables, now_ns())
+        announce_news(host)
+    return outcome
+
+
+def _take_configuration(host: ControlHost) -> None:
+    tables = host.tables
+    if tables.configuration_version == host.configuration.version:
+        return
+    decoded = host.decode_configuration(tables.configuration_source)
+    if isinstance(decoded, list):
+        log_warning("committed configuration not understood", errors=len(decoded))
+        return
+    host.configuration = decoded
+    log("configuration in force", version=decoded.version)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -0,0 +1,168 @@
+"""Tells followers, and other control hosts, what changed.
+
+A follower asks, and the answer comes when there is something new, or after a short wait
+that shows that this host is alive. Control hosts tell each other which upstreams they
+heard; what they tell is cheap enough to say again, so that a lost notice is made good
+by the next.
+"""
+
+import asyncio
+
+from bergamotferry.fleet_messages import (
+    AskSessions,
+    FleetChanges,
+    FollowFleet,
+    SessionNews,
+    SessionsReply,
+)
+from bergamotferry.upstream_sessions import (
+    Alive,
+    forget_silent,
+    rows_after,
+    take_alive,
+    take_row,
+)
+
+from .background import start_task
+from .clock import now_ns
+from .fleet_control import ControlHost, announce_news, is_current
+from .logs import log_warning
+from .peer_link import PeerUnreachable
+
+NEWS_INTERVAL_S = 0.2
+N_NEWS_PER_DIGEST = 5
+# Changes that come together go out together.
+GATHER_S = 0.02
+FOLLOWER_LASTS_NS = 3_000_000_000
+ASK_TIMEOUT_S = 1.0
+
+
+async def answer_follow(host: ControlHost, message: FollowFleet) -> FleetChanges:
+    """Return what changed since a follower's positions, waiting a little for it."""
+    host.followers_ns[message.host] = now_ns()
+    host.follower_places[message.host] = message.data_centre
+    is_known = message.source == host.process_id
+    if is_known and not _has_news(host, message):
+        news = host.news
+        try:
+            async with asyncio.timeout(message.wait_ms / 1000):
+                await news.wait()
+            await asyncio.sleep(GATHER_S)
+        except TimeoutError:
+            pass
+    return _changes(host, message, is_known)
+
+
+async def run_session_news(host: ControlHost) -> None:
+    """Tell the other control hosts which upstreams were heard, until cancelled."""
+    n_rounds = 0
+    while True:
+        await asyncio.sleep(NEWS_INTERVAL_S)
+        n_rounds += 1
+        _find_control_hosts(host)
+        forget_silent(host.sessions, now_ns())
+        is_digest = n_rounds % N_NEWS_PER_DIGEST == 0
+        if not host.changed and not is_digest:
+            continue
+        alive: tuple[Alive, ...] = ()
+        if is_digest:
+            alive = tuple(Alive(name, born) for name, born in host.heard.items())
+            host.heard.clear()
+        rows = tuple(host.changed.values())
+        host.changed.clear()
+        news = SessionNews(
+            host.settings.name,
+            rows,
+            alive,
+            _n_own_followers(host),
+            tuple(sorted(host.control_hosts)),
+        )
+        for other in host.control_hosts - {host.settings.name}:
+            host.network.notify(other, news)
+
+
+def take_session_news(
+    host: ControlHost, message: SessionNews, tasks: set[asyncio.Task[None]]
+) -> None:
+    """Take what another control host heard; ask it for all if something is missing."""
+    host.control_hosts.add(message.host)
+    host.n_followers_of[message.host] = message.n_followers
+    is_news = False
+    for row in message.rows:
+        is_news |= take_row(host.sessions, host.tables, row, now_ns())
+    if take_alive(host.sessions, message.alive, now_ns()):
+        start_task(ask_sessions(host, message.host), tasks)
+    if is_news:
+        announce_news(host)
+
+
+async def ask_sessions(host: ControlHost, other: str) -> None:
+    """Fetch all rows of another control host."""
+    try:
+        reply = await host.network.call(
+            other, AskSessions(host.settings.name), ASK_TIMEOUT_S
+        )
+    except PeerUnreachable as error:
+        log_warning("sessions not fetched", peer=other, why=str(error))
+        return
+    if not isinstance(reply, SessionsReply):
+        return
+    is_news = False
+    for row in reply.rows:
+        is_news |= take_row(host.sessions, host.tables, row, now_ns())
+    if is_news:
+        announce_news(host)
+
+
+def answer_sessions(host: ControlHost) -> SessionsReply:
+    """Return all rows of upstreams that are not gone."""
+    rows = (session.row for session in host.sessions.rows.values())
+    return SessionsReply(tuple(row for row in rows if row.phase != "gone"))
+
+
+def _has_news(host: ControlHost, message: FollowFleet) -> bool:
+    return (
+        message.session_change < host.sessions.change
+        or message.revision < host.tables.revision
+    )
+
+
+def _changes(host: ControlHost, message: FollowFleet, is_known: bool) -> FleetChanges:
+    tables = host.tables
+    session_change = message.session_change if is_known else 0
+    has_new_tables = not is_known or message.revision < tables.revision
+    is_newer = message.configuration_version < tables.configuration_version
+    n_here = sum(
+        place == message.data_centre
+        for name, place in host.follower_places.items()
+        if now_ns() - host.followers_ns[name] < FOLLOWER_LASTS_NS
+    )
+    return FleetChanges(
+        host.process_id,
+        is_current(host),
+        host.sessions.change,
+        rows_after(host.sessions, session_change),
+        tables.revision,
+        tables.configuration_version,
+        tables.configuration_source if is_newer else b"",
+        tuple(sorted(tables.evacuated)),
+        tuple(tables.ranges.values()) if has_new_tables else (),
+        tuple(sorted(host.control_hosts)),
+        n_here,
+        _n_own_followers(host) + sum(host.n_followers_of.values()),
+    )
+
+
+def _n_own_followers(host: ControlHost) -> int:
+    for name, seen_ns in list(host.followers_ns.items()):
+        if now_ns() - seen_ns > FOLLOWER_LASTS_NS:
+            del host.followers_ns[name], host.follower_places[name]
+    return len(host.followers_ns)
+
+
+def _find_control_hosts(host: ControlHost) -> None:
+    membership = host.group.replica.membership
+    members = membership.voters + membership.learners
+    host.control_hosts.update(member.host for member in members)
+    host.control_hosts.update(host.settings.seeds)
+    host.control_hosts.add(host.settings.name)
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -54,7 +54,7 @@
     if not group.is_leader:
         return JoinReply(False, group.leader, JOIN_RETRY_MS)
     host = message.member.host
-    if host in group.network.addresses:
+    if group.network.address_of(host) is not None:
         group.joiners[host] = Joiner(message.member, now_ns())
     membership = group.replica.membership
     is_full = len(membership.voters) >= N_VOTERS and not membership.learners
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_start.py
@@ -47,11 +47,12 @@
     group.reads_log = name in (GLOBAL_GROUP, data_centre_group(host.data_centre))
     group.may_join = may_join(name, host, seeds)
     if folder is not None:
-        _recover(group, folder)
+        recover_group(group, folder)
     return group
 
 
-def _recover(group: Group, folder: DataFolder) -> None:
+def recover_group(group: Group, folder: DataFolder) -> None:
+    """Take over what the disk holds of a group."""
     group.disk_log = folder.open_log(group.name)
     recovered = recover_log(group.disk_log)
     replica = group.replica
--- a/packages/bergamotferry_host/src/bergamotferry_host/metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/metrics.py
@@ -7,7 +7,7 @@
 
 import statsd
 
-from .settings import split_address
+from .http_address import split_address
 
 PREFIX = "bergamotferry"
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import hmac
+import ipaddress
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
 
 from .background import start_task
 from .clock import now_ns
+from .http_address import split_address
 from .peer_link import (
     FRAME_MAX_BYTES,
     FrameKind,
@@ -29,7 +31,6 @@
     PeerUnreachable,
     SentPlace,
 )
-from .settings import split_address
 
 LinkClass = Literal["control", "request"]
 
@@ -43,7 +44,11 @@
 
 @dataclass(slots=True)
 class PeerNetwork:
-    """All links of one host; ``hosts`` are the names of each data centre's hosts."""
+    """All links of one host; ``hosts`` are the names of each data centre's hosts.
+
+    With ``learned_port``, hosts that the settings don't name are reached too: the name
+    of such a host is its IP number, and it has a disk.
+    """
 
     own_name: str
     token: str
@@ -58,6 +63,7 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     server: Server | None = None
     sent_bytes: Counter[SentPlace] = field(default_factory=Counter)
+    learned_port: int = 0
     hosts: dict[str, list[str]] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -148,6 +154,15 @@
         failed_ns = self.failed_ns.get((host, "request"), 0)
         return now_ns() - failed_ns > 10 * DIAL_PAUSE_NS
 
+    def address_of(self, host: str) -> HostAddress | None:
+        """Return a host's address; None if it is neither named nor can be learned."""
+        address = self.addresses.get(host)
+        if address is None and self.learned_port and _is_ip(host):
+            peer_address = f"{host}:{self.learned_port}"
+            address = HostAddress(host, "", "", peer_address, is_durable=True)
+            self.addresses[host] = address
+        return address
+
     async def _send_notices(self, host: str) -> None:
         while True:
             message = await self.notices[host].get()
@@ -179,7 +194,7 @@
 
     async def _dial(self, place: tuple[str, LinkClass]) -> PeerLink:
         host, link_class = place
-        address = self.addresses.get(host)
+        address = self.address_of(host)
         if address is None:
             raise PeerUnreachable(f"{host}: unknown host")
         try:
@@ -236,6 +251,14 @@
     return taken
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def hosts_of_data_centre(
     addresses: Mapping[str, HostAddress], data_centre: str
 ) -> list[str]:
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -0,0 +1,92 @@
+"""Calls that give keys to an upstream and take them back."""
+
+import errno
+from dataclasses import dataclass
+from typing import Literal, NamedTuple
+
+import aiohttp
+
+from bergamotferry.fleet_tables import KeyRange
+
+from .fleet_settings import DirectHeaders
+
+CALL_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 3.0
+
+CallResult = Literal["done", "newer_token", "no_process", "unsure"]
+
+
+class RangeCallPaths(NamedTuple):
+    """Where upstreams take the calls, and the names of the bodies' fields."""
+
+    grant: str = "/v1/grant"
+    release: str = "/v1/release"
+    first_key: str = "first_key"
+    last_key: str = "last_key"
+    token: str = "token"
+    hold_ms: str = "hold_ms"
+    handover: str = "handover"
+
+
+@dataclass(frozen=True, slots=True)
+class RangeAnswer:
+    """What became of a call; ``handover`` is what a holder passes on."""
+
+    result: CallResult
+    handover: str = ""
+
+
+async def call_grant(
+    http: aiohttp.ClientSession, paths: RangeCallPaths, row: KeyRange, hold_ms: int
+) -> RangeAnswer:
+    """Give, or renew, a range to its holder."""
+    body: dict[str, object] = {
+        paths.first_key: row.first_key,
+        paths.last_key: row.last_key,
+        paths.token: row.token,
+        paths.hold_ms: hold_ms,
+    }
+    if row.handover:
+        body[paths.handover] = row.handover
+    url = f"http://{row.address}{paths.grant}"
+    return await _call(http, url, body, "", CALL_TIMEOUT_S)
+
+
+async def call_release(
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    row: KeyRange,
+    headers: DirectHeaders,
+) -> RangeAnswer:
+    """Take a range back; the answer comes when the work on its keys has ended."""
+    body: dict[str, object] = {
+        paths.first_key: row.first_key,
+        paths.last_key: row.last_key,
+        paths.token: row.token,
+    }
+    url = f"http://{row.address}{paths.release}"
+    return await _call(http, url, body, headers.handover, RELEASE_TIMEOUT_S)
+
+
+async def _call(
+    http: aiohttp.ClientSession,
+    url: str,
+    body: dict[str, object],
+    handover_header: str,
+    timeout_s: float,
+) -> RangeAnswer:
+    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=timeout_s)
+    try:
+        async with http.post(url, json=body, timeout=timeout) as response:
+            await response.read()
+            if response.status == 200:
+                return RangeAnswer("done", response.headers.get(handover_header, ""))
+            if response.status == 409:
+                return RangeAnswer("newer_token")
+            return RangeAnswer("unsure")
+    except aiohttp.ClientConnectorError as error:
+        if error.os_error.errno == errno.ECONNREFUSED:
+            return RangeAnswer("no_process")
+        return RangeAnswer("unsure")
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return RangeAnswer("unsure")
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -0,0 +1,304 @@
+"""The leader's duty to keep every key of sharded services with one upstream at most.
+
+An assignment is committed before the upstream hears of it, and the index of its commit
+is its fencing token. The leader renews holds well before they run out. A range moves
+only when its holder gave it up, or can no longer hold it: its process is gone, or every
+call that it may still carry out has outlived its hold. A new leader does not know which
+calls of the last one are on their way, so it waits for a whole hold.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from bergamotferry.fleet_commands import AssignRange
+from bergamotferry.fleet_tables import KeyRange
+from bergamotferry.key_ranges import WantedRange, plan_ranges
+from bergamotferry.outcomes import Refused
+from bergamotferry.upstream_sessions import SessionRow
+
+from .background import start_task
+from .clock import now_ns
+from .fleet_control import ControlHost
+from .group import commit
+from .logs import log, log_warning
+from .range_calls import RangeCallPaths, call_grant, call_release
+
+TICK_S = 0.1
+# Without a leader for five seconds no holder may lose its keys.
+HOLD_SHARE_OF_MAX = 0.75
+RENEW_EVERY_S = 1.5
+# An upstream's clock may run slow by this much.
+CLOCK_RATE_BOUND = 1.02
+HOLD_MARGIN_S = 0.3
+# Upstreams that start together should get their keys at once.
+SETTLE_S = 1.5
+# Several heartbeats in a row did not come.
+SILENT_NS = 3_500_000_000
+N_MOVES_MAX = 4
+NS_PER_S = 1_000_000_000
+
+
+@dataclass(slots=True)
+class Hold:
+    """What the leader knows of one assignment's holder.
+
+    ``until_ns`` is until when the holder may have the keys; it is past only once all
+    calls that were made under the token have outlived their hold.
+    """
+
+    token: int
+    until_ns: int
+    renew_ns: int = 0
+    done_ns: int = 0
+    is_granted: bool = False
+    is_unsure: bool = True
+    is_busy: bool = False
+    is_released: bool = False
+    is_dead: bool = False
+    handover: str = ""
+
+
+@dataclass(slots=True)
+class RangeDuty:
+    """The state of the duty, valid for one term of leadership."""
+
+    term: int = 0
+    holds: dict[str, Hold] = field(default_factory=dict)
+    seen_ns: dict[str, int] = field(default_factory=dict)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+
+async def run_range_duty(
+    host: ControlHost, http: aiohttp.ClientSession, paths: RangeCallPaths
+) -> None:
+    """Assign, renew and move ranges while this host leads, until cancelled."""
+    duty = RangeDuty()
+    hold_ms = int(host.settings.bounds.hold_max_ms * HOLD_SHARE_OF_MAX)
+    while True:
+        await asyncio.sleep(TICK_S)
+        if not host.group.is_leader or host.is_stopping:
+            duty.term = 0
+            continue
+        if duty.term != host.group.replica.term:
+            _begin_term(duty, host, hold_ms)
+        for key, row in list(host.tables.ranges.items()):
+            _renew_if_due(duty, host, http, paths, key, row, hold_ms)
+        _move(duty, host, http, paths, hold_ms)
+
+
+def _begin_term(duty: RangeDuty, host: ControlHost, hold_ms: int) -> None:
+    duty.term = host.group.replica.term
+    until_ns = now_ns() + _hold_ns(hold_ms)
+    duty.holds = {
+        key: Hold(row.token, until_ns) for key, row in host.tables.ranges.items()
+    }
+
+
+def _renew_if_due(
+    duty: RangeDuty,
+    host: ControlHost,
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    key: str,
+    row: KeyRange,
+    hold_ms: int,
+) -> None:
+    hold = duty.holds.get(key)
+    if hold is None or hold.token != row.token:
+        # Nothing was sent under this token: only this leader could have.
+        hold = duty.holds[key] = Hold(row.token, 0, is_unsure=False)
+    is_idle = not hold.is_busy and not hold.is_released and not hold.is_dead
+    if is_idle and now_ns() >= hold.renew_ns and _is_wanted(host, row, hold):
+        hold.is_busy = True
+        work = _renew(duty, host, http, paths, row, hold, hold_ms)
+        start_task(work, duty.tasks)
+
+
+async def _renew(
+    duty: RangeDuty,
+    host: ControlHost,
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    row: KeyRange,
+    hold: Hold,
+    hold_ms: int,
+) -> None:
+    term = duty.term
+    try:
+        if not host.group.is_leader or host.group.replica.term != term:
+            return
+        answer = await call_grant(http, paths, row, hold_ms)
+        # It may be carried out as late as the call is open.
+        until_ns = now_ns() + _hold_ns(hold_ms)
+        if answer.result == "no_process":
+            hold.is_dead = True
+        else:
+            hold.until_ns = max(hold.until_ns, until_ns)
+        hold.is_unsure |= answer.result == "unsure"
+        if answer.result == "done":
+            hold.done_ns = now_ns()
+        hold.renew_ns = now_ns() + int(RENEW_EVERY_S * NS_PER_S)
+        if answer.result == "done" and not hold.is_granted:
+            hold.is_granted = True
+            log("range granted", upstream=row.upstream, token=row.token, **_span(row))
+        elif answer.result != "done":
+            hold.renew_ns = now_ns() + NS_PER_S // 2
+            log_warning(
+                "range not renewed",
+                upstream=row.upstream,
+                token=row.token,
+                result=answer.result,
+                **_span(row),
+            )
+    finally:
+        hold.is_busy = False
+
+
+def _move(
+    duty: RangeDuty,
+    host: ControlHost,
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    hold_ms: int,
+) -> None:
+    upstreams = _settled_upstreams(duty, host)
+    for service in host.configuration.services.values():
+        if not service.is_sharded:
+            continue
+        wanted = plan_ranges(
+            service.name,
+            host.tables.ranges.values(),
+            upstreams,
+            frozenset(host.tables.evacuated),
+        )
+        for move in wanted:
+            _begin_move(duty, host, http, paths, move)
+
+
+def _begin_move(
+    duty: RangeDuty,
+    host: ControlHost,
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    move: WantedRange,
+) -> None:
+    key = f"{move.service}\x00{move.first_key:05}"
+    hold = duty.holds.get(key)
+    if move.current is None:
+        hold = hold or Hold(0, 0, is_unsure=False)
+        duty.holds[key] = hold
+    if hold is None or hold.is_busy:
+        return
+    n_busy = sum(1 for other in duty.holds.values() if other.is_busy)
+    if move.current is not None and n_busy >= N_MOVES_MAX * 4:
+        return
+    hold.is_busy = True
+    start_task(_carry_out(duty, host, http, paths, move, hold), duty.tasks)
+
+
+async def _carry_out(
+    duty: RangeDuty,
+    host: ControlHost,
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    move: WantedRange,
+    hold: Hold,
+) -> None:
+    try:
+        row = move.current
+        if row is not None and not hold.is_released and not _is_over(host, row, hold):
+            answer = await call_release(http, paths, row, host.settings.headers)
+            if answer.result == "done":
+                hold.is_released = True
+                hold.handover = answer.handover
+            elif answer.result == "no_process":
+                hold.is_dead = True
+        if row is not None and not _is_free(host, row, hold):
+            return
+        await _assign(host, move, hold)
+    finally:
+        hold.is_busy = False
+
+
+async def _assign(host: ControlHost, move: WantedRange, hold: Hold) -> None:
+    row = move.current
+    command = AssignRange(
+        move.service,
+        move.first_key,
+        move.last_key,
+        move.next_holder.name,
+        move.next_holder.born_ms,
+        move.next_holder.address,
+        hold.handover,
+        row.token if row is not None else 0,
+    )
+    outcome = await commit(host.group, command)
+    log(
+        "range assigned",
+        upstream=move.next_holder.name,
+        before=row.upstream if row is not None else "",
+        is_handed_over=bool(hold.handover),
+        first_key=move.first_key,
+        service=move.service,
+        code=int(outcome.code) if isinstance(outcome, Refused) else 0,
+    )
+
+
+def _is_free(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
+    """Return whether the holder can't have the keys, nor take them again."""
+    if _is_over(host, row, hold) or now_ns() >= hold.until_ns:
+        return True
+    # A call without an answer may still be carried out, after the release.
+    return hold.is_released and not hold.is_unsure
+
+
+def _is_over(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
+    """Return whether the holder's process has ended."""
+    session = host.sessions.rows.get(row.upstream)
+    is_born_again = session is not None and session.row.born_ms > row.born_ms
+    return hold.is_dead or is_born_again
+
+
+def _is_wanted(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
+    """Return whether the holder should keep the keys; if silent, it loses them."""
+    session = host.sessions.rows.get(row.upstream)
+    if session is None or session.row.born_ms != row.born_ms:
+        return False
+    heard_ns = max(session.heard_ns, hold.done_ns)
+    is_heard = now_ns() - heard_ns < SILENT_NS
+    return session.row.phase in ("ready", "lost") and is_heard
+
+
+def _settled_upstreams(duty: RangeDuty, host: ControlHost) -> dict[str, SessionRow]:
+    """Return the upstreams that may hold keys; a service's first ones wait a little."""
+    now = now_ns()
+    for session in host.sessions.rows.values():
+        duty.seen_ns.setdefault(session.row.service, now)
+    settled_ns = now - int(SETTLE_S * NS_PER_S)
+    failing = {
+        (row.upstream, row.born_ms)
+        for key, row in host.tables.ranges.items()
+        if key in duty.holds and not _is_wanted(host, row, duty.holds[key])
+    }
+    failing |= {
+        (row.upstream, row.born_ms)
+        for key, row in host.tables.ranges.items()
+        if key in duty.holds and duty.holds[key].is_dead
+    }
+    return {
+        name: session.row
+        for name, session in host.sessions.rows.items()
+        if duty.seen_ns[session.row.service] <= settled_ns
+        and now - session.heard_ns < SILENT_NS
+        and (name, session.row.born_ms) not in failing
+    }
+
+
+def _hold_ns(hold_ms: int) -> int:
+    return int((hold_ms / 1000 * CLOCK_RATE_BOUND + HOLD_MARGIN_S) * NS_PER_S)
+
+
+def _span(row: KeyRange) -> dict[str, object]:
+    return {"service": row.service, "first_key": row.first_key}
--- a/packages/bergamotferry_host/src/bergamotferry_host/settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/settings.py
@@ -195,12 +195,6 @@
     return settings
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP number and the port of a checked address."""
-    ip, _, port = address.rpartition(":")
-    return ip, int(port)
-
-
 def _variable(flag: str) -> str:
     return ENVIRONMENT_PREFIX + flag.upper().replace("-", "_")
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -13,10 +13,10 @@
 
 from .group import commit
 from .host_state import HostState
+from .http_address import split_address
 from .http_answers import bearer_token, refusal_response
 from .http_body import read_json_object
 from .lease_renewal import renew_session
-from .settings import split_address
 
 RENEW_EVERY_MS = 150
 ANNOUNCE_MAX_BYTES = 4096
