Read the settings again on SIGHUP; tests of the mode that sends directly

Change: the settings file is read again; its seeds are added to the control hosts that are known, and bad settings change nothing.

--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,12 @@
 
 .PHONY: demo soak measure test lint types format clean slopes overhead capacity-page
 
-$(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(READY): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
 	  -e packages/bergamotferry -e packages/bergamotferry_host \
-	  -e packages/bergamotferry_ctl -e packages/bergamotferry_testkit
+	  -e packages/bergamotferry_ctl -e packages/bergamotferry_testkit -e platform
 	touch $(READY)
 
 demo: $(READY)
@@ -22,15 +22,15 @@
 	$(BIN)/python -m pytest -q
 
 lint: $(READY)
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
 
 types: $(READY)
 	$(BIN)/mypy
 
 format: $(READY)
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform
+	$(BIN)/ruff check --fix packages platform
 
 slopes: $(READY)
 	$(BIN)/python -m bergamotferry_testkit.slopes
--- /dev/null
+++ b/packages/bergamotferry/tests/test_configuration.py
@@ -0,0 +1,77 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamotferry.configuration import (
+    CallerLimits,
+    Configuration,
+    DirectRoute,
+    DirectService,
+    WeightedService,
+    check_configuration,
+    choose_service,
+    find_route,
+)
+
+SERVICE = DirectService("lamps", "/health", 10, 3.0, 4.0, False, 0.0)
+ROUTE = DirectRoute(
+    "r", "a.example", "/x/", "safe", 1000, 500, 1, 2, (WeightedService("lamps", 1),), ()
+)
+
+
+def configuration(*routes: DirectRoute) -> Configuration:
+    return Configuration.from_rows(1, routes, [SERVICE], CallerLimits())
+
+
+def test_the_longest_prefix_that_ends_at_a_slash_wins():
+    rows = [ROUTE, ROUTE._replace(name="deep", path_prefix="/x/y/")]
+    known = configuration(*rows)
+    table = {
+        "/x/1": "r",
+        "/x/": "r",
+        "/x/y/1": "deep",
+        "/x/yy/1": "r",
+        "/x": None,
+        "/z/1": None,
+        "": None,
+    }
+    found = {path: find_route(known, "a.example", path) for path in table}
+    assert {path: row and row.name for path, row in found.items()} == table
+    assert find_route(known, "b.example", "/x/1") is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "detail"),
+    [
+        ({"services": (WeightedService("none", 1),)}, "unknown service none"),
+        ({"services": (WeightedService("lamps", 0),)}, "the weights add up to 0"),
+        ({"path_prefix": "x/"}, "the path prefix does not begin with a slash"),
+        ({"timeout_ms": 600_001}, "the timeout is not within 600000 ms"),
+        (
+            {"latency_objective_ms": 61_000},
+            "the latency objective is far above the timeout",
+        ),
+    ],
+)
+def test_each_rule_of_a_configuration_has_its_error(changes, detail):
+    errors = check_configuration(configuration(ROUTE._replace(**changes)))
+    assert [row.detail for row in errors] == [detail]
+
+
+def test_two_routes_at_one_place_are_refused_and_a_sound_one_is_not():
+    assert check_configuration(configuration(ROUTE)) == []
+    errors = check_configuration(configuration(ROUTE, ROUTE._replace(name="other")))
+    assert [(row.place, row.detail) for row in errors] == [
+        ("other", "host and prefix stand twice")
+    ]
+
+
+@given(st.floats(0, 1, exclude_max=True))
+def test_parts_get_their_share_and_a_part_without_weight_gets_nothing(fraction):
+    parts = (
+        WeightedService("a", 3),
+        WeightedService("none", 0),
+        WeightedService("b", 1),
+    )
+    expected = "a" if fraction < 0.75 else "b"
+    assert choose_service(ROUTE._replace(services=parts), fraction) == expected
--- /dev/null
+++ b/packages/bergamotferry/tests/test_direct_placement.py
@@ -0,0 +1,170 @@
+"""Rules of placing, and a seeded play of a heavy day that shows what callers get."""
+
+import heapq
+import random
+import statistics
+
+import pytest
+
+from bergamotferry.direct_placement import (
+    N_QUEUED_MAX,
+    Candidate,
+    LoadReport,
+    NoRoom,
+    Placed,
+    UpstreamLoad,
+    Wait,
+    WorkTime,
+    note_answer,
+    note_ended,
+    note_report,
+    note_sent,
+    note_unreachable,
+    place_request,
+)
+
+MS = 1_000_000
+WORK = WorkTime(100.0, 1000.0, 10)
+
+
+def place(*candidates, left_ms=1000.0, now=0, work=WORK):
+    return place_request(candidates, work, left_ms, now)
+
+
+def test_a_free_slot_nearby_goes_first_and_a_queue_there_sends_further():
+    here, near, far = (UpstreamLoad(1) for _ in range(3))
+    rows = (
+        Candidate("far", far, "far"),
+        Candidate("near", near, "near"),
+        Candidate("here", here, "here"),
+    )
+    assert place(*rows).name == "here"
+    note_sent(here)
+    assert place(*rows).name == "near"
+    note_sent(near)
+    assert place(*rows).name == "far"
+
+
+def test_a_quick_upstream_and_one_that_is_not_slowed_are_preferred():
+    quick, slow = UpstreamLoad(2, speed=0.7), UpstreamLoad(2, speed=1.6)
+    rows = (Candidate("slow", slow, "here"), Candidate("quick", quick, "here"))
+    assert place(*rows).name == "quick"
+    note_report(quick, LoadReport(0, 0, 2, 3.0), 0)
+    assert place(*rows).name == "slow"
+    # The report is old soon.
+    assert place(*rows, now=500 * MS).name == "quick"
+
+
+def test_what_cannot_be_answered_in_time_is_refused_at_once():
+    load = UpstreamLoad(2, speed=3.0)
+    assert isinstance(place(Candidate("a", load, "here"), left_ms=200.0), NoRoom)
+
+
+def test_a_full_upstream_is_left_to_drain_and_a_silent_one_alone():
+    load = UpstreamLoad(2, n_in_flight=2 + N_QUEUED_MAX)
+    row = Candidate("a", load, "here")
+    assert isinstance(place(row), Wait)
+    note_ended(load)
+    assert isinstance(place(row), Placed)
+    note_unreachable(load, 0)
+    assert isinstance(place(row), NoRoom)
+    assert isinstance(place(row, now=10_000 * MS), Placed)
+
+
+def test_speed_is_learnt_without_what_was_waited():
+    load, work = UpstreamLoad(2), WorkTime()
+    for _ in range(60):
+        note_answer(load, work, 200.0, 0.0, 10)
+        other = UpstreamLoad(2)
+        note_answer(other, work, 100.0, 0.0, 10)
+    assert load.speed > 1.2
+    queued = UpstreamLoad(2)
+    note_answer(queued, WorkTime(100.0, 0, 5), 200.0, 2.0, 10)
+    assert queued.speed == pytest.approx(1.0)
+
+
+class _PlayedUpstream:
+    """An upstream with slots and a queue, as one of three speeds."""
+
+    def __init__(self, n_slots: int, speed: float) -> None:
+        self.n_slots, self.speed = n_slots, speed
+        self.running = 0
+        self.queue: list[tuple[float, object]] = []
+
+
+def play(choose, per_s: float, seed: int) -> list[float]:
+    """Return the answer times in ms of a load on 12 upstreams and 4 hosts."""
+    rng = random.Random(seed)
+    upstreams = [_PlayedUpstream(2, (0.7, 0.7, 1.6)[n % 3]) for n in range(12)]
+    hosts = [
+        ({n: UpstreamLoad(2) for n in range(12)}, WorkTime(160, 1000, 1))
+        for _ in range(4)
+    ]
+    events: list[tuple[float, int, tuple]] = []
+    order = iter(range(10**9))
+    at = 0.0
+    for _ in range(4000):
+        at += rng.expovariate(per_s / 1000)
+        heapq.heappush(events, (at, next(order), ("arrive",)))
+    took: list[float] = []
+
+    def start(at_ms: float, name: int, job: tuple) -> None:
+        upstream = upstreams[name]
+        upstream.running += 1
+        work_ms = job[2] * upstream.speed
+        heapq.heappush(events, (at_ms + work_ms, next(order), ("end", name, job)))
+
+    while events:
+        at_ms, _, event = heapq.heappop(events)
+        now = int(at_ms * MS)
+        if event[0] == "arrive":
+            loads, work = rng.choice(hosts)
+            name = choose(loads, work, now, rng)
+            n_queued = max(0, loads[name].n_in_flight + 1 - 2)
+            note_sent(loads[name])
+            job = (at_ms, (loads, work, n_queued), rng.lognormvariate(5.0, 0.3))
+            if upstreams[name].running < 2:
+                start(at_ms, name, job)
+            else:
+                upstreams[name].queue.append((at_ms, job))
+        else:
+            _, name, job = event
+            upstream = upstreams[name]
+            upstream.running -= 1
+            if upstream.queue:
+                start(at_ms, name, upstream.queue.pop(0)[1])
+            loads, work, n_queued = job[1]
+            report = LoadReport(upstream.running, len(upstream.queue), 2, 1.0)
+            note_report(loads[name], report, now)
+            note_ended(loads[name])
+            note_answer(loads[name], work, at_ms - job[0], n_queued, 1000)
+            took.append(at_ms - job[0])
+    return took
+
+
+def by_policy(loads, work, now, rng):
+    names = list(loads)
+    rng.shuffle(names)
+    rows = [Candidate(name, loads[name], "here") for name in names]
+    placed = place_request(rows, work, 60_000.0, now)
+    if isinstance(placed, Placed):
+        return placed.name
+    return min(names, key=lambda name: loads[name].n_in_flight)
+
+
+def by_least_in_flight(loads, work, now, rng):
+    names = list(loads)
+    rng.shuffle(names)
+    return min(names, key=lambda name: loads[name].n_in_flight)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_at_two_thirds_of_all_slots_fewer_callers_wait_past_their_objective(seed):
+    """Load: 0.65 of what the slots bear; objective 500 ms for 150 ms of work."""
+    per_s = 0.65 * 24 / 0.155
+    late = [
+        statistics.fmean(ms > 500 for ms in play(choose, per_s, seed))
+        for choose in (by_policy, by_least_in_flight)
+    ]
+    assert late[0] <= 0.05
+    assert late[0] < late[1]
--- /dev/null
+++ b/packages/bergamotferry/tests/test_key_ranges.py
@@ -0,0 +1,81 @@
+from bergamotferry.configuration import N_SHARD_KEYS
+from bergamotferry.fleet_tables import KeyRange
+from bergamotferry.key_ranges import N_RANGES_PER_SERVICE, plan_ranges
+from bergamotferry.upstream_sessions import SessionRow
+
+
+def upstream(name: str, **changes) -> SessionRow:
+    row = SessionRow(name, 1, 1, "s", f"1.1.1.{name[1:]}:1", "dc", 2, "ready", 0)
+    return row._replace(**changes)
+
+
+def by_name(*rows: SessionRow) -> dict[str, SessionRow]:
+    return {row.name: row for row in rows}
+
+
+def carried_out(upstreams, ranges=(), evacuated=frozenset()) -> list[KeyRange]:
+    """Return the ranges once all that was planned is done."""
+    rows = {row.first_key: row for row in ranges}
+    for move in plan_ranges("s", ranges, upstreams, evacuated):
+        holder = move.next_holder
+        rows[move.first_key] = KeyRange(
+            "s",
+            move.first_key,
+            move.last_key,
+            holder.name,
+            holder.born_ms,
+            holder.address,
+            1,
+            "",
+        )
+    return [rows[key] for key in sorted(rows)]
+
+
+def n_moved(before: list[KeyRange], after: list[KeyRange]) -> int:
+    return sum(a.upstream != b.upstream for a, b in zip(before, after, strict=True))
+
+
+def test_every_key_gets_one_holder_and_the_ranges_are_even():
+    ranges = carried_out(by_name(*(upstream(f"u{n}") for n in range(8))))
+    ends = [(row.first_key, row.last_key) for row in ranges]
+    assert ends[0][0] == 0
+    assert ends[-1][1] == N_SHARD_KEYS - 1
+    assert all(a[1] + 1 == b[0] for a, b in zip(ends, ends[1:], strict=False))
+    n_each = [sum(r.upstream == f"u{n}" for r in ranges) for n in range(8)]
+    assert n_each == [N_RANGES_PER_SERVICE // 8] * 8
+
+
+def test_nothing_moves_while_all_holders_are_ready():
+    upstreams = by_name(*(upstream(f"u{n}") for n in range(5)))
+    ranges = carried_out(upstreams)
+    assert plan_ranges("s", ranges, upstreams, frozenset()) == []
+
+
+def test_only_the_ranges_of_a_holder_that_is_gone_move():
+    upstreams = by_name(*(upstream(f"u{n}") for n in range(4)))
+    ranges = carried_out(upstreams)
+    for phase in ("draining", "gone"):
+        changed = {**upstreams, "u1": upstream("u1", phase=phase)}
+        after = carried_out(changed, ranges)
+        assert n_moved(ranges, after) == N_RANGES_PER_SERVICE // 4
+        assert not any(row.upstream == "u1" for row in after)
+
+
+def test_an_earlier_life_holds_nothing_and_an_evacuated_place_neither():
+    upstreams = by_name(upstream("u0"), upstream("u1", data_centre="other"))
+    ranges = carried_out(upstreams)
+    reborn = {**upstreams, "u0": upstream("u0", born_ms=2)}
+    wanted = plan_ranges("s", ranges, reborn, frozenset())
+    assert {move.current.upstream for move in wanted} == {"u0"}
+    after = carried_out(upstreams, ranges, frozenset({"other"}))
+    assert {row.upstream for row in after} == {"u0"}
+    assert plan_ranges("s", ranges, {}, frozenset()) == []
+
+
+def test_who_joins_gets_a_fair_part_and_no_more_moves_than_that():
+    upstreams = by_name(*(upstream(f"u{n}") for n in range(3)))
+    ranges = carried_out(upstreams)
+    joined = {**upstreams, "u9": upstream("u9")}
+    after = carried_out(joined, ranges)
+    assert sum(row.upstream == "u9" for row in after) == N_RANGES_PER_SERVICE // 4
+    assert n_moved(ranges, after) == N_RANGES_PER_SERVICE // 4
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -98,6 +98,11 @@
         await asyncio.sleep(RETRY_PAUSE_S * (1 + secrets.randbelow(100) / 100))
 
 
+def add_control_hosts(host: DirectHost, names: tuple[str, ...]) -> None:
+    """Note control hosts that were not known."""
+    host.control_hosts += [name for name in names if name not in host.control_hosts]
+
+
 def budget_of(host: DirectHost, service: str) -> WindowBudget:
     """Return this host's part of a service's budget for repeated sends."""
     budget = host.budgets.get(service)
@@ -153,9 +158,7 @@
         _take_row(host, row)
     if reply.sessions:
         _index_upstreams(host)
-    host.control_hosts += [
-        name for name in reply.control_hosts if name not in host.control_hosts
-    ]
+    add_control_hosts(host, reply.control_hosts)
     host.n_hosts_here = max(1, reply.n_followers)
     host.n_hosts_all = max(1, reply.n_followers_all)
     if reply.revision < host.revision:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_run.py
@@ -27,7 +27,7 @@
 from .clock import now_ns
 from .data_folder import DataFolder
 from .direct_call import open_direct_session
-from .direct_host import DirectHost, run_follower
+from .direct_host import DirectHost, add_control_hosts, run_follower
 from .direct_request import answer_request
 from .fleet_control import (
     ControlHost,
@@ -48,7 +48,7 @@
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .http_address import split_address
 from .http_edge import EdgeLimits, edge_runner
-from .logs import log
+from .logs import log, log_warning
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
 from .range_calls import RangeCallPaths
@@ -56,6 +56,8 @@
 
 DecodeConfiguration = Callable[[bytes], Configuration | list[ConfigurationError]]
 AddControlRoutes = Callable[[web.Application, ControlHost], None]
+# Settings as they stand now, or all that is wrong with them.
+ReadSettings = Callable[[], FleetSettings | list[str]]
 
 LISTEN_BACKLOG = 1024
 # The balancer asks once a second and believes the second miss.
@@ -70,8 +72,9 @@
     decode_configuration: DecodeConfiguration,
     add_routes: AddControlRoutes,
     paths: RangeCallPaths,
+    read_settings: ReadSettings,
 ) -> None:
-    """Run a control host until SIGTERM."""
+    """Run a control host until SIGTERM; SIGHUP has its seeds read again."""
     stopping = _stop_event()
     if settings.data_dir is None:
         raise ValueError("a control host needs a data folder")
@@ -85,6 +88,7 @@
         settings, network, group, decode_configuration, secrets.token_hex(8)
     )
     tasks_of_news: set[asyncio.Task[None]] = set()
+    _reload_on_hangup(read_settings, lambda seeds: group.sources.extend(seeds))
     _set_control_handlers(host, handlers, tasks_of_news)
     await network.start()
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
@@ -111,11 +115,16 @@
     settings: FleetSettings,
     decode_configuration: DecodeConfiguration,
     ready_path: str,
+    read_settings: ReadSettings,
 ) -> None:
-    """Run a host that takes requests until SIGTERM, then stop it gracefully."""
+    """Run a host that takes requests until SIGTERM, then stop it gracefully.
+
+    SIGHUP has its seeds read again.
+    """
     stopping = _stop_event()
     network = _network(settings, PeerHandlers(_unset, _unset, _unset))
     host = DirectHost(settings, network, decode_configuration)
+    _reload_on_hangup(read_settings, lambda seeds: add_control_hosts(host, seeds))
     async with open_direct_session() as http:
 
         async def on_request(request: web.Request) -> web.Response:
@@ -238,5 +247,24 @@
     return stopping
 
 
+def _reload_on_hangup(
+    read_settings: ReadSettings, take_seeds: Callable[[tuple[str, ...]], None]
+) -> None:
+    """Read the settings again when SIGHUP comes.
+
+    Only the seeds may change while a host runs; whatever is wrong changes nothing.
+    """
+
+    def reload() -> None:
+        settings = read_settings()
+        if isinstance(settings, list):
+            log_warning("settings not taken", errors=settings)
+            return
+        take_seeds(settings.seeds)
+        log("settings read again", seeds=settings.seeds)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
+
 def _unset(*arguments: Any) -> Any:
     raise RuntimeError("the host takes no calls")
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -0,0 +1,173 @@
+"""One send to an upstream that answers with bytes of the test's choice."""
+
+import asyncio
+import socket
+
+import pytest
+
+from bergamotferry.direct_placement import LoadReport
+from bergamotferry_host.direct_call import (
+    DirectSend,
+    load_report,
+    open_direct_session,
+    send_direct,
+)
+from bergamotferry_host.fleet_settings import DirectHeaders
+
+NAMES = DirectHeaders()
+ID = f"{NAMES.request_id}: r1"
+
+
+def head(status: str, *lines: str) -> bytes:
+    return "\r\n".join([f"HTTP/1.1 {status}", *lines, "", ""]).encode()
+
+
+def send_of(address: str, **changes) -> DirectSend:
+    headers = {"Host": "a.example", NAMES.request_id: "r1", "X-Own": "1"}
+    send = DirectSend("POST", "/x/%2e?q=1", address, "u1", "r1", headers, b"b", 500.0)
+    return send._replace(**changes)
+
+
+async def exchange(answer: bytes, *, is_reset=False, is_kept=False, **changes):
+    """Return the outcome of one send and the bytes that the upstream got."""
+    got = bytearray()
+
+    async def on_connection(reader, writer):
+        got.extend(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(answer)
+        await writer.drain()
+        if is_reset:
+            option = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, option
+            )
+        if is_kept:
+            await asyncio.sleep(1)
+        writer.close()
+
+    server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server, open_direct_session() as http:
+        send = send_of(f"127.0.0.1:{port}", **changes)
+        return await send_direct(http, NAMES, send), bytes(got)
+
+
+def outcome_of(answer: bytes, **options):
+    return asyncio.run(exchange(answer, **options))[0]
+
+
+def test_a_whole_answer_is_passed_on_with_its_own_headers():
+    answer = head(
+        "201 Created",
+        ID,
+        "Content-Length: 2",
+        f"{NAMES.seal}: s",
+        f"{NAMES.load}: 2,1,3,150",
+        f"{NAMES.cold_left_ms}: 700",
+        "Connection: close",
+    )
+    outcome = outcome_of(answer + b"ok")
+    assert (outcome.result, outcome.status, outcome.body) == ("answered", 201, b"ok")
+    assert outcome.headers[NAMES.seal] == "s"
+    assert "Connection" not in outcome.headers
+    assert "Content-Length" not in outcome.headers
+    assert outcome.report == LoadReport(2, 1, 3, 1.5)
+    assert outcome.cold_left_ms == 700
+
+
+def test_the_request_goes_out_as_it_came_with_time_and_upstream_named():
+    answer = head("200 OK", ID, "Content-Length: 0")
+    _, got = asyncio.run(exchange(answer))
+    first, *lines = got.decode().split("\r\n")
+    assert first == "POST /x/%2e?q=1 HTTP/1.1"
+    sent = dict(line.split(": ", 1) for line in lines if line)
+    assert sent["Host"] == "a.example"
+    assert sent[NAMES.request_id] == "r1"
+    assert sent["X-Own"] == "1"
+    assert sent[NAMES.expected_upstream] == "u1"
+    assert sent[NAMES.deadline_ms] == "500"
+    assert sent["Content-Length"] == "1"
+    assert "User-Agent" not in sent
+    assert "Accept-Encoding" not in sent
+
+
+@pytest.mark.parametrize(
+    ("answer", "result"),
+    [
+        (head("503 Full", f"{NAMES.not_run}: 1", "Content-Length: 0"), "not_run"),
+        (head("429 Full", f"{NAMES.not_run}: 1", "Content-Length: 0"), "not_run"),
+        (head("421 Other", "Content-Length: 0"), "other_upstream"),
+        (head("503 Failed", ID, "Content-Length: 0"), "answered"),
+        (head("200 OK", "Content-Length: 0"), "broken"),
+        (head("200 OK", f"{NAMES.request_id}: r0", "Content-Length: 0"), "broken"),
+        (head("200 OK", ID, "Content-Encoding: gzip", "Content-Length: 1"), "broken"),
+        (head("200 OK", ID, "Content-Length: 5") + b"ab", "broken"),
+        (head("200 OK", ID, "Transfer-Encoding: chunked") + b"5\r\nab", "broken"),
+        (head("200 OK", ID) + b"all of it?", "broken"),
+        (b"\x00\x01 no answer at all\r\n\r\n", "broken"),
+        (b"", "broken"),
+    ],
+)
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_what_an_answer_says_of_whether_the_request_ran(answer, result, is_reset):
+    outcome = outcome_of(answer, is_reset=is_reset and result == "broken")
+    assert outcome.result == result
+
+
+def test_an_answer_that_does_not_come_is_broken_off_in_time():
+    outcome = outcome_of(b"", is_kept=True, left_ms=60.0)
+    assert (outcome.result, outcome.is_timeout) == ("broken", True)
+
+
+def test_no_process_at_the_address_is_told_from_a_broken_send():
+    async def send():
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+        async with open_direct_session() as http:
+            return await send_direct(http, NAMES, send_of(address))
+
+    assert asyncio.run(send()).result == "no_process"
+
+
+def test_a_request_is_never_sent_twice_by_the_library():
+    """A kept connection is closed when the second request comes on it."""
+    n_requests = 0
+
+    async def on_connection(reader, writer):
+        nonlocal n_requests
+        await reader.readuntil(b"\r\n\r\n")
+        n_requests += 1
+        writer.write(head("200 OK", ID, "Content-Length: 0"))
+        await reader.readuntil(b"\r\n\r\n")
+        n_requests += 1
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        send = send_of(address, method="GET", body=b"")
+        async with server, open_direct_session() as http:
+            first = await send_direct(http, NAMES, send)
+            second = await send_direct(http, NAMES, send)
+        return first.result, second.result
+
+    assert asyncio.run(run()) == ("answered", "broken")
+    assert n_requests == 2
+
+
+@pytest.mark.parametrize(
+    ("text", "report"),
+    [
+        ("3,0,8", LoadReport(3, 0, 8, 1.0)),
+        ("3,1,8,300", LoadReport(3, 1, 8, 3.0)),
+        ("", None),
+        ("3,0", None),
+        ("a,b,c", None),
+        ("-1,0,8", None),
+        ("1,0,8,0", None),
+        ("1,0,8,inf", None),
+    ],
+)
+def test_reports_of_load(text, report):
+    assert load_report(text) == report
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
@@ -0,0 +1,60 @@
+import pytest
+
+from bergamotferry_platform.settings import SettingsError, decode_settings
+
+EDGE = """
+node-name=edge-a-1
+serves=edge
+ip=10.1.0.10
+zone=a
+region=north
+zones.a=north
+zones.b=south
+listen-addrs.front=10.1.0.10:8000
+listen-addrs.ready=10.1.0.10:8001
+internal-port-range=7000,7015
+seed-nodes=10.1.0.1:9000,10.2.0.1:9000,10.3.0.1:9000
+bootstrap=true
+limits.max-fds=4100
+heartbeat-ms=870
+fault-tolerance.machines=2
+something-new=1
+bounds=drain-ms=2500,grace-s=6,retry-budget-slack=64,hold-max-ms=9000,of-tomorrow=x
+"""
+
+
+def test_a_file_is_read_into_the_products_own_terms():
+    settings = decode_settings(EDGE)
+    assert settings.name == "10.1.0.10"
+    assert settings.data_centre == "a"
+    assert settings.regions == {"a": "north", "b": "south"}
+    assert settings.peer_port == 7000
+    assert settings.seeds == ("10.1.0.1", "10.2.0.1", "10.3.0.1")
+    assert settings.caller_address == "10.1.0.10:8000"
+    assert settings.is_bootstrap
+    assert settings.bounds.drain_ms == 2500
+    assert settings.bounds.hold_max_ms == 9000
+    assert settings.bounds.retry_budget_reserve == 64
+    assert settings.bounds.n_lost_disks_max == 2
+    # What the file does not give has its default.
+    assert settings.bounds.retry_budget_ratio == 0.2
+
+
+def test_all_that_is_wrong_is_told_at_once():
+    text = EDGE.replace("ip=10.1.0.10\n", "").replace("7000,7015", "none")
+    text = text.replace("zones.a=north\n", "").replace("grace-s=6", "grace-s=soon")
+    with pytest.raises(SettingsError) as caught:
+        decode_settings(text)
+    assert caught.value.lines == [
+        "internal-port-range: 'none' is no port",
+        "bounds.grace-s: 'soon' is no number",
+        "the host's own IP number is missing",
+        "data centre 'a' has no region",
+        "0 is no port for peers",
+    ]
+
+
+def test_a_control_host_needs_a_data_folder():
+    text = EDGE.replace("listen-addrs.front", "listen-addrs.control")
+    with pytest.raises(SettingsError, match="data folder"):
+        decode_settings(text)
