--- a/packages/bergamotferry/src/bergamotferry/window_budget.py
+++ b/packages/bergamotferry/src/bergamotferry/window_budget.py
@@ -2,7 +2,8 @@
 
 The bound is summed over all hosts and holds in any sliding window. A host that divides
 it by what it saw itself needs no word from the others: its own requests earn a share,
-and a fixed reserve is split among the hosts.
+and a fixed reserve is split among the hosts. A host that has just started does not
+know what it spent before, so its part of the reserve grows over the first window.
 """
 
 from collections import deque
@@ -21,6 +22,7 @@
     ratio: float
     reserve: float
     window_s: float
+    began_ns: int
     n_hosts: int = 1
     requests: deque[int] = field(default_factory=deque)
     repeats: deque[int] = field(default_factory=deque)
@@ -36,7 +38,8 @@
     """Take the right to one more send; False if none is left."""
     _forget(budget, now_ns)
     earned = SHARE_USED * budget.ratio * len(budget.requests)
-    reserve = RESERVE_USED * budget.reserve / max(1, budget.n_hosts)
+    grown = min(1.0, (now_ns - budget.began_ns) / (budget.window_s * NS_PER_S))
+    reserve = grown * RESERVE_USED * budget.reserve / max(1, budget.n_hosts)
     if len(budget.repeats) + 1 > earned + reserve:
         return False
     budget.repeats.append(now_ns)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -16,6 +16,7 @@
 from bergamotferry.direct_placement import UpstreamLoad, WorkTime
 from bergamotferry.fleet_messages import FleetChanges, FollowFleet
 from bergamotferry.fleet_tables import KeyRange
+from bergamotferry.key_pause import KeyPause
 from bergamotferry.upstream_sessions import SessionRow, is_newer_row
 from bergamotferry.window_budget import WindowBudget
 
@@ -68,6 +69,8 @@
     n_hosts_here: int = 1
     n_hosts_all: int = 1
     heard_ns: int = 0
+    key_pauses: dict[int, KeyPause] = field(default_factory=dict)
+    began_ns: int = field(default_factory=now_ns)
     n_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     is_stopping: bool = False
@@ -112,6 +115,7 @@
             bounds.retry_budget_ratio,
             bounds.retry_budget_reserve,
             bounds.retry_window_s,
+            host.began_ns,
         )
     budget.n_hosts = host.n_hosts_all
     return budget
@@ -168,6 +172,9 @@
         host.ranges = {}
         for key_range in reply.ranges:
             host.ranges.setdefault(key_range.service, []).append(key_range)
+        tokens = {key_range.token for key_range in reply.ranges}
+        for token in host.key_pauses.keys() - tokens:
+            del host.key_pauses[token]
         host.revision = reply.revision
     if reply.configuration_source:
         _take_configuration(host, reply)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -37,6 +37,7 @@
     note_unreachable,
     place_request,
 )
+from bergamotferry.key_pause import KeyPause, note_held, note_not_held
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 from bergamotferry.window_budget import note_request, take_repeat
@@ -64,6 +65,7 @@
     """One request under way, and what its sends have shown so far.
 
     ``n_arrived`` sends reached an upstream; ``n_maybe_run`` of these may have run.
+    ``token`` is that of the key's range when it was last placed.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     n_arrived: int = 0
     n_maybe_run: int = 0
     is_timed_out: bool = False
+    token: int = 0
     tried: set[str] = field(default_factory=set)
     last_detail: str = ""
 
@@ -201,7 +204,7 @@
 
 def _candidates(host: DirectHost, request: DirectRequest, now: int) -> list[Candidate]:
     rows: list[Candidate] = []
-    for upstream in _possible_upstreams(host, request):
+    for upstream in _possible_upstreams(host, request, now):
         row = upstream.row
         region = host.settings.regions.get(row.data_centre, "")
         homes = request.route.home_regions
@@ -222,13 +225,18 @@
     return rows
 
 
-def _possible_upstreams(host: DirectHost, request: DirectRequest) -> list[Upstream]:
+def _possible_upstreams(
+    host: DirectHost, request: DirectRequest, now: int
+) -> list[Upstream]:
     if not request.service.is_sharded:
         return host.by_service.get(request.service.name, [])
     holder = holder_of_key(host, request.service.name, request.shard_key or 0)
     upstream = host.upstreams.get(holder.upstream) if holder else None
     if holder is None or upstream is None or upstream.row.born_ms != holder.born_ms:
         return []
+    request.token = holder.token
+    if holder.token in host.key_pauses and now < host.key_pauses[holder.token].until_ns:
+        return []
     return [upstream] if upstream.row.phase in ("ready", "draining") else []
 
 
@@ -293,6 +301,8 @@
         case "answered" if outcome is not None:
             request.n_arrived += 1
             request.n_maybe_run += 1
+            if request.token in host.key_pauses:
+                note_held(host.key_pauses[request.token])
             if outcome.status >= 500:
                 note_failure(load)
             else:
@@ -313,7 +323,10 @@
             load.reported_ns = now
         case "other_upstream":
             request.n_arrived += 1
-            if not request.service.is_sharded:
+            if request.service.is_sharded:
+                pause = host.key_pauses.setdefault(request.token, KeyPause())
+                note_not_held(pause, now)
+            else:
                 note_unreachable(load, now)
         case "no_process" | "no_connection":
             note_unreachable(load, now)
