Ask the best three upstreams for their load before one is chosen

Change: upstreams of a data centre are divided among its hosts by rendezvous hash, as a soft preference; the best three candidates are asked at the health path unless their report is under 100 ms old. A refusal that reports free slots no longer counts as full.

--- a/packages/bergamotferry/src/bergamotferry/direct_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/direct_placement.py
@@ -6,6 +6,11 @@
 upstream when the answer would be back, from what the upstream last reported, what the
 host itself has under way there, and how quick it was before. Upstreams nearby are
 preferred for as long as the time saved elsewhere is not worth the bytes on the way.
+
+What a host does not know of an upstream is mostly what other hosts sent there, and
+whether its neighbours slow it just now. So each host prefers a few upstreams as its
+own, and the best few are asked for their load before one of them is chosen, unless
+their last report is fresh.
 """
 
 from collections.abc import Iterable
@@ -29,6 +34,12 @@
 # What a failed try costs its caller, in time.
 FAILURE_COSTS_MS = 1_000.0
 
+# How many upstreams are compared by fresh reports, and how old such a report may be.
+N_COMPARED = 3
+REPORT_FRESH_MS = 100.0
+# Another host's own upstream is taken if it is quicker by this share of the work.
+NOT_OWN_COST_SHARE = 0.3
+
 Distance = Literal["here", "near", "far"]
 WAY_MS: dict[Distance, float] = {"here": 0.5, "near": 2.0, "far": 25.0}
 # What bytes between data centres and regions are worth in time, per 10 KB.
@@ -75,11 +86,12 @@
 
 
 class Candidate(NamedTuple):
-    """An upstream that may take a request, and how far away it is."""
+    """An upstream that may take a request, how far away it is, and whose it is."""
 
     name: str
     load: UpstreamLoad
     distance: Distance
+    is_own: bool = True
 
 
 class Placed(NamedTuple):
@@ -89,6 +101,13 @@
     expected_ms: float
 
 
+class Shortlist(NamedTuple):
+    """The upstreams that look best; those with an old report should be asked."""
+
+    candidates: tuple[Candidate, ...]
+    asked: tuple[Candidate, ...]
+
+
 class Wait(NamedTuple):
     """Nothing takes the request now; look again after ``wait_ms``."""
 
@@ -135,28 +154,45 @@
     now_ns : int
         The time.
     """
-    best: Placed | None = None
-    best_cost_ms = float("inf")
-    soonest_ms = float("inf")
-    for name, load, distance in candidates:
-        if load.blocked_until_ns > now_ns:
-            continue
-        done_ms = expected_ms(load, work.mean_ms, now_ns) + WAY_MS[distance]
-        soonest_ms = min(soonest_ms, done_ms)
-        if n_ahead(load, now_ns) + 1 > load.n_slots + N_QUEUED_MAX or done_ms > left_ms:
-            continue
-        cost_ms = done_ms + _bytes_cost_ms(distance, work.answer_bytes)
-        cost_ms += FAILURE_COSTS_MS * load.failure_share
-        if cost_ms < best_cost_ms:
-            best_cost_ms = cost_ms
-            best = Placed(name, done_ms)
-    if best is not None:
-        return best
+    rows = list(candidates)
+    ranked = _ranked(rows, work, left_ms, now_ns)
+    if ranked:
+        _, done_ms, best = min(ranked, key=lambda row: row[0])
+        return Placed(best.name, done_ms)
+    soonest_ms = min(
+        (
+            _done_ms(row, work, now_ns)
+            for row in rows
+            if row.load.blocked_until_ns <= now_ns
+        ),
+        default=float("inf"),
+    )
     if soonest_ms <= left_ms:
         return Wait(min(20.0, left_ms / 4))
     return NoRoom(soonest_ms)
 
 
+def shortlist(
+    candidates: Iterable[Candidate], work: WorkTime, left_ms: float, now_ns: int
+) -> Shortlist:
+    """Return the candidates to choose from, and which of them to ask for their load.
+
+    One that is far away is not asked: the way costs more than the answer is worth.
+    """
+    ranked = _ranked(candidates, work, left_ms, now_ns)
+    best = sorted(ranked, key=lambda row: row[0])[:N_COMPARED]
+    rows = tuple(row for _, _, row in best)
+    asked = tuple(
+        row for row in rows if row.distance != "far" and not is_fresh(row.load, now_ns)
+    )
+    return Shortlist(rows, asked if len(rows) > 1 else ())
+
+
+def is_fresh(load: UpstreamLoad, now_ns: int) -> bool:
+    """Return whether the last report still tells how an upstream is."""
+    return now_ns - load.reported_ns <= REPORT_FRESH_MS * NS_PER_MS
+
+
 def note_sent(load: UpstreamLoad) -> None:
     """Note that a request is under way."""
     load.n_in_flight += 1
@@ -167,12 +203,24 @@
     load.n_in_flight -= 1
 
 
-def note_report(load: UpstreamLoad, report: LoadReport, now_ns: int) -> None:
-    """Take what an upstream reported; called before its request counts as ended."""
+def note_report(
+    load: UpstreamLoad, report: LoadReport, n_own: int, now_ns: int
+) -> None:
+    """Take what an upstream reported.
+
+    Parameters
+    ----------
+    load : UpstreamLoad
+        Of the upstream.
+    report : LoadReport
+        What it said.
+    n_own : int
+        Requests of this host that it still had by then.
+    now_ns : int
+        The time.
+    """
     load.n_slots = report.n_slots or load.n_slots
-    total = report.n_running + report.n_waiting
-    # The request that brought the report has left the upstream already.
-    load.n_others = max(0, total - max(0, load.n_in_flight - 1))
+    load.n_others = max(0, report.n_running + report.n_waiting - max(0, n_own))
     load.slowness = report.slowness
     load.reported_ns = now_ns
 
@@ -220,6 +268,31 @@
     load.blocked_until_ns = now_ns + pause_ms * NS_PER_MS
 
 
+def _ranked(
+    candidates: Iterable[Candidate], work: WorkTime, left_ms: float, now_ns: int
+) -> list[tuple[float, float, Candidate]]:
+    """Return cost, expected time and row of each candidate that can take a request."""
+    ranked: list[tuple[float, float, Candidate]] = []
+    for row in candidates:
+        load = row.load
+        if load.blocked_until_ns > now_ns:
+            continue
+        done_ms = _done_ms(row, work, now_ns)
+        is_full = n_ahead(load, now_ns) + 1 > load.n_slots + N_QUEUED_MAX
+        if is_full or done_ms > left_ms:
+            continue
+        cost_ms = done_ms + _bytes_cost_ms(row.distance, work.answer_bytes)
+        cost_ms += FAILURE_COSTS_MS * load.failure_share
+        if not row.is_own:
+            cost_ms += NOT_OWN_COST_SHARE * work.mean_ms
+        ranked.append((cost_ms, done_ms, row))
+    return ranked
+
+
+def _done_ms(row: Candidate, work: WorkTime, now_ns: int) -> float:
+    return expected_ms(row.load, work.mean_ms, now_ns) + WAY_MS[row.distance]
+
+
 def _bytes_cost_ms(distance: Distance, n_bytes: float) -> float:
     cost_ms = BYTES_COST_MS[distance] * max(0.3, n_bytes / BYTES_COST_UNIT)
     return min(BYTES_COST_MAX_MS[distance], cost_ms)
--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -25,8 +25,8 @@
 class FleetChanges(NamedTuple):
     """What changed; ``is_current`` tells that the sender hears the leader.
 
-    ``configuration_source`` is empty if the asker has that version. ``n_followers``
-    counts the hosts in the asker's data centre that take requests.
+    ``configuration_source`` is empty if the asker has that version. ``hosts_here`` are
+    the hosts of the asker's data centre that take requests.
     """
 
     source: str
@@ -39,8 +39,8 @@
     evacuated: tuple[str, ...]
     ranges: tuple[KeyRange, ...]
     control_hosts: tuple[str, ...]
-    n_followers: int
-    n_followers_all: int
+    hosts_here: tuple[str, ...]
+    n_hosts_all: int
 
 
 class SessionNews(NamedTuple):
--- a/packages/bergamotferry/tests/test_direct_placement.py
+++ b/packages/bergamotferry/tests/test_direct_placement.py
@@ -49,7 +49,7 @@
     quick, slow = UpstreamLoad(2, speed=0.7), UpstreamLoad(2, speed=1.6)
     rows = (Candidate("slow", slow, "here"), Candidate("quick", quick, "here"))
     assert place(*rows).name == "quick"
-    note_report(quick, LoadReport(0, 0, 2, 3.0), 0)
+    note_report(quick, LoadReport(0, 0, 2, 3.0), 0, 0)
     assert place(*rows).name == "slow"
     # The report is old soon.
     assert place(*rows, now=500 * MS).name == "quick"
@@ -135,8 +135,8 @@
                 start(at_ms, name, upstream.queue.pop(0)[1])
             loads, work, n_queued = job[1]
             report = LoadReport(upstream.running, len(upstream.queue), 2, 1.0)
-            note_report(loads[name], report, now)
             note_ended(loads[name])
+            note_report(loads[name], report, loads[name].n_in_flight, now)
             note_answer(loads[name], work, at_ms - job[0], n_queued, 1000)
             took.append(at_ms - job[0])
     return took
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -21,7 +21,7 @@
 
 CONNECT_TIMEOUT_S = 0.4
 # Upstreams close idle connections; one that is older is left alone.
-KEEPALIVE_S = 3.0
+KEEPALIVE_S = 4.0
 ANSWER_SLACK_S = 0.05
 HOP_HEADERS = frozenset(
     (
@@ -144,7 +144,7 @@
         response.close()
         return SendOutcome("broken", "the answer belongs to another request")
     report = load_report(headers.get(names.load, ""))
-    cold_left_ms = _cold_left_ms(headers.get(names.cold_left_ms, ""))
+    left_ms = cold_left_ms(headers.get(names.cold_left_ms, ""))
     body = await response.read()
     if response.status == 421:
         return SendOutcome("other_upstream", "status 421", report=report)
@@ -164,9 +164,7 @@
         for name, value in headers.items()
         if name.lower() not in HOP_HEADERS
     )
-    return SendOutcome(
-        "answered", "", response.status, passed, body, report, cold_left_ms
-    )
+    return SendOutcome("answered", "", response.status, passed, body, report, left_ms)
 
 
 def _has_length(response: aiohttp.ClientResponse) -> bool:
@@ -176,7 +174,8 @@
     return is_chunked or response.content_length is not None
 
 
-def _cold_left_ms(text: str) -> int:
+def cold_left_ms(text: str) -> int:
+    """Return how long an upstream says that it stays cold; 0 if it does not say."""
     return int(text) if text.isascii() and text.isdigit() and len(text) < 8 else 0
 
 
@@ -188,16 +187,21 @@
         context: SimpleNamespace,
         params: aiohttp.TraceConnectionReuseconnParams,
     ) -> None:
-        context.trace_request_ctx.is_reused = True
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.is_reused = True
 
     async def on_head(
         session: aiohttp.ClientSession,
         context: SimpleNamespace,
         params: aiohttp.TraceRequestHeadersSentParams,
     ) -> None:
-        if context.trace_request_ctx.is_sent:
+        progress = context.trace_request_ctx
+        if progress is None:
+            # A question for the load may be sent again.
+            return
+        if progress.is_sent:
             raise SentTwiceError("sent once already")
-        context.trace_request_ctx.is_sent = True
+        progress.is_sent = True
 
     trace.on_connection_reuseconn.append(on_reuse)
     trace.on_request_headers_sent.append(on_head)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import secrets
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -37,11 +38,13 @@
 
 @dataclass(slots=True)
 class Upstream:
-    """An upstream as this host knows it."""
+    """An upstream as this host knows it; ``asking`` is a question under way."""
 
     row: SessionRow
     load: UpstreamLoad
     cold: ColdRate = field(default_factory=ColdRate)
+    is_own: bool = False
+    asking: "asyncio.Task[None] | None" = None
 
 
 @dataclass(slots=True)
@@ -49,7 +52,8 @@
     """State of one host that sends directly.
 
     ``session_change`` and ``source`` are positions in what the followed host told;
-    ``idle`` is set while no request is under way.
+    ``silent_services`` have upstreams that tell no load; ``idle`` is set while no
+    request is under way.
     """
 
     settings: FleetSettings
@@ -66,9 +70,10 @@
     session_change: int = 0
     revision: int = -1
     control_hosts: list[str] = field(default_factory=list)
-    n_hosts_here: int = 1
+    hosts_here: tuple[str, ...] = ()
     n_hosts_all: int = 1
     heard_ns: int = 0
+    silent_services: set[str] = field(default_factory=set)
     key_pauses: dict[int, KeyPause] = field(default_factory=dict)
     began_ns: int = field(default_factory=now_ns)
     n_in_flight: int = 0
@@ -163,8 +168,11 @@
     if reply.sessions:
         _index_upstreams(host)
     add_control_hosts(host, reply.control_hosts)
-    host.n_hosts_here = max(1, reply.n_followers)
-    host.n_hosts_all = max(1, reply.n_followers_all)
+    hosts_here = reply.hosts_here or (host.settings.name,)
+    if hosts_here != host.hosts_here or reply.sessions:
+        host.hosts_here = hosts_here
+        _choose_own(host)
+    host.n_hosts_all = max(1, reply.n_hosts_all)
     if reply.revision < host.revision:
         return
     if reply.revision > host.revision or not is_same_source:
@@ -214,6 +222,17 @@
             del host.upstreams[name]
 
 
+def _choose_own(host: DirectHost) -> None:
+    """Divide the upstreams of this data centre among its hosts, by rendezvous hash."""
+    for name, upstream in host.upstreams.items():
+        if upstream.row.data_centre != host.settings.data_centre:
+            continue
+        owner = max(
+            host.hosts_here, key=lambda other: zlib.crc32(f"{name} {other}".encode())
+        )
+        upstream.is_own = owner == host.settings.name
+
+
 def _in_order(host: DirectHost, names: "list[str] | tuple[str, ...]") -> list[str]:
     """Put the control hosts of the same network first: those are near.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -36,6 +36,7 @@
     note_sent,
     note_unreachable,
     place_request,
+    shortlist,
 )
 from bergamotferry.key_pause import KeyPause, note_held, note_not_held
 from bergamotferry.outcomes import Refused
@@ -46,6 +47,7 @@
 from .direct_call import HOP_HEADERS, DirectSend, SendOutcome, send_direct
 from .direct_host import DirectHost, Upstream, budget_of, holder_of_key
 from .http_body import read_body
+from .load_questions import ask_loads
 from .logs import log
 
 N_SENDS_MAX = 6
@@ -157,7 +159,7 @@
 ) -> SendOutcome | Refused:
     """Send a request until an upstream answers, or nothing more may be tried."""
     while True:
-        upstream = await _place(host, request)
+        upstream = await _place(host, http, request)
         if isinstance(upstream, Refused):
             return _or_unknown(request, upstream)
         if request.n_arrived and not take_repeat(
@@ -175,7 +177,9 @@
             return _or_unknown(request, refusal)
 
 
-async def _place(host: DirectHost, request: DirectRequest) -> Upstream | Refused:
+async def _place(
+    host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
+) -> Upstream | Refused:
     """Wait until an upstream can take the request, or refuse it."""
     waits_until_ns = now_ns() + int(KEY_WAIT_MAX_MS * 1e6)
     work = host.work_times.setdefault(request.route.name, WorkTime())
@@ -191,7 +195,13 @@
                 return Refused(ResultCode.NO_OWNER, "no upstream may take it")
             await asyncio.sleep(KEY_WAIT_MS / 1000)
             continue
-        placed = place_request(candidates, work, left_ms, now)
+        chosen = shortlist(candidates, work, left_ms, now)
+        if chosen.asked:
+            rows = [host.upstreams[row.name] for row in chosen.asked]
+            await ask_loads(host, http, request.service, rows)
+            now = now_ns()
+            left_ms = (request.give_up_ns - now) / 1e6
+        placed = place_request(chosen.candidates or candidates, work, left_ms, now)
         match placed:
             case Placed(name, _):
                 return host.upstreams[name]
@@ -216,12 +226,12 @@
         if is_cold(upstream.cold, now) and not may_send_cold(
             upstream.cold,
             request.service.cold_per_s,
-            host.n_hosts_here,
+            len(host.hosts_here),
             distance == "here",
             now,
         ):
             continue
-        rows.append(Candidate(row.name, upstream.load, distance))
+        rows.append(Candidate(row.name, upstream.load, distance, upstream.is_own))
     return rows
 
 
@@ -270,7 +280,8 @@
             ),
         )
         if outcome.report is not None:
-            note_report(load, outcome.report, now_ns())
+            # The request that brought the report has left the upstream already.
+            note_report(load, outcome.report, load.n_in_flight - 1, now_ns())
         return outcome
     finally:
         note_ended(load)
@@ -319,8 +330,10 @@
         case "not_run":
             request.n_arrived += 1
             note_failure(load)
-            load.n_others = max(load.n_others, load.n_slots + 1)
-            load.reported_ns = now
+            if outcome is None or outcome.report is None:
+                # What refuses without a word on its load is taken for full.
+                load.n_others = max(load.n_others, load.n_slots + 1)
+                load.reported_ns = now
         case "other_upstream":
             request.n_arrived += 1
             if request.service.is_sharded:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -132,10 +132,11 @@
     session_change = message.session_change if is_known else 0
     has_new_tables = not is_known or message.revision < tables.revision
     is_newer = message.configuration_version < tables.configuration_version
-    n_here = sum(
-        place == message.data_centre
+    hosts_here = sorted(
+        name
         for name, place in host.follower_places.items()
-        if now_ns() - host.followers_ns[name] < FOLLOWER_LASTS_NS
+        if place == message.data_centre
+        and now_ns() - host.followers_ns[name] < FOLLOWER_LASTS_NS
     )
     return FleetChanges(
         host.process_id,
@@ -148,7 +149,7 @@
         tuple(sorted(tables.evacuated)),
         tuple(tables.ranges.values()) if has_new_tables else (),
         tuple(sorted(host.control_hosts)),
-        n_here,
+        tuple(hosts_here),
         _n_own_followers(host) + sum(host.n_followers_of.values()),
     )
 
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_questions.py
@@ -0,0 +1,78 @@
+"""Asks upstreams for their load just before one of them is chosen.
+
+The health path answers at once and tells the load. Requests that come together share a
+question, and a service whose upstreams tell no load is not asked again.
+"""
+
+import asyncio
+
+import aiohttp
+from yarl import URL
+
+from bergamotferry.cold_rate import is_cold, note_cold
+from bergamotferry.configuration import DirectService
+from bergamotferry.direct_placement import note_report, note_unreachable
+
+from .background import report_failure
+from .clock import now_ns
+from .direct_call import cold_left_ms, load_report
+from .direct_host import DirectHost, Upstream
+from .logs import log
+
+# Beyond this the wait costs the request more than the answer tells.
+ASK_TIMEOUT_S = 0.04
+
+
+async def ask_loads(
+    host: DirectHost,
+    http: aiohttp.ClientSession,
+    service: DirectService,
+    upstreams: list[Upstream],
+) -> None:
+    """Ask some upstreams for their load, and wait until all answered or a little."""
+    if service.name in host.silent_services:
+        return
+    questions = []
+    for upstream in upstreams:
+        if is_cold(upstream.cold, now_ns()):
+            continue
+        if upstream.asking is None:
+            upstream.asking = asyncio.create_task(_ask(host, http, service, upstream))
+            upstream.asking.add_done_callback(report_failure)
+        questions.append(upstream.asking)
+    if questions:
+        await asyncio.wait(questions, timeout=ASK_TIMEOUT_S)
+
+
+async def _ask(
+    host: DirectHost,
+    http: aiohttp.ClientSession,
+    service: DirectService,
+    upstream: Upstream,
+) -> None:
+    names = host.settings.headers
+    url = URL(f"http://{upstream.row.address}{service.health_path}", encoded=True)
+    timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+    try:
+        async with http.get(url, timeout=timeout, allow_redirects=False) as response:
+            await response.read()
+            if response.headers.get(names.upstream) != upstream.row.name:
+                # Another service may have the address by now.
+                note_unreachable(upstream.load, now_ns())
+                log("upstream not at its address", upstream=upstream.row.name)
+                return
+            report = load_report(response.headers.get(names.load, ""))
+            left_ms = cold_left_ms(response.headers.get(names.cold_left_ms, ""))
+        if left_ms:
+            note_cold(upstream.cold, left_ms, now_ns())
+        if report is not None:
+            note_report(upstream.load, report, upstream.load.n_in_flight, now_ns())
+        elif response.status == 200:
+            host.silent_services.add(service.name)
+    except aiohttp.ClientConnectorError:
+        note_unreachable(upstream.load, now_ns())
+    except (aiohttp.ClientError, OSError):
+        # No answer in time says nothing: a lossy link looks the same as a full queue.
+        return
+    finally:
+        upstream.asking = None
