Send late idempotent requests to a second upstream; keep repeats for who came back

Change: a hedge once the first answer is far later than expected, within the budget for repeats; callers with less time left than others of their route have come back and may use all of it.

--- a/packages/bergamotferry/src/bergamotferry/direct_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/direct_placement.py
@@ -34,6 +34,10 @@
 # What a failed try costs its caller, in time.
 FAILURE_COSTS_MS = 1_000.0
 
+# Callers that wait longest may leave; the memory of them fades within some hundreds.
+LEFT_DECAY = 0.999
+CAME_BACK_SHARE = 0.95
+
 # How many upstreams are compared by fresh reports, and how old such a report may be.
 N_COMPARED = 3
 REPORT_FRESH_MS = 100.0
@@ -78,11 +82,15 @@
 
 @dataclass(slots=True)
 class WorkTime:
-    """How long the work of a route's requests takes on an upstream of mean speed."""
+    """How long the work of a route's requests takes on an upstream of mean speed.
+
+    ``longest_left_ms`` is about how long callers of the route wait at first.
+    """
 
     mean_ms: float = WORK_FIRST_MS
     answer_bytes: float = 0.0
     n_answers: int = 0
+    longest_left_ms: float = 0.0
 
 
 class Candidate(NamedTuple):
@@ -193,6 +201,15 @@
     return now_ns - load.reported_ns <= REPORT_FRESH_MS * NS_PER_MS
 
 
+def note_arrival(work: WorkTime, left_ms: float) -> bool:
+    """Note how long a caller still waits; return whether it seems to have come back.
+
+    One that was refused before has less time left than others of its route.
+    """
+    work.longest_left_ms = max(left_ms, LEFT_DECAY * work.longest_left_ms)
+    return left_ms < CAME_BACK_SHARE * work.longest_left_ms
+
+
 def note_sent(load: UpstreamLoad) -> None:
     """Note that a request is under way."""
     load.n_in_flight += 1
--- a/packages/bergamotferry/src/bergamotferry/window_budget.py
+++ b/packages/bergamotferry/src/bergamotferry/window_budget.py
@@ -4,6 +4,9 @@
 it by what it saw itself needs no word from the others: its own requests earn a share,
 and a fixed reserve is split among the hosts. A host that has just started does not
 know what it spent before, so its part of the reserve grows over the first window.
+
+A request that came back after a refusal has no more tries of its caller's, so it may
+take all that is left; the others leave it half.
 """
 
 from collections import deque
@@ -13,6 +16,7 @@
 # Two hosts can disagree on how many hosts there are, so a part stays unspent.
 RESERVE_USED = 0.8
 SHARE_USED = 0.9
+FIRST_COMERS_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -34,13 +38,14 @@
     _forget(budget, now_ns)
 
 
-def take_repeat(budget: WindowBudget, now_ns: int) -> bool:
+def take_repeat(budget: WindowBudget, now_ns: int, has_come_back: bool = True) -> bool:
     """Take the right to one more send; False if none is left."""
     _forget(budget, now_ns)
     earned = SHARE_USED * budget.ratio * len(budget.requests)
     grown = min(1.0, (now_ns - budget.began_ns) / (budget.window_s * NS_PER_S))
     reserve = grown * RESERVE_USED * budget.reserve / max(1, budget.n_hosts)
-    if len(budget.repeats) + 1 > earned + reserve:
+    share = 1.0 if has_come_back else FIRST_COMERS_SHARE
+    if len(budget.repeats) + 1 > share * (earned + reserve):
         return False
     budget.repeats.append(now_ns)
     return True
--- /dev/null
+++ b/packages/bergamotferry/tests/test_hedging.py
@@ -0,0 +1,42 @@
+import random
+import statistics
+
+import pytest
+
+from bergamotferry.hedging import hedge_delay_ms, is_worth_hedging
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "passed_ms", "expected_ms", "delay_ms"),
+    [
+        (500, 0, 100, 225),
+        (500, 100, 50, 125),
+        (500, 0, 300, 450),
+        (500, 450, 5, 20),
+    ],
+)
+def test_the_delay(objective_ms, passed_ms, expected_ms, delay_ms):
+    found = hedge_delay_ms(objective_ms, passed_ms, expected_ms)
+    assert found == pytest.approx(delay_ms)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_hedges_halve_late_answers_for_a_tenth_more_sends(seed):
+    """Load: work of 112 ms on quick upstreams, one in twenty slowed fivefold."""
+    rng = random.Random(seed)
+
+    def work_ms() -> float:
+        return rng.lognormvariate(4.67, 0.3) * (5 if rng.random() < 0.05 else 1)
+
+    single, hedged, n_hedges = [], [], 0
+    for _ in range(4000):
+        first = work_ms()
+        single.append(first)
+        delay = hedge_delay_ms(500, 0, 112)
+        if first > delay and is_worth_hedging(500, delay, 112):
+            n_hedges += 1
+            first = min(first, delay + work_ms())
+        hedged.append(first)
+    late = [statistics.fmean(ms > 500 for ms in row) for row in (single, hedged)]
+    assert late[1] <= 0.5 * late[0]
+    assert n_hedges <= 0.1 * 4000
--- a/packages/bergamotferry/tests/test_window_budget.py
+++ b/packages/bergamotferry/tests/test_window_budget.py
@@ -53,3 +53,26 @@
                 n_repeats += take_repeat(budget, max(now, began_ns))
     # Hosts round their parts, so they stay below it by a part each.
     assert n_repeats <= reserve * 1.2
+
+
+def test_when_upstreams_shed_half_more_callers_get_their_answer():
+    """Load: 55 of 100 sends are refused, callers come back once after a refusal."""
+
+    def n_served(tells_who_came_back: bool) -> int:
+        rng = random.Random(1)
+        budget = WindowBudget(0.2, 4.0, 10.0, -20 * S)
+        n = 0
+        for number in range(6000):
+            for has_come_back in (False, True):
+                now = int(number * 0.02 * S)
+                note_request(budget, now)
+                is_served = rng.random() < 0.45
+                flag = has_come_back or not tells_who_came_back
+                if not is_served and take_repeat(budget, now, flag):
+                    is_served = rng.random() < 0.45
+                if is_served:
+                    n += 1
+                    break
+        return n
+
+    assert n_served(True) > 1.02 * n_served(False)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -28,8 +28,10 @@
     Placed,
     Wait,
     WorkTime,
+    expected_ms,
     n_ahead,
     note_answer,
+    note_arrival,
     note_ended,
     note_failure,
     note_report,
@@ -38,6 +40,7 @@
     place_request,
     shortlist,
 )
+from bergamotferry.hedging import hedge_delay_ms, is_worth_hedging
 from bergamotferry.key_pause import KeyPause, note_held, note_not_held
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
@@ -84,6 +87,7 @@
     n_arrived: int = 0
     n_maybe_run: int = 0
     is_timed_out: bool = False
+    has_come_back: bool = False
     token: int = 0
     tried: set[str] = field(default_factory=set)
     last_detail: str = ""
@@ -139,6 +143,8 @@
     )
     service = host.configuration.services[choose_service(route, random.random())]
     note_request(budget_of(host, service.name), began_ns)
+    caller_left_ms = _number(request.headers.get(names.deadline_ms), 0.0)
+    work = host.work_times.setdefault(route.name, WorkTime())
     shard_key = _number(request.headers.get(names.shard_key), -1.0)
     return DirectRequest(
         request.headers.get(names.request_id, ""),
@@ -151,6 +157,7 @@
         int(shard_key) if service.is_sharded else None,
         began_ns,
         began_ns + int(left_ms * 1e6),
+        has_come_back=note_arrival(work, caller_left_ms),
     )
 
 
@@ -163,11 +170,11 @@
         if isinstance(upstream, Refused):
             return _or_unknown(request, upstream)
         if request.n_arrived and not take_repeat(
-            budget_of(host, request.service.name), now_ns()
+            budget_of(host, request.service.name), now_ns(), request.has_come_back
         ):
             refusal = Refused(ResultCode.UPSTREAM_SHED, "no repeat is left")
             return _or_unknown(request, refusal)
-        outcome = await _send(host, http, request, upstream)
+        outcome = await _send_hedged(host, http, request, upstream)
         if outcome.result == "answered" and not _should_retry_answer(request, outcome):
             return outcome
         if not _may_go_on(request):
@@ -250,6 +257,80 @@
     return [upstream] if upstream.row.phase in ("ready", "draining") else []
 
 
+async def _send_hedged(
+    host: DirectHost,
+    http: aiohttp.ClientSession,
+    request: DirectRequest,
+    upstream: Upstream,
+) -> SendOutcome:
+    """Send to an upstream, and to a second one if the first takes far too long."""
+    may_hedge = (
+        request.route.is_idempotent
+        and not request.service.is_sharded
+        and request.n_maybe_run == 0
+        and request.route.n_attempts_max > 1
+    )
+    if not may_hedge:
+        return await _send(host, http, request, upstream)
+    work = host.work_times[request.route.name]
+    objective_ms = float(request.route.latency_objective_ms)
+    expected = expected_ms(upstream.load, work.mean_ms, now_ns())
+    delay_ms = hedge_delay_ms(objective_ms, _passed_ms(request), expected)
+    sends = {asyncio.create_task(_send(host, http, request, upstream))}
+    try:
+        done, _ = await asyncio.wait(sends, timeout=delay_ms / 1000)
+        if not done:
+            second = await _place_hedge(host, http, request)
+            if second is not None:
+                sends.add(asyncio.create_task(_send(host, http, request, second)))
+        return await _first_good(request, sends)
+    finally:
+        for send in sends:
+            send.cancel()
+        await asyncio.gather(*sends, return_exceptions=True)
+
+
+async def _place_hedge(
+    host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
+) -> Upstream | None:
+    """Return an upstream for a second send, if one would answer in time."""
+    now = now_ns()
+    work = host.work_times[request.route.name]
+    left_ms = (request.give_up_ns - now) / 1e6
+    rows = shortlist(_candidates(host, request, now), work, left_ms, now)
+    asked = [host.upstreams[row.name] for row in rows.asked]
+    await ask_loads(host, http, request.service, asked)
+    placed = place_request(rows.candidates, work, left_ms, now_ns())
+    if not isinstance(placed, Placed):
+        return None
+    objective_ms = float(request.route.latency_objective_ms)
+    if not is_worth_hedging(objective_ms, _passed_ms(request), placed.expected_ms):
+        return None
+    budget = budget_of(host, request.service.name)
+    if not take_repeat(budget, now_ns(), has_come_back=False):
+        return None
+    return host.upstreams[placed.name]
+
+
+async def _first_good(
+    request: DirectRequest, sends: "set[asyncio.Task[SendOutcome]]"
+) -> SendOutcome:
+    """Return the first answer that is no failure, or what came last."""
+    left = set(sends)
+    while True:
+        done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+        outcomes = [send.result() for send in done]
+        for outcome in outcomes:
+            if outcome.result == "answered" and outcome.status < 500:
+                return outcome
+        if not left:
+            return outcomes[-1]
+
+
+def _passed_ms(request: DirectRequest) -> float:
+    return (now_ns() - request.began_ns) / 1e6
+
+
 async def _send(
     host: DirectHost,
     http: aiohttp.ClientSession,
@@ -262,6 +343,8 @@
     if is_cold(upstream.cold, sent_ns):
         note_cold_send(upstream.cold, sent_ns)
     request.n_sends += 1
+    if not request.service.is_sharded:
+        request.tried.add(upstream.row.name)
     note_sent(load)
     outcome: SendOutcome | None = None
     try:
@@ -298,12 +381,12 @@
 ) -> None:
     """Take what a send showed into the request and the upstream's record, and log it.
 
-    Without an outcome the caller left, which says nothing about the upstream.
+    Without an outcome the caller left, or another upstream was quicker.
     """
     now = now_ns()
     took_ms = (now - sent_ns) / 1e6
     load = upstream.load
-    result = outcome.result if outcome is not None else "caller_gone"
+    result = outcome.result if outcome is not None else "cancelled"
     if outcome is not None:
         request.last_detail = outcome.detail
         if outcome.cold_left_ms:
@@ -343,7 +426,7 @@
                 note_unreachable(load, now)
         case "no_process" | "no_connection":
             note_unreachable(load, now)
-    if result != "other_upstream" or not request.service.is_sharded:
+    if result != "other_upstream":
         request.tried.add(upstream.row.name)
     log(
         "sent",
