Reset calls for keys that were given up, so that none arrives late

Cause: a zone cut held up the old leader's renewals; it closed their connections in order, so the kernel delivered them seven seconds later, when the new leader had waited a whole hold and moved the keys (slow-and-cut on both sites: OWNER, two holders of 2048 keys for 4.6 s). Change: connections for these calls are reset when closed; a new leader also waits for as long as the last one's calls could be open.

--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_run.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
 from bergamotferry.configuration import Configuration, ConfigurationError
@@ -51,7 +50,7 @@
 from .logs import log, log_warning
 from .peer_link import PeerHandlers, PeerStream
 from .peer_network import PeerNetwork
-from .range_calls import RangeCallPaths
+from .range_calls import RangeCallPaths, open_range_session
 from .range_duty import run_range_duty
 
 DecodeConfiguration = Callable[[bytes], Configuration | list[ConfigurationError]]
@@ -91,7 +90,7 @@
     _reload_on_hangup(read_settings, lambda seeds: group.sources.extend(seeds))
     _set_control_handlers(host, handlers, tasks_of_news)
     await network.start()
-    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
+    async with open_range_session() as http:
         app = web.Application(client_max_size=0)
         add_routes(app, host)
         runner = await _listen(app, settings.control_address, settings)
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -1,10 +1,19 @@
-"""Calls that give keys to an upstream and take them back."""
+"""Calls that give keys to an upstream and take them back.
+
+A hold counts from the arrival of its call, so a call that was given up must not arrive
+any more. An orderly close would let the kernel go on sending what a cut link holds up,
+for many seconds; a reset discards it. So every connection for these calls is reset when
+it is closed, also by the end of the process.
+"""
 
 import errno
+import socket
+import struct
 from dataclasses import dataclass
 from typing import Literal, NamedTuple
 
 import aiohttp
+from aiohttp.connector import AddrInfoType
 
 from bergamotferry.fleet_tables import KeyRange
 
@@ -36,6 +45,13 @@
     handover: str = ""
 
 
+def open_range_session() -> aiohttp.ClientSession:
+    """Return the session for these calls; closing a connection resets it."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, socket_factory=_resetting_socket)
+    )
+
+
 async def call_grant(
     http: aiohttp.ClientSession, paths: RangeCallPaths, row: KeyRange, hold_ms: int
 ) -> RangeAnswer:
@@ -90,3 +106,10 @@
         return RangeAnswer("unsure")
     except (aiohttp.ClientError, OSError, TimeoutError):
         return RangeAnswer("unsure")
+
+
+def _resetting_socket(address: AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    created = socket.socket(family=family, type=kind, proto=protocol)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return created
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -23,7 +23,7 @@
 from .fleet_control import ControlHost
 from .group import commit
 from .logs import log, log_warning
-from .range_calls import RangeCallPaths, call_grant, call_release
+from .range_calls import CALL_TIMEOUT_S, RangeCallPaths, call_grant, call_release
 
 TICK_S = 0.1
 # Without a leader for five seconds no holder may lose its keys.
@@ -90,7 +90,9 @@
 
 def _begin_term(duty: RangeDuty, host: ControlHost, hold_ms: int) -> None:
     duty.term = host.group.replica.term
-    until_ns = now_ns() + _hold_ns(hold_ms)
+    # The last leader's calls were sent before its lease ended, and may arrive for as
+    # long as they are open.
+    until_ns = now_ns() + int(CALL_TIMEOUT_S * NS_PER_S) + _hold_ns(hold_ms)
     duty.holds = {
         key: Hold(row.token, until_ns) for key, row in host.tables.ranges.items()
     }
