--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -0,0 +1,142 @@
+"""Puts together and runs a control host, and stops it in order."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+
+from bergamotferry.fleet_messages import (
+    AskSessions,
+    FollowFleet,
+    ReadIndex,
+    SessionNews,
+)
+from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
+
+from .data_folder import DataFolder
+from .fleet_control import (
+    ControlHost,
+    answer_read_index,
+    run_tables_watch,
+    start_fleet_group,
+)
+from .fleet_feed import (
+    answer_follow,
+    answer_sessions,
+    run_session_news,
+    take_session_news,
+)
+from .fleet_settings import FleetSettings
+from .fleet_start import (
+    DecodeConfiguration,
+    ReadSettings,
+    fleet_network,
+    listen,
+    reload_on_hangup,
+    stop_event,
+    takes_no_calls,
+)
+from .group import answer_propose, hand_over_leadership, post
+from .group_members import answer_join, run_group
+from .group_reader import answer_fetch, answer_fetch_snapshot
+from .logs import log
+from .peer_link import PeerHandlers, PeerStream
+from .range_calls import RangeCallPaths, open_range_session
+from .range_duty import run_range_duty
+
+AddControlRoutes = Callable[[web.Application, ControlHost], None]
+
+
+async def run_control_host(
+    settings: FleetSettings,
+    decode_configuration: DecodeConfiguration,
+    add_routes: AddControlRoutes,
+    paths: RangeCallPaths,
+    read_settings: ReadSettings,
+) -> None:
+    """Run a control host until SIGTERM; SIGHUP has its seeds read again."""
+    stopping = stop_event()
+    if settings.data_dir is None:
+        raise ValueError("a control host needs a data folder")
+    folder = DataFolder.from_config(
+        settings.data_dir, settings.name, settings.is_bootstrap
+    )
+    handlers = PeerHandlers(takes_no_calls, takes_no_calls, takes_no_calls)
+    network = fleet_network(settings, handlers)
+    group = start_fleet_group(settings, network, folder)
+    host = ControlHost(
+        settings, network, group, decode_configuration, secrets.token_hex(8)
+    )
+    tasks_of_news: set[asyncio.Task[None]] = set()
+    reload_on_hangup(read_settings, lambda seeds: group.sources.extend(seeds))
+    _set_control_handlers(host, handlers, tasks_of_news)
+    await network.start()
+    async with open_range_session() as http:
+        app = web.Application(client_max_size=0)
+        add_routes(app, host)
+        runner = await listen(app, settings.control_address, settings)
+        log("started", label=settings.label, incarnation=folder.incarnation)
+        await _run_until(
+            stopping,
+            run_group(group),
+            run_tables_watch(host),
+            run_session_news(host),
+            run_range_duty(host, http, paths),
+        )
+        host.is_stopping = True
+        await hand_over_leadership(group)
+        await runner.cleanup()
+    await network.stop()
+    folder.close()
+    log("stopped", label=settings.label)
+
+
+def _set_control_handlers(
+    host: ControlHost, handlers: PeerHandlers, tasks: set[asyncio.Task[None]]
+) -> None:
+    group = host.group
+
+    async def on_call(message: Any, peer: str) -> Any:
+        match message:
+            case FollowFleet():
+                return await answer_follow(host, message)
+            case Propose():
+                return await answer_propose(group, message)
+            case ReadIndex():
+                return answer_read_index(host)
+            case AskSessions():
+                return answer_sessions(host)
+            case FetchLog():
+                return await answer_fetch(group, message)
+            case FetchSnapshot():
+                return answer_fetch_snapshot(group, message)
+            case JoinGroup():
+                return answer_join(group, message)
+        return None
+
+    def on_notice(message: Any, peer: str) -> None:
+        if isinstance(message, SessionNews):
+            take_session_news(host, message, tasks)
+        elif getattr(message, "group", "") == group.name:
+            post(group, message)
+
+    async def on_stream(stream: PeerStream, head: Any, peer: str) -> None:
+        await stream.cancel()
+
+    handlers.on_call = on_call
+    handlers.on_notice = on_notice
+    handlers.on_stream = on_stream
+
+
+async def _run_until(stopping: asyncio.Event, *works: Any) -> None:
+    """Run duties until the stop, or until one of them fails."""
+    tasks = [asyncio.create_task(work) for work in works]
+    stop_task = asyncio.create_task(stopping.wait())
+    done, _ = await asyncio.wait(
+        [stop_task, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in done - {stop_task}:
+        task.result()
+    # The duties end with the process: leadership is still to be handed over.
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -9,11 +9,10 @@
 import asyncio
 import secrets
 import zlib
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bergamotferry.cold_rate import ColdRate, note_cold
-from bergamotferry.configuration import Configuration, ConfigurationError
+from bergamotferry.configuration import Configuration
 from bergamotferry.direct_placement import UpstreamLoad, WorkTime
 from bergamotferry.fleet_messages import FleetChanges, FollowFleet
 from bergamotferry.fleet_tables import KeyRange
@@ -23,6 +22,7 @@
 
 from .clock import now_ns
 from .fleet_settings import FleetSettings
+from .fleet_start import DecodeConfiguration
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
@@ -33,8 +33,6 @@
 # Without news for this long, a dial or a call may hang, and another host is asked.
 LOST_AFTER_NS = 1_000_000_000
 
-DecodeConfiguration = Callable[[bytes], Configuration | list[ConfigurationError]]
-
 
 @dataclass(slots=True)
 class Upstream:
