Test the way of a request and the moves of ranges against played upstreams

What callers get by kind and by what upstreams do (14 rows), keys on the move, a caller that leaves, a stop. Ranges: an unanswered grant, a dark holder, a process that ended, a new leader, a new life.

--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -0,0 +1,281 @@
+"""What callers get from a host that sends directly, by what its upstreams do."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from bergamotferry.configuration import (
+    CallerLimits,
+    Configuration,
+    DirectRoute,
+    DirectService,
+    WeightedService,
+)
+from bergamotferry.direct_placement import UpstreamLoad
+from bergamotferry.fleet_tables import KeyRange
+from bergamotferry.upstream_sessions import SessionRow
+from bergamotferry_host.direct_call import open_direct_session
+from bergamotferry_host.direct_host import DirectHost, Upstream
+from bergamotferry_host.direct_request import answer_request
+from bergamotferry_host.fleet_settings import FleetSettings
+from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.peer_link import PeerHandlers
+from bergamotferry_host.peer_network import PeerNetwork
+
+SETTINGS = FleetSettings(
+    name="127.0.0.1",
+    label="h",
+    data_centre="a",
+    region="north",
+    regions={"a": "north", "b": "south"},
+    peer_port=1,
+    seeds=("127.0.0.1",),
+)
+NAMES = SETTINGS.headers
+Behaviour = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def route(kind="safe", **changes) -> DirectRoute:
+    row = DirectRoute(
+        kind,
+        "a.example",
+        f"/{kind}/",
+        kind,
+        400,
+        300,
+        1,
+        2,
+        (WeightedService("lamps", 1),),
+        (),
+    )
+    return row._replace(**changes)
+
+
+async def served(request: web.Request) -> web.StreamResponse:
+    headers = {NAMES.request_id: request.headers[NAMES.request_id], NAMES.seal: "s"}
+    return web.Response(text="whole", headers=headers)
+
+
+async def failed(request: web.Request) -> web.StreamResponse:
+    headers = {NAMES.request_id: request.headers[NAMES.request_id], NAMES.seal: "s"}
+    return web.Response(status=500, headers=headers)
+
+
+async def full(request: web.Request) -> web.StreamResponse:
+    return web.Response(status=503, headers={NAMES.not_run: "1"})
+
+
+async def reset(request: web.Request) -> web.StreamResponse:
+    request.transport.abort()
+    return web.Response()
+
+
+async def slow(request: web.Request) -> web.StreamResponse:
+    await asyncio.sleep(1)
+    return await served(request)
+
+
+async def not_held(request: web.Request) -> web.StreamResponse:
+    return web.Response(status=421, headers={NAMES.not_run: "1"})
+
+
+class Play:
+    """A host, its upstreams by name, and which of them ran what."""
+
+    def __init__(self) -> None:
+        network = PeerNetwork("h", "t", {}, PeerHandlers(None, None, None))
+        self.host = DirectHost(SETTINGS, network, lambda source: [])
+        self.seen: list[tuple[str, str]] = []
+        self.left: list[str] = []
+        self.stack = contextlib.AsyncExitStack()
+        self.url = ""
+
+    async def __aenter__(self):
+        http = await self.stack.enter_async_context(open_direct_session())
+
+        async def on_request(request):
+            return await answer_request(self.host, http, request)
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", on_request)
+        self.url = await self.listen(edge_runner(app, EdgeLimits(50), 0.1))
+        self.http = await self.stack.enter_async_context(aiohttp.ClientSession())
+        return self
+
+    async def __aexit__(self, *error):
+        await self.stack.aclose()
+
+    async def listen(self, runner) -> str:
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.stack.push_async_callback(runner.cleanup)
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    def configure(self, *routes: DirectRoute, is_sharded=False) -> None:
+        service = DirectService("lamps", "/health", 9, 3.0, 3.0, is_sharded, 0.0)
+        self.host.configuration = Configuration.from_rows(
+            1, routes, [service], CallerLimits()
+        )
+
+    async def add(self, name: str, behaviour: Behaviour, data_centre="a") -> None:
+        async def on_request(request):
+            if request.path == "/health":
+                headers = {NAMES.upstream: name, NAMES.load: "0,0,2,100"}
+                return web.Response(headers=headers)
+            self.seen.append((name, request.headers[NAMES.request_id]))
+            try:
+                return await behaviour(request)
+            except asyncio.CancelledError:
+                self.left.append(name)
+                raise
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", on_request)
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        address = await self.listen(runner)
+        row = SessionRow(name, 1, 1, "lamps", address, data_centre, 2, "ready", 0)
+        upstream = Upstream(row, UpstreamLoad(2))
+        # Names in order are quicker in order, so that the first is tried first.
+        upstream.load.speed = 0.2 + 0.2 * len(self.host.upstreams)
+        self.host.upstreams[name] = upstream
+        self.host.by_service.setdefault("lamps", []).append(upstream)
+
+    async def ask(self, path: str, request_id="r1", **headers):
+        async with self.http.post(
+            f"http://{self.url}{path}",
+            headers={"Host": "a.example", NAMES.request_id: request_id, **headers},
+            data=b"body",
+        ) as answer:
+            return answer, await answer.text()
+
+
+def played(work: Callable[[Play], Awaitable[None]]) -> Play:
+    async def run():
+        async with Play() as play:
+            # The budget of a host that has run for long.
+            play.host.began_ns -= 60_000_000_000
+            await work(play)
+        return play
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("kind", "first", "second", "status", "n_seen"),
+    [
+        ("safe", served, served, 200, 1),
+        ("safe", failed, served, 200, 2),
+        ("safe", reset, served, 200, 2),
+        ("safe", full, served, 200, 2),
+        ("safe", reset, reset, 502, 2),
+        ("safe", failed, failed, 500, 2),
+        ("safe", full, full, 503, 2),
+        ("safe", slow, served, 200, 2),
+        ("safe", slow, slow, 504, 2),
+        ("unsafe", served, served, 200, 1),
+        ("unsafe", full, served, 200, 2),
+        ("unsafe", failed, served, 500, 1),
+        ("unsafe", reset, served, 502, 1),
+        ("unsafe", slow, served, 504, 1),
+    ],
+)
+def test_what_callers_get_and_how_often_it_was_sent(
+    kind, first, second, status, n_seen
+):
+    async def work(play):
+        play.configure(route(kind))
+        await play.add("u1", first)
+        await play.add("u2", second)
+        answer, text = await play.ask(f"/{kind}/1")
+        assert answer.status == status
+        assert answer.headers[NAMES.request_id] == "r1"
+        if status in (200, 500):
+            assert answer.headers[NAMES.seal] == "s"
+        else:
+            assert NAMES.seal not in answer.headers
+        if status == 200:
+            assert text == "whole"
+        assert ("Retry-After" in answer.headers) is (status == 503)
+
+    play = played(work)
+    names = [name for name, _ in play.seen]
+    assert len(names) == n_seen
+    assert len(set(names)) == len(names)
+
+
+def test_without_a_configuration_nothing_is_said_of_routes():
+    async def work(play):
+        answer, _ = await play.ask("/safe/1")
+        assert answer.status == 503
+        play.configure(route())
+        answer, _ = await play.ask("/none/1")
+        assert answer.status == 404
+
+    played(work)
+
+
+def test_evacuated_data_centres_and_other_regions_get_nothing():
+    async def work(play):
+        play.configure(route(), route("unsafe", home_regions=("north",)))
+        await play.add("u1", served, "b")
+        assert (await play.ask("/unsafe/1"))[0].status == 503
+        assert (await play.ask("/safe/1"))[0].status == 200
+        play.host.evacuated = frozenset({"b"})
+        assert (await play.ask("/safe/1"))[0].status == 503
+
+    assert len(played(work).seen) == 1
+
+
+def test_a_key_goes_to_its_holder_only_and_is_waited_for_while_it_moves():
+    async def work(play):
+        play.configure(route(), is_sharded=True)
+        await play.add("u1", not_held)
+        await play.add("u2", served)
+
+        def hold(name, token):
+            row = play.host.upstreams[name].row
+            held = KeyRange("lamps", 0, 9, name, 1, row.address, token, "")
+            play.host.ranges = {"lamps": [held]}
+
+        hold("u1", 1)
+        asyncio.get_running_loop().call_later(0.1, hold, "u2", 2)
+        answer, _ = await play.ask("/safe/1", **{NAMES.shard_key: "5"})
+        assert answer.status == 200
+        answer, _ = await play.ask("/safe/1", **{NAMES.shard_key: "77"})
+        assert answer.status == 503
+
+    names = [name for name, _ in played(work).seen]
+    assert names[-1] == "u2"
+    # The pause between sends to a holder that does not hold the key doubles.
+    assert names.count("u1") <= 3
+
+
+def test_a_caller_that_leaves_ends_the_work_of_its_upstream():
+    async def work(play):
+        play.configure(route(timeout_ms=5000, latency_objective_ms=5000))
+        await play.add("u1", slow)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await play.ask("/safe/1")
+        await asyncio.sleep(0.3)
+        assert play.left == ["u1"]
+        assert play.host.n_in_flight == 0
+
+    played(work)
+
+
+def test_a_host_that_stops_serves_on_and_closes_connections():
+    async def work(play):
+        play.configure(route())
+        await play.add("u1", served)
+        play.host.is_stopping = True
+        assert not play.host.is_ready
+        answer, _ = await play.ask("/safe/1")
+        assert answer.status == 200
+        assert answer.headers["Connection"] == "close"
+
+    played(work)
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -0,0 +1,212 @@
+"""Ranges move only when nobody else can have them; upstreams are played."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from bergamotferry.configuration import CallerLimits, Configuration, DirectService
+from bergamotferry.fleet_tables import FleetTables, apply_fleet_command
+from bergamotferry.upstream_sessions import Heartbeat, Sessions, take_heartbeat
+from bergamotferry_host import range_duty
+from bergamotferry_host.clock import now_ns
+from bergamotferry_host.fleet_control import ControlHost
+from bergamotferry_host.fleet_settings import FleetBounds, FleetSettings
+from bergamotferry_host.range_calls import RangeAnswer, RangeCallPaths
+from bergamotferry_host.range_duty import run_range_duty
+
+HOLD_MAX_MS = 800
+HOLD_S = HOLD_MAX_MS / 1000 * range_duty.HOLD_SHARE_OF_MAX
+
+
+class Holder:
+    """What one process holds, and until when; it may leave calls unanswered."""
+
+    def __init__(self, play, name):
+        self.play, self.name = play, name
+        self.until_ns: dict[int, int] = {}
+        self.mode = "answers"
+
+    def grant(self, row, hold_ms):
+        self.until_ns[row.first_key] = now_ns() + int(hold_ms * 1e6)
+        self.play.note(row.first_key)
+
+    def holds(self, first_key):
+        return self.mode != "ended" and self.until_ns.get(first_key, 0) > now_ns()
+
+
+class Play:
+    def __init__(self, monkeypatch, *names):
+        self.holders = {name: Holder(self, name) for name in names}
+        self.two_held: list[int] = []
+        self.moved_s: dict[str, float] = {}
+        bounds = FleetBounds(hold_max_ms=HOLD_MAX_MS)
+        settings = FleetSettings(
+            "1.1.1.1", "c", "a", "n", {"a": "n"}, 1, ("1.1.1.1",), bounds=bounds
+        )
+        self.replica = SimpleNamespace(term=1)
+        group = SimpleNamespace(
+            is_leader=True, replica=self.replica, tables=FleetTables()
+        )
+        self.host = ControlHost(settings, None, group, lambda source: [], "p")
+        service = DirectService("s", "/health", 9, 0.0, 0.0, True, 0.0)
+        self.host.configuration = Configuration.from_rows(
+            1, [], [service], CallerLimits()
+        )
+        self.host.sessions = Sessions()
+        monkeypatch.setattr(range_duty, "SETTLE_S", 0.0)
+        monkeypatch.setattr(range_duty, "TICK_S", 0.01)
+        monkeypatch.setattr(range_duty, "RENEW_EVERY_S", 0.1)
+        monkeypatch.setattr(range_duty, "HOLD_MARGIN_S", 0.05)
+        monkeypatch.setattr(range_duty, "CALL_TIMEOUT_S", 0.0)
+        monkeypatch.setattr(range_duty, "commit", self.commit)
+        monkeypatch.setattr(range_duty, "call_grant", self.call_grant)
+        monkeypatch.setattr(range_duty, "call_release", self.call_release)
+
+    def beat(self, *names, phase="ready", born_ms=1):
+        for name in names:
+            address = f"1.1.1.1:{sorted(self.holders).index(name) + 1}"
+            beat = Heartbeat(
+                name, born_ms, now_ns(), "s", address, "a", "", 2, phase, 0
+            )
+            take_heartbeat(self.host.sessions, self.host.tables, beat, now_ns())
+
+    def note(self, first_key):
+        holding = [h.name for h in self.holders.values() if h.holds(first_key)]
+        if len(holding) > 1:
+            self.two_held.append(first_key)
+
+    async def commit(self, group, command):
+        return apply_fleet_command(group.tables, command)
+
+    async def call_grant(self, http, paths, row, hold_ms):
+        holder = self.holders[row.upstream]
+        if holder.mode == "ended":
+            return RangeAnswer("no_process")
+        if holder.mode == "dark":
+            return RangeAnswer("unsure")
+        holder.grant(row, hold_ms)
+        if holder.mode == "answer_lost":
+            return RangeAnswer("unsure")
+        return RangeAnswer("done")
+
+    async def call_release(self, http, paths, row, headers):
+        holder = self.holders[row.upstream]
+        if holder.mode == "ended":
+            return RangeAnswer("no_process")
+        if holder.mode == "dark":
+            return RangeAnswer("unsure")
+        until_ns = holder.until_ns.pop(row.first_key, 0)
+        if holder.mode == "answer_lost":
+            # The last grant is carried out after the release; its time counts from
+            # the arrival of its call.
+            holder.until_ns[row.first_key] = until_ns
+        return RangeAnswer("done", f"from {holder.name}")
+
+    def n_held(self, name):
+        rows = self.host.tables.ranges.values()
+        return sum(row.upstream == name for row in rows)
+
+
+def play_out(play, *steps):
+    """Run the duty while steps are taken, each with its pause in seconds."""
+
+    async def run():
+        duty = asyncio.create_task(run_range_duty(play.host, None, RangeCallPaths()))
+        for pause_s, step in steps:
+            await asyncio.sleep(pause_s)
+            step()
+        duty.cancel()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+def leave(play, name, mode):
+    """Have a holder behave in a way, and the hosts know that it is gone or leaves."""
+
+    def step():
+        play.holders[name].mode = mode
+        session = play.host.sessions.rows[name]
+        session.row = session.row._replace(phase="draining")
+
+    return step
+
+
+@pytest.mark.parametrize(
+    ("mode", "n_moved_soon"),
+    [("answers", 16), ("ended", 16), ("dark", 0), ("answer_lost", 0)],
+)
+def test_when_the_ranges_of_a_leaving_holder_move(monkeypatch, mode, n_moved_soon):
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    found = []
+
+    def mark_answers_lost():
+        if mode == "answer_lost":
+            play.holders["u1"].mode = mode
+
+    play_out(
+        play,
+        (0.3, mark_answers_lost),
+        (0.2, leave(play, "u1", mode)),
+        (0.2, lambda: found.append(play.n_held("u2") - 16)),
+        (2 * HOLD_S, lambda: found.append(play.n_held("u2") - 16)),
+    )
+    assert found == [n_moved_soon, 16]
+    assert play.two_held == []
+
+
+def test_what_a_holder_hands_over_goes_to_the_next_one(monkeypatch):
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    play_out(play, (0.3, leave(play, "u1", "answers")), (0.3, lambda: play.beat("u2")))
+    handovers = [row.handover for row in play.host.tables.ranges.values()]
+    assert handovers.count("from u1") == 16
+
+
+def test_a_new_leader_waits_for_what_the_last_one_may_have_sent(monkeypatch):
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    found = []
+
+    def change_leader():
+        play.replica.term = 2
+        leave(play, "u1", "answers")()
+
+    play_out(
+        play,
+        (0.3, change_leader),
+        (0.2, lambda: found.append(play.n_held("u1"))),
+        (2 * HOLD_S, lambda: found.append(play.n_held("u1"))),
+    )
+    assert found == [16, 0]
+    assert play.two_held == []
+
+
+def test_a_process_that_began_anew_gets_its_ranges_under_new_tokens(monkeypatch):
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    before: dict[str, int] = {}
+
+    def begin_anew():
+        rows = play.host.tables.ranges
+        before.update({key: row.token for key, row in rows.items()})
+        play.holders["u1"].until_ns.clear()
+        play.beat("u1", born_ms=2)
+
+    play_out(play, (0.3, begin_anew), (0.3, lambda: None))
+    rows = play.host.tables.ranges
+    moved = {key for key, row in rows.items() if row.token > before[key]}
+    assert len(moved) == 16
+    assert all(row.born_ms == 2 for row in rows.values() if row.upstream == "u1")
+    assert play.two_held == []
+
+
+def test_a_host_that_does_not_lead_calls_nobody(monkeypatch):
+    play = Play(monkeypatch, "u1")
+    play.host.group.is_leader = False
+    play.beat("u1")
+    play_out(play, (0.2, lambda: None))
+    assert play.host.tables.ranges == {}
+    assert play.holders["u1"].until_ns == {}
