Five voters where two disks may be lost at once; say in the log what was believed

Cause: the number of voters was fixed at three, which bears one lost disk; lines about sends named the upstream's data centre as the host's own and gave the age of a report that the same send had brought; a budget was asked only after placing. Change: the number follows from the deployment's bounds; each send keeps what was believed when it began; the budget is asked first, and a failed send of a key may go to its holder again.

--- a/packages/bergamotferry/src/bergamotferry/replication_membership.py
+++ b/packages/bergamotferry/src/bergamotferry/replication_membership.py
@@ -5,10 +5,11 @@
 incarnation of its memory or data folder, so a host that has forgotten what it promised
 comes back as another member, first as a learner.
 
-The target has three voters. The global group takes hosts with disks only. A data
-centre's group takes its own hosts with disks, hosts with disks of the same region until
-two voters have one (so that a restart of everything finds a majority), then its own
-hosts, then others of the region, which is as far as home-bound records may go.
+The target has three voters, or as many as the deployment asks for. The global group
+takes hosts with disks only. A data centre's group takes its own hosts with disks, hosts
+with disks of the same region until two voters have one (so that a restart of everything
+finds a majority), then its own hosts, then others of the region, which is as far as
+home-bound records may go.
 """
 
 from collections.abc import Iterable, Mapping
@@ -45,6 +46,7 @@
     superseded: frozenset[Member]
     joiners: Mapping[str, Member]
     target: tuple[str, ...]
+    n_voters: int
 
 
 def may_join(group: str, host: HostAddress, seeds: Iterable[HostAddress]) -> bool:
@@ -57,7 +59,10 @@
 
 
 def choose_target(
-    group: str, live: Iterable[HostAddress], current: frozenset[str]
+    group: str,
+    live: Iterable[HostAddress],
+    current: frozenset[str],
+    n_voters: int = N_VOTERS,
 ) -> tuple[str, ...]:
     """Return the hosts that should be the voters, best first.
 
@@ -69,18 +74,20 @@
         Hosts that are alive and may join.
     current : frozenset of str
         Hosts that are voters now; they go first among equals, so nothing moves idly.
+    n_voters : int
+        How many voters the group should have.
     """
     hosts = sorted(live, key=lambda host: (host.name not in current, host.name))
     if group == GLOBAL_GROUP:
-        return tuple(host.name for host in hosts[:N_VOTERS])
+        return tuple(host.name for host in hosts[:n_voters])
     data_centre = group.removeprefix(DATA_CENTRE_PREFIX)
     own = [host for host in hosts if host.data_centre == data_centre]
     others = [host for host in hosts if host.data_centre != data_centre]
-    chosen = [host for host in own if host.is_durable][:N_VOTERS]
+    chosen = [host for host in own if host.is_durable][:n_voters]
     n_lacking = max(0, N_DURABLE_VOTERS - len(chosen))
     chosen += [host for host in others if host.is_durable][:n_lacking]
     rest = [host for host in own + others if host not in chosen]
-    chosen += rest[: N_VOTERS - len(chosen)]
+    chosen += rest[: n_voters - len(chosen)]
     return tuple(host.name for host in chosen)
 
 
@@ -89,9 +96,10 @@
     joiners: Mapping[str, Joiner],
     seeds: Iterable[HostAddress],
     now_ns: int,
+    n_voters: int = N_VOTERS,
 ) -> Membership | None:
     """Return the next membership that the leader should propose, or None."""
-    view = _view(replica, joiners, list(seeds), now_ns)
+    view = _view(replica, joiners, list(seeds), now_ns, n_voters)
     voters, learners = view.voters, view.learners
     for voter in voters:
         if voter in view.superseded and _is_quorum_alive(view, voter):
@@ -118,6 +126,7 @@
     joiners: Mapping[str, Joiner],
     seeds: list[HostAddress],
     now_ns: int,
+    n_voters: int,
 ) -> _View:
     fresh = {
         host: joiner.member
@@ -144,7 +153,7 @@
         if seed.name in live_hosts and may_join(replica.group, seed, seeds)
     ]
     current = frozenset(voter.host for voter in voters)
-    target = choose_target(replica.group, live, current)
+    target = choose_target(replica.group, live, current, n_voters)
     caught_up = frozenset(
         learner
         for learner in learners
@@ -155,7 +164,9 @@
         >= replica.commit_index
         and replica.peers[learner].match_index >= replica.memberships[-1][0]
     )
-    return _View(voters, learners, silent_ns, caught_up, superseded, fresh, target)
+    return _View(
+        voters, learners, silent_ns, caught_up, superseded, fresh, target, n_voters
+    )
 
 
 def _is_quorum_alive(view: _View, leaving: Member) -> bool:
@@ -170,7 +181,7 @@
 
 def _surplus_voter(replica: Replica, view: _View) -> Member | None:
     """Return a voter over the target number that may go; never the leader itself."""
-    if len(view.voters) <= N_VOTERS:
+    if len(view.voters) <= view.n_voters:
         return None
     leaving = [
         voter
@@ -185,7 +196,7 @@
 def _promote(replica: Replica, view: _View, learner: Member) -> Membership | None:
     """Make a learner a voter; a voter that is lost makes room for it first."""
     voters = view.voters
-    if len(voters) < N_VOTERS:
+    if len(voters) < view.n_voters:
         return Membership((*voters, learner), _without(view.learners, learner))
     for voter in voters:
         if voter == replica.me or voter.host in view.target:
--- a/packages/bergamotferry/tests/test_replication_rules.py
+++ b/packages/bergamotferry/tests/test_replication_rules.py
@@ -229,6 +229,35 @@
     assert planned == Membership((A, B, new_c), ())
 
 
+def test_a_deployment_that_loses_two_disks_at_once_gets_five_voters():
+    now_ns = START_NS + 10**9
+    leader = make_leader(now_ns)
+    leader.group = "global"
+    spares = [Member(name, "1", True) for name in "def"]
+    seeds = [HostAddress(name, "", "", "", True) for name in "abcdef"]
+    joiners = {row.host: Joiner(row, now_ns) for row in spares}
+    for member in (B, C):
+        acknowledge(leader, member, 2, now_ns, now_ns)
+    leader.won_at_ns -= 1
+    for _ in range(10):
+        members = leader.membership.voters + leader.membership.learners
+        for member in members:
+            if member != A:
+                acknowledge(leader, member, leader.commit_index, now_ns, now_ns)
+        planned = plan_membership(leader, joiners, seeds, now_ns, 5)
+        if planned is None:
+            break
+        index = propose(leader, planned, now_ns)
+        take_unpersisted(leader)
+        mark_persisted(leader, leader.term, index, now_ns)
+        for member in members:
+            if member != A:
+                acknowledge(leader, member, index, now_ns, now_ns)
+    voters = leader.membership.voters
+    assert [voter.host for voter in voters] == ["a", "b", "c", "d", "e"]
+    assert leader.membership.learners == ()
+
+
 @pytest.mark.parametrize(
     ("silent_s", "is_lost_durable", "is_next_durable", "is_replaced"),
     [
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+from typing import NamedTuple
 
 import aiohttp
 
 from bergamotferry.cold_rate import is_cold, note_cold, note_cold_send
 from bergamotferry.direct_placement import (
     WAY_MS,
+    UpstreamLoad,
     WorkTime,
     expected_ms,
     n_ahead,
@@ -45,19 +47,27 @@
 RETRY_MIN_MS = 100.0
 
 
+class _Begun(NamedTuple):
+    """What was believed of an upstream when a send began; -1 is no report yet."""
+
+    sent_ns: int
+    n_queued: float
+    report_age_ms: int
+
+
 async def serve_request(
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> SendOutcome | Refused:
     """Send a request until an upstream answers, or nothing more may be tried."""
     while True:
-        upstream = await place_upstream(host, http, request)
-        if isinstance(upstream, Refused):
-            return _or_unknown(request, upstream)
         if request.n_arrived and not take_repeat(
             budget_of(host, request.service.name), now_ns(), request.has_come_back
         ):
             refusal = Refused(ResultCode.UPSTREAM_SHED, "no repeat is left")
             return _or_unknown(request, refusal)
+        upstream = await place_upstream(host, http, request)
+        if isinstance(upstream, Refused):
+            return _or_unknown(request, upstream)
         outcome = await _send_hedged(host, http, request, upstream)
         if outcome.result == "answered" and not _should_retry_answer(request, outcome):
             return outcome
@@ -124,7 +134,7 @@
 ) -> SendOutcome:
     sent_ns = now_ns()
     load = upstream.load
-    n_queued = max(0.0, n_ahead(load, sent_ns) + 1 - load.n_slots)
+    begun = _begin_send(load, sent_ns)
     if is_cold(upstream.cold, sent_ns):
         note_cold_send(upstream.cold, sent_ns)
     request.n_sends += 1
@@ -153,83 +163,93 @@
         return outcome
     finally:
         note_ended(load)
-        _learn(host, request, upstream, outcome, sent_ns, n_queued)
+        result = outcome.result if outcome is not None else "cancelled"
+        took_ms = (now_ns() - sent_ns) / 1e6
+        _note_on_request(request, upstream, result, outcome)
+        _note_on_upstream(host, request, upstream, result, outcome, begun)
+        log(
+            "sent",
+            request_id=request.request_id,
+            route=request.route.name,
+            upstream=upstream.row.name,
+            upstream_data_centre=upstream.row.data_centre,
+            n_sends=request.n_sends,
+            result=result,
+            detail=outcome.detail if outcome is not None else "",
+            status=outcome.status if outcome is not None else 0,
+            took_ms=round(took_ms, 1),
+            n_queued=round(begun.n_queued, 1),
+            report_age_ms=begun.report_age_ms,
+            revision=host.revision,
+        )
 
 
-def _learn(
-    host: DirectHost,
+def _begin_send(load: UpstreamLoad, now: int) -> _Begun:
+    age_ms = round((now - load.reported_ns) / 1e6) if load.reported_ns else -1
+    return _Begun(now, max(0.0, n_ahead(load, now) + 1 - load.n_slots), age_ms)
+
+
+def _note_on_request(
     request: DirectRequest,
     upstream: Upstream,
+    result: str,
     outcome: SendOutcome | None,
-    sent_ns: int,
-    n_queued: float,
 ) -> None:
-    """Take what a send showed into the request and the upstream's record, and log it.
+    """Note what a send shows of whether the request arrived, and may have run.
 
     Without an outcome the caller left, or another upstream was quicker.
     """
-    now = now_ns()
-    took_ms = (now - sent_ns) / 1e6
-    load = upstream.load
-    result = outcome.result if outcome is not None else "cancelled"
     if outcome is not None:
         request.last_detail = outcome.detail
-        if outcome.cold_left_ms:
-            note_cold(upstream.cold, outcome.cold_left_ms, now)
+    if result in ("answered", "broken", "not_run", "other_upstream"):
+        request.n_arrived += 1
+    if result in ("answered", "broken"):
+        request.n_maybe_run += 1
+    elif result == "not_run":
+        # A key has one holder; if that is full, the caller should come back.
+        request.tried.add(upstream.row.name)
+    if result == "broken" and outcome is not None:
+        request.is_timed_out = outcome.is_timeout
+
+
+def _note_on_upstream(
+    host: DirectHost,
+    request: DirectRequest,
+    upstream: Upstream,
+    result: str,
+    outcome: SendOutcome | None,
+    begun: _Begun,
+) -> None:
+    """Note what a send shows of an upstream's load, speed and keys."""
+    now = now_ns()
+    load = upstream.load
+    if outcome is not None and outcome.cold_left_ms:
+        note_cold(upstream.cold, outcome.cold_left_ms, now)
     match result:
         case "answered" if outcome is not None:
-            request.n_arrived += 1
-            request.n_maybe_run += 1
             if request.token in host.key_pauses:
                 note_held(host.key_pauses[request.token])
             if outcome.status >= 500:
                 note_failure(load)
-            else:
-                region = host.settings.regions.get(upstream.row.data_centre, "")
-                way_ms = WAY_MS[distance_of(host, upstream.row.data_centre, region)]
-                work = host.work_times.setdefault(request.route.name, WorkTime())
-                n_bytes = len(outcome.body)
-                note_answer(load, work, max(1.0, took_ms - way_ms), n_queued, n_bytes)
-        case "broken" if outcome is not None:
-            request.n_arrived += 1
-            request.n_maybe_run += 1
-            request.is_timed_out = outcome.is_timeout
+                return
+            region = host.settings.regions.get(upstream.row.data_centre, "")
+            way_ms = WAY_MS[distance_of(host, upstream.row.data_centre, region)]
+            took_ms = max(1.0, (now - begun.sent_ns) / 1e6 - way_ms)
+            work = host.work_times.setdefault(request.route.name, WorkTime())
+            note_answer(load, work, took_ms, begun.n_queued, len(outcome.body))
+        case "broken":
             note_failure(load)
         case "not_run":
-            request.n_arrived += 1
             note_failure(load)
             if outcome is None or outcome.report is None:
                 # What refuses without a word on its load is taken for full.
                 load.n_others = max(load.n_others, load.n_slots + 1)
                 load.reported_ns = now
-        case "other_upstream":
-            request.n_arrived += 1
-            if request.service.is_sharded:
-                pause = host.key_pauses.setdefault(request.token, KeyPause())
-                note_not_held(pause, now)
-            else:
-                note_unreachable(load, now)
-        case "no_process" | "no_connection":
+        case "other_upstream" if request.service.is_sharded:
+            pause = host.key_pauses.setdefault(request.token, KeyPause())
+            note_not_held(pause, now)
+        case "other_upstream" | "no_process" | "no_connection":
             note_unreachable(load, now)
-    if result != "other_upstream":
-        request.tried.add(upstream.row.name)
-    log(
-        "sent",
-        request_id=request.request_id,
-        route=request.route.name,
-        upstream=upstream.row.name,
-        data_centre=upstream.row.data_centre,
-        n_sends=request.n_sends,
-        result=result,
-        detail=outcome.detail if outcome is not None else "",
-        status=outcome.status if outcome is not None else 0,
-        took_ms=round(took_ms, 1),
-        n_queued=round(n_queued, 1),
-        report_age_ms=round((sent_ns - load.reported_ns) / 1e6)
-        if load.reported_ns
-        else -1,
-        revision=host.revision,
-    )
 
 
 def _should_retry_answer(request: DirectRequest, outcome: SendOutcome) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -105,6 +105,8 @@
         list(settings.seeds),
         replica,
         may_join=True,
+        # A majority outlives the loss of as many disks as may be lost at once.
+        n_voters=2 * settings.bounds.n_lost_disks_max + 1,
     )
     recover_group(group, folder)
     return group
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -44,7 +44,7 @@
     take_unpersisted,
     tick,
 )
-from bergamotferry.replication_membership import Joiner
+from bergamotferry.replication_membership import N_VOTERS, Joiner
 from bergamotferry.result_codes import ResultCode
 
 from .background import log_failure
@@ -78,6 +78,7 @@
     disk_log: DiskLog | None = None
     reads_log: bool = True
     may_join: bool = False
+    n_voters: int = N_VOTERS
     inbox: list[ReplicationMessage] = field(default_factory=list)
     woken: asyncio.Event = field(default_factory=asyncio.Event)
     writing: asyncio.Task[None] | None = None
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -14,7 +14,7 @@
     is_voter,
     propose,
 )
-from bergamotferry.replication_membership import N_VOTERS, Joiner, plan_membership
+from bergamotferry.replication_membership import Joiner, plan_membership
 
 from .clock import now_ns
 from .group import Group, run_replica
@@ -57,7 +57,7 @@
     if group.network.address_of(host) is not None:
         group.joiners[host] = Joiner(message.member, now_ns())
     membership = group.replica.membership
-    is_full = len(membership.voters) >= N_VOTERS and not membership.learners
+    is_full = len(membership.voters) >= group.n_voters and not membership.learners
     retry_ms = JOIN_SPARE_RETRY_MS if is_full else JOIN_RETRY_MS
     return JoinReply(True, group.network.own_name, retry_ms)
 
@@ -67,9 +67,11 @@
     if not can_change_membership(replica):
         return
     seeds = group.network.addresses.values()
-    membership = plan_membership(replica, group.joiners, seeds, now_ns())
+    membership = plan_membership(
+        replica, group.joiners, seeds, now_ns(), group.n_voters
+    )
     if membership is None:
-        if len(replica.membership.voters) > N_VOTERS:
+        if len(replica.membership.voters) > group.n_voters:
             # The one too many is this host, and a leader does not remove itself.
             begin_transfer(replica, now_ns())
         return
