Let a leader touch keys only once its tables hold all that was acknowledged

Change: the guard that leaders of the other groups have, now one function in group; a host counts as current only with it. A draining holder gets no request. Measured: both tests fail without the change.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -170,4 +170,4 @@
     request.token = holder.token
     if holder.token in host.key_pauses and now < host.key_pauses[holder.token].until_ns:
         return []
-    return [upstream] if upstream.row.phase in ("ready", "draining") else []
+    return [upstream] if upstream.row.phase == "ready" else []
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -20,7 +20,7 @@
 from bergamotferry.fleet_tables import FleetTables, apply_fleet_command, is_retired
 from bergamotferry.messages import Member, Membership
 from bergamotferry.outcomes import Accepted, Refused
-from bergamotferry.replication import Replica, term_at
+from bergamotferry.replication import Replica
 from bergamotferry.replication_membership import GLOBAL_GROUP
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_sessions import (
@@ -35,7 +35,7 @@
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
-from .group import Group, commit, wait_applied
+from .group import Group, commit, has_applied_own_term, wait_applied
 from .group_start import recover_group
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
@@ -115,8 +115,8 @@
 def is_current(host: ControlHost) -> bool:
     """Return whether this host leads, or has just heard its leader."""
     group = host.group
-    if group.is_leader:
-        return True
+    if group.replica.role == "leader":
+        return leads_with_newest_tables(host)
     is_recent = now_ns() - group.replica.heard_leader_ns < LEADER_RECENT_NS
     return is_recent and group.replica.leader is not None
 
@@ -234,14 +234,17 @@
 
     A leader whose own term has committed nothing yet may not know all of it.
     """
-    replica = host.group.replica
-    is_own_term = term_at(replica, replica.commit_index) == replica.term
-    if host.group.is_leader and is_own_term:
-        return ReadIndexReply(replica.commit_index, host.settings.name)
+    if leads_with_newest_tables(host):
+        return ReadIndexReply(host.group.replica.commit_index, host.settings.name)
     leader = host.group.leader
     return ReadIndexReply(-1, leader if leader != host.settings.name else "")
 
 
+def leads_with_newest_tables(host: ControlHost) -> bool:
+    """Return whether this host leads, and its tables hold all that was acknowledged."""
+    return host.group.is_leader and has_applied_own_term(host.group)
+
+
 async def _read_index(host: ControlHost) -> int:
     own = answer_read_index(host)
     if own.log_index >= 0 or not own.leader:
--- a/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/gauges.py
@@ -32,7 +32,7 @@
 
 
 def gauge_values(state: HostState) -> dict[str, float]:
-    """Return every gauge by name; docs/OPERATING.md lists them."""
+    """Return every gauge by name; docs/OPERATIONS.md lists them."""
     works = state.dispatchers.works.values()
     values: dict[str, float] = {
         "host.n_in_flight": state.n_in_flight,
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -42,6 +42,7 @@
     take_messages,
     take_prompt_messages,
     take_unpersisted,
+    term_at,
     tick,
 )
 from bergamotferry.replication_membership import N_VOTERS, Joiner
@@ -236,6 +237,15 @@
     return group.applied_index
 
 
+def has_applied_own_term(group: Group) -> bool:
+    """Return whether the tables here hold all that was acknowledged in earlier terms.
+
+    After a restart of all hosts a leader has its lease before it knows again how far
+    its log was committed; until then its tables are old.
+    """
+    return term_at(group.replica, group.applied_index) == group.replica.term
+
+
 def group_status(group: Group) -> GroupStatus:
     """Return the group as this host sees it."""
     replica = group.replica
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -38,12 +38,12 @@
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.ownership import run_ownership
 from bergamotferry.ownership_pace import is_look_due, note_look
-from bergamotferry.replication import last_index, term_at
+from bergamotferry.replication import last_index
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .clock import now_ns
 from .decision_log import log_placement
-from .group import Group, append_here, wait_committed
+from .group import Group, append_here, has_applied_own_term, wait_committed
 from .host_state import HostState, LeaderState
 from .logs import log
 from .outcome_transfer import handed_over, open_shards_of_fenced, send_outcomes
@@ -164,9 +164,7 @@
 def leader_state(state: HostState, group: Group) -> LeaderState | None:
     """Return the leader's state if this host may act as the group's leader now."""
     replica = group.replica
-    if not group.is_leader:
-        return None
-    if term_at(replica, group.applied_index) != replica.term:
+    if not group.is_leader or not has_applied_own_term(group):
         return None
     leader = state.leaders.setdefault(group.name, LeaderState())
     if leader.term != replica.term:
--- a/packages/bergamotferry_host/src/bergamotferry_host/metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and timings by statsd; names are listed in docs/OPERATING.md.
+"""Counters, gauges and timings by statsd; names are listed in docs/OPERATIONS.md.
 
 Names hold no key, account or other content of a request.
 """
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -20,7 +20,7 @@
 
 from .background import start_task
 from .clock import now_ns
-from .fleet_control import ControlHost
+from .fleet_control import ControlHost, leads_with_newest_tables
 from .group import commit
 from .logs import log, log_warning
 from .range_calls import CALL_TIMEOUT_S, RangeCallPaths, call_grant, call_release
@@ -78,7 +78,7 @@
     hold_ms = int(host.settings.bounds.hold_max_ms * HOLD_SHARE_OF_MAX)
     while True:
         await asyncio.sleep(TICK_S)
-        if not host.group.is_leader or host.is_stopping:
+        if host.is_stopping or not leads_with_newest_tables(host):
             duty.term = 0
             continue
         if duty.term != host.group.replica.term:
@@ -129,7 +129,7 @@
 ) -> None:
     term = duty.term
     try:
-        if not host.group.is_leader or host.group.replica.term != term:
+        if host.group.replica.term != term or not leads_with_newest_tables(host):
             return
         answer = await call_grant(http, paths, row, hold_ms)
         # It may be carried out as late as the call is open.
--- a/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
@@ -4,10 +4,9 @@
 
 from bergamotferry.messages import HostStatus, HostStatusRequest
 from bergamotferry.readiness import CatchUpTarget, catch_up_target, is_caught_up
-from bergamotferry.replication import term_at
 
 from .bootstrap import GLOBAL_GROUP
-from .group import Group, group_status, wait_applied
+from .group import Group, group_status, has_applied_own_term, wait_applied
 from .host_state import HostState
 from .logs import log
 from .peer_link import PeerUnreachable
@@ -92,4 +91,4 @@
     # A leader whose lease has run out may have been replaced without knowing it.
     if replica.role == "leader" and not group.is_leader:
         return False
-    return term_at(replica, group.applied_index) == replica.term
+    return has_applied_own_term(group)
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -254,6 +254,20 @@
     assert names.count("u1") <= 3
 
 
+def test_a_holder_that_leaves_gets_nothing_more():
+    async def work(play):
+        play.configure(route(), is_sharded=True)
+        await play.add("u1", served)
+        row = play.host.upstreams["u1"].row
+        held = KeyRange("lamps", 0, 9, "u1", 1, row.address, 1, "")
+        play.host.ranges = {"lamps": [held]}
+        play.host.upstreams["u1"].row = row._replace(phase="draining")
+        answer, _ = await play.ask("/safe/1", **{NAMES.shard_key: "5"})
+        assert answer.status == 503
+
+    assert played(work).seen == []
+
+
 def test_a_caller_that_leaves_ends_the_work_of_its_upstream():
     async def work(play):
         play.configure(route(timeout_ms=5000, latency_objective_ms=5000))
--- a/packages/bergamotferry_host/tests/test_gauges.py
+++ b/packages/bergamotferry_host/tests/test_gauges.py
@@ -4,7 +4,7 @@
 
 from bergamotferry_host.gauges import gauge_values, link_counts
 
-PAGE = Path(__file__).parents[3] / "docs" / "OPERATING.md"
+PAGE = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 
 
 def test_every_gauge_is_on_the_page(state):
--- a/packages/bergamotferry_host/tests/test_range_duty.py
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -1,12 +1,15 @@
 """Ranges move only when nobody else can have them; upstreams are played."""
 
 import asyncio
+from random import Random
 from types import SimpleNamespace
 
 import pytest
 
 from bergamotferry.configuration import CallerLimits, Configuration, DirectService
 from bergamotferry.fleet_tables import FleetTables, apply_fleet_command
+from bergamotferry.messages import Member, Membership
+from bergamotferry.replication import Replica
 from bergamotferry.upstream_sessions import Heartbeat, Sessions, take_heartbeat
 from bergamotferry_host import range_duty
 from bergamotferry_host.clock import now_ns
@@ -44,9 +47,15 @@
         settings = FleetSettings(
             "1.1.1.1", "c", "a", "n", {"a": "n"}, 1, ("1.1.1.1",), bounds=bounds
         )
-        self.replica = SimpleNamespace(term=1)
+        self.replica = Replica(
+            "global", Member("1.1.1.1", "1", True), Membership((), ()), Random(1)
+        )
+        self.replica.term = self.replica.snapshot_term = 1
         group = SimpleNamespace(
-            is_leader=True, replica=self.replica, tables=FleetTables()
+            is_leader=True,
+            replica=self.replica,
+            tables=FleetTables(),
+            applied_index=0,
         )
         self.host = ControlHost(settings, None, group, lambda source: [], "p")
         service = DirectService("s", "/health", 9, 0.0, 0.0, True, 0.0)
@@ -171,7 +180,7 @@
     found = []
 
     def change_leader():
-        play.replica.term = 2
+        play.replica.term = play.replica.snapshot_term = 2
         leave(play, "u1", "answers")()
 
     play_out(
@@ -203,6 +212,29 @@
     assert play.two_held == []
 
 
+def test_a_leader_whose_tables_are_old_calls_nobody(monkeypatch):
+    """After a restart of all hosts: it leads, but has committed nothing in its term."""
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    calls = []
+
+    def restart_all():
+        play.replica.term = 2
+        for holder in play.holders.values():
+            holder.until_ns.clear()
+
+    def count():
+        calls.append(sum(len(h.until_ns) for h in play.holders.values()))
+
+    def commit_own_term():
+        play.replica.snapshot_term = 2
+
+    play_out(
+        play, (0.3, restart_all), (0.3, count), (0.0, commit_own_term), (0.3, count)
+    )
+    assert calls == [0, 32]
+
+
 def test_a_host_that_does_not_lead_calls_nobody(monkeypatch):
     play = Play(monkeypatch, "u1")
     play.host.group.is_leader = False
