Tell of an upstream that lost its address to who comes later, and believe its successor

Change: the mark is a change like any other and is kept for two minutes; a host that finds another process at the address leaves the upstream alone until a later heartbeat.

--- a/packages/bergamotferry/src/bergamotferry/upstream_sessions.py
+++ b/packages/bergamotferry/src/bergamotferry/upstream_sessions.py
@@ -15,7 +15,7 @@
 # An upstream that can't reach control may still serve, so it is forgotten late.
 FORGET_AFTER_NS = 30 * NS_PER_S
 # Rows of upstreams that are gone stay until every host has heard of it.
-KEEP_GONE_NS = 20 * NS_PER_S
+KEEP_GONE_NS = 120 * NS_PER_S
 
 # "lost" is one that was not heard of for long; unlike the others it may come back.
 UpstreamPhase = Literal["ready", "draining", "gone", "lost"]
@@ -110,7 +110,7 @@
         known.row = row
         known.heard_ns = now_ns
         return False
-    _drop_address(sessions, row)
+    _drop_address(sessions, row, now_ns)
     _put(sessions, row, now_ns)
     return True
 
@@ -162,6 +162,8 @@
         return row.born_ms > known.born_ms
     if known.phase in _FINAL_ORDER:
         return _FINAL_ORDER.get(row.phase, 0) >= _FINAL_ORDER[known.phase]
+    if known.phase == "lost":
+        return row.phase in _FINAL_ORDER or row.sequence > known.sequence
     return row.phase in _FINAL_ORDER or row.sequence >= known.sequence
 
 
@@ -176,15 +178,13 @@
     sessions.rows[row.name] = Session(row, heard_ns, now_ns, sessions.change)
 
 
-def _drop_address(sessions: Sessions, row: SessionRow) -> None:
+def _drop_address(sessions: Sessions, row: SessionRow, now_ns: int) -> None:
     """Mark as gone who had an address before a later birth."""
     for session in list(sessions.rows.values()):
         other = session.row
         is_same = other.address == row.address and other.name != row.name
         if is_same and other.phase != "gone" and other.born_ms < row.born_ms:
-            sessions.change += 1
-            session.row = other._replace(phase="gone")
-            session.change = sessions.change
+            _put(sessions, other._replace(phase="gone"), now_ns)
 
 
 def _order(row: SessionRow) -> tuple[int, int]:
--- a/packages/bergamotferry/tests/test_upstream_sessions.py
+++ b/packages/bergamotferry/tests/test_upstream_sessions.py
@@ -58,6 +58,17 @@
     assert sessions.rows["v"].row.phase == "ready"
 
 
+def test_who_lost_its_address_is_told_to_followers_that_come_later():
+    sessions, tables = Sessions(), FleetTables()
+    take_heartbeat(sessions, tables, BEAT, 0)
+    at_ns = 40 * 10**9
+    other = BEAT._replace(name="v", born_ms=200)
+    take_heartbeat(sessions, tables, other, at_ns)
+    forget_silent(sessions, at_ns + 10**9)
+    phases = {row.name: row.phase for row in rows_after(sessions, 0)}
+    assert phases == {"u": "gone", "v": "ready"}
+
+
 def test_only_changes_are_passed_on():
     sessions, tables = Sessions(), FleetTables()
     assert take_heartbeat(sessions, tables, BEAT, 0)
@@ -96,6 +107,8 @@
         (ROW._replace(phase="draining"), ROW._replace(phase="gone"), False),
         (ROW._replace(born_ms=101), ROW._replace(phase="gone"), True),
         (ROW._replace(sequence=2), ROW._replace(phase="lost"), True),
+        (ROW, ROW._replace(phase="lost"), False),
+        (ROW._replace(phase="gone"), ROW._replace(phase="lost"), True),
         (ROW._replace(phase="draining", sequence=0), ROW, True),
     ],
 )
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -30,6 +30,8 @@
 FOLLOW_WAIT_MS = 250
 FOLLOW_TIMEOUT_S = 0.6
 RETRY_PAUSE_S = 0.05
+# Upstreams that are gone are remembered, lest a host that lags bring them back.
+N_UPSTREAMS_MAX = 8192
 # Without news for this long, a dial or a call may hang, and another host is asked.
 LOST_AFTER_NS = 1_000_000_000
 
@@ -213,11 +215,13 @@
 
 def _index_upstreams(host: DirectHost) -> None:
     host.by_service = {}
+    n_surplus = len(host.upstreams) - N_UPSTREAMS_MAX
     for name, upstream in list(host.upstreams.items()):
         if upstream.row.phase == "ready":
             host.by_service.setdefault(upstream.row.service, []).append(upstream)
-        elif upstream.load.n_in_flight == 0 and upstream.row.phase == "lost":
+        elif n_surplus > 0 and upstream.load.n_in_flight == 0:
             del host.upstreams[name]
+            n_surplus -= 1
 
 
 def _choose_own(host: DirectHost) -> None:
@@ -231,6 +235,16 @@
         upstream.is_own = owner == host.settings.name
 
 
+def note_replaced(host: DirectHost, upstream: Upstream) -> None:
+    """Note that another process answers at an upstream's address.
+
+    A later heartbeat brings the upstream back, should it still be there.
+    """
+    log("upstream not at its address", upstream=upstream.row.name)
+    upstream.row = upstream.row._replace(phase="lost")
+    _index_upstreams(host)
+
+
 def _in_order(host: DirectHost, names: "list[str] | tuple[str, ...]") -> list[str]:
     """Put the control hosts of the same network first: those are near.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -32,7 +32,7 @@
 
 from .clock import now_ns
 from .direct_call import DirectSend, SendOutcome, send_direct
-from .direct_host import DirectHost, Upstream, budget_of
+from .direct_host import DirectHost, Upstream, budget_of, note_replaced
 from .direct_placing import (
     DirectRequest,
     distance_of,
@@ -248,7 +248,9 @@
         case "other_upstream" if request.service.is_sharded:
             pause = host.key_pauses.setdefault(request.token, KeyPause())
             note_not_held(pause, now)
-        case "other_upstream" | "no_process" | "no_connection":
+        case "other_upstream":
+            note_replaced(host, upstream)
+        case "no_process" | "no_connection":
             note_unreachable(load, now)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_questions.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_questions.py
@@ -16,8 +16,7 @@
 from .background import report_failure
 from .clock import now_ns
 from .direct_call import cold_left_ms, load_report
-from .direct_host import DirectHost, Upstream
-from .logs import log
+from .direct_host import DirectHost, Upstream, note_replaced
 
 # Beyond this the wait costs the request more than the answer tells.
 ASK_TIMEOUT_S = 0.04
@@ -58,8 +57,7 @@
             await response.read()
             if response.headers.get(names.upstream) != upstream.row.name:
                 # Another service may have the address by now.
-                note_unreachable(upstream.load, now_ns())
-                log("upstream not at its address", upstream=upstream.row.name)
+                note_replaced(host, upstream)
                 return
             report = load_report(response.headers.get(names.load, ""))
             left_ms = cold_left_ms(response.headers.get(names.cold_left_ms, ""))
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -268,6 +268,18 @@
     assert played(work).seen == []
 
 
+def test_an_address_that_another_process_has_is_left_alone():
+    async def work(play):
+        play.configure(route())
+        await play.add("u1", not_held)
+        await play.add("u2", served)
+        assert (await play.ask("/safe/1"))[0].status == 200
+        assert (await play.ask("/safe/1"))[0].status == 200
+        assert play.host.upstreams["u1"].row.phase == "lost"
+
+    assert [name for name, _ in played(work).seen] == ["u1", "u2", "u2"]
+
+
 def test_a_caller_that_leaves_ends_the_work_of_its_upstream():
     async def work(play):
         play.configure(route(timeout_ms=5000, latency_objective_ms=5000))
