--- a/packages/bergamotferry/tests/test_direct_placement.py
+++ b/packages/bergamotferry/tests/test_direct_placement.py
@@ -21,6 +21,7 @@
     note_sent,
     note_unreachable,
     place_request,
+    shortlist,
 )
 
 MS = 1_000_000
@@ -71,6 +72,20 @@
     assert isinstance(place(row, now=10_000 * MS), Placed)
 
 
+def test_the_best_three_are_asked_unless_they_are_far_or_have_just_told():
+    now = 1_000 * MS
+    loads = {name: UpstreamLoad(2, speed=n) for n, name in enumerate("abcde", 1)}
+    loads["b"].reported_ns = now - 50 * MS
+    rows = [
+        Candidate(name, loads[name], "far" if name == "c" else "here")
+        for name in "edcba"
+    ]
+    chosen = shortlist(rows, WORK, 1000.0, now)
+    assert [row.name for row in chosen.candidates] == ["a", "b", "c"]
+    assert [row.name for row in chosen.asked] == ["a"]
+    assert shortlist(rows[-1:], WORK, 1000.0, now).asked == ()
+
+
 def test_speed_is_learnt_without_what_was_waited():
     load, work = UpstreamLoad(2), WorkTime()
     for _ in range(60):
