Wait until shards are spread before a data centre is taken out

Cause: shards go to whichever data centre reports its upstreams first, and rebalancing begins only after the unevenness lasted 2 s; when b's stand-ins came first, all filings ran in b and taking a out moved nothing. The test now waits until both data centres hold shards and none moves; what it asserts is as before.

It now waits until the hosts are ready before it asks them for roles.

--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/deployment_start.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/deployment_start.py
@@ -14,6 +14,8 @@
 from .local_deployment import OPERATOR_TOKEN, LocalDeployment, wait_ready
 
 READY_TIMEOUT_S = 20.0
+# Longer than a step of rebalancing, with its handover.
+SPREAD_SETTLED_S = 1.0
 
 
 async def start_ready(deployment: LocalDeployment) -> None:
@@ -53,11 +55,7 @@
     n_expected += deployment.shape.services[0].n_shards
     n_owned = 0
     while time.monotonic() < deadline_s:
-        n_owned = 0
-        for data_centre in deployment.stand_in_words:
-            host = deployment.hosts_of(data_centre)[0]
-            body = await ask_control(host.control_address, "upstreams")
-            n_owned += sum(row["n_shards"] for row in body.get("upstreams", []))
+        n_owned = sum((await _count_shards(deployment)).values())
         if n_owned >= n_expected:
             await asyncio.sleep(0.3)
             return n_owned
@@ -65,9 +63,40 @@
     return n_owned
 
 
+async def wait_spread(deployment: LocalDeployment, timeout_s: float) -> None:
+    """Wait until every data centre holds shards and none has moved for a while.
+
+    Shards are placed on whichever data centre reports its upstreams first, and go to
+    the others only once the unevenness has lasted.
+
+    Raises
+    ------
+    TimeoutError
+        If that has not come about in time.
+    """
+    async with asyncio.timeout(timeout_s):
+        before: dict[str, int] = {}
+        while True:
+            counts = await _count_shards(deployment)
+            if counts == before and all(counts.values()):
+                return
+            before = counts
+            await asyncio.sleep(SPREAD_SETTLED_S)
+
+
 def addresses_by_region(deployment: LocalDeployment) -> dict[str, list[str]]:
     """Return the callers' addresses of each region."""
     addresses: dict[str, list[str]] = {}
     for host in deployment.hosts:
         addresses.setdefault(host.region, []).append(host.caller_address)
     return addresses
+
+
+async def _count_shards(deployment: LocalDeployment) -> dict[str, int]:
+    """Return how many shards the upstreams of each data centre own."""
+    counts: dict[str, int] = {}
+    for data_centre in deployment.stand_in_words:
+        host = deployment.hosts_of(data_centre)[0]
+        body = await ask_control(host.control_address, "upstreams")
+        counts[data_centre] = sum(row["n_shards"] for row in body.get("upstreams", []))
+    return counts
--- a/packages/bergamotferry_testkit/tests/test_filings_by_role.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_by_role.py
@@ -19,7 +19,7 @@
     file_until_known,
     send_filing,
 )
-from bergamotferry_testkit.local_deployment import LocalDeployment
+from bergamotferry_testkit.local_deployment import LocalDeployment, wait_ready
 from bergamotferry_testkit.ownership_check import check_ownership
 
 SHAPE = DeploymentShape(
@@ -34,6 +34,7 @@
 RATE_PER_S = 60.0
 FAULT_LENGTH_S = 1.5
 CALLER_TIMEOUT_S = 4.0
+READY_TIMEOUT_S = 20.0
 ROLES = ("leader", "dispatcher", "upstream")
 SERVED_SHARE_MIN = 0.9
 
@@ -61,6 +62,8 @@
         await asyncio.sleep(FAULT_LENGTH_S)
         start()
         await asyncio.sleep(FAULT_LENGTH_S)
+        # The roles are asked for at hosts that may have been started just now.
+        assert await wait_ready(deployment.hosts, READY_TIMEOUT_S)
         process, _ = await process_of(deployment, role)
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(FAULT_LENGTH_S)
--- a/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_filings_under_faults.py
@@ -15,6 +15,7 @@
     apply_first_note,
     start_ready,
     wait_owned,
+    wait_spread,
 )
 from bergamotferry_testkit.deployments import (
     DeploymentShape,
@@ -40,6 +41,7 @@
 TWO_CENTRES = SHAPE._replace(regions={"north": ("a", "b")}, n_hosts_per_data_centre=2)
 N_MOVED_FILINGS = 60
 MOVE_TIMEOUT_S = 15.0
+SPREAD_TIMEOUT_S = 30.0
 N_FILINGS = 500
 RATE_PER_S = 100.0
 CALLER_TIMEOUT_S = 4.0
@@ -87,6 +89,7 @@
 async def file_move_and_resend(deployment):
     """File, take one data centre out, and send all filings again."""
     await start_ready(deployment)
+    await wait_spread(deployment, SPREAD_TIMEOUT_S)
     hosts = [deployment.hosts[0], deployment.hosts[2]]
     names = [(f"key-{n}", f"m{n}") for n in range(N_MOVED_FILINGS)]
     async with aiohttp.ClientSession() as http:
