Serve metrics of the direct mode, and bound its log lines

Cause: from a request's id an engineer came to its cause by log lines alone, rates had to be counted from them, and nothing bounded their volume under a burst.

A stop no longer waits for a reader of the log that went away.

--- a/packages/bergamotferry/src/bergamotferry/outcomes.py
+++ b/packages/bergamotferry/src/bergamotferry/outcomes.py
@@ -37,3 +37,8 @@
     """
 
     revision: int
+
+
+def result_code(outcome: Accepted | Refused) -> int:
+    """Return the numbered code of an outcome; 0 if it is accepted."""
+    return int(outcome.code) if isinstance(outcome, Refused) else 0
--- a/packages/bergamotferry/src/bergamotferry/window_budget.py
+++ b/packages/bergamotferry/src/bergamotferry/window_budget.py
@@ -40,17 +40,22 @@
 
 def take_repeat(budget: WindowBudget, now_ns: int, has_come_back: bool = True) -> bool:
     """Take the right to one more send; False if none is left."""
-    _forget(budget, now_ns)
-    earned = SHARE_USED * budget.ratio * len(budget.requests)
-    grown = min(1.0, (now_ns - budget.began_ns) / (budget.window_s * NS_PER_S))
-    reserve = grown * RESERVE_USED * budget.reserve / max(1, budget.n_hosts)
     share = 1.0 if has_come_back else FIRST_COMERS_SHARE
-    if len(budget.repeats) + 1 > share * (earned + reserve):
+    if n_repeats_left(budget, now_ns, share) < 1:
         return False
     budget.repeats.append(now_ns)
     return True
 
 
+def n_repeats_left(budget: WindowBudget, now_ns: int, share: float = 1.0) -> float:
+    """Return how many more repeats a share of the budget allows; may be negative."""
+    _forget(budget, now_ns)
+    earned = SHARE_USED * budget.ratio * len(budget.requests)
+    grown = min(1.0, (now_ns - budget.began_ns) / (budget.window_s * NS_PER_S))
+    reserve = grown * RESERVE_USED * budget.reserve / max(1, budget.n_hosts)
+    return share * (earned + reserve) - len(budget.repeats)
+
+
 def _forget(budget: WindowBudget, now_ns: int) -> None:
     since_ns = now_ns - int(budget.window_s * NS_PER_S)
     for times in (budget.requests, budget.repeats):
--- /dev/null
+++ b/packages/bergamotferry/tests/test_fleet_metrics.py
@@ -0,0 +1,41 @@
+from bergamotferry.fleet_metrics import (
+    BUCKET_BOUNDS_MS,
+    Histogram,
+    RequestMetrics,
+    counted,
+    note_answered,
+    note_placed,
+    note_send,
+    observe,
+    request_families,
+)
+
+
+def test_each_duration_falls_into_the_first_bucket_that_holds_it():
+    for position, bound_ms in enumerate(BUCKET_BOUNDS_MS):
+        histogram = Histogram()
+        observe(histogram, bound_ms)
+        assert histogram.counts.index(1) == position
+    histogram = Histogram()
+    observe(histogram, BUCKET_BOUNDS_MS[-1] + 1)
+    assert histogram.counts[-1] == 1
+
+
+def test_requests_are_told_by_kind_code_and_data_centre():
+    metrics = RequestMetrics()
+    note_placed(metrics, "safe", 3.0)
+    note_send(metrics, "a", "not_run", 1.0)
+    note_send(metrics, "b", "answered", 120.0)
+    note_answered(metrics, "safe", 0, 130.0)
+    note_answered(metrics, "safe", 1202, 2.0)
+    families = {family.name: family for family in request_families(metrics)}
+    assert families["requests"].rows == {("safe", "0"): 1, ("safe", "1202"): 1}
+    assert families["sends"].rows == {("a", "not_run"): 1, ("b", "answered"): 1}
+    assert families["request_seconds"].rows[("safe",)].sum_ms == 132.0
+    assert families["placing_seconds"].rows[("safe",)].sum_ms == 3.0
+    assert families["send_seconds"].rows[("b",)].sum_ms == 120.0
+
+
+def test_values_are_counted_by_label():
+    family = counted("upstreams", "Known.", "phase", ["ready", "gone", "ready"])
+    assert family.rows == {("ready",): 2.0, ("gone",): 1.0}
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -13,8 +13,10 @@
     ReadIndex,
     SessionNews,
 )
+from bergamotferry.fleet_metrics import Histogram
 from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
 
+from .control_metrics import control_families
 from .data_folder import DataFolder
 from .fleet_control import (
     ControlHost,
@@ -42,6 +44,7 @@
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .logs import log
+from .metrics_page import process_families, serve_metrics, watch_loop
 from .peer_link import PeerHandlers, PeerStream
 from .range_calls import RangeCallPaths, open_range_session
 from .range_duty import run_range_duty
@@ -77,6 +80,10 @@
         app = web.Application(client_max_size=0)
         add_routes(app, host)
         runner = await listen(app, settings.control_address, settings)
+        delays = Histogram()
+        metrics = await serve_metrics(
+            settings, lambda: control_families(host) + process_families(delays)
+        )
         log("started", label=settings.label, incarnation=folder.incarnation)
         await _run_until(
             stopping,
@@ -84,10 +91,13 @@
             run_tables_watch(host),
             run_session_news(host),
             run_range_duty(host, http, paths),
+            watch_loop(delays),
         )
         host.is_stopping = True
         await hand_over_leadership(group)
         await runner.cleanup()
+        if metrics is not None:
+            await metrics.cleanup()
     await network.stop()
     folder.close()
     log("stopped", label=settings.label)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -15,6 +15,7 @@
 from bergamotferry.configuration import Configuration
 from bergamotferry.direct_placement import UpstreamLoad, WorkTime
 from bergamotferry.fleet_messages import FleetChanges, FollowFleet
+from bergamotferry.fleet_metrics import RequestMetrics
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.upstream_sessions import SessionRow, is_newer_row
@@ -79,6 +80,7 @@
     n_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     is_stopping: bool = False
+    metrics: RequestMetrics = field(default_factory=RequestMetrics)
 
     @property
     def is_ready(self) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -8,6 +8,7 @@
 
 from bergamotferry.configuration import choose_service, find_route
 from bergamotferry.direct_placement import WorkTime, note_arrival
+from bergamotferry.fleet_metrics import NO_ROUTE, note_answered
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 from bergamotferry.window_budget import note_request
@@ -18,7 +19,7 @@
 from .direct_placing import DirectRequest
 from .direct_sending import serve_request
 from .http_body import read_body
-from .logs import log
+from .logs import log_routine
 
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_SPREAD_S = 0.5
@@ -43,6 +44,9 @@
         response = web.Response(
             status=outcome.status, headers=outcome.headers, body=outcome.body
         )
+        is_failure = outcome.status >= 500
+        code = ResultCode.UPSTREAM_FAILED if is_failure else ResultCode.SERVED
+        note_answered(host.metrics, accepted.route.kind, code, _passed_ms(began_ns))
         _end_connection_if_stopping(host, response)
         return response
     finally:
@@ -104,14 +108,16 @@
     names = host.settings.headers
     request_id = request.headers.get(names.request_id, "")
     status = _status_of(refusal)
-    log(
+    kind = accepted.route.kind if accepted else NO_ROUTE
+    note_answered(host.metrics, kind, refusal.code, _passed_ms(began_ns))
+    log_routine(
         "refused",
         request_id=request_id,
         route=accepted.route.name if accepted else "",
         code=int(refusal.code),
         detail=refusal.detail,
         status=status,
-        took_ms=round((now_ns() - began_ns) / 1e6, 1),
+        took_ms=round(_passed_ms(began_ns), 1),
         version=host.configuration.version,
     )
     headers = {names.request_id: request_id}
@@ -136,6 +142,10 @@
     return row.http_status if row.http_status in (400, 404, 413) else 503
 
 
+def _passed_ms(began_ns: int) -> float:
+    return (now_ns() - began_ns) / 1e6
+
+
 def _end_connection_if_stopping(host: DirectHost, response: web.Response) -> None:
     if host.is_stopping:
         response.force_close()
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -9,10 +9,13 @@
 
 from aiohttp import web
 
+from bergamotferry.fleet_metrics import Histogram
+
 from .background import start_task
 from .clock import now_ns
 from .direct_call import open_direct_session
 from .direct_host import DirectHost, add_control_hosts, run_follower
+from .direct_metrics import direct_families
 from .direct_request import answer_request
 from .fleet_settings import FleetSettings
 from .fleet_start import (
@@ -26,6 +29,7 @@
     takes_no_calls,
 )
 from .logs import log
+from .metrics_page import process_families, serve_metrics, watch_loop
 from .peer_link import PeerHandlers
 
 # The balancer asks once a second and believes the second miss.
@@ -64,14 +68,22 @@
             await listen(ready, settings.ready_address, settings),
             await listen(callers, settings.caller_address, settings),
         ]
+        delays = Histogram()
+        metrics = await serve_metrics(
+            settings, lambda: direct_families(host) + process_families(delays)
+        )
+        if metrics is not None:
+            runners.append(metrics)
         log("started", label=settings.label)
         tasks: set[asyncio.Task[None]] = set()
-        follower = start_task(run_follower(host), tasks)
+        start_task(run_follower(host), tasks)
+        start_task(watch_loop(delays), tasks)
         await stopping.wait()
         await _drain(host)
         for runner in runners:
             await runner.cleanup()
-        follower.cancel()
+        for task in tasks:
+            task.cancel()
     await network.stop()
     log("stopped", label=settings.label)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -24,6 +24,7 @@
     note_sent,
     note_unreachable,
 )
+from bergamotferry.fleet_metrics import note_placed, note_send
 from bergamotferry.hedging import hedge_delay_ms
 from bergamotferry.key_pause import KeyPause, note_held, note_not_held
 from bergamotferry.outcomes import Refused
@@ -40,7 +41,7 @@
     place_hedge,
     place_upstream,
 )
-from .logs import log
+from .logs import log_routine
 
 N_SENDS_MAX = 6
 # With less time left, a failure is passed on rather than tried elsewhere.
@@ -103,6 +104,7 @@
         if not done:
             second = await place_hedge(host, http, request)
             if second is not None:
+                host.metrics.n_hedges += 1
                 sends.add(asyncio.create_task(_send(host, http, request, second)))
         return await _first_good(request, sends)
     finally:
@@ -137,6 +139,8 @@
     begun = _begin_send(load, sent_ns)
     if is_cold(upstream.cold, sent_ns):
         note_cold_send(upstream.cold, sent_ns)
+    if request.n_sends == 0:
+        note_placed(host.metrics, request.route.kind, passed_ms(request))
     request.n_sends += 1
     if not request.service.is_sharded:
         request.tried.add(upstream.row.name)
@@ -167,7 +171,8 @@
         took_ms = (now_ns() - sent_ns) / 1e6
         _note_on_request(request, upstream, result, outcome)
         _note_on_upstream(host, request, upstream, result, outcome, begun)
-        log(
+        note_send(host.metrics, upstream.row.data_centre, result, took_ms)
+        log_routine(
             "sent",
             request_id=request.request_id,
             route=request.route.name,
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bergamotferry.commands import Command
@@ -17,9 +18,10 @@
     SetEvacuation,
 )
 from bergamotferry.fleet_messages import ReadIndex, ReadIndexReply
+from bergamotferry.fleet_metrics import LabelValues
 from bergamotferry.fleet_tables import FleetTables, apply_fleet_command, is_retired
 from bergamotferry.messages import Member, Membership
-from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.outcomes import Accepted, Refused, result_code
 from bergamotferry.replication import Replica
 from bergamotferry.replication_membership import GLOBAL_GROUP
 from bergamotferry.result_codes import ResultCode
@@ -53,7 +55,8 @@
     """State of one control host.
 
     ``news`` is set, and replaced, whenever followers should look again. ``changed``
-    holds rows, and ``heard`` incarnations, that other control hosts must hear of.
+    holds rows, and ``heard`` incarnations, that other control hosts must hear of;
+    ``orders`` counts what was to be committed, by command and result code.
     """
 
     settings: FleetSettings
@@ -71,6 +74,8 @@
     control_hosts: set[str] = field(default_factory=set)
     configuration: Configuration = field(default_factory=lambda: Configuration(0))
     is_stopping: bool = False
+    orders: Counter[LabelValues] = field(default_factory=Counter)
+    n_heartbeats: int = 0
 
     @property
     def tables(self) -> FleetTables:
@@ -146,6 +151,7 @@
     host: ControlHost, heartbeat: Heartbeat
 ) -> Accepted | Refused:
     """Note a heartbeat; one of an upstream that leaves is committed first."""
+    host.n_heartbeats += 1
     known = is_retired(host.tables, heartbeat.name, heartbeat.born_ms)
     if heartbeat.phase == "draining" and known is None:
         outcome = await _order(
@@ -197,7 +203,7 @@
         "configuration ordered",
         version=decoded.version,
         n_routes=len(decoded.routes),
-        code=int(outcome.code) if isinstance(outcome, Refused) else 0,
+        code=result_code(outcome),
     )
     return outcome
 
@@ -211,7 +217,7 @@
         "evacuation ordered",
         data_centre=data_centre,
         is_evacuated=is_evacuated,
-        code=int(outcome.code) if isinstance(outcome, Refused) else 0,
+        code=result_code(outcome),
     )
     return outcome
 
@@ -261,6 +267,12 @@
 
 async def _order(host: ControlHost, command: Command) -> Accepted | Refused:
     """Commit a command, and have it in force here before it is acknowledged."""
+    outcome = await _commit_and_apply(host, command)
+    host.orders[type(command).__name__, str(result_code(outcome))] += 1
+    return outcome
+
+
+async def _commit_and_apply(host: ControlHost, command: Command) -> Accepted | Refused:
     outcome = await commit(host.group, command, ORDER_TIMEOUT_S)
     if isinstance(outcome, Accepted):
         async with host.group.applied:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -52,7 +52,8 @@
     """Who a host is, where it listens, and which control hosts it begins with.
 
     ``name`` is the IP number at which other hosts reach it; addresses that its role
-    does not serve are empty; ``regions`` gives the region of each data centre.
+    does not serve are empty; ``regions`` gives the region of each data centre; at
+    ``metrics_port`` 0 no metrics are served.
     """
 
     name: str
@@ -65,6 +66,7 @@
     control_address: str = ""
     caller_address: str = ""
     ready_address: str = ""
+    metrics_port: int = 0
     data_dir: Path | None = None
     is_bootstrap: bool = False
     n_descriptors_max: int = 1_024
@@ -84,6 +86,8 @@
         wrong.append(f"data centre {settings.data_centre!r} has no region")
     if not 0 < settings.peer_port < 65_536:
         wrong.append(f"{settings.peer_port} is no port for peers")
+    if not 0 <= settings.metrics_port < 65_536:
+        wrong.append(f"{settings.metrics_port} is no port for metrics")
     if not settings.control_address and not settings.caller_address:
         wrong.append("the host has nothing to serve")
     if settings.control_address and settings.data_dir is None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/main.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/main.py
@@ -7,7 +7,7 @@
 from .daemon import run_daemon
 from .data_folder import DataFolderError
 from .disk_log import DiskLogDamaged
-from .logs import start_logs
+from .logs import end_process, start_logs
 from .settings import settings_from_process
 
 
@@ -18,13 +18,13 @@
         settings.host.name, settings.host.data_centre, settings.log_level
     )
     log_library_failures()
+    status = 0
     try:
         asyncio.run(run_daemon(settings))
     except (DataFolderError, DiskLogDamaged) as error:
         print(f"bergamotferryd: {error}", file=sys.stderr)
-        raise SystemExit(1) from error
-    finally:
-        listener.stop()
+        status = 1
+    end_process(listener, status)
 
 
 if __name__ == "__main__":
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -15,7 +15,7 @@
 from bergamotferry.fleet_commands import AssignRange
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.key_ranges import WantedRange, plan_ranges
-from bergamotferry.outcomes import Refused
+from bergamotferry.outcomes import result_code
 from bergamotferry.upstream_sessions import SessionRow
 
 from .background import start_task
@@ -244,7 +244,7 @@
         is_handed_over=bool(hold.handover),
         first_key=move.first_key,
         service=move.service,
-        code=int(outcome.code) if isinstance(outcome, Refused) else 0,
+        code=result_code(outcome),
     )
 
 
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
@@ -19,6 +19,7 @@
 TARGET = "127.9.1.50:18099"
 BASE = "X-Request-Id"
 UP_WITHIN_S = 20.0
+METRICS_PORT = 19464
 
 
 def settings_text(ip, tmp_path, place):
@@ -59,6 +60,8 @@
             "-m",
             "bergamotferry_platform",
             role,
+            "--metrics-port",
+            str(METRICS_PORT),
             env={**os.environ, "BERGAMOTFERRY_CONFIG": str(path)},
             stdout=(self.tmp_path / f"{ip}.log").open("ab"),
         )
@@ -152,6 +155,12 @@
         return 0, b""
 
 
+async def metrics_of(http, ip):
+    status, body = await ask(http, "GET", f"http://{ip}:{METRICS_PORT}/metrics")
+    assert status == 200
+    return body.decode()
+
+
 async def until(status, ask_again):
     """Ask until a status comes; the platform's callers do so too."""
     async with asyncio.timeout(UP_WITHIN_S):
@@ -227,6 +236,15 @@
             await fleet.start(core, place)
         assert json.loads(await until(200, lambda: read(CORES[2]))) == manifest(6)
 
+        # What came of the requests above is told as metrics, and who leads.
+        text = await metrics_of(http, EDGE)
+        assert 'bergamotferry_requests_total{code="0",kind="unsafe"} 3.0' in text
+        assert 'bergamotferry_requests_total{code="1004",kind="none"} 1.0' in text
+        assert "bergamotferry_configuration_version 6.0" in text
+        texts = [await metrics_of(http, core) for core in CORES]
+        assert sum("bergamotferry_is_leader 1.0" in text for text in texts) == 1
+        assert all("bergamotferry_configuration_version 6.0" in t for t in texts)
+
         # A target that says it leaves gets nothing two seconds later.
         await until(200, lambda: beat(CORES[1], 2))
         await until(200, lambda: beat(CORES[2], 3, "draining"))
@@ -254,6 +272,8 @@
             "-m",
             "bergamotferry_platform",
             role,
+            "--metrics-port",
+            str(METRICS_PORT),
             env={**os.environ, "BERGAMOTFERRY_CONFIG": str(path)},
             stderr=asyncio.subprocess.PIPE,
         )
