Answer resends of known filings from the record, without a slot or a commit

Cause: a resend waited for a slot of its upstream and then committed an intent, only to be told that the outcome is known; some hundred resends at once after a fault got no whole answer in time.

Change: the dispatcher looks its own copy of the record up first; a finished outcome of the same request is replayed at once. The new test holds all slots and loses all commits; it timed out without the change.

--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -48,7 +48,7 @@
 from .host_state import HostState
 from .observations import note_latency
 from .orders import order_grants
-from .run_once import deliver, read_content, run_once
+from .run_once import deliver, read_content, recorded_outcome, run_once
 from .upstream_call import check_owner_of_key, open_upstream_session, send_to_upstream
 
 DISPATCHER_TICK_S = 0.02
@@ -115,6 +115,10 @@
     owner = check_owner_of_key(state, head)
     if isinstance(owner, Refused):
         return owner
+    if content is not None:
+        record = recorded_outcome(state, head, content)
+        if record is not None:
+            return await deliver(state, record, sink)
     count_request(state.dispatchers.hot_keys, head, owner.session.name, now_ns())
     place = (owner.grant.shard, owner.grant.epoch)
     trace.upstream, trace.epoch = owner.session.name, owner.grant.epoch
--- a/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
@@ -92,6 +92,21 @@
     return bytes(content)
 
 
+def recorded_outcome(
+    state: HostState, head: RequestHead, content: bytes
+) -> OutcomeRecord | None:
+    """Return the record of a request that ran before, if this host has it already.
+
+    A resend is then answered without a slot and without a commit: many callers may
+    resend at once after a fault.
+    """
+    record = state.own_tables.outcomes.get((head.account, _record_key(head)))
+    if record is None or record.state != "done":
+        return None
+    is_same = record.request_sha256 == _request_sha256(head, content)
+    return record if is_same else None
+
+
 async def run_once(
     state: HostState,
     work: UpstreamWork,
@@ -153,7 +168,7 @@
     head = request.head
     return RecordIntent(
         head.account,
-        f"{head.service}/{head.idempotency_key}",
+        _record_key(head),
         head.shard,
         _request_sha256(head, request.content or b""),
         int(time.time()),
@@ -163,6 +178,10 @@
     )
 
 
+def _record_key(head: RequestHead) -> str:
+    return f"{head.service}/{head.idempotency_key}"
+
+
 def _request_sha256(head: RequestHead, content: bytes) -> str:
     parts = (head.service, head.route, head.key)
     digest = hashlib.sha256(b"\x00".join(part.encode() for part in parts))
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -134,6 +134,26 @@
     assert seen == ["done"]
 
 
+def test_a_resend_of_a_known_outcome_takes_neither_slot_nor_commit():
+    async def run():
+        async with RawUpstream("whole", "silent", "silent") as upstream:
+            add_work(upstream)
+            assert isinstance(await start(upstream, FILING), Served)
+            running = [start(upstream, LOOKUP) for _ in range(2)]
+            await wait_until(lambda: len(upstream.requests) == 3)
+            # No slot is free, and nothing could be committed.
+            upstream.state.network.losses = ["lost"] * 99
+            sink = KeepingSink()
+            again = await asyncio.wait_for(start(upstream, FILING, sink), 1.0)
+            other_body = make_head("filing", "POST", idempotency_key="i1", key="k2")
+            mixed = await start(upstream, other_body._replace(deadline_ms=200))
+            for task in running:
+                task.cancel()
+            return again, bytes(sink.body), isinstance(mixed, Served)
+
+    assert asyncio.run(run()) == (Served(200, 4, ""), b"data", False)
+
+
 def test_a_filing_without_a_key_is_not_run():
     async def run():
         async with RawUpstream("whole") as upstream:
