Let only a few hosts send to a cold upstream, by rank

Change: at most as many hosts send as the upstream bears requests a second, the first by rendezvous rank. The test now plays 20 and 100 hosts too; by the old rule 20 hosts send 20 a second where 10.4 are allowed.

--- a/packages/bergamotferry/src/bergamotferry/cold_rate.py
+++ b/packages/bergamotferry/src/bergamotferry/cold_rate.py
@@ -1,8 +1,10 @@
 """How many requests this host may send a cold upstream.
 
-The bound is on all hosts together, so only the hosts of the upstream's own data centre
-send to it, each its part of the rate. They may differ for seconds on how many they are,
-which the slack of the bound covers for two hosts more than are known.
+The bound is on all hosts together, so only a few hosts of the upstream's own data centre
+send to it, no more than it bears requests a second, each its part of the rate. Which
+ones follows from a rank that each host works out for itself. Hosts may differ for
+seconds on who they are, which the slack of the bound covers for two hosts more than are
+known.
 """
 
 from collections import deque
@@ -30,7 +32,7 @@
 
 
 def may_send_cold(
-    rate: ColdRate, per_s: float, n_hosts: int, is_here: bool, now_ns: int
+    rate: ColdRate, per_s: float, n_hosts: int, rank: int | None, now_ns: int
 ) -> bool:
     """Return whether one more request may go to a cold upstream now.
 
@@ -42,16 +44,18 @@
         What it bears a second from all hosts.
     n_hosts : int
         Hosts of its data centre that take requests.
-    is_here : bool
-        Whether this host is in its data centre.
+    rank : int or None
+        Of this host among the hosts of the upstream's data centre, from 0; None if it
+        is not in that data centre.
     now_ns : int
         The time.
     """
-    if not is_here:
+    n_senders = max(1, min(n_hosts, int(per_s)))
+    if rank is None or rank >= n_senders:
         return False
     while rate.sent_ns and rate.sent_ns[0] <= now_ns - NS_PER_S:
         rate.sent_ns.popleft()
-    share = max(1, int(per_s / max(1, n_hosts)))
+    share = max(1, int(per_s / n_senders))
     return len(rate.sent_ns) < share
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -39,12 +39,16 @@
 
 @dataclass(slots=True)
 class Upstream:
-    """An upstream as this host knows it; ``asking`` is a question under way."""
+    """An upstream as this host knows it; ``asking`` is a question under way.
+
+    ``rank`` is this host's among the hosts of the upstream's data centre, None if it is
+    in another one; the host of rank 0 prefers the upstream.
+    """
 
     row: SessionRow
     load: UpstreamLoad
     cold: ColdRate = field(default_factory=ColdRate)
-    is_own: bool = False
+    rank: int | None = None
     asking: "asyncio.Task[None] | None" = None
 
 
@@ -171,9 +175,10 @@
         _index_upstreams(host)
     add_control_hosts(host, reply.control_hosts)
     hosts_here = reply.hosts_here or (host.settings.name,)
-    if hosts_here != host.hosts_here or reply.sessions:
+    if hosts_here != host.hosts_here:
         host.hosts_here = hosts_here
-        _choose_own(host)
+        for upstream in host.upstreams.values():
+            upstream.rank = _rank(host, upstream.row)
     host.n_hosts_all = max(1, reply.n_hosts_all)
     if reply.revision < host.revision:
         return
@@ -206,7 +211,8 @@
     if not is_newer_row(row, known.row if known else None):
         return
     if known is None or known.row.born_ms != row.born_ms:
-        host.upstreams[row.name] = known = Upstream(row, UpstreamLoad(row.n_slots))
+        load = UpstreamLoad(row.n_slots)
+        host.upstreams[row.name] = known = Upstream(row, load, rank=_rank(host, row))
         log("upstream known", upstream=row.name, service=row.service, phase=row.phase)
     elif known.row.phase != row.phase:
         log("upstream changed", upstream=row.name, phase=row.phase)
@@ -226,15 +232,16 @@
             n_surplus -= 1
 
 
-def _choose_own(host: DirectHost) -> None:
-    """Divide the upstreams of this data centre among its hosts, by rendezvous hash."""
-    for name, upstream in host.upstreams.items():
-        if upstream.row.data_centre != host.settings.data_centre:
-            continue
-        owner = max(
-            host.hosts_here, key=lambda other: zlib.crc32(f"{name} {other}".encode())
-        )
-        upstream.is_own = owner == host.settings.name
+def _rank(host: DirectHost, row: SessionRow) -> int | None:
+    """Return this host's rank for an upstream of its data centre, by rendezvous hash."""
+    if row.data_centre != host.settings.data_centre:
+        return None
+
+    def weight(name: str) -> int:
+        return zlib.crc32(f"{row.name} {name}".encode())
+
+    own = weight(host.settings.name)
+    return sum(1 for other in host.hosts_here if weight(other) > own)
 
 
 def note_replaced(host: DirectHost, upstream: Upstream) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -150,11 +150,11 @@
             upstream.cold,
             request.service.cold_per_s,
             len(host.hosts_here),
-            distance == "here",
+            upstream.rank,
             now,
         ):
             continue
-        rows.append(Candidate(row.name, upstream.load, distance, upstream.is_own))
+        rows.append(Candidate(row.name, upstream.load, distance, upstream.rank == 0))
     return rows
 
 
