Look at the preferred part of a large service first

Change: upstreams are kept in a host's order of preference (near ones first, ranks within the data centre, by hash elsewhere). The first 24 are looked at, and the rest only if none of these is idle. Not yet measured.

--- a/packages/bergamotferry/src/bergamotferry/cold_rate.py
+++ b/packages/bergamotferry/src/bergamotferry/cold_rate.py
@@ -1,6 +1,6 @@
 """How many requests this host may send a cold upstream.
 
-The bound is on all hosts together, so only a few hosts of the upstream's own data centre
+The bound is on all hosts together, so only a few hosts of an upstream's data centre
 send to it, no more than it bears requests a second, each its part of the rate. Which
 ones follows from a rank that each host works out for itself. Hosts may differ for
 seconds on who they are, which the slack of the bound covers for two hosts more than are
--- a/packages/bergamotferry/src/bergamotferry/direct_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/direct_placement.py
@@ -7,6 +7,10 @@
 host itself has under way there, and how quick it was before. Upstreams nearby are
 preferred for as long as the time saved elsewhere is not worth the bytes on the way.
 
+Of a large service a host looks at a part first, ordered by its own preference: it
+comes to know these well, each upstream has few callers' connections, and the work per
+request does not grow with the service. It looks at all once none of that part is idle.
+
 What a host does not know of an upstream is mostly what other hosts sent there, and
 whether its neighbours slow it just now. So each host prefers a few upstreams as its
 own, and the best few are asked for their load before one of them is chosen, unless
@@ -38,6 +42,8 @@
 LEFT_DECAY = 0.999
 CAME_BACK_SHARE = 0.95
 
+# How many upstreams are looked at before the rest of their service.
+N_SCANNED_FIRST = 24
 # How many upstreams are compared by fresh reports, and how old such a report may be.
 N_COMPARED = 3
 REPORT_FRESH_MS = 100.0
@@ -196,6 +202,15 @@
     return Shortlist(rows, asked if len(rows) > 1 else ())
 
 
+def has_idle(candidates: Iterable[Candidate], now_ns: int) -> bool:
+    """Return whether a candidate seems to have a slot free."""
+    return any(
+        n_ahead(row.load, now_ns) + 1 <= row.load.n_slots
+        and row.load.blocked_until_ns <= now_ns
+        for row in candidates
+    )
+
+
 def is_fresh(load: UpstreamLoad, now_ns: int) -> bool:
     """Return whether the last report still tells how an upstream is."""
     return now_ns - load.reported_ns <= REPORT_FRESH_MS * NS_PER_MS
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -13,7 +13,7 @@
 
 from bergamotferry.cold_rate import ColdRate, note_cold
 from bergamotferry.configuration import Configuration
-from bergamotferry.direct_placement import UpstreamLoad, WorkTime
+from bergamotferry.direct_placement import Distance, UpstreamLoad, WorkTime
 from bergamotferry.fleet_messages import FleetChanges, FollowFleet
 from bergamotferry.fleet_metrics import RequestMetrics
 from bergamotferry.fleet_tables import KeyRange
@@ -35,6 +35,7 @@
 N_UPSTREAMS_MAX = 8192
 # Without news for this long, a dial or a call may hang, and another host is asked.
 LOST_AFTER_NS = 1_000_000_000
+_DISTANCES: tuple[Distance, ...] = ("here", "near", "far")
 
 
 @dataclass(slots=True)
@@ -132,6 +133,14 @@
     return budget
 
 
+def distance_of(settings: FleetSettings, data_centre: str) -> Distance:
+    """Return how far away a data centre is, by its region."""
+    if data_centre == settings.data_centre:
+        return "here"
+    is_near = settings.regions.get(data_centre, "") == settings.region
+    return "near" if is_near else "far"
+
+
 def holder_of_key(host: DirectHost, service: str, key: int) -> KeyRange | None:
     """Return who holds a key of a sharded service, as far as this host knows."""
     for row in host.ranges.get(service, ()):
@@ -171,14 +180,15 @@
     host.source, host.session_change = reply.source, reply.session_change
     for row in reply.sessions:
         _take_row(host, row)
-    if reply.sessions:
-        _index_upstreams(host)
     add_control_hosts(host, reply.control_hosts)
     hosts_here = reply.hosts_here or (host.settings.name,)
     if hosts_here != host.hosts_here:
         host.hosts_here = hosts_here
         for upstream in host.upstreams.values():
             upstream.rank = _rank(host, upstream.row)
+        _index_upstreams(host)
+    elif reply.sessions:
+        _index_upstreams(host)
     host.n_hosts_all = max(1, reply.n_hosts_all)
     if reply.revision < host.revision:
         return
@@ -230,18 +240,32 @@
         elif n_surplus > 0 and upstream.load.n_in_flight == 0:
             del host.upstreams[name]
             n_surplus -= 1
+    for rows in host.by_service.values():
+        rows.sort(key=lambda upstream: _preference(host, upstream))
+
+
+def _preference(host: DirectHost, upstream: Upstream) -> tuple[int, int, int]:
+    """Return the place of an upstream in the order in which this host looks at them.
+
+    Near ones come first. Ranks give each upstream of the data centre as many hosts that
+    prefer it; of others, each host prefers some of its own by chance.
+    """
+    distance = _DISTANCES.index(distance_of(host.settings, upstream.row.data_centre))
+    rank = upstream.rank if upstream.rank is not None else 0
+    return distance, rank, _weight(upstream.row.name, host.settings.name)
 
 
 def _rank(host: DirectHost, row: SessionRow) -> int | None:
-    """Return this host's rank for an upstream of its data centre, by rendezvous hash."""
+    """Return this host's rank for an upstream of its data centre, by rendezvous."""
     if row.data_centre != host.settings.data_centre:
         return None
 
-    def weight(name: str) -> int:
-        return zlib.crc32(f"{row.name} {name}".encode())
+    own = _weight(row.name, host.settings.name)
+    return sum(1 for other in host.hosts_here if _weight(row.name, other) > own)
+
 
-    own = weight(host.settings.name)
-    return sum(1 for other in host.hosts_here if weight(other) > own)
+def _weight(upstream: str, host_name: str) -> int:
+    return zlib.crc32(f"{upstream} {host_name}".encode())
 
 
 def note_replaced(host: DirectHost, upstream: Upstream) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 import aiohttp
 from multidict import CIMultiDict
@@ -13,12 +15,13 @@
 from bergamotferry.cold_rate import is_cold, may_send_cold
 from bergamotferry.configuration import DirectRoute, DirectService
 from bergamotferry.direct_placement import (
+    N_SCANNED_FIRST,
     Candidate,
-    Distance,
     NoRoom,
     Placed,
     Wait,
     WorkTime,
+    has_idle,
     place_request,
     shortlist,
 )
@@ -28,7 +31,13 @@
 from bergamotferry.window_budget import take_repeat
 
 from .clock import now_ns
-from .direct_host import DirectHost, Upstream, budget_of, holder_of_key
+from .direct_host import (
+    DirectHost,
+    Upstream,
+    budget_of,
+    distance_of,
+    holder_of_key,
+)
 from .load_questions import ask_loads
 
 # Less time than this is not worth a send.
@@ -128,24 +137,30 @@
     return (now_ns() - request.began_ns) / 1e6
 
 
-def distance_of(host: DirectHost, data_centre: str, region: str) -> Distance:
-    """Return how far away a data centre is, by its region."""
-    if data_centre == host.settings.data_centre:
-        return "here"
-    return "near" if region == host.settings.region else "far"
-
-
 def _candidates(host: DirectHost, request: DirectRequest, now: int) -> list[Candidate]:
-    rows: list[Candidate] = []
-    for upstream in _possible_upstreams(host, request, now):
+    """Return the upstreams that may take a request, or the preferred ones of many."""
+    upstreams = iter(_possible_upstreams(host, request, now))
+    first = list(islice(_allowed(host, request, upstreams, now), N_SCANNED_FIRST))
+    if has_idle(first, now):
+        return first
+    return first + list(_allowed(host, request, upstreams, now))
+
+
+def _allowed(
+    host: DirectHost,
+    request: DirectRequest,
+    upstreams: Iterator[Upstream],
+    now: int,
+) -> Iterator[Candidate]:
+    for upstream in upstreams:
         row = upstream.row
-        region = host.settings.regions.get(row.data_centre, "")
         homes = request.route.home_regions
+        region = host.settings.regions.get(row.data_centre, "")
         if row.data_centre in host.evacuated or (homes and region not in homes):
             continue
         if row.name in request.tried:
             continue
-        distance = distance_of(host, row.data_centre, region)
+        distance = distance_of(host.settings, row.data_centre)
         if is_cold(upstream.cold, now) and not may_send_cold(
             upstream.cold,
             request.service.cold_per_s,
@@ -154,8 +169,7 @@
             now,
         ):
             continue
-        rows.append(Candidate(row.name, upstream.load, distance, upstream.rank == 0))
-    return rows
+        yield Candidate(row.name, upstream.load, distance, upstream.rank == 0)
 
 
 def _possible_upstreams(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -33,10 +33,9 @@
 
 from .clock import now_ns
 from .direct_call import DirectSend, SendOutcome, send_direct
-from .direct_host import DirectHost, Upstream, budget_of, note_replaced
+from .direct_host import DirectHost, Upstream, budget_of, distance_of, note_replaced
 from .direct_placing import (
     DirectRequest,
-    distance_of,
     passed_ms,
     place_hedge,
     place_upstream,
@@ -237,8 +236,7 @@
             if outcome.status >= 500:
                 note_failure(load)
                 return
-            region = host.settings.regions.get(upstream.row.data_centre, "")
-            way_ms = WAY_MS[distance_of(host, upstream.row.data_centre, region)]
+            way_ms = WAY_MS[distance_of(host.settings, upstream.row.data_centre)]
             took_ms = max(1.0, (now - begun.sent_ns) / 1e6 - way_ms)
             work = host.work_times.setdefault(request.route.name, WorkTime())
             note_answer(load, work, took_ms, begun.n_queued, len(outcome.body))
