Fetch only as many large answers at a time as a host's link carries

Change: a host knows its link's rate from the settings. Requests whose answers take the link for long wait for a turn, two usual answers at a time, before they take a slot of an upstream; they are refused at once if their turn would come too late, and not hedged.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -9,8 +9,11 @@
 import asyncio
 import secrets
 import zlib
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import count
 
+from bergamotferry.answer_link import AnswerLink
 from bergamotferry.cold_rate import ColdRate, note_cold
 from bergamotferry.configuration import Configuration
 from bergamotferry.direct_placement import Distance, UpstreamLoad, WorkTime
@@ -59,7 +62,7 @@
 
     ``session_change`` and ``source`` are positions in what the followed host told;
     ``silent_services`` have upstreams that tell no load; ``idle`` is set while no
-    request is under way.
+    request is under way; ``link_turns`` are requests that wait for ``link``.
     """
 
     settings: FleetSettings
@@ -86,6 +89,9 @@
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     is_stopping: bool = False
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
+    link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
+    link_turns: dict[int, "asyncio.Future[None]"] = field(default_factory=dict)
+    link_numbers: Iterator[int] = field(default_factory=count)
 
     @property
     def is_ready(self) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from bergamotferry.answer_link import AnswerLink
 from bergamotferry.fleet_metrics import Histogram
 
 from .background import start_task
@@ -51,6 +52,7 @@
         settings, PeerHandlers(takes_no_calls, takes_no_calls, takes_no_calls)
     )
     host = DirectHost(settings, network, decode_configuration)
+    host.link = AnswerLink.from_config(settings.link_mbps)
     reload_on_hangup(read_settings, lambda seeds: add_control_hosts(host, seeds))
     async with open_direct_session() as http:
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -40,6 +40,7 @@
     place_hedge,
     place_upstream,
 )
+from .link_turns import has_large_answer, turn_on_link
 from .logs import log_routine
 
 N_SENDS_MAX = 6
@@ -59,6 +60,13 @@
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> SendOutcome | Refused:
     """Send a request until an upstream answers, or nothing more may be tried."""
+    async with turn_on_link(host, request) as refusal:
+        return refusal or await _send_until_answered(host, http, request)
+
+
+async def _send_until_answered(
+    host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
+) -> SendOutcome | Refused:
     while True:
         if request.n_arrived and not take_repeat(
             budget_of(host, request.service.name), now_ns(), request.has_come_back
@@ -90,6 +98,7 @@
         and not request.service.is_sharded
         and request.n_maybe_run == 0
         and request.route.n_attempts_max > 1
+        and not has_large_answer(host, request)
     )
     if not may_hedge:
         return await _send(host, http, request, upstream)
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -53,7 +53,7 @@
 
     ``name`` is the IP number at which other hosts reach it; addresses that its role
     does not serve are empty; ``regions`` gives the region of each data centre; at
-    ``metrics_port`` 0 no metrics are served.
+    ``metrics_port`` 0 no metrics are served, at ``link_mbps`` 0 the link has no bound.
     """
 
     name: str
@@ -70,6 +70,7 @@
     data_dir: Path | None = None
     is_bootstrap: bool = False
     n_descriptors_max: int = 1_024
+    link_mbps: float = 0.0
     token: str = "fleet"
     headers: DirectHeaders = DirectHeaders()
     bounds: FleetBounds = FleetBounds()
