--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from bergamotferry.answer_link import AnswerLink
 from bergamotferry.configuration import (
     CallerLimits,
     Configuration,
@@ -15,7 +16,7 @@
     DirectService,
     WeightedService,
 )
-from bergamotferry.direct_placement import UpstreamLoad
+from bergamotferry.direct_placement import UpstreamLoad, WorkTime
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.upstream_sessions import SessionRow
 from bergamotferry_host.direct_call import open_direct_session
@@ -305,3 +306,37 @@
         assert answer.headers["Connection"] == "close"
 
     played(work)
+
+
+def test_large_answers_take_turns_on_a_slow_link_and_small_ones_pass():
+    counts = {"running": 0, "most": 0}
+
+    async def counted(request: web.Request) -> web.StreamResponse:
+        is_large = "download" in request.path
+        counts["running"] += is_large
+        counts["most"] = max(counts["most"], counts["running"])
+        await asyncio.sleep(0.02)
+        counts["running"] -= is_large
+        return await served(request)
+
+    async def work(play):
+        play.configure(route("safe"), route("download", timeout_ms=2_000))
+        await play.add("u1", counted)
+        await play.add("u2", counted)
+        play.host.link = AnswerLink.from_config(0.1)
+        work_time = WorkTime(10.0, 6_000.0, 9)
+        play.host.work_times["download"] = work_time
+        asked = [play.ask("/download/1", f"d{n}") for n in range(3)]
+        asked += [play.ask("/safe/1", f"s{n}") for n in range(2)]
+        answers = await asyncio.gather(*asked)
+        assert [answer.status for answer, _ in answers] == [200] * 5
+        # What would get its turn too late is refused at once.
+        play.host.link.under_way[99] = 1e9
+        work_time.answer_bytes = 6_000.0
+        late, _ = await play.ask("/download/1", "late")
+        assert (late.status, "Retry-After" in late.headers) == (503, True)
+        assert play.host.link_turns == {}
+
+    play = played(work)
+    assert counts["most"] == 1
+    assert "late" not in {request_id for _, request_id in play.seen}
