Give commits through the leader, and the framing of answers, modules of their own

What tells whether an answer's end can be told, and which headers are for one connection only, stood in two modules. No behaviour changes.

--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -40,7 +40,8 @@
     stop_event,
     takes_no_calls,
 )
-from .group import answer_propose, hand_over_leadership, post
+from .group import hand_over_leadership, post
+from .group_commit import answer_propose
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .logs import log
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
@@ -15,7 +15,7 @@
 from .background import start_task
 from .clock import now_ns
 from .dispatcher_table import UpstreamWork
-from .group import commit
+from .group_commit import commit
 from .host_state import HostState
 from .http_address import split_address
 from .logs import log
--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -33,7 +33,8 @@
 from .dispatcher_table import DispatcherTable
 from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
-from .group import Group, answer_propose, post
+from .group import Group, post
+from .group_commit import answer_propose
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .group_start import start_group
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -17,25 +17,13 @@
 
 from bergamotferry.direct_placement import LoadReport
 
+from .answer_framing import HOP_HEADERS, has_length
 from .fleet_settings import DirectHeaders
 
 CONNECT_TIMEOUT_S = 0.4
 # Upstreams close idle connections; one that is older is left alone.
 KEEPALIVE_S = 4.0
 ANSWER_SLACK_S = 0.05
-HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    )
-)
-
 SendResult = Literal[
     "answered", "not_run", "other_upstream", "no_connection", "no_process", "broken"
 ]
@@ -156,8 +144,7 @@
         return SendOutcome("broken", "the answer bears no id")
     if "Content-Encoding" in headers:
         return SendOutcome("broken", "the answer is encoded")
-    if not _has_length(response):
-        # The library ends it alike for an orderly end and for a reset.
+    if not has_length(response):
         return SendOutcome("broken", "the answer has neither a length nor chunks")
     passed = CIMultiDict(
         (name, value)
@@ -167,13 +154,6 @@
     return SendOutcome("answered", "", response.status, passed, body, report, left_ms)
 
 
-def _has_length(response: aiohttp.ClientResponse) -> bool:
-    if response.status in (204, 304) or response.method == "HEAD":
-        return True
-    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    return is_chunked or response.content_length is not None
-
-
 def cold_left_ms(text: str) -> int:
     """Return how long an upstream says that it stays cold; 0 if it does not say."""
     return int(text) if text.isascii() and text.isdigit() and len(text) < 8 else 0
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -14,8 +14,8 @@
 from bergamotferry.return_times import return_pause_s
 from bergamotferry.window_budget import note_request
 
+from .answer_framing import HOP_HEADERS
 from .clock import now_ns
-from .direct_call import HOP_HEADERS
 from .direct_host import DirectHost, budget_of
 from .direct_placing import DirectRequest
 from .direct_sending import serve_request
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -37,7 +37,8 @@
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
-from .group import Group, commit, has_applied_own_term, wait_applied
+from .group import Group, has_applied_own_term, wait_applied
+from .group_commit import commit
 from .group_start import recover_group
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -20,8 +20,6 @@
     LogEntry,
     Member,
     Membership,
-    Propose,
-    ProposeReply,
     ReplicationMessage,
 )
 from bergamotferry.outcomes import Accepted, Refused
@@ -35,7 +33,6 @@
     last_index,
     leader_lease_until_ns,
     mark_persisted,
-    propose,
     receive,
     resign,
     start_replica,
@@ -53,14 +50,11 @@
 from .disk_log import DiskLog, persist
 from .group_compaction import compact_if_long
 from .logs import log, log_warning
-from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
 from .table_snapshot import load_tables
 
 TICK_S = 0.02
 IDLE_TICK_S = 0.1
-PROPOSE_TIMEOUT_S = 2.0
-PROPOSE_PAUSE_S = 0.05
 HAND_OVER_TIMEOUT_S = 1.0
 
 ApplyCommand = Callable[[Any, Command], Accepted | Refused]
@@ -159,73 +153,6 @@
     return group.replica.role != "leader"
 
 
-async def commit(
-    group: Group, command: Command, timeout_s: float = PROPOSE_TIMEOUT_S
-) -> Accepted | Refused:
-    """Commit a command through the leader, wherever it is.
-
-    Returns
-    -------
-    Accepted or Refused
-        ``NO_LEADER`` means that it may or may not be committed; commands are made so
-        that sending one again is harmless.
-    """
-    deadline_ns = now_ns() + int(timeout_s * 1e9)
-    while True:
-        reply = await _try_commit(group, command, deadline_ns)
-        if reply is not None and reply.code != ResultCode.NO_LEADER:
-            return _outcome(reply)
-        if now_ns() + int(PROPOSE_PAUSE_S * 1e9) >= deadline_ns:
-            return Refused(ResultCode.NO_LEADER, f"group {group.name} has no leader")
-        await asyncio.sleep(PROPOSE_PAUSE_S)
-
-
-async def answer_propose(group: Group, message: Propose) -> ProposeReply:
-    """Commit a command here if this host leads; a peer or this host asks."""
-    future = append_here(group, message.command)
-    if future is None:
-        return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
-    outcome = await wait_committed(group, future)
-    if isinstance(outcome, Accepted):
-        return ProposeReply(0, "", outcome.revision, "")
-    return ProposeReply(outcome.code, outcome.detail, 0, "")
-
-
-def append_here(
-    group: Group, command: Command
-) -> asyncio.Future[Accepted | Refused] | None:
-    """Append a command to the log at once if this host leads; None if it does not."""
-    if not group.is_leader:
-        return None
-    index = propose(group.replica, command, now_ns())
-    if index is None:
-        return None
-    future: asyncio.Future[Accepted | Refused] = (
-        asyncio.get_running_loop().create_future()
-    )
-    group.waiters[index] = (group.replica.term, future)
-
-    def forget(done: asyncio.Future[Accepted | Refused]) -> None:
-        # Another leader's term may have put its own waiter in this place.
-        if group.waiters.get(index, (0, None))[1] is done:
-            del group.waiters[index]
-
-    future.add_done_callback(forget)
-    group.woken.set()
-    return future
-
-
-async def wait_committed(
-    group: Group, future: asyncio.Future[Accepted | Refused]
-) -> Accepted | Refused:
-    """Wait for the outcome of a command that was appended here."""
-    try:
-        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-            return await future
-    except TimeoutError:
-        return Refused(ResultCode.NO_LEADER, f"{group.name}: not committed in time")
-
-
 async def wait_applied(group: Group, index: int, timeout_s: float) -> int:
     """Wait until an index is applied here; return the index applied by then."""
     async with group.applied:
@@ -372,34 +299,3 @@
     else:
         # Another leader's entry took the place of the one that was waited for.
         future.set_result(Refused(ResultCode.NO_LEADER, "leadership was lost"))
-
-
-async def _try_commit(
-    group: Group, command: Command, deadline_ns: int
-) -> ProposeReply | None:
-    message = Propose(group.name, command)
-    candidates = [group.leader] if group.leader else list(group.sources)
-    for host in candidates:
-        left_s = (deadline_ns - now_ns()) / 1e9
-        if left_s <= 0:
-            return None
-        try:
-            reply = await group.network.call(host, message, left_s)
-        except PeerUnreachable:
-            group.leader_hint = ""
-            continue
-        if isinstance(reply, ProposeReply):
-            group.leader_hint = reply.leader or host
-            if reply.code != ResultCode.NO_LEADER:
-                return reply
-            if reply.leader and reply.leader != host:
-                group.leader_hint = reply.leader
-            else:
-                group.leader_hint = ""
-    return None
-
-
-def _outcome(reply: ProposeReply) -> Accepted | Refused:
-    if reply.code == 0:
-        return Accepted(reply.revision)
-    return Refused(ResultCode(reply.code), reply.detail)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
@@ -0,0 +1,118 @@
+"""Commits through a group's leader, from whichever host asks.
+
+A command that was sent may be committed although no answer came, so commands are made
+such that sending one again is harmless.
+"""
+
+import asyncio
+
+from bergamotferry.commands import Command
+from bergamotferry.messages import Propose, ProposeReply
+from bergamotferry.outcomes import Accepted, Refused
+from bergamotferry.replication import propose
+from bergamotferry.result_codes import ResultCode
+
+from .clock import now_ns
+from .group import Group
+from .peer_link import PeerUnreachable
+
+PROPOSE_TIMEOUT_S = 2.0
+PROPOSE_PAUSE_S = 0.05
+
+
+async def commit(
+    group: Group, command: Command, timeout_s: float = PROPOSE_TIMEOUT_S
+) -> Accepted | Refused:
+    """Commit a command through the leader, wherever it is.
+
+    Returns
+    -------
+    Accepted or Refused
+        ``NO_LEADER`` means that it may or may not be committed; commands are made so
+        that sending one again is harmless.
+    """
+    deadline_ns = now_ns() + int(timeout_s * 1e9)
+    while True:
+        reply = await _try_commit(group, command, deadline_ns)
+        if reply is not None and reply.code != ResultCode.NO_LEADER:
+            return _outcome(reply)
+        if now_ns() + int(PROPOSE_PAUSE_S * 1e9) >= deadline_ns:
+            return Refused(ResultCode.NO_LEADER, f"group {group.name} has no leader")
+        await asyncio.sleep(PROPOSE_PAUSE_S)
+
+
+async def answer_propose(group: Group, message: Propose) -> ProposeReply:
+    """Commit a command here if this host leads; a peer or this host asks."""
+    future = append_here(group, message.command)
+    if future is None:
+        return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
+    outcome = await wait_committed(group, future)
+    if isinstance(outcome, Accepted):
+        return ProposeReply(0, "", outcome.revision, "")
+    return ProposeReply(outcome.code, outcome.detail, 0, "")
+
+
+def append_here(
+    group: Group, command: Command
+) -> asyncio.Future[Accepted | Refused] | None:
+    """Append a command to the log at once if this host leads; None if it does not."""
+    if not group.is_leader:
+        return None
+    index = propose(group.replica, command, now_ns())
+    if index is None:
+        return None
+    future: asyncio.Future[Accepted | Refused] = (
+        asyncio.get_running_loop().create_future()
+    )
+    group.waiters[index] = (group.replica.term, future)
+
+    def forget(done: asyncio.Future[Accepted | Refused]) -> None:
+        # Another leader's term may have put its own waiter in this place.
+        if group.waiters.get(index, (0, None))[1] is done:
+            del group.waiters[index]
+
+    future.add_done_callback(forget)
+    group.woken.set()
+    return future
+
+
+async def wait_committed(
+    group: Group, future: asyncio.Future[Accepted | Refused]
+) -> Accepted | Refused:
+    """Wait for the outcome of a command that was appended here."""
+    try:
+        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            return await future
+    except TimeoutError:
+        return Refused(ResultCode.NO_LEADER, f"{group.name}: not committed in time")
+
+
+async def _try_commit(
+    group: Group, command: Command, deadline_ns: int
+) -> ProposeReply | None:
+    message = Propose(group.name, command)
+    candidates = [group.leader] if group.leader else list(group.sources)
+    for host in candidates:
+        left_s = (deadline_ns - now_ns()) / 1e9
+        if left_s <= 0:
+            return None
+        try:
+            reply = await group.network.call(host, message, left_s)
+        except PeerUnreachable:
+            group.leader_hint = ""
+            continue
+        if isinstance(reply, ProposeReply):
+            group.leader_hint = reply.leader or host
+            if reply.code != ResultCode.NO_LEADER:
+                return reply
+            if reply.leader and reply.leader != host:
+                group.leader_hint = reply.leader
+            else:
+                group.leader_hint = ""
+    return None
+
+
+def _outcome(reply: ProposeReply) -> Accepted | Refused:
+    if reply.code == 0:
+        return Accepted(reply.revision)
+    return Refused(ResultCode(reply.code), reply.detail)
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -43,7 +43,8 @@
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .clock import now_ns
 from .decision_log import log_placement
-from .group import Group, append_here, has_applied_own_term, wait_committed
+from .group import Group, has_applied_own_term
+from .group_commit import append_here, wait_committed
 from .host_state import HostState, LeaderState
 from .logs import log
 from .outcome_transfer import handed_over, open_shards_of_fenced, send_outcomes
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_edge.py
@@ -34,7 +34,8 @@
 )
 from bergamotferry.result_codes import ResultCode
 
-from .group import commit, wait_applied
+from .group import wait_applied
+from .group_commit import commit
 from .host_state import HostState
 from .http_answers import bearer_token, refusal_response
 from .http_body import read_json_object, read_text
--- a/packages/bergamotferry_host/src/bergamotferry_host/operator_queries.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/operator_queries.py
@@ -26,7 +26,7 @@
 from bergamotferry.records import ShardId
 
 from .clock import now_ns
-from .group import commit
+from .group_commit import commit
 from .host_state import HostState
 from .logs import log
 from .peer_link import PeerUnreachable
--- a/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
@@ -15,7 +15,8 @@
 from bergamotferry.records import OutcomeRecord, ShardHome, ShardId
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
-from .group import Group, commit
+from .group import Group
+from .group_commit import commit
 from .host_state import HostState, LeaderState
 from .logs import log
 from .peer_link import PeerUnreachable
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -21,7 +21,7 @@
 from .background import start_task
 from .clock import now_ns
 from .fleet_control import ControlHost, leads_with_newest_tables
-from .group import commit
+from .group_commit import commit
 from .logs import log, log_warning
 from .range_calls import CALL_TIMEOUT_S, RangeCallPaths, call_grant, call_release
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
@@ -28,7 +28,7 @@
 from .clock import now_ns
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
-from .group import commit
+from .group_commit import commit
 from .host_state import HostState
 from .logs import log_warning
 from .upstream_call import left_s
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -23,6 +23,7 @@
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.routing import Owner, find_owner
 
+from .answer_framing import has_length
 from .clock import now_ns
 from .exchange import (
     AnswerSink,
@@ -50,7 +51,6 @@
     "Content-Range",
     "Accept-Ranges",
 )
-_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class SentAlready(aiohttp.ClientError):  # noqa: N818 - names what is prevented
@@ -247,7 +247,7 @@
     response: aiohttp.ClientResponse,
     sink: AnswerSink,
 ) -> Served | Refused:
-    if not _has_length(response):
+    if not has_length(response):
         # The end of such an answer can't be told from the upstream's own end.
         why = "the answer has neither a length nor chunks"
         if request.route.is_idempotent:
@@ -266,13 +266,6 @@
     return Served(response.status, n_bytes, request.owner.session.name)
 
 
-def _has_length(response: aiohttp.ClientResponse) -> bool:
-    if response.status in _STATUSES_WITHOUT_BODY or response.method == "HEAD":
-        return True
-    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    return is_chunked or response.content_length is not None
-
-
 def _response_head(
     state: HostState, request: UpstreamRequest, response: aiohttp.ClientResponse
 ) -> ResponseHead:
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -11,7 +11,7 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 
-from .group import commit
+from .group_commit import commit
 from .host_state import HostState
 from .http_address import split_address
 from .http_answers import bearer_token, refusal_response
--- a/packages/bergamotferry_host/tests/test_group.py
+++ b/packages/bergamotferry_host/tests/test_group.py
@@ -9,7 +9,8 @@
 from bergamotferry.outcomes import Accepted
 from bergamotferry_host import group as group_module
 from bergamotferry_host.disk_log import DiskLog, persist, recover_log
-from bergamotferry_host.group import commit, hand_over_leadership
+from bergamotferry_host.group import hand_over_leadership
+from bergamotferry_host.group_commit import commit
 from bergamotferry_testkit.local_group import (
     NAMES,
     WAIT_S,
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
@@ -17,7 +17,8 @@
 from bergamotferry.replication_state import ELECTION_MAX_NS, NS_PER_MS
 from bergamotferry.retry_budget import PAUSE_MAX_MS
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
-from bergamotferry_host.group import PROPOSE_PAUSE_S, TICK_S
+from bergamotferry_host.group import TICK_S
+from bergamotferry_host.group_commit import PROPOSE_PAUSE_S
 from bergamotferry_host.group_reader import FETCH_WAIT_MS
 from bergamotferry_host.leader_duties import (
     NEXT_DECISION_S,
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
@@ -23,7 +23,8 @@
 from bergamotferry.records import HostAddress, ShardId
 from bergamotferry.replication import Replica
 from bergamotferry_host.disk_log import DiskLog
-from bergamotferry_host.group import Group, answer_propose, post
+from bergamotferry_host.group import Group, post
+from bergamotferry_host.group_commit import answer_propose
 from bergamotferry_host.group_members import answer_join, run_group
 from bergamotferry_host.group_reader import answer_fetch, answer_fetch_snapshot
 from bergamotferry_host.peer_link import PeerUnreachable
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_links.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/slopes_links.py
@@ -20,7 +20,7 @@
 from bergamotferry_host.bootstrap import data_centre_group
 from bergamotferry_host.codec import decode, encode
 from bergamotferry_host.daemon import build_host
-from bergamotferry_host.group import commit
+from bergamotferry_host.group_commit import commit
 from bergamotferry_host.group_members import run_group
 from bergamotferry_host.host_state import HostState
 from bergamotferry_host.leader_duties import answer_renewal, leader_state
