Find a control host by asking all at once; count both ways of an answer on the link

By the configuration that it still had in force a request went to the region that its route had left meanwhile. And each exchange of control hosts under a busy link cost a whole list of upstreams.

An answer counts on the link until it went out to its caller; who comes for the first time is sent to another host if the turn would come after the objective. Sends to another region use fewer upstreams, kept connections (7 s instead of 4) and have a second to connect. Questions for load that come late are taken, and keep their connection.

--- a/packages/bergamotferry/src/bergamotferry/answer_link.py
+++ b/packages/bergamotferry/src/bergamotferry/answer_link.py
@@ -5,24 +5,34 @@
 behind all of them: small answers, new connections, and the host's own control traffic.
 So only as many large answers are under way as the link carries within a short time; the
 others wait here, in order, where they hold neither the link nor a slot of an upstream.
-On a link that is quick for its answers nothing ever waits.
+What each connection may have queued on such a link is bounded as well.
+On a link that is quick for its answers nothing ever waits, and no window is set.
 """
 
 from dataclasses import dataclass, field
 
 # An answer that takes the link this long is large.
 LARGE_MS = 40.0
-# What may be under way at once, by how long the link takes for it. Two usual answers of
-# a slow link, so that one is fetched while an upstream still works on the other.
-UNDER_WAY_MAX_MS = 600.0
+# What may be under way at once, by how long the link takes for it: on a slow link, one
+# usual answer that goes out to its caller, and another that is fetched meanwhile.
+UNDER_WAY_MAX_MS = 800.0
+# Each byte comes in from the upstream and goes out to the caller.
+N_CROSSINGS = 2
 BYTES_PER_MS_OF_ONE_MBPS = 125.0
+# What one connection may have on its way, by how long the link takes for it: more than
+# the way to another region and back, so that a single answer still fills the link.
+WINDOW_MS = 50.0
+WINDOW_MIN_BYTES = 16_384
+# The system's own choice is no larger than this.
+WINDOW_MAX_BYTES = 131_072
 
 
 @dataclass(slots=True)
 class AnswerLink:
-    """Large answers under way and waiting, by number, with the bytes expected of each.
+    """Large answers under way and waiting, by number, with the bytes still to carry.
 
-    ``bytes_per_ms`` 0 is a link without a bound.
+    ``bytes_per_ms`` is what the link carries in both directions together, and 0 a link
+    without a bound.
     """
 
     bytes_per_ms: float
@@ -40,6 +50,14 @@
     return n_bytes > LARGE_MS * link.bytes_per_ms > 0
 
 
+def window_bytes(link: AnswerLink) -> int:
+    """Return what one connection may have on its way; 0 leaves that to the system."""
+    if not link.bytes_per_ms:
+        return 0
+    n_bytes = max(WINDOW_MIN_BYTES, int(WINDOW_MS * link.bytes_per_ms))
+    return n_bytes if n_bytes < WINDOW_MAX_BYTES else 0
+
+
 def expected_wait_ms(link: AnswerLink) -> float:
     """Return about how long one more large answer would wait before it may begin."""
     n_bytes = sum(link.under_way.values()) + sum(link.waiting.values())
@@ -48,7 +66,7 @@
 
 def enqueue_answer(link: AnswerLink, number: int, n_bytes: float) -> None:
     """Add a large answer to those that wait."""
-    link.waiting[number] = n_bytes
+    link.waiting[number] = N_CROSSINGS * n_bytes
 
 
 def take_startable(link: AnswerLink) -> list[int]:
@@ -63,7 +81,14 @@
     return started
 
 
+def note_fetched(link: AnswerLink, number: int, n_bytes: float) -> float:
+    """Note that an answer came in whole; return how long it takes to go out, in ms."""
+    if number in link.under_way:
+        link.under_way[number] = n_bytes
+    return n_bytes / link.bytes_per_ms
+
+
 def leave_link(link: AnswerLink, number: int) -> None:
-    """Forget an answer that is whole, has failed, or is not wanted any more."""
+    """Forget an answer that went out, has failed, or is not wanted any more."""
     link.under_way.pop(number, None)
     link.waiting.pop(number, None)
--- a/packages/bergamotferry/src/bergamotferry/direct_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/direct_placement.py
@@ -44,6 +44,8 @@
 
 # How many upstreams are looked at before the rest of their service.
 N_SCANNED_FIRST = 24
+# Requests that must go to another region are few; they share connections to fewer.
+N_SCANNED_FIRST_FAR = 8
 # How many upstreams are compared by fresh reports, and how old such a report may be.
 N_COMPARED = 3
 REPORT_FRESH_MS = 100.0
--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -22,6 +22,19 @@
     wait_ms: int
 
 
+class AskCurrent(NamedTuple):
+    """A host that looks for a control host to follow asks whether one is current."""
+
+    host: str
+
+
+class CurrentReply(NamedTuple):
+    """Whether a control host hears the leader, and how far its tables are."""
+
+    is_current: bool
+    revision: int
+
+
 class FleetChanges(NamedTuple):
     """What changed; ``is_current`` tells that the sender hears the leader.
 
--- a/packages/bergamotferry/src/bergamotferry/return_times.py
+++ b/packages/bergamotferry/src/bergamotferry/return_times.py
@@ -3,7 +3,8 @@
 Two loads are answered for. Where upstreams are full, those who come back soon only
 meet the same queues, so they are spread over the time in which room comes about. Where
 an upstream with free slots sheds what it gets, waiting brings nothing: the next try has
-the same chance now, and still ends within its latency objective.
+the same chance now, and still ends within its latency objective. The same holds for a
+host whose own link is busy: the caller comes back to another host.
 """
 
 # Enough that a caller's return can be told from a first try by the time it has left.
@@ -21,7 +22,7 @@
     Parameters
     ----------
     has_room : bool
-        Whether the upstream that refused seemed to have a slot free.
+        Whether there is room now, at the upstream that refused or at other hosts.
     left_s : float
         Until the caller gives up.
     fraction : float
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -8,7 +8,9 @@
 from aiohttp import web
 
 from bergamotferry.fleet_messages import (
+    AskCurrent,
     AskSessions,
+    CurrentReply,
     FollowFleet,
     ReadIndex,
     SessionNews,
@@ -21,6 +23,7 @@
 from .fleet_control import (
     ControlHost,
     answer_read_index,
+    is_current,
     run_tables_watch,
     start_fleet_group,
 )
@@ -111,6 +114,8 @@
 
     async def on_call(message: Any, peer: str) -> Any:
         match message:
+            case AskCurrent():
+                return CurrentReply(is_current(host), host.tables.revision)
             case FollowFleet():
                 return await answer_follow(host, message)
             case Propose():
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -6,23 +6,26 @@
 """
 
 import errno
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Literal, NamedTuple
 
 import aiohttp
+from aiohappyeyeballs import AddrInfoType
 from multidict import CIMultiDict
 from yarl import URL
 
-from bergamotferry.direct_placement import LoadReport
+from bergamotferry.direct_placement import Distance, LoadReport
 
 from .answer_framing import HOP_HEADERS, has_length
 from .fleet_settings import DirectHeaders
 
-CONNECT_TIMEOUT_S = 0.4
+# The way to another region is shared by all hosts, and may be busy for a moment.
+CONNECT_TIMEOUT_S: dict[Distance, float] = {"here": 0.4, "near": 0.4, "far": 1.0}
 # Upstreams close idle connections; one that is older is left alone.
-KEEPALIVE_S = 4.0
+KEEPALIVE_S = 7.0
 ANSWER_SLACK_S = 0.05
 SendResult = Literal[
     "answered", "not_run", "other_upstream", "no_connection", "no_process", "broken"
@@ -40,6 +43,7 @@
     headers: Mapping[str, str]
     body: bytes
     left_ms: float
+    distance: Distance = "here"
 
 
 @dataclass(slots=True)
@@ -66,10 +70,27 @@
     """The client library was about to send a request a second time by itself."""
 
 
-def open_direct_session() -> aiohttp.ClientSession:
-    """Return the session for all requests to upstreams."""
+def open_direct_session(window_bytes: int = 0) -> aiohttp.ClientSession:
+    """Return the session for all requests to upstreams.
+
+    Parameters
+    ----------
+    window_bytes : int
+        What a connection may receive before it is read; 0 is the system's choice.
+    """
+
+    def make_socket(address: AddrInfoType) -> socket.socket:
+        made = socket.socket(*address[:3])
+        if window_bytes:
+            # The window is told to the peer as the connection opens.
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        return made
+
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=KEEPALIVE_S, socket_factory=make_socket
+    )
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+        connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -86,7 +107,8 @@
     headers[names.deadline_ms] = str(max(1, int(send.left_ms)))
     headers[names.expected_upstream] = send.upstream
     timeout = aiohttp.ClientTimeout(
-        total=send.left_ms / 1000 + ANSWER_SLACK_S, sock_connect=CONNECT_TIMEOUT_S
+        total=send.left_ms / 1000 + ANSWER_SLACK_S,
+        sock_connect=CONNECT_TIMEOUT_S[send.distance],
     )
     try:
         async with http.request(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -1,13 +1,10 @@
 """A host that takes requests and sends them to upstreams itself.
 
-It follows one control host and holds what that tells: configuration, upstreams, ranges
+It holds what the control host that it follows tells: configuration, upstreams, ranges
 of keys, evacuations. It goes on with what it has when no control host can be reached.
-A control host that does not hear its leader, or lags behind what is known here, is
-exchanged for another.
 """
 
 import asyncio
-import secrets
 import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -17,7 +14,7 @@
 from bergamotferry.cold_rate import ColdRate, note_cold
 from bergamotferry.configuration import Configuration
 from bergamotferry.direct_placement import Distance, UpstreamLoad, WorkTime
-from bergamotferry.fleet_messages import FleetChanges, FollowFleet
+from bergamotferry.fleet_messages import FleetChanges
 from bergamotferry.fleet_metrics import RequestMetrics
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.key_pause import KeyPause
@@ -28,16 +25,10 @@
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
 from .logs import log, log_warning
-from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
 
-FOLLOW_WAIT_MS = 250
-FOLLOW_TIMEOUT_S = 0.6
-RETRY_PAUSE_S = 0.05
 # Upstreams that are gone are remembered, lest a host that lags bring them back.
 N_UPSTREAMS_MAX = 8192
-# Without news for this long, a dial or a call may hang, and another host is asked.
-LOST_AFTER_NS = 1_000_000_000
 _DISTANCES: tuple[Distance, ...] = ("here", "near", "far")
 
 
@@ -99,31 +90,42 @@
         return self.configuration.version > 0 and not self.is_stopping
 
 
-async def run_follower(host: DirectHost) -> None:
-    """Follow one control host after the other until cancelled."""
-    host.control_hosts = _in_order(host, host.settings.seeds)
-    position = 0
-    while True:
-        control_host = host.control_hosts[position % len(host.control_hosts)]
-        try:
-            await _follow(host, control_host)
-        except PeerUnreachable as error:
-            if host.heard_ns and now_ns() - host.heard_ns > LOST_AFTER_NS:
-                log_warning("control host lost", peer=control_host, why=str(error))
-            link = host.network.links.get((control_host, "control"))
-            if link is not None and not link.is_closed:
-                link.connection.transport.abort()
-        position += 1
-        if position % len(host.control_hosts) == 0:
-            host.control_hosts = _in_order(host, host.control_hosts)
-        await asyncio.sleep(RETRY_PAUSE_S * (1 + secrets.randbelow(100) / 100))
-
-
 def add_control_hosts(host: DirectHost, names: tuple[str, ...]) -> None:
     """Note control hosts that were not known."""
     host.control_hosts += [name for name in names if name not in host.control_hosts]
 
 
+def take_changes(host: DirectHost, reply: FleetChanges) -> None:
+    """Take what the followed control host told."""
+    is_same_source = reply.source == host.source
+    host.source, host.session_change = reply.source, reply.session_change
+    for row in reply.sessions:
+        _take_row(host, row)
+    add_control_hosts(host, reply.control_hosts)
+    hosts_here = reply.hosts_here or (host.settings.name,)
+    if hosts_here != host.hosts_here:
+        host.hosts_here = hosts_here
+        for upstream in host.upstreams.values():
+            upstream.rank = _rank(host, upstream.row)
+        _index_upstreams(host)
+    elif reply.sessions:
+        _index_upstreams(host)
+    host.n_hosts_all = max(1, reply.n_hosts_all)
+    if reply.revision < host.revision:
+        return
+    if reply.revision > host.revision or not is_same_source:
+        host.evacuated = frozenset(reply.evacuated)
+        host.ranges = {}
+        for key_range in reply.ranges:
+            host.ranges.setdefault(key_range.service, []).append(key_range)
+        tokens = {key_range.token for key_range in reply.ranges}
+        for token in host.key_pauses.keys() - tokens:
+            del host.key_pauses[token]
+        host.revision = reply.revision
+    if reply.configuration_source:
+        _take_configuration(host, reply)
+
+
 def budget_of(host: DirectHost, service: str) -> WindowBudget:
     """Return this host's part of a service's budget for repeated sends."""
     budget = host.budgets.get(service)
@@ -155,62 +157,6 @@
     return None
 
 
-async def _follow(host: DirectHost, control_host: str) -> None:
-    """Take changes from one control host for as long as it is current."""
-    is_first = True
-    while True:
-        message = FollowFleet(
-            host.settings.name,
-            host.settings.data_centre,
-            host.source,
-            host.session_change,
-            host.revision,
-            host.configuration.version,
-            0 if is_first else FOLLOW_WAIT_MS,
-        )
-        reply = await host.network.call(control_host, message, FOLLOW_TIMEOUT_S)
-        if not isinstance(reply, FleetChanges):
-            return
-        is_lagging = reply.revision < host.revision
-        if is_first and not is_lagging and reply.is_current:
-            log("control host followed", peer=control_host, revision=reply.revision)
-        _take(host, reply)
-        if not reply.is_current or is_lagging:
-            return
-        host.heard_ns = now_ns()
-        is_first = False
-
-
-def _take(host: DirectHost, reply: FleetChanges) -> None:
-    is_same_source = reply.source == host.source
-    host.source, host.session_change = reply.source, reply.session_change
-    for row in reply.sessions:
-        _take_row(host, row)
-    add_control_hosts(host, reply.control_hosts)
-    hosts_here = reply.hosts_here or (host.settings.name,)
-    if hosts_here != host.hosts_here:
-        host.hosts_here = hosts_here
-        for upstream in host.upstreams.values():
-            upstream.rank = _rank(host, upstream.row)
-        _index_upstreams(host)
-    elif reply.sessions:
-        _index_upstreams(host)
-    host.n_hosts_all = max(1, reply.n_hosts_all)
-    if reply.revision < host.revision:
-        return
-    if reply.revision > host.revision or not is_same_source:
-        host.evacuated = frozenset(reply.evacuated)
-        host.ranges = {}
-        for key_range in reply.ranges:
-            host.ranges.setdefault(key_range.service, []).append(key_range)
-        tokens = {key_range.token for key_range in reply.ranges}
-        for token in host.key_pauses.keys() - tokens:
-            del host.key_pauses[token]
-        host.revision = reply.revision
-    if reply.configuration_source:
-        _take_configuration(host, reply)
-
-
 def _take_configuration(host: DirectHost, reply: FleetChanges) -> None:
     if reply.configuration_version <= host.configuration.version:
         return
@@ -282,22 +228,3 @@
     log("upstream not at its address", upstream=upstream.row.name)
     upstream.row = upstream.row._replace(phase="lost")
     _index_upstreams(host)
-
-
-def _in_order(host: DirectHost, names: "list[str] | tuple[str, ...]") -> list[str]:
-    """Put the control hosts of the same network first: those are near.
-
-    Hosts of one data centre share the leading parts of their numbers.
-    """
-
-    def distance(name: str) -> tuple[int, str]:
-        own, other = host.settings.name.split("."), name.split(".")
-        n_common = 0
-        while (
-            n_common < len(own)
-            and own[n_common : n_common + 1] == other[n_common : n_common + 1]
-        ):
-            n_common += 1
-        return -n_common, name
-
-    return sorted(set(names), key=distance)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -16,6 +16,7 @@
 from bergamotferry.configuration import DirectRoute, DirectService
 from bergamotferry.direct_placement import (
     N_SCANNED_FIRST,
+    N_SCANNED_FIRST_FAR,
     Candidate,
     NoRoom,
     Placed,
@@ -53,7 +54,8 @@
 
     ``n_arrived`` sends reached an upstream; ``n_maybe_run`` of these may have run.
     ``token`` is that of the key's range when it was last placed;
-    ``was_shed_with_room`` tells that the last upstream refused it with a slot free.
+    ``may_return_at_once`` tells that what refused it was an upstream with a slot free,
+    or this host's own link.
     """
 
     request_id: str
@@ -71,7 +73,7 @@
     n_maybe_run: int = 0
     is_timed_out: bool = False
     has_come_back: bool = False
-    was_shed_with_room: bool = False
+    may_return_at_once: bool = False
     token: int = 0
     tried: set[str] = field(default_factory=set)
     last_detail: str = ""
@@ -142,7 +144,10 @@
 def _candidates(host: DirectHost, request: DirectRequest, now: int) -> list[Candidate]:
     """Return the upstreams that may take a request, or the preferred ones of many."""
     upstreams = iter(_possible_upstreams(host, request, now))
-    first = list(islice(_allowed(host, request, upstreams, now), N_SCANNED_FIRST))
+    homes = request.route.home_regions
+    is_far = bool(homes) and host.settings.region not in homes
+    n_first = N_SCANNED_FIRST_FAR if is_far else N_SCANNED_FIRST
+    first = list(islice(_allowed(host, request, upstreams, now), n_first))
     if has_idle(first, now):
         return first
     return first + list(_allowed(host, request, upstreams, now))
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -124,7 +124,7 @@
         left_s = LEFT_UNKNOWN_S
         if accepted is not None:
             left_s = (accepted.give_up_ns - now_ns()) / 1e9
-        has_room = accepted is not None and accepted.was_shed_with_room
+        has_room = accepted is not None and accepted.may_return_at_once
         pause_s = return_pause_s(has_room, left_s, random.random())
         headers["Retry-After"] = f"{pause_s:.2f}"
     text = f"{int(refusal.code)} {refusal.code.name}\n"
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -9,15 +9,16 @@
 
 from aiohttp import web
 
-from bergamotferry.answer_link import AnswerLink
+from bergamotferry.answer_link import AnswerLink, window_bytes
 from bergamotferry.fleet_metrics import Histogram
 
 from .background import start_task
 from .clock import now_ns
 from .direct_call import open_direct_session
-from .direct_host import DirectHost, add_control_hosts, run_follower
+from .direct_host import DirectHost, add_control_hosts
 from .direct_metrics import direct_families
 from .direct_request import answer_request
+from .fleet_follower import run_follower
 from .fleet_settings import FleetSettings
 from .fleet_start import (
     STOP_RESERVE_S,
@@ -54,7 +55,8 @@
     host = DirectHost(settings, network, decode_configuration)
     host.link = AnswerLink.from_config(settings.link_mbps)
     reload_on_hangup(read_settings, lambda seeds: add_control_hosts(host, seeds))
-    async with open_direct_session() as http:
+    window = window_bytes(host.link)
+    async with open_direct_session(window) as http:
 
         async def on_request(request: web.Request) -> web.Response:
             return await answer_request(host, http, request)
@@ -68,7 +70,7 @@
         ready.router.add_get(ready_path, on_ready)
         runners = [
             await listen(ready, settings.ready_address, settings),
-            await listen(callers, settings.caller_address, settings),
+            await listen(callers, settings.caller_address, settings, window),
         ]
         delays = Histogram()
         metrics = await serve_metrics(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -61,8 +61,13 @@
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> SendOutcome | Refused:
     """Send a request until an upstream answers, or nothing more may be tried."""
-    async with turn_on_link(host, request) as refusal:
-        return refusal or await _send_until_answered(host, http, request)
+    async with turn_on_link(host, request) as turn:
+        if isinstance(turn, Refused):
+            return turn
+        outcome = await _send_until_answered(host, http, request)
+        if isinstance(outcome, SendOutcome):
+            turn.n_bytes = len(outcome.body)
+        return outcome
 
 
 async def _send_until_answered(
@@ -110,7 +115,8 @@
     sends = {asyncio.create_task(_send(host, http, request, upstream))}
     try:
         done, _ = await asyncio.wait(sends, timeout=delay_ms / 1000)
-        if not done:
+        # Behind large answers it is this host's own link that takes long.
+        if not done and not host.link.under_way:
             second = await place_hedge(host, http, request)
             if second is not None:
                 host.metrics.n_hedges += 1
@@ -168,6 +174,7 @@
                 request.headers,
                 request.body,
                 (request.give_up_ns - sent_ns) / 1e6,
+                distance_of(host.settings, upstream.row.data_centre),
             ),
         )
         if outcome.report is not None:
@@ -191,6 +198,7 @@
             result=result,
             detail=outcome.detail if outcome is not None else "",
             status=outcome.status if outcome is not None else 0,
+            size_bytes=len(outcome.body) if outcome is not None else 0,
             took_ms=round(took_ms, 1),
             n_queued=round(begun.n_queued, 1),
             report_age_ms=begun.report_age_ms,
@@ -215,7 +223,7 @@
     """
     if outcome is not None:
         request.last_detail = outcome.detail
-        request.was_shed_with_room = result == "not_run" and has_free_slot(
+        request.may_return_at_once = result == "not_run" and has_free_slot(
             outcome.report
         )
     if result in ("answered", "broken", "not_run", "other_upstream"):
--- a/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 
 from bergamotferry.answer_link import (
     enqueue_answer,
     expected_wait_ms,
     is_large,
     leave_link,
+    note_fetched,
     take_startable,
 )
 from bergamotferry.direct_placement import WorkTime
@@ -20,6 +22,13 @@
 from .direct_placing import DirectRequest
 
 
+@dataclass(slots=True)
+class LinkTurn:
+    """A turn on the link; ``n_bytes`` is the answer that was fetched in it."""
+
+    n_bytes: int = 0
+
+
 def has_large_answer(host: DirectHost, request: DirectRequest) -> bool:
     """Return whether answers of a request's route are large for this host's link."""
     work = host.work_times.get(request.route.name)
@@ -29,26 +38,51 @@
 @contextlib.asynccontextmanager
 async def turn_on_link(
     host: DirectHost, request: DirectRequest
-) -> AsyncIterator[Refused | None]:
+) -> AsyncIterator["LinkTurn | Refused"]:
     """Hold a turn on the link, or yield why there is none in time."""
     if not has_large_answer(host, request):
-        yield None
+        yield LinkTurn()
         return
     work = host.work_times[request.route.name]
-    if expected_wait_ms(host.link) + work.mean_ms > _left_ms(request):
+    if not _is_wait_worthwhile(host, request, work):
+        # Other hosts' links may have room now.
+        request.may_return_at_once = True
         yield Refused(ResultCode.QUEUE_FULL, "the link is busy for too long")
         return
     number = next(host.link_numbers)
-    turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-    host.link_turns[number] = turn
+    turn = LinkTurn()
+    begun: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    host.link_turns[number] = begun
     enqueue_answer(host.link, number, work.answer_bytes)
     _begin_turns(host)
     try:
-        yield await _wait_for(turn, request, work)
+        yield await _wait_for(begun, request, work) or turn
     finally:
         del host.link_turns[number]
-        leave_link(host.link, number)
-        _begin_turns(host)
+        going_out_ms = note_fetched(host.link, number, turn.n_bytes)
+        # The answer is handed over now, and leaves by the link after this.
+        asyncio.get_running_loop().call_later(
+            going_out_ms / 1000, _end_turn, host, number
+        )
+
+
+def _end_turn(host: DirectHost, number: int) -> None:
+    leave_link(host.link, number)
+    _begin_turns(host)
+
+
+def _is_wait_worthwhile(
+    host: DirectHost, request: DirectRequest, work: WorkTime
+) -> bool:
+    """Return whether a turn would come in time.
+
+    A caller that comes for the first time can still be answered within its latency
+    objective by another host; one that came back waits for as long as it can.
+    """
+    left_ms = _left_ms(request)
+    if not request.has_come_back:
+        left_ms = min(left_ms, request.route.latency_objective_ms)
+    return expected_wait_ms(host.link) + work.mean_ms <= left_ms
 
 
 async def _wait_for(
@@ -65,8 +99,8 @@
 
 def _begin_turns(host: DirectHost) -> None:
     for number in take_startable(host.link):
-        turn = host.link_turns[number]
-        if not turn.done():
+        turn = host.link_turns.get(number)
+        if turn is not None and not turn.done():
             turn.set_result(None)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_questions.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_questions.py
@@ -19,7 +19,9 @@
 from .direct_host import DirectHost, Upstream, note_replaced
 
 # Beyond this the wait costs the request more than the answer tells.
-ASK_TIMEOUT_S = 0.04
+ASK_WAIT_S = 0.04
+# An answer that comes later still tells something, and its connection is kept.
+ASK_TIMEOUT_S = 0.5
 
 
 async def ask_loads(
@@ -40,7 +42,7 @@
             upstream.asking.add_done_callback(report_failure)
         questions.append(upstream.asking)
     if questions:
-        await asyncio.wait(questions, timeout=ASK_TIMEOUT_S)
+        await asyncio.wait(questions, timeout=ASK_WAIT_S)
 
 
 async def _ask(
