Try the holder of a key again if it refused with a slot free

Change: a holder that told of a free slot gets the next try; one that is full has the caller come back at once. Both new cases failed before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -230,8 +230,11 @@
         request.n_arrived += 1
     if result in ("answered", "broken"):
         request.n_maybe_run += 1
-    elif result == "not_run":
-        # A key has one holder; if that is full, the caller should come back.
+    elif result == "not_run" and not (
+        request.service.is_sharded and request.may_return_at_once
+    ):
+        # A key has one holder. If that is full, the caller should come back; if it
+        # refused with a slot free, it may take the next try.
         request.tried.add(upstream.row.name)
     if result == "broken" and outcome is not None:
         request.is_timed_out = outcome.is_timeout
@@ -290,6 +293,8 @@
         return False
     if request.n_maybe_run >= request.route.n_attempts_max:
         return False
+    if request.service.is_sharded and request.tried:
+        return False
     return request.n_sends < N_SENDS_MAX and now_ns() < request.give_up_ns
 
 
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -359,3 +360,29 @@
         assert (float(answer.headers["Retry-After"]) < 0.1) is is_soon
 
     played(work)
+
+
+@pytest.mark.parametrize(("load", "status"), [("1,0,2,100", 200), ("2,1,2,100", 503)])
+def test_a_holder_that_sheds_gets_the_next_try_if_it_has_a_slot_free(load, status):
+    n_shed = 0
+
+    async def sheds_twice(request: web.Request) -> web.StreamResponse:
+        nonlocal n_shed
+        if n_shed == 2:
+            return await served(request)
+        n_shed += 1
+        return web.Response(status=503, headers={NAMES.not_run: "1", NAMES.load: load})
+
+    async def work(play):
+        play.configure(route("unsafe", timeout_ms=2_000), is_sharded=True)
+        await play.add("u1", sheds_twice)
+        row = play.host.upstreams["u1"].row
+        held = KeyRange("lamps", 0, 9, "u1", 1, row.address, 1, "")
+        play.host.ranges = {"lamps": [held]}
+        began_s = time.monotonic()
+        answer, _ = await play.ask("/unsafe/1", **{NAMES.shard_key: "5"})
+        assert answer.status == status
+        # Nobody waits for a key that is held all the time.
+        assert time.monotonic() - began_s < 0.7
+
+    assert len(played(work).seen) == (3 if status == 200 else 1)
