--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -53,7 +53,7 @@
 
     ``session_change`` and ``source`` are positions in what the followed host told;
     ``silent_services`` have upstreams that tell no load; ``idle`` is set while no
-    request is under way; ``link_turns`` are requests that wait for ``link``.
+    request is under way, and ``configured`` once a configuration is known; ``link_turns`` are requests that wait for ``link``.
     """
 
     settings: FleetSettings
@@ -78,6 +78,7 @@
     began_ns: int = field(default_factory=now_ns)
     n_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    configured: asyncio.Event = field(default_factory=asyncio.Event)
     is_stopping: bool = False
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
     link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
@@ -165,6 +166,7 @@
         log_warning("configuration not understood", errors=len(decoded))
         return
     host.configuration = decoded
+    host.configured.set()
     log("configuration in force", version=decoded.version, revision=reply.revision)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -1,5 +1,7 @@
 """A request of a caller on the host that took it: route, body, answer or refusal."""
 
+import asyncio
+import contextlib
 import random
 
 import aiohttp
@@ -22,6 +24,10 @@
 from .http_body import read_body
 from .logs import log_routine
 
+# A host that has run for longer without a configuration is cut off.
+STARTING_S = 2.0
+# Enough is left of a caller's time to come back to another host.
+CONFIGURATION_WAIT_SHARE = 0.4
 # The time that a caller is taken to have left when its route is not known.
 LEFT_UNKNOWN_S = 1.0
 
@@ -58,6 +64,8 @@
     host: DirectHost, request: web.Request, began_ns: int
 ) -> DirectRequest | Refused:
     """Find the route and read the body."""
+    if host.configuration.version == 0:
+        await _wait_configured(host, request)
     if host.configuration.version == 0:
         return Refused(ResultCode.HOST_NOT_READY, "no configuration is known yet")
     host_name = request.headers.get("Host", "").partition(":")[0].lower()
@@ -97,6 +105,22 @@
     )
 
 
+async def _wait_configured(host: DirectHost, request: web.Request) -> None:
+    """Wait for the first configuration, if this host has only just started.
+
+    After a restart of all hosts the first one comes within a second of the start, and
+    every other host is as far; a refusal would only use up the caller's next try.
+    """
+    age_s = (now_ns() - host.began_ns) / 1e9
+    left_ms = _number(request.headers.get(host.settings.headers.deadline_ms), 0.0)
+    wait_s = min(STARTING_S - age_s, CONFIGURATION_WAIT_SHARE * left_ms / 1000)
+    if wait_s <= 0:
+        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(wait_s):
+            await host.configured.wait()
+
+
 def _refusal(
     host: DirectHost,
     request: web.Request,
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -20,6 +20,7 @@
 from bergamotferry.direct_placement import UpstreamLoad, WorkTime
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.upstream_sessions import SessionRow
+from bergamotferry_host.clock import now_ns
 from bergamotferry_host.direct_call import open_direct_session
 from bergamotferry_host.direct_host import DirectHost, Upstream
 from bergamotferry_host.direct_request import answer_request
@@ -256,6 +257,33 @@
     assert names.count("u1") <= 3
 
 
+def test_a_host_that_has_just_started_waits_for_its_first_configuration():
+    async def work(play):
+        deadline = {NAMES.deadline_ms: "2000"}
+        # Long after the start, there is nothing to wait for.
+        late, _ = await play.ask("/safe/1", **deadline)
+        assert late.status == 503
+        play.host.began_ns = now_ns()
+
+        def configure():
+            play.configure(route())
+            play.host.configured.set()
+
+        asyncio.get_running_loop().call_later(0.15, configure)
+        await play.add("u1", served)
+        answer, _ = await play.ask("/safe/1", **deadline)
+        assert answer.status == 200
+        # One whose time is short is told early enough to go elsewhere.
+        play.host.configuration = Configuration(0)
+        play.host.configured.clear()
+        began_s = time.monotonic()
+        short, _ = await play.ask("/safe/1", **{NAMES.deadline_ms: "500"})
+        assert short.status == 503
+        assert 0.15 < time.monotonic() - began_s < 0.45
+
+    played(work)
+
+
 def test_a_holder_that_leaves_gets_nothing_more():
     async def work(play):
         play.configure(route(), is_sharded=True)
