--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -53,7 +53,8 @@
 
     ``session_change`` and ``source`` are positions in what the followed host told;
     ``silent_services`` have upstreams that tell no load; ``idle`` is set while no
-    request is under way, and ``configured`` once a configuration is known; ``link_turns`` are requests that wait for ``link``.
+    request is under way, and ``configured`` once a configuration is known;
+    ``link_turns`` are requests that wait for ``link``.
     """
 
     settings: FleetSettings
