Take back windows on narrow links; pause before control is searched again

A host whose control host says at once that it is no longer current would have searched again without a pause.

--- a/packages/bergamotferry/src/bergamotferry/answer_link.py
+++ b/packages/bergamotferry/src/bergamotferry/answer_link.py
@@ -5,8 +5,7 @@
 behind all of them: small answers, new connections, and the host's own control traffic.
 So only as many large answers are under way as the link carries within a short time; the
 others wait here, in order, where they hold neither the link nor a slot of an upstream.
-What each connection may have queued on such a link is bounded as well.
-On a link that is quick for its answers nothing ever waits, and no window is set.
+On a link that is quick for its answers nothing ever waits.
 """
 
 from dataclasses import dataclass, field
@@ -19,12 +18,6 @@
 # Each byte comes in from the upstream and goes out to the caller.
 N_CROSSINGS = 2
 BYTES_PER_MS_OF_ONE_MBPS = 125.0
-# What one connection may have on its way, by how long the link takes for it: more than
-# the way to another region and back, so that a single answer still fills the link.
-WINDOW_MS = 50.0
-WINDOW_MIN_BYTES = 16_384
-# The system's own choice is no larger than this.
-WINDOW_MAX_BYTES = 131_072
 
 
 @dataclass(slots=True)
@@ -50,14 +43,6 @@
     return n_bytes > LARGE_MS * link.bytes_per_ms > 0
 
 
-def window_bytes(link: AnswerLink) -> int:
-    """Return what one connection may have on its way; 0 leaves that to the system."""
-    if not link.bytes_per_ms:
-        return 0
-    n_bytes = max(WINDOW_MIN_BYTES, int(WINDOW_MS * link.bytes_per_ms))
-    return n_bytes if n_bytes < WINDOW_MAX_BYTES else 0
-
-
 def expected_wait_ms(link: AnswerLink) -> float:
     """Return about how long one more large answer would wait before it may begin."""
     n_bytes = sum(link.under_way.values()) + sum(link.waiting.values())
--- a/packages/bergamotferry/tests/test_answer_link.py
+++ b/packages/bergamotferry/tests/test_answer_link.py
@@ -13,7 +13,6 @@
     leave_link,
     note_fetched,
     take_startable,
-    window_bytes,
 )
 
 PACKET_BYTES = 1_400
@@ -31,13 +30,6 @@
     assert not is_large(AnswerLink.from_config(2.8), SMALL_BYTES)
 
 
-def test_a_connection_may_queue_little_on_a_slow_link_only():
-    assert window_bytes(AnswerLink.from_config(2.8)) == 17_500
-    assert window_bytes(AnswerLink.from_config(0.5)) == 16_384
-    assert window_bytes(AnswerLink.from_config(1_000.0)) == 0
-    assert window_bytes(AnswerLink.from_config(0.0)) == 0
-
-
 def test_large_answers_begin_in_order_as_others_go_out():
     link = AnswerLink.from_config(2.8)
     for number in range(4):
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -6,14 +6,12 @@
 """
 
 import errno
-import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Literal, NamedTuple
 
 import aiohttp
-from aiohappyeyeballs import AddrInfoType
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -70,27 +68,10 @@
     """The client library was about to send a request a second time by itself."""
 
 
-def open_direct_session(window_bytes: int = 0) -> aiohttp.ClientSession:
-    """Return the session for all requests to upstreams.
-
-    Parameters
-    ----------
-    window_bytes : int
-        What a connection may receive before it is read; 0 is the system's choice.
-    """
-
-    def make_socket(address: AddrInfoType) -> socket.socket:
-        made = socket.socket(*address[:3])
-        if window_bytes:
-            # The window is told to the peer as the connection opens.
-            made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
-        return made
-
-    connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=KEEPALIVE_S, socket_factory=make_socket
-    )
+def open_direct_session() -> aiohttp.ClientSession:
+    """Return the session for all requests to upstreams."""
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from bergamotferry.answer_link import AnswerLink, window_bytes
+from bergamotferry.answer_link import AnswerLink
 from bergamotferry.fleet_metrics import Histogram
 
 from .background import start_task
@@ -55,8 +55,7 @@
     host = DirectHost(settings, network, decode_configuration)
     host.link = AnswerLink.from_config(settings.link_mbps)
     reload_on_hangup(read_settings, lambda seeds: add_control_hosts(host, seeds))
-    window = window_bytes(host.link)
-    async with open_direct_session(window) as http:
+    async with open_direct_session() as http:
 
         async def on_request(request: web.Request) -> web.Response:
             return await answer_request(host, http, request)
@@ -70,7 +69,7 @@
         ready.router.add_get(ready_path, on_ready)
         runners = [
             await listen(ready, settings.ready_address, settings),
-            await listen(callers, settings.caller_address, settings, window),
+            await listen(callers, settings.caller_address, settings),
         ]
         delays = Histogram()
         metrics = await serve_metrics(
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -37,8 +37,8 @@
         if control_host:
             _close_other_links(host, control_host)
             await _follow_until_lost(host, control_host)
-        else:
-            await asyncio.sleep(RETRY_PAUSE_S * (1 + secrets.randbelow(100) / 100))
+        # Hosts that lose the same control host don't ask the others in step.
+        await asyncio.sleep(RETRY_PAUSE_S * (1 + secrets.randbelow(100) / 100))
 
 
 async def find_current(host: DirectHost) -> str:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -54,26 +53,15 @@
 
 
 async def listen(
-    app: web.Application, address: str, settings: FleetSettings, window_bytes: int = 0
+    app: web.Application, address: str, settings: FleetSettings
 ) -> web.AppRunner:
-    """Serve an application at an address, within the host's descriptors.
-
-    With ``window_bytes`` a connection has no more than that on its way to the peer.
-    """
+    """Serve an application at an address, within the host's descriptors."""
     n_connections_max = max(64, settings.n_descriptors_max - DESCRIPTORS_KEPT)
     runner = edge_runner(app, EdgeLimits(n_connections_max), STOP_RESERVE_S)
     await runner.setup()
-    listener = socket.socket()
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if window_bytes:
-            # Connections that are accepted inherit it.
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, window_bytes)
-        listener.bind(split_address(address))
-    except OSError:
-        listener.close()
-        raise
-    await web.SockSite(runner, listener, backlog=LISTEN_BACKLOG).start()
+    ip, port = split_address(address)
+    site = web.TCPSite(runner, ip, port, reuse_address=True, backlog=LISTEN_BACKLOG)
+    await site.start()
     return runner
 
 
