Write the last lines of a program that fails

Since the end of a process no longer waits for the log's reader, an exception of the work passed by the flush, and the lines before it were lost. It is printed now, and the lines are written; the test fails without the change.

--- a/packages/bergamotferry_host/src/bergamotferry_host/main.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import traceback
 
 from .background import log_library_failures
 from .daemon import run_daemon
@@ -24,6 +25,10 @@
     except (DataFolderError, DiskLogDamaged) as error:
         print(f"bergamotferryd: {error}", file=sys.stderr)
         status = 1
+    except Exception:
+        # The lines that led to it are written all the same.
+        traceback.print_exc()
+        status = 1
     end_process(listener, status)
 
 
