Soak the platform's programs: real processes, seeded faults by signals

Three control hosts, two entry hosts and four played upstreams on loopback; kills, freezes, planned stops, hangups, crashed upstreams with new incarnations, configurations and the loss of all control hosts come in series and overlap, while eight callers keep their connections. Checked from what callers, upstreams and the operator saw: unsafe requests run once at most, refusals that say not run are true, answers are whole and of their own request, reads are never older than what was acknowledged, planned stops end in order and cut nothing that ran. The harness of the processes' test moved to a module that both use.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo soak measure test lint types format clean slopes overhead capacity-page
+.PHONY: demo soak fleet-soak measure test lint types format clean slopes overhead capacity-page
 
 $(READY): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -51,5 +51,9 @@
 	$(BIN)/python -m bergamotferry_testkit.soak --seed $(SEED) --minutes $(MINUTES) \
 	  --deployment $(DEPLOYMENT)
 
+fleet-soak: $(READY)
+	$(BIN)/python packages/bergamotferry_testkit/tests/platform_soak.py \
+	  --seed $(SEED) --seconds $$(( $(MINUTES) * 60 ))
+
 measure: $(READY)
 	$(BIN)/python -m bergamotferry_testkit.measure $(MEASURE_FLAGS)
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_platform_soak.py
@@ -0,0 +1,73 @@
+"""A short seeded soak of the programs, and what its checker finds."""
+
+import asyncio
+import random
+
+import platform_soak
+import pytest
+from platform_soak import Call, Soak, check_soak, run_soak
+
+SEED, SECONDS = 1, 8.0
+N_SERVED_MIN = 200
+
+
+def test_promises_hold_through_a_short_seeded_soak(tmp_path):
+    soak = asyncio.run(run_soak(SEED, SECONDS, tmp_path))
+    assert check_soak(soak) == []
+    assert sum(call.status == 200 for call in soak.calls) >= N_SERVED_MIN
+    assert soak.hard_faults and soak.acknowledged and soak.reads
+
+
+def seen(**changes):
+    """Return a soak in which one request ran, was answered, and all was well."""
+    soak = Soak(None, random.Random(1), None)
+    call = Call("0-1", True, platform_soak.EDGES[0], 10.0, 10.1, 200, b"answer to 0-1")
+    soak.calls = [call]
+    soak.runs = ["0-1"]
+    soak.acknowledged = [(5.0, 3)]
+    soak.reads = [(8.0, 3)]
+    for name, value in changes.items():
+        setattr(soak if hasattr(soak, name) else call, name, value)
+    return soak
+
+
+@pytest.mark.parametrize(
+    ("changes", "word"),
+    [
+        ({"runs": ["0-1", "0-1"]}, "ran 2 times"),
+        ({"status": 503}, "called not run"),
+        ({"runs": []}, "did not run"),
+        ({"body": b"answer to 0-2"}, "got b'answer to 0-2'"),
+        ({"body": b"answer"}, "got b'answer'"),
+        ({"status": 404}, "got 404"),
+        ({"reads": [(8.0, 2)]}, "version 2 was read"),
+        ({"stops": [("e", 1.0, 2.0, -9)]}, "ended with -9"),
+        (
+            {"status": 0, "stops": [(platform_soak.EDGES[0], 9.0, 12.0, 0)]},
+            "as it stopped",
+        ),
+    ],
+)
+def test_each_broken_promise_is_found(changes, word):
+    assert check_soak(seen()) == []
+    (line,) = check_soak(seen(**changes))
+    assert word in line
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        # It may be on its way still, and a kill or a freeze may cut.
+        {"reads": [(6.0, 2)]},
+        {"status": 0},
+        {"status": 503, "runs": []},
+        {"status": 502},
+        {
+            "status": 0,
+            "stops": [(platform_soak.EDGES[0], 9.0, 12.0, 0)],
+            "hard_faults": [(platform_soak.EDGES[0], 9.5)],
+        },
+    ],
+)
+def test_what_faults_may_do_is_allowed(changes):
+    assert check_soak(seen(**changes)) == []
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
@@ -1,7 +1,4 @@
-"""The two programs as processes on loopback, before a stand-in of a platform's target.
-
-Addresses are of 127/8, since a host's name is its IP number and all use one port.
-"""
+"""The two programs as processes on loopback, before a stand-in of a target."""
 
 import asyncio
 import contextlib
@@ -11,77 +8,34 @@
 import sys
 
 import aiohttp
+import platform_fleet
 import pytest
 from aiohttp import web
+from platform_fleet import METRICS_PORT, Fleet, ask, route
 
 CORES = ["127.9.1.1", "127.9.2.1", "127.9.3.1"]
 EDGE = "127.9.1.9"
 TARGET = "127.9.1.50:18099"
 BASE = "X-Request-Id"
 UP_WITHIN_S = 20.0
-METRICS_PORT = 19464
-
-
-def settings_text(ip, tmp_path, place):
-    lines = [
-        f"node-name=host-{ip}",
-        f"ip={ip}",
-        f"zone={place}",
-        "region=north",
-        "zones.a=north",
-        "zones.b=north",
-        "zones.c=north",
-        "internal-port-range=17720,17735",
-        "seed-nodes=" + ",".join(f"{core}:18166" for core in CORES),
-        "bootstrap=true",
-        "limits.max-fds=1000",
-        "bounds=hold-max-ms=4000,grace-s=6",
-    ]
-    if ip == EDGE:
-        lines += [f"listen-addrs.front={ip}:18161", f"listen-addrs.ready={ip}:18167"]
-    else:
-        lines += [f"listen-addrs.control={ip}:18166", f"data-dir={tmp_path / ip}"]
-    return "\n".join(lines)
-
-
-class Fleet:
-    """Processes that this test started, and ends."""
-
-    def __init__(self, tmp_path):
-        self.tmp_path = tmp_path
-        self.processes = {}
-
-    async def start(self, ip, place):
-        path = self.tmp_path / f"{ip}.conf"
-        path.write_text(settings_text(ip, self.tmp_path, place))
-        role = "edge" if ip == EDGE else "core"
-        self.processes[ip] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "bergamotferry_platform",
-            role,
-            "--metrics-port",
-            str(METRICS_PORT),
-            env={**os.environ, "BERGAMOTFERRY_CONFIG": str(path)},
-            stdout=(self.tmp_path / f"{ip}.log").open("ab"),
-        )
 
-    async def end(self, ip, number=signal.SIGKILL):
-        process = self.processes.pop(ip)
-        process.send_signal(number)
-        return await process.wait()
+
+def manifest(version, prefix="/x/"):
+    return platform_fleet.manifest(version, route(prefix))
+
+
+def heartbeat(sequence, state="ready"):
+    return platform_fleet.heartbeat(sequence, state, TARGET)
 
 
 @contextlib.asynccontextmanager
 async def running_fleet(tmp_path):
-    fleet = Fleet(tmp_path)
+    fleet = Fleet(tmp_path, CORES, [EDGE])
     try:
-        for ip, place in [*zip(CORES, "abc", strict=True), (EDGE, "a")]:
-            await fleet.start(ip, place)
+        await fleet.start_all()
         yield fleet
     finally:
-        for ip in list(fleet.processes):
-            await fleet.end(ip)
+        await fleet.end_all()
 
 
 @contextlib.asynccontextmanager
@@ -108,53 +62,6 @@
         await runner.cleanup()
 
 
-def manifest(version, service="log", prefix="/x/"):
-    route = {
-        "hostname": "one.example",
-        "path-prefix": prefix,
-        "route-type": "unsafe",
-        "timeout-ms": 3000,
-        "slo-latency-ms": 500,
-        "priority": 0,
-        "service": service,
-        "max-attempts": 2,
-        "allowed-regions": [],
-    }
-    resources = [
-        {"resource-kind": "routes", "metadata": {"name": "r"}, "spec": route},
-        {
-            "resource-kind": "services",
-            "metadata": {"name": service},
-            "spec": {"health-path": "/health", "max-connections": 9},
-        },
-    ]
-    return {"version": f"{version:08x}", "resources": resources}
-
-
-def heartbeat(sequence, state="ready"):
-    return {
-        "service": "log",
-        "address": TARGET,
-        "zone": "a",
-        "version": "v1",
-        "slots": 2,
-        "state": state,
-        "warmup-left-ms": 0,
-        "sequence": sequence,
-        "born": 1,
-    }
-
-
-async def ask(http, method, url, **options):
-    """Return status and body, or 0 if there was no answer."""
-    try:
-        timeout = aiohttp.ClientTimeout(total=4)
-        async with http.request(method, url, timeout=timeout, **options) as answer:
-            return answer.status, await answer.read()
-    except (aiohttp.ClientError, OSError):
-        return 0, b""
-
-
 async def metrics_of(http, ip):
     status, body = await ask(http, "GET", f"http://{ip}:{METRICS_PORT}/metrics")
     assert status == 200
@@ -217,7 +124,7 @@
         await fleet.end(CORES[0])
         await until(200, lambda: put(CORES[1], manifest(6)))
         assert json.loads(await until(200, lambda: read(CORES[2]))) == manifest(6)
-        await fleet.start(CORES[0], "a")
+        await fleet.start(CORES[0])
         body = await until(200, lambda: read(CORES[0]))
         assert json.loads(body) == manifest(6)
 
@@ -232,8 +139,8 @@
         for core in CORES:
             await fleet.end(core)
         assert (await send("c"))[0] == 200
-        for core, place in zip(CORES, "abc", strict=True):
-            await fleet.start(core, place)
+        for core in CORES:
+            await fleet.start(core)
         assert json.loads(await until(200, lambda: read(CORES[2]))) == manifest(6)
 
         # What came of the requests above is told as metrics, and who leads.
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -0,0 +1,153 @@
+"""Runs the platform's two programs as processes on loopback, for tests.
+
+Addresses are of 127/8, since a host's name is its IP number and all use one port. Only
+processes that were started here are signalled, by their ids.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from asyncio.subprocess import Process
+from pathlib import Path
+
+import aiohttp
+
+METRICS_PORT = 19464
+CONTROL_PORT, FRONT_PORT, READY_PORT = 18166, 18161, 18167
+
+
+def settings_text(
+    ip: str, role: str, place: str, cores: list[str], tmp_path: Path
+) -> str:
+    lines = [
+        f"node-name=host-{ip}",
+        f"ip={ip}",
+        f"zone={place}",
+        "region=north",
+        "zones.a=north",
+        "zones.b=north",
+        "zones.c=north",
+        "internal-port-range=17720,17735",
+        "seed-nodes=" + ",".join(f"{core}:{CONTROL_PORT}" for core in cores),
+        "bootstrap=true",
+        "limits.max-fds=1000",
+        "bounds=hold-max-ms=4000,grace-s=6",
+    ]
+    if role == "edge":
+        lines.append(f"listen-addrs.front={ip}:{FRONT_PORT}")
+        lines.append(f"listen-addrs.ready={ip}:{READY_PORT}")
+    else:
+        lines.append(f"listen-addrs.control={ip}:{CONTROL_PORT}")
+        lines.append(f"data-dir={tmp_path / ip}")
+    return "\n".join(lines)
+
+
+class Fleet:
+    """Processes that a test started, and ends."""
+
+    def __init__(self, tmp_path: Path, cores: list[str], edges: list[str]) -> None:
+        self.tmp_path = tmp_path
+        self.cores = cores
+        self.edges = edges
+        self.processes: dict[str, Process] = {}
+
+    def place_of(self, ip: str) -> str:
+        """Return the data centre of a host; each control host has its own."""
+        hosts = self.cores if ip in self.cores else self.edges
+        return "abc"[hosts.index(ip) % 3]
+
+    async def start(self, ip: str) -> None:
+        role = "edge" if ip in self.edges else "core"
+        path = self.tmp_path / f"{ip}.conf"
+        text = settings_text(ip, role, self.place_of(ip), self.cores, self.tmp_path)
+        path.write_text(text)
+        with (self.tmp_path / f"{ip}.log").open("ab") as output:
+            self.processes[ip] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bergamotferry_platform",
+                role,
+                "--metrics-port",
+                str(METRICS_PORT),
+                env={**os.environ, "BERGAMOTFERRY_CONFIG": str(path)},
+                stdout=output,
+            )
+
+    async def start_all(self) -> None:
+        for ip in [*self.cores, *self.edges]:
+            await self.start(ip)
+
+    def send(self, ip: str, number: int) -> None:
+        self.processes[ip].send_signal(number)
+
+    async def end(self, ip: str, number: int = signal.SIGKILL) -> int:
+        process = self.processes.pop(ip)
+        if process.returncode is None:
+            process.send_signal(number)
+        return await process.wait()
+
+    async def end_all(self) -> None:
+        for ip in list(self.processes):
+            await self.end(ip)
+
+
+async def ask(
+    http: aiohttp.ClientSession, method: str, url: str, **options: object
+) -> tuple[int, bytes]:
+    """Return status and body, or 0 if there was no answer."""
+    try:
+        timeout = aiohttp.ClientTimeout(total=4)
+        async with http.request(method, url, timeout=timeout, **options) as answer:
+            return answer.status, await answer.read()
+    except (aiohttp.ClientError, OSError):
+        return 0, b""
+
+
+def manifest(version: int, *routes: dict[str, object], service: str = "log") -> dict:
+    """Return a manifest with some routes and one service."""
+    resources = [
+        {"resource-kind": "routes", "metadata": {"name": f"r{n}"}, "spec": row}
+        for n, row in enumerate(routes)
+    ]
+    spec = {"health-path": "/health", "max-connections": 99}
+    resources.append(
+        {"resource-kind": "services", "metadata": {"name": service}, "spec": spec}
+    )
+    return {"version": f"{version:08x}", "resources": resources}
+
+
+def route(prefix: str, kind: str = "unsafe", service: str = "log") -> dict[str, object]:
+    return {
+        "hostname": "one.example",
+        "path-prefix": prefix,
+        "route-type": kind,
+        "timeout-ms": 3000,
+        "slo-latency-ms": 500,
+        "priority": 0,
+        "service": service,
+        "max-attempts": 2,
+        "allowed-regions": [],
+    }
+
+
+def heartbeat(
+    sequence: int, state: str = "ready", address: str = "", born: int = 1
+) -> dict[str, object]:
+    return {
+        "service": "log",
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 2,
+        "state": state,
+        "warmup-left-ms": 0,
+        "sequence": sequence,
+        "born": born,
+    }
+
+
+def version_of(body: bytes) -> int:
+    """Return the version of a manifest that was read."""
+    return int(json.loads(body)["version"], 16)
