--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -219,7 +219,8 @@
             call.request_id
             for call in soak.calls
             if call.edge == ip
-            and from_s < call.began_s < to_s
+            and call.began_s < to_s
+            and call.ended_s > from_s
             and call.status == 0
             and call.ended_s - call.began_s < 2.0
             and n_runs[call.request_id]
@@ -270,26 +271,29 @@
 
 async def _read_for_long(soak: Soak) -> None:
     while not soak.is_over:
-        began_s = time.monotonic()
-        url = f"http://{soak.rng.choice(CORES)}:{CONTROL_PORT}/api/config"
-        status, body = await ask(soak.http, "GET", url)
-        if status == 200:
-            soak.reads.append((began_s, version_of(body)))
+        await _read(soak, soak.rng.choice(CORES))
         await asyncio.sleep(0.1)
 
 
+async def _read(soak: Soak, core: str) -> bool:
+    """Read the configuration from a control host; return whether it was told."""
+    began_s = time.monotonic()
+    url = f"http://{core}:{CONTROL_PORT}/api/config"
+    status, body = await ask(soak.http, "GET", url)
+    if status == 200:
+        soak.reads.append((began_s, version_of(body)))
+    return status == 200
+
+
 async def _read_last(soak: Soak) -> None:
     """Read the configuration from every control host once all is calm."""
     await asyncio.sleep(APPLY_S + 0.1)
     async with asyncio.timeout(UP_WITHIN_S):
         for core in CORES:
-            status = 0
-            while status != 200:
-                began_s = time.monotonic()
-                url = f"http://{core}:{CONTROL_PORT}/api/config"
-                status, body = await ask(soak.http, "GET", url)
+            is_read = False
+            while not is_read:
+                is_read = await _read(soak, core)
                 await asyncio.sleep(0.1)
-            soak.reads.append((began_s, version_of(body)))
 
 
 async def _configure(soak: Soak, version: int) -> None:
@@ -346,8 +350,14 @@
             case "freeze":
                 soak.hard_faults.append((place, time.monotonic()))
                 fleet.send(place, signal.SIGSTOP)
+                if place in CORES:
+                    await _configure(soak, next(soak.versions))
+                    length_s = max(length_s, APPLY_S + 0.5)
                 await asyncio.sleep(length_s)
                 fleet.send(place, signal.SIGCONT)
+                if place in CORES:
+                    # It knows only what it knew, and must not tell that.
+                    await _read(soak, place)
             case "stop":
                 from_s = time.monotonic()
                 status = await fleet.end(place, signal.SIGTERM)
