Name the holder in calls that give or take keys

Change: grants and releases name the incarnation that is meant, as requests do; 421 tells that the holder's process has ended. The tests fail without the change.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -53,9 +53,13 @@
 
 
 async def call_grant(
-    http: aiohttp.ClientSession, paths: RangeCallPaths, row: KeyRange, hold_ms: int
+    http: aiohttp.ClientSession,
+    paths: RangeCallPaths,
+    row: KeyRange,
+    hold_ms: int,
+    headers: DirectHeaders,
 ) -> RangeAnswer:
-    """Give, or renew, a range to its holder."""
+    """Give, or renew, a range to its holder, and to no other process there."""
     body: dict[str, object] = {
         paths.first_key: row.first_key,
         paths.last_key: row.last_key,
@@ -65,7 +69,7 @@
     if row.handover:
         body[paths.handover] = row.handover
     url = f"http://{row.address}{paths.grant}"
-    return await _call(http, url, body, "", CALL_TIMEOUT_S)
+    return await _call(http, url, body, row.upstream, headers, CALL_TIMEOUT_S)
 
 
 async def call_release(
@@ -81,24 +85,30 @@
         paths.token: row.token,
     }
     url = f"http://{row.address}{paths.release}"
-    return await _call(http, url, body, headers.handover, RELEASE_TIMEOUT_S)
+    return await _call(http, url, body, row.upstream, headers, RELEASE_TIMEOUT_S)
 
 
 async def _call(
     http: aiohttp.ClientSession,
     url: str,
     body: dict[str, object],
-    handover_header: str,
+    upstream: str,
+    names: DirectHeaders,
     timeout_s: float,
 ) -> RangeAnswer:
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=timeout_s)
     try:
-        async with http.post(url, json=body, timeout=timeout) as response:
+        async with http.post(
+            url, json=body, headers={names.expected_upstream: upstream}, timeout=timeout
+        ) as response:
             await response.read()
             if response.status == 200:
-                return RangeAnswer("done", response.headers.get(handover_header, ""))
+                return RangeAnswer("done", response.headers.get(names.handover, ""))
             if response.status == 409:
                 return RangeAnswer("newer_token")
+            if response.status == 421:
+                # Another process has the address, so the holder's has ended.
+                return RangeAnswer("no_process")
             return RangeAnswer("unsure")
     except aiohttp.ClientConnectorError as error:
         if error.os_error.errno == errno.ECONNREFUSED:
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -131,7 +131,7 @@
     try:
         if host.group.replica.term != term or not leads_with_newest_tables(host):
             return
-        answer = await call_grant(http, paths, row, hold_ms)
+        answer = await call_grant(http, paths, row, hold_ms, host.settings.headers)
         # It may be carried out as late as the call is open.
         until_ns = now_ns() + _hold_ns(hold_ms)
         if answer.result == "no_process":
--- a/packages/bergamotferry_host/tests/test_range_calls.py
+++ b/packages/bergamotferry_host/tests/test_range_calls.py
@@ -30,6 +30,8 @@
 
     async def on_connection(reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
+        # Only the incarnation that is meant may take it, whoever has the address.
+        assert f"{NAMES.expected_upstream}: u\r\n".encode() in head
         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
         got.extend(await reader.readexactly(length))
         writer.write(answer)
@@ -45,7 +47,7 @@
 
 def test_a_grant_names_range_token_and_hold():
     async def call(http, port):
-        return await call_grant(http, PATHS, range_at(port, "h"), 4000)
+        return await call_grant(http, PATHS, range_at(port, "h"), 4000, NAMES)
 
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
     result, body = asyncio.run(call_with(answer, call))
@@ -75,13 +77,14 @@
     ("answer", "expected"),
     [
         (b"HTTP/1.1 409 Newer\r\nContent-Length: 0\r\n\r\n", "newer_token"),
+        (b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", "no_process"),
         (b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", "unsure"),
         (b"", "unsure"),
     ],
 )
 def test_what_other_answers_mean(answer, expected):
     async def call(http, port):
-        return await call_grant(http, PATHS, range_at(port), 4000)
+        return await call_grant(http, PATHS, range_at(port), 4000, NAMES)
 
     assert asyncio.run(call_with(answer, call))[0].result == expected
 
@@ -92,7 +95,7 @@
             taken.bind(("127.0.0.1", 0))
             port = taken.getsockname()[1]
         async with open_range_session() as http:
-            return await call_grant(http, PATHS, range_at(port), 4000)
+            return await call_grant(http, PATHS, range_at(port), 4000, NAMES)
 
     assert asyncio.run(run()).result == "no_process"
 
@@ -121,7 +124,7 @@
         server = await asyncio.start_server(on_connection, "127.0.0.1", 0, limit=1)
         port = server.sockets[0].getsockname()[1]
         async with server, open_range_session() as http:
-            answer = await call_grant(http, PATHS, range_at(port), 4000)
+            answer = await call_grant(http, PATHS, range_at(port), 4000, NAMES)
             given_up.set()
             await looked.wait()
         return answer.result
--- a/packages/bergamotferry_host/tests/test_range_duty.py
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -88,7 +88,7 @@
     async def commit(self, group, command):
         return apply_fleet_command(group.tables, command)
 
-    async def call_grant(self, http, paths, row, hold_ms):
+    async def call_grant(self, http, paths, row, hold_ms, headers):
         holder = self.holders[row.upstream]
         if holder.mode == "ended":
             return RangeAnswer("no_process")
