Wait for a new owner before a broken answer is given up

When the upstream that serves an answer is lost, the entry host asks for the rest at the place that held the shard before, five times within about 0.4 s; an owner whose lease ran out is replaced only after some seconds, perhaps in another data centre.

Change: the rest is asked for until the deadline, at the shard's place as it is at that moment, with the region rule checked each time; at most five tries may cost an upstream work.

--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -34,6 +34,7 @@
 
 NS_PER_MS = 1_000_000
 N_ATTEMPTS_MAX = 60
+# Tries for the rest of one broken answer that may cost an upstream work.
 N_RESUMES_MAX = 5
 
 # Refusals after which another host, or the same one a little later, may serve.
@@ -88,7 +89,7 @@
         if isinstance(outcome, Served) or outcome.code is ResultCode.CALLER_GONE:
             return outcome
         if sink.has_head:
-            return await _resume(state, home, head, deadline_ns, sink, outcome)
+            return await _resume(state, head, deadline_ns, sink, outcome)
         refusal = outcome
         if not outcome.is_not_run:
             maybe_run = outcome
@@ -132,14 +133,18 @@
 
 async def _resume(
     state: HostState,
-    data_centre: str,
     head: RequestHead,
     deadline_ns: int,
     sink: CountingSink,
     broken: Refused,
 ) -> Served | Refused:
-    """Fetch the rest of an answer that broke off, from the same version only."""
-    for n_tries in range(N_RESUMES_MAX):
+    """Fetch the rest of an answer that broke off, from the same version only.
+
+    A lost owner is waited for until the deadline; tries that cost an upstream work are
+    few.
+    """
+    n_costly = 0
+    for n_tries in range(N_ATTEMPTS_MAX):
         left_ms = (deadline_ns - now_ns()) // NS_PER_MS
         if left_ms <= 0 or not sink.is_resumable or head.method != "GET":
             break
@@ -150,13 +155,19 @@
         )
         body = RequestBody.empty()
         rest = RestSink(sink)
-        outcome = await _attempt(state, data_centre, attempt, body, rest)
+        outcome: Served | Refused
+        home = home_of_shard(state.global_tables, head.shard, head.account)
+        if isinstance(home, Refused):
+            outcome = home
+        else:
+            outcome = await _attempt(state, home, attempt, body, rest)
         if isinstance(outcome, Served):
             if not rest.is_same_version:
                 break
             return Served(sink.status, sink.n_bytes, outcome.upstream)
+        n_costly += outcome.code in _COSTLY
         is_passing = outcome.code in _PASSING or outcome.code in _BROKEN
-        if rest.is_refused or not is_passing:
+        if rest.is_refused or not is_passing or n_costly >= N_RESUMES_MAX:
             break
         _learn_dispatcher(state, head, outcome)
         await _pause(state.dispatchers.retry_budget, n_tries)
--- a/packages/bergamotferry_host/tests/test_request_path.py
+++ b/packages/bergamotferry_host/tests/test_request_path.py
@@ -98,6 +98,62 @@
     assert n_attempts <= 100 + TRIES_MAX + 100 * TRIES_PER_REQUEST
 
 
+def answer_in_turn(monkeypatch, attempts):
+    """Make attempts end as listed, without a pause; return the homes asked."""
+    left = list(attempts)
+    homes = []
+
+    async def attempt(state, data_centre, head, body, sink):
+        homes.append(data_centre)
+        step = left.pop(0)(head, sink)
+        return step if isinstance(step, Refused) else await step
+
+    monkeypatch.setattr(request_path, "_attempt", attempt)
+    monkeypatch.setattr(request_path, "backoff_ms", lambda *_: 0.0)
+    return homes
+
+
+def serve_lookup(state):
+    target = KeepingSink()
+    sink = CountingSink(target)
+    body = RequestBody.empty()
+    return asyncio.run(serve_request(state, True, LOOKUP, body, sink)), target
+
+
+def test_a_broken_answer_waits_for_the_next_owner(monkeypatch):
+    # An owner that is lost is replaced within seconds, not within five tries.
+    homes = answer_in_turn(monkeypatch, [broken, *[refuse(Code.NO_OWNER)] * 30, rest])
+    outcome, target = serve_lookup(make_state())
+    assert isinstance(outcome, Served)
+    assert (target.is_over, target.body, len(homes)) == (True, BODY, 32)
+
+
+def test_tries_that_cost_an_upstream_work_stay_few_for_the_rest(monkeypatch):
+    failed = refuse(Code.UPSTREAM_FAILED)
+    homes = answer_in_turn(monkeypatch, [broken, *[failed] * 30])
+    outcome, _ = serve_lookup(make_state())
+    assert outcome.code is Code.ANSWER_BROKEN
+    assert len(homes) == 1 + 5
+
+
+def test_the_rest_is_asked_for_where_the_shard_has_gone(monkeypatch):
+    state = make_state()
+    places = iter(["dc", "dc", "dc-2"])
+    monkeypatch.setattr(request_path, "home_of_shard", lambda *_: next(places))
+    no_owner = refuse(Code.NO_OWNER)
+    homes = answer_in_turn(monkeypatch, [broken, no_owner, rest])
+    assert isinstance(serve_lookup(state)[0], Served)
+    assert homes == ["dc", "dc", "dc-2"]
+
+
+def test_the_rest_is_not_asked_for_outside_the_home_region(monkeypatch):
+    places = iter(["dc", Refused(Code.OUTSIDE_HOME_REGION, "")])
+    monkeypatch.setattr(request_path, "home_of_shard", lambda *_: next(places))
+    homes = answer_in_turn(monkeypatch, [broken])
+    outcome, _ = serve_lookup(make_state())
+    assert (outcome.code, homes) == (Code.ANSWER_BROKEN, ["dc"])
+
+
 LOOKUP = make_head()
 FILING = make_head("filing", "POST", idempotency_key="i1")
 NO_OWNER, FAILED = refuse(Code.NO_OWNER), refuse(Code.UPSTREAM_FAILED)
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capture.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capture.py
@@ -14,6 +14,8 @@
 from .fault_proxy import ANSWERED, DIALLED
 
 _HEAD_END = b"\r\n\r\n"
+_ANSWER = b"HTTP/"
+_SWITCHES = b"HTTP/1.1 101 "
 
 
 class Captured(NamedTuple):
@@ -36,8 +38,13 @@
 
 
 def websocket_payload(data: bytes, is_masked: bool) -> bytes:
-    """Return the HTTP head and the unmasked payloads of one direction, joined."""
+    """Return the HTTP head and the unmasked payloads of one direction, joined.
+
+    An answer that refuses the handshake has no frames, and is returned as it is.
+    """
     head, _, rest = data.partition(_HEAD_END)
+    if head.startswith(_ANSWER) and not head.startswith(_SWITCHES):
+        return data
     reader = StreamReader()
     reader.feed_data(rest)
     reader.feed_eof()
--- a/packages/bergamotferry_testkit/tests/test_home_region.py
+++ b/packages/bergamotferry_testkit/tests/test_home_region.py
@@ -22,6 +22,13 @@
         assert MARKER.encode() in websocket_payload(data, is_masked)
 
 
+def test_an_answer_that_refuses_the_handshake_is_read_as_it_is():
+    # A host that stops answers so, and its text is no frame.
+    head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 37\r\n\r\n"
+    data = f"{head}Server is shutting down. {MARKER}".encode()
+    assert MARKER.encode() in websocket_payload(data, False)
+
+
 async def ask_everywhere(deployment):
     """Look keys up and file at every host; return the codes by region."""
     codes = {region: set() for region in deployment.shape.regions}
--- a/packages/bergamotferry_testkit/tests/test_streaming.py
+++ b/packages/bergamotferry_testkit/tests/test_streaming.py
@@ -1,6 +1,7 @@
 """A large download passes whole, and no host holds more than a little of it."""
 
 import asyncio
+import signal
 from pathlib import Path
 
 import aiohttp
@@ -14,6 +15,8 @@
 GROWTH_LIMIT_BYTES = 32 << 20
 SLOW_START_BLOCKS = 60
 SLOW_PAUSE_S = 0.05
+# Longer than an upstream's lease, so that the owner of the key is lost and replaced.
+UPSTREAM_PAUSE_S = 2.5
 
 
 def peak_memory_bytes(process_id):
@@ -57,3 +60,29 @@
         deployment.stop()
     assert sizes == [ARCHIVE_BYTES] * 4
     assert max(growths) < GROWTH_LIMIT_BYTES, growths
+
+
+def test_a_download_goes_on_after_its_upstream_was_lost(tmp_path):
+    deployment = LocalDeployment.from_config(EZO_LUMEN, tmp_path, ARCHIVE_BYTES)
+
+    async def pause_upstreams():
+        await asyncio.sleep(1.0)
+        # Whichever holds the key; the upstreams of a data centre share a process.
+        for process in deployment.stand_ins.values():
+            process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(UPSTREAM_PAUSE_S)
+        for process in deployment.stand_ins.values():
+            process.send_signal(signal.SIGCONT)
+
+    async def work():
+        await start_ready(deployment)
+        address = deployment.hosts[0].caller_address
+        async with asyncio.TaskGroup() as tasks:
+            size = tasks.create_task(download(address, "bundle-1"))
+            tasks.create_task(pause_upstreams())
+        return size.result()
+
+    try:
+        assert asyncio.run(work()) == ARCHIVE_BYTES
+    finally:
+        deployment.stop()
