Send filings again to their dispatcher without spending the retry budget

Cause: when the link to a frozen or busy host breaks, all filings that wait there fail at once, and after some twenty the retry budget ends the others as 2001, although sending them again costs no upstream work that was done: their idempotency keys are looked up where they arrive.

Change: a broken stream is not counted against the budget for routes that are not idempotent. A unit test with 200 filings failed before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -95,7 +95,7 @@
             maybe_run = outcome
         if not _may_try_again(outcome, body):
             break
-        if outcome.code in _COSTLY and not spend_try(budget):
+        if _is_costly(outcome, is_idempotent) and not spend_try(budget):
             state.metrics.incr("requests.retry_budget_spent")
             break
         if not _learn_dispatcher(state, head, outcome):
@@ -120,6 +120,14 @@
     return is_passing and body.is_replayable
 
 
+def _is_costly(outcome: Refused, is_idempotent: bool) -> bool:
+    # A filing whose stream broke is looked up by its idempotency key when it is sent
+    # again: if it ran, the record answers, and no upstream does the work twice.
+    if outcome.code is ResultCode.ANSWER_BROKEN and not is_idempotent:
+        return False
+    return outcome.code in _COSTLY
+
+
 def _final_refusal(
     outcome: Refused, maybe_run: Refused | None, is_idempotent: bool
 ) -> Refused:
--- a/packages/bergamotferry_host/tests/test_request_path.py
+++ b/packages/bergamotferry_host/tests/test_request_path.py
@@ -113,6 +113,25 @@
     return homes
 
 
+def test_filings_are_sent_again_to_their_dispatcher_beyond_the_budget(monkeypatch):
+    # Links to a frozen host break for hundreds at once. Their keys are looked up where
+    # they are sent again, so that this costs no upstream work that was done.
+    n_filings = 200
+    state = make_state()
+
+    async def send():
+        sent = []
+        for _ in range(n_filings):
+            answer_in_turn(monkeypatch, [LINK_BROKE, LINK_BROKE, whole])
+            sink, body = CountingSink(KeepingSink()), RequestBody.empty()
+            sent.append(await serve_request(state, False, FILING, body, sink))
+        return sent
+
+    outcomes = asyncio.run(send())
+    assert sum(isinstance(row, Served) for row in outcomes) == n_filings
+    assert state.dispatchers.retry_budget.n_left == TRIES_MAX
+
+
 def serve_lookup(state):
     target = KeepingSink()
     sink = CountingSink(target)
