Let requests wait for an upstream whose lease ran out

Cause: when the host at which upstreams renew pauses for about a second, their leases run out, and they refused what reached them with 503, which the entry host takes for overload: some twenty lookups are sent again, and the retry budget refuses the others with 1206 until the next renewal. This is how test_slow_upstreams_lose_shards_and_get_them_back went red once (22 lookups at one moment, 1206); that run's records are gone, the pause gives the same picture.

Change: an upstream without a lease answers 409, as for a grant that it does not hold; such requests wait and cost no budget. A run of processes with a pause of 1 s of each host failed before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -237,7 +237,7 @@
     if response.headers.get("Bergamotferry-Not-Started") != "true":
         return None
     if response.status == 409:
-        return Refused(ResultCode.STALE_EPOCH, "the upstream knows a newer grant")
+        return Refused(ResultCode.STALE_EPOCH, "the upstream does not hold this grant")
     return Refused(ResultCode.UPSTREAM_SHED, f"status {response.status}")
 
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/stand_in.py
@@ -208,7 +208,8 @@
     if upstream.checks_epochs and (is_stale or upstream.grants.get(shard) != epoch):
         return _not_started(upstream, 409, "stale epoch", key)
     if time.clock_gettime(time.CLOCK_BOOTTIME) > upstream.lease_until_s:
-        return _not_started(upstream, 503, "no lease", key)
+        # Its grants ended with the lease; the sender waits for the next ones.
+        return _not_started(upstream, 409, "no lease", key)
     if upstream.running >= upstream.n_slots:
         return _not_started(upstream, 503, "no free slot", key)
     run = {
--- /dev/null
+++ b/packages/bergamotferry_testkit/tests/test_paused_hosts.py
@@ -0,0 +1,61 @@
+"""Real processes: a host that pauses for a second costs no lookup.
+
+Upstreams renew their leases at the leader. While it pauses their leases run out, and
+what reaches them then has to wait for the next renewal instead of being refused.
+"""
+
+import asyncio
+import random
+import signal
+
+from bergamotferry_testkit.balanced_load import BalancedLoad
+from bergamotferry_testkit.deployment_start import start_ready, wait_owned
+from bergamotferry_testkit.deployments import (
+    DeploymentShape,
+    RouteShape,
+    ServiceShape,
+)
+from bergamotferry_testkit.local_deployment import LocalDeployment
+from bergamotferry_testkit.records_check import read_records
+
+SHAPE = DeploymentShape(
+    "pauses",
+    {"north": ("a",)},
+    3,
+    (ServiceShape("testlog", 8, 2, 48, 10.0),),
+    (RouteShape("testlog", "lookup", "GET", "lookup", 4000, 1.0),),
+    "home-",
+    "north",
+)
+RATE_PER_S = 100.0
+# About the time after which an upstream's lease has run out.
+PAUSE_S = 1.0
+SETTLE_S = 3.0
+OWNED_TIMEOUT_S = 20.0
+
+
+async def pause_each(deployment, load):
+    await start_ready(deployment)
+    await wait_owned(deployment, OWNED_TIMEOUT_S)
+    sending = asyncio.create_task(load.run())
+    for host in deployment.hosts:
+        await asyncio.sleep(SETTLE_S)
+        host.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        host.process.send_signal(signal.SIGCONT)
+    await asyncio.sleep(SETTLE_S)
+    load.is_stopping = True
+    await sending
+
+
+def test_a_pause_of_a_host_costs_no_lookup(tmp_path):
+    deployment = LocalDeployment.from_config(SHAPE, tmp_path)
+    load = BalancedLoad(SHAPE, deployment.hosts, RATE_PER_S, 1 << 20, random.Random(7))
+    try:
+        asyncio.run(pause_each(deployment, load))
+    finally:
+        deployment.stop()
+    records = read_records([deployment.records_path("a")])
+    shed = [row for row in records if row["event"] == "shed"]
+    print("sent", load.n_sent, "shed by upstreams", len(shed))
+    assert load.failures == []
