Free the keys of lost holders seconds earlier, and never wait for them anew

A holder never refuses a release, so the holder's process has ended. - Calls for which no connection was made counted as calls that may arrive, and put the end of the hold off, every half second.

Change: what is known lasts as long as the term; the answer above frees the keys; calls that were refused or never left extend no hold.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 from dataclasses import dataclass
+from types import SimpleNamespace
 from typing import Literal, NamedTuple
 
 import aiohttp
@@ -22,7 +23,9 @@
 CALL_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 3.0
 
-CallResult = Literal["done", "newer_token", "no_process", "unsure"]
+CallResult = Literal[
+    "done", "newer_token", "no_process", "refused", "not_sent", "unsure"
+]
 
 
 class RangeCallPaths(NamedTuple):
@@ -39,7 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeAnswer:
-    """What became of a call; ``handover`` is what a holder passes on."""
+    """What became of a call; ``handover`` is what a holder passes on.
+
+    A call that was "refused" or "not_sent" is not carried out, now or later; one that
+    is "unsure" may be.
+    """
 
     result: CallResult
     handover: str = ""
@@ -48,7 +55,8 @@
 def open_range_session() -> aiohttp.ClientSession:
     """Return the session for these calls; closing a connection resets it."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, socket_factory=_resetting_socket)
+        connector=aiohttp.TCPConnector(limit=0, socket_factory=_resetting_socket),
+        trace_configs=[_trace_sent()],
     )
 
 
@@ -85,7 +93,9 @@
         paths.token: row.token,
     }
     url = f"http://{row.address}{paths.release}"
-    return await _call(http, url, body, row.upstream, headers, RELEASE_TIMEOUT_S)
+    answer = await _call(http, url, body, row.upstream, headers, RELEASE_TIMEOUT_S)
+    # A holder refuses no release, so another process has the address.
+    return RangeAnswer("no_process") if answer.result == "refused" else answer
 
 
 async def _call(
@@ -97,25 +107,67 @@
     timeout_s: float,
 ) -> RangeAnswer:
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=timeout_s)
+    progress = _CallProgress()
     try:
         async with http.post(
-            url, json=body, headers={names.expected_upstream: upstream}, timeout=timeout
+            url,
+            json=body,
+            headers={names.expected_upstream: upstream},
+            timeout=timeout,
+            trace_request_ctx=progress,
         ) as response:
             await response.read()
-            if response.status == 200:
-                return RangeAnswer("done", response.headers.get(names.handover, ""))
-            if response.status == 409:
-                return RangeAnswer("newer_token")
-            if response.status == 421:
-                # Another process has the address, so the holder's has ended.
-                return RangeAnswer("no_process")
+            return _read_answer(response, names)
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        if progress.is_sent:
             return RangeAnswer("unsure")
-    except aiohttp.ClientConnectorError as error:
-        if error.os_error.errno == errno.ECONNREFUSED:
+        if _is_connection_refused(error):
+            return RangeAnswer("no_process")
+        return RangeAnswer("not_sent")
+
+
+def _is_connection_refused(error: Exception) -> bool:
+    return (
+        isinstance(error, aiohttp.ClientConnectorError)
+        and error.os_error.errno == errno.ECONNREFUSED
+    )
+
+
+def _read_answer(response: aiohttp.ClientResponse, names: DirectHeaders) -> RangeAnswer:
+    match response.status:
+        case 200:
+            return RangeAnswer("done", response.headers.get(names.handover, ""))
+        case 409:
+            return RangeAnswer("newer_token")
+        case 421:
+            # Another process has the address, so the holder's has ended.
             return RangeAnswer("no_process")
-        return RangeAnswer("unsure")
-    except (aiohttp.ClientError, OSError, TimeoutError):
-        return RangeAnswer("unsure")
+        case 400 if names.not_run in response.headers:
+            return RangeAnswer("refused")
+        case _:
+            return RangeAnswer("unsure")
+
+
+@dataclass(slots=True)
+class _CallProgress:
+    """Whether a byte of a call may have left this host."""
+
+    is_sent: bool = False
+
+
+def _trace_sent() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+
+    async def on_head(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        # The library tells of the head just before it writes it.
+        context.trace_request_ctx.is_sent = True
+
+    trace.on_request_headers_sent.append(on_head)
+    return trace
 
 
 def _resetting_socket(address: AddrInfoType) -> socket.socket:
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -38,6 +38,7 @@
 SILENT_NS = 3_500_000_000
 N_MOVES_MAX = 4
 NS_PER_S = 1_000_000_000
+_NOT_CARRIED_OUT = frozenset({"newer_token", "refused", "not_sent"})
 
 
 @dataclass(slots=True)
@@ -79,7 +80,8 @@
     while True:
         await asyncio.sleep(TICK_S)
         if host.is_stopping or not leads_with_newest_tables(host):
-            duty.term = 0
+            # What is known of the holders stays true for as long as the term lasts,
+            # also when the leader's lease lapses for a moment.
             continue
         if duty.term != host.group.replica.term:
             _begin_term(duty, host, hold_ms)
@@ -132,12 +134,11 @@
         if host.group.replica.term != term or not leads_with_newest_tables(host):
             return
         answer = await call_grant(http, paths, row, hold_ms, host.settings.headers)
-        # It may be carried out as late as the call is open.
-        until_ns = now_ns() + _hold_ns(hold_ms)
         if answer.result == "no_process":
             hold.is_dead = True
-        else:
-            hold.until_ns = max(hold.until_ns, until_ns)
+        elif answer.result not in _NOT_CARRIED_OUT:
+            # It may be carried out as late as the call is open.
+            hold.until_ns = max(hold.until_ns, now_ns() + _hold_ns(hold_ms))
         hold.is_unsure |= answer.result == "unsure"
         if answer.result == "done":
             hold.done_ns = now_ns()
--- a/packages/bergamotferry_host/tests/test_range_calls.py
+++ b/packages/bergamotferry_host/tests/test_range_calls.py
@@ -18,6 +18,11 @@
 
 PATHS = RangeCallPaths()
 NAMES = DirectHeaders()
+# What an upstream of a service without ranges makes of a call, as of any request that
+# bears no id.
+NOT_RUN_400 = (
+    f"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n{NAMES.not_run}: 1\r\n\r\n".encode()
+)
 
 
 def range_at(port: int, handover: str = "") -> KeyRange:
@@ -79,6 +84,8 @@
         (b"HTTP/1.1 409 Newer\r\nContent-Length: 0\r\n\r\n", "newer_token"),
         (b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", "no_process"),
         (b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", "unsure"),
+        (b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n", "unsure"),
+        (NOT_RUN_400, "refused"),
         (b"", "unsure"),
     ],
 )
@@ -89,6 +96,39 @@
     assert asyncio.run(call_with(answer, call))[0].result == expected
 
 
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        # A holder never refuses a release, so another process has the address.
+        (NOT_RUN_400, "no_process"),
+        (b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", "no_process"),
+        (b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n", "unsure"),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", "unsure"),
+    ],
+)
+def test_what_a_refused_release_means(answer, expected):
+    async def call(http, port):
+        return await call_release(http, PATHS, range_at(port), NAMES)
+
+    assert asyncio.run(call_with(answer, call))[0].result == expected
+
+
+def test_a_call_whose_connection_was_not_made_was_not_sent(monkeypatch):
+    monkeypatch.setattr(range_calls, "CALL_TIMEOUT_S", 0.1)
+
+    async def run():
+        # A listener whose queue is full answers no opening packet.
+        with socket.socket() as full, socket.socket() as first:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            first.connect(full.getsockname())
+            port = full.getsockname()[1]
+            async with open_range_session() as http:
+                return await call_grant(http, PATHS, range_at(port), 4000, NAMES)
+
+    assert asyncio.run(run()).result == "not_sent"
+
+
 def test_an_address_that_refuses_connections_has_no_process():
     async def run():
         with socket.socket() as taken:
--- a/packages/bergamotferry_host/tests/test_range_duty.py
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -35,7 +35,8 @@
         self.play.note(row.first_key)
 
     def holds(self, first_key):
-        return self.mode != "ended" and self.until_ns.get(first_key, 0) > now_ns()
+        has_ended = self.mode in ("ended", "address_reused")
+        return not has_ended and self.until_ns.get(first_key, 0) > now_ns()
 
 
 class Play:
@@ -94,6 +95,10 @@
             return RangeAnswer("no_process")
         if holder.mode == "dark":
             return RangeAnswer("unsure")
+        if holder.mode == "unreachable":
+            return RangeAnswer("not_sent")
+        if holder.mode == "address_reused":
+            return RangeAnswer("refused")
         holder.grant(row, hold_ms)
         if holder.mode == "answer_lost":
             return RangeAnswer("unsure")
@@ -105,6 +110,10 @@
             return RangeAnswer("no_process")
         if holder.mode == "dark":
             return RangeAnswer("unsure")
+        if holder.mode == "unreachable":
+            return RangeAnswer("not_sent")
+        if holder.mode == "address_reused":
+            return RangeAnswer("no_process")
         until_ns = holder.until_ns.pop(row.first_key, 0)
         if holder.mode == "answer_lost":
             # The last grant is carried out after the release; its time counts from
@@ -144,7 +153,13 @@
 
 @pytest.mark.parametrize(
     ("mode", "n_moved_soon"),
-    [("answers", 16), ("ended", 16), ("dark", 0), ("answer_lost", 0)],
+    [
+        ("answers", 16),
+        ("ended", 16),
+        ("address_reused", 16),
+        ("dark", 0),
+        ("answer_lost", 0),
+    ],
 )
 def test_when_the_ranges_of_a_leaving_holder_move(monkeypatch, mode, n_moved_soon):
     play = Play(monkeypatch, "u1", "u2")
@@ -166,6 +181,50 @@
     assert play.two_held == []
 
 
+def test_calls_that_never_left_keep_no_keys_from_moving(monkeypatch):
+    # Its data centre lost power: no connection is made, and it is still taken for
+    # ready until several heartbeats have not come.
+    silent_s = 2 * HOLD_S
+    monkeypatch.setattr(range_duty, "SILENT_NS", int(silent_s * 1e9))
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    found = []
+
+    def lose_power():
+        play.holders["u1"].mode = "unreachable"
+
+    def look():
+        found.append(play.n_held("u2") - 16)
+
+    beats = [(0.1, lambda: play.beat("u2"))] * int((silent_s + 0.5 * HOLD_S) / 0.1)
+    play_out(play, (0.3, lose_power), *beats, (0.1, look))
+    assert found == [16]
+    assert play.two_held == []
+
+
+def test_a_leader_lease_that_lapses_for_moments_puts_no_move_off(monkeypatch):
+    # On an unstable network the leader's lease runs out and comes back, in one term.
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    found = []
+
+    def lapse():
+        play.host.group.is_leader = False
+
+    def come_back():
+        play.host.group.is_leader = True
+
+    flicker = [(0.15, lapse), (0.03, come_back)] * int(1.5 * HOLD_S / 0.18)
+    play_out(
+        play,
+        (0.3, leave(play, "u1", "dark")),
+        *flicker,
+        (0.1, lambda: found.append(play.n_held("u2") - 16)),
+    )
+    assert found == [16]
+    assert play.two_held == []
+
+
 def test_what_a_holder_hands_over_goes_to_the_next_one(monkeypatch):
     play = Play(monkeypatch, "u1", "u2")
     play.beat("u1", "u2")
