Send callers on from a busy link, and let large answers out in parts

Cause: on the grown sites an entry host's link (2.6 and 2.8 Mbit/s) carries four fifths of what it can. (1) Callers choose hosts blindly; one that waited for a busy link was kept for up to its whole latency objective, while other links were idle. (2) A large answer was handed to the kernel whole, so that its window kept the link's queue full and every small answer waited behind it.

Change: a first try waits for at most 0.4 of its objective less the work, and is sent back at once otherwise; one that came back waits as before. Large answers go out in parts of 8 KB at the pace of the link, all together; quick links are not touched. Pure rules with a seeded play of 16 hosts (late answers at 0.6 to 0.85 of the links' time must fall by a quarter; the share that fails may not rise) and tests of the sending: whole, paced, small ones in between.

--- a/packages/bergamotferry/src/bergamotferry/answer_link.py
+++ b/packages/bergamotferry/src/bergamotferry/answer_link.py
@@ -6,6 +6,10 @@
 So only as many large answers are under way as the link carries within a short time; the
 others wait here, in order, where they hold neither the link nor a slot of an upstream.
 On a link that is quick for its answers nothing ever waits.
+
+Callers choose their host blindly, so one link may be busy for seconds while others are
+idle. A caller that comes for the first time is kept for a short wait only; otherwise it
+is sent back at once, and its second choice is better than the wait on the whole.
 """
 
 from dataclasses import dataclass, field
@@ -15,9 +19,15 @@
 # What may be under way at once, by how long the link takes for it: on a slow link, one
 # usual answer that goes out to its caller, and another that is fetched meanwhile.
 UNDER_WAY_MAX_MS = 800.0
+# A part of a large answer; on the slowest links a small answer waits for it some 25 ms.
+PART_BYTES = 8_192
 # Each byte comes in from the upstream and goes out to the caller.
 N_CROSSINGS = 2
 BYTES_PER_MS_OF_ONE_MBPS = 125.0
+# How much of its latency objective a first try may spend on waiting for the link. With
+# less, callers are sent back although every link is busy; with more, they queue here
+# while other links are idle.
+FIRST_WAIT_SHARE = 0.4
 
 
 @dataclass(slots=True)
@@ -25,10 +35,12 @@
     """Large answers under way and waiting, by number, with the bytes still to carry.
 
     ``bytes_per_ms`` is what the link carries in both directions together, and 0 a link
-    without a bound.
+    without a bound. ``out_free_ms`` is when the parts of large answers that were given
+    to the link so far have left it.
     """
 
     bytes_per_ms: float
+    out_free_ms: float = 0.0
     under_way: dict[int, float] = field(default_factory=dict)
     waiting: dict[int, float] = field(default_factory=dict)
 
@@ -49,6 +61,34 @@
     return max(0.0, n_bytes / link.bytes_per_ms - UNDER_WAY_MAX_MS / 2)
 
 
+def may_wait(
+    link: AnswerLink,
+    work_ms: float,
+    left_ms: float,
+    objective_ms: float,
+    has_come_back: bool,
+) -> bool:
+    """Return whether a caller should be kept until its answer's turn.
+
+    Parameters
+    ----------
+    link : AnswerLink
+        Of the host.
+    work_ms : float
+        How long an upstream takes for the answer.
+    left_ms : float
+        Until the caller gives up.
+    objective_ms : float
+        Within which its route's answers should come.
+    has_come_back : bool
+        Whether it was refused before; then it has no better choice.
+    """
+    longest_ms = left_ms - work_ms
+    if not has_come_back:
+        longest_ms = min(longest_ms, FIRST_WAIT_SHARE * (objective_ms - work_ms))
+    return expected_wait_ms(link) <= longest_ms
+
+
 def enqueue_answer(link: AnswerLink, number: int, n_bytes: float) -> None:
     """Add a large answer to those that wait."""
     link.waiting[number] = N_CROSSINGS * n_bytes
@@ -73,6 +113,18 @@
     return n_bytes / link.bytes_per_ms
 
 
+def take_part(link: AnswerLink, n_bytes: int, now_ms: float) -> float:
+    """Give the link a part of a large answer; return after how long the next may come.
+
+    An answer that is handed over whole keeps the link's queue full until it is out, and
+    whatever is sent meanwhile waits behind it. Small parts let others in between, and
+    take no longer together.
+    """
+    begin_ms = max(link.out_free_ms, now_ms)
+    link.out_free_ms = begin_ms + n_bytes / link.bytes_per_ms
+    return link.out_free_ms - now_ms
+
+
 def leave_link(link: AnswerLink, number: int) -> None:
     """Forget an answer that went out, has failed, or is not wanted any more."""
     link.under_way.pop(number, None)
--- a/packages/bergamotferry/tests/test_answer_link.py
+++ b/packages/bergamotferry/tests/test_answer_link.py
@@ -1,17 +1,23 @@
 """Rules of the link's turns, and a seeded play of a host whose link is busy."""
 
+import heapq
 import random
 from collections import deque
 
 import pytest
 
+from bergamotferry import answer_link
 from bergamotferry.answer_link import (
+    N_CROSSINGS,
+    UNDER_WAY_MAX_MS,
     AnswerLink,
     enqueue_answer,
     expected_wait_ms,
     is_large,
     leave_link,
+    may_wait,
     note_fetched,
+    take_part,
     take_startable,
 )
 
@@ -153,3 +159,80 @@
     assert len(large_turns) == len(large_free)
     assert late(small_turns, 1_000) < 0.5 * late(small_free, 1_000)
     assert late(large_turns, 6_000) <= late(large_free, 6_000) + 0.05
+
+
+OBJECTIVE_MS, DEADLINE_MS = 2_100.0, 6_300.0
+N_HOSTS = 16
+
+
+def play_hosts(load: float, seed: int) -> tuple[float, float]:
+    """Return the shares of large answers that were late, and that never came.
+
+    Callers choose among hosts that differ in how often they are chosen; one that is
+    refused comes back once, to a host that it chooses as blindly. A host's link carries
+    answers one after the other; ``load`` is the share of its time that they take.
+    """
+    rng = random.Random(seed)
+    weights = [rng.uniform(0.7, 1.3) for _ in range(N_HOSTS)]
+    bytes_per_ms = AnswerLink.from_config(2.6).bytes_per_ms
+    mean_ms = N_CROSSINGS * LARGE_BYTES / bytes_per_ms
+    links = [AnswerLink(bytes_per_ms) for _ in range(N_HOSTS)]
+    free_ms = [0.0] * N_HOSTS
+    arrivals, now = [], 0.0
+    while now < LENGTH_MS:
+        now += rng.expovariate(N_HOSTS * load / mean_ms)
+        arrivals.append((now, now, False))
+    n_all, n_late, n_failed = len(arrivals), 0, 0
+    while arrivals:
+        now, born, has_come_back = heapq.heappop(arrivals)
+        (which,) = rng.choices(range(N_HOSTS), weights)
+        ahead_ms = max(0.0, free_ms[which] - now)
+        links[which].waiting = {0: ahead_ms * bytes_per_ms}
+        left_ms = DEADLINE_MS - (now - born)
+        if not may_wait(links[which], WORK_MS, left_ms, OBJECTIVE_MS, has_come_back):
+            n_failed += has_come_back
+            if not has_come_back:
+                heapq.heappush(arrivals, (now + rng.uniform(50, 100), born, True))
+            continue
+        carried_ms = mean_ms * rng.lognormvariate(-0.18, 0.6)
+        done = max(now + WORK_MS, free_ms[which]) + carried_ms
+        free_ms[which] = max(now + WORK_MS / 2, free_ms[which]) + carried_ms
+        n_late += OBJECTIVE_MS < done - born <= DEADLINE_MS
+        n_failed += done - born > DEADLINE_MS
+    return n_late / n_all, n_failed / n_all
+
+
+@pytest.mark.parametrize("load", [0.6, 0.75, 0.85])
+def test_a_caller_that_is_sent_on_at_once_is_late_less_often(load, monkeypatch):
+    plays = [play_hosts(load, seed) for seed in range(5)]
+    # As long as the answer could still come within the objective.
+    monkeypatch.setattr(answer_link, "FIRST_WAIT_SHARE", 1.0)
+    kept = [play_hosts(load, seed) for seed in range(5)]
+    n_late, n_late_kept = (sum(row[0] for row in rows) for rows in (plays, kept))
+    n_failed, n_failed_kept = (sum(row[1] for row in rows) for rows in (plays, kept))
+    assert n_late < 0.75 * n_late_kept
+    assert n_failed <= n_failed_kept + 0.01 * len(plays)
+
+
+def test_who_may_wait_for_the_link():
+    link = AnswerLink.from_config(2.8)
+    for number in range(6):
+        enqueue_answer(link, number, LARGE_BYTES)
+    # About 2.7 s are ahead.
+    assert not may_wait(link, WORK_MS, DEADLINE_MS, OBJECTIVE_MS, False)
+    assert may_wait(link, WORK_MS, DEADLINE_MS, OBJECTIVE_MS, True)
+    assert not may_wait(link, WORK_MS, 2_000.0, OBJECTIVE_MS, True)
+    link.waiting.clear()
+    assert may_wait(link, WORK_MS, DEADLINE_MS, OBJECTIVE_MS, False)
+    link.under_way[0] = 2 * UNDER_WAY_MAX_MS * link.bytes_per_ms
+    assert not may_wait(link, WORK_MS, DEADLINE_MS, OBJECTIVE_MS, False)
+
+
+def test_parts_of_all_large_answers_share_the_pace_of_the_link():
+    link = AnswerLink.from_config(2.8)
+    # 3500 bytes take 10 ms.
+    assert take_part(link, 3_500, now_ms=100.0) == pytest.approx(10.0)
+    assert take_part(link, 3_500, now_ms=100.0) == pytest.approx(20.0)
+    assert take_part(link, 3_500, now_ms=115.0) == pytest.approx(15.0)
+    # A link that was idle saves up nothing.
+    assert take_part(link, 3_500, now_ms=900.0) == pytest.approx(10.0)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -17,6 +17,7 @@
 from bergamotferry.window_budget import note_request
 
 from .answer_framing import HOP_HEADERS
+from .answer_sending import send_answer
 from .clock import now_ns
 from .direct_host import DirectHost, budget_of
 from .direct_placing import DirectRequest
@@ -34,7 +35,7 @@
 
 async def answer_request(
     host: DirectHost, http: aiohttp.ClientSession, request: web.Request
-) -> web.Response:
+) -> web.StreamResponse:
     """Answer one request of a caller."""
     began_ns = now_ns()
     host.n_in_flight += 1
@@ -46,14 +47,10 @@
         outcome = await serve_request(host, http, accepted)
         if isinstance(outcome, Refused):
             return _refusal(host, request, outcome, began_ns, accepted)
-        response = web.Response(
-            status=outcome.status, headers=outcome.headers, body=outcome.body
-        )
         is_failure = outcome.status >= 500
         code = ResultCode.UPSTREAM_FAILED if is_failure else ResultCode.SERVED
         note_answered(host.metrics, accepted.route.kind, code, _passed_ms(began_ns))
-        _end_connection_if_stopping(host, response)
-        return response
+        return await send_answer(host.link, request, outcome, host.is_stopping)
     finally:
         host.n_in_flight -= 1
         if host.n_in_flight == 0:
@@ -153,7 +150,8 @@
         headers["Retry-After"] = f"{pause_s:.2f}"
     text = f"{int(refusal.code)} {refusal.code.name}\n"
     response = web.Response(status=status, headers=headers, text=text)
-    _end_connection_if_stopping(host, response)
+    if host.is_stopping:
+        response.force_close()
     return response
 
 
@@ -171,11 +169,6 @@
     return (now_ns() - began_ns) / 1e6
 
 
-def _end_connection_if_stopping(host: DirectHost, response: web.Response) -> None:
-    if host.is_stopping:
-        response.force_close()
-
-
 def _passed_headers(request: web.Request) -> CIMultiDict[str]:
     """Return the caller's headers without those that concern its connection only."""
     named = request.headers.get("Connection", "").lower().split(",")
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -57,7 +57,7 @@
     reload_on_hangup(read_settings, lambda seeds: add_control_hosts(host, seeds))
     async with open_direct_session() as http:
 
-        async def on_request(request: web.Request) -> web.Response:
+        async def on_request(request: web.Request) -> web.StreamResponse:
             return await answer_request(host, http, request)
 
         async def on_ready(request: web.Request) -> web.Response:
--- a/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
@@ -7,9 +7,9 @@
 
 from bergamotferry.answer_link import (
     enqueue_answer,
-    expected_wait_ms,
     is_large,
     leave_link,
+    may_wait,
     note_fetched,
     take_startable,
 )
@@ -44,7 +44,9 @@
         yield LinkTurn()
         return
     work = host.work_times[request.route.name]
-    if not _is_wait_worthwhile(host, request, work):
+    objective_ms = float(request.route.latency_objective_ms)
+    left_ms, has_come_back = _left_ms(request), request.has_come_back
+    if not may_wait(host.link, work.mean_ms, left_ms, objective_ms, has_come_back):
         # Other hosts' links may have room now.
         request.may_return_at_once = True
         yield Refused(ResultCode.QUEUE_FULL, "the link is busy for too long")
@@ -71,20 +73,6 @@
     _begin_turns(host)
 
 
-def _is_wait_worthwhile(
-    host: DirectHost, request: DirectRequest, work: WorkTime
-) -> bool:
-    """Return whether a turn would come in time.
-
-    A caller that comes for the first time can still be answered within its latency
-    objective by another host; one that came back waits for as long as it can.
-    """
-    left_ms = _left_ms(request)
-    if not request.has_come_back:
-        left_ms = min(left_ms, request.route.latency_objective_ms)
-    return expected_wait_ms(host.link) + work.mean_ms <= left_ms
-
-
 async def _wait_for(
     turn: "asyncio.Future[None]", request: DirectRequest, work: WorkTime
 ) -> Refused | None:
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_answer_sending.py
@@ -0,0 +1,110 @@
+"""Answers on their way to callers: whole, and large ones at the pace of the link."""
+
+import asyncio
+import time
+
+import aiohttp
+from aiohttp import web
+
+from bergamotferry.answer_link import AnswerLink
+from bergamotferry_host.answer_sending import send_answer
+from bergamotferry_host.direct_call import SendOutcome
+
+SMALL, LARGE = b"s" * 500, bytes(range(256)) * 160
+# The link takes 328 ms for the large answer.
+LINK_MBPS = 1.0
+LARGE_MS = len(LARGE) / AnswerLink.from_config(LINK_MBPS).bytes_per_ms
+
+
+def play(link_mbps, work, ends_connection=False):
+    """Serve both answers on a link; return what the work makes of the address."""
+
+    async def run():
+        link = AnswerLink.from_config(link_mbps)
+
+        async def answer(request):
+            body = LARGE if request.path == "/large" else SMALL
+            outcome = SendOutcome("answered", "", 200, {"X-Way": "1"}, body)
+            return await send_answer(link, request, outcome, ends_connection)
+
+        app = web.Application()
+        app.router.add_get("/{name}", answer)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+        try:
+            async with aiohttp.ClientSession() as http:
+                return await work(http, url)
+        finally:
+            await runner.cleanup()
+
+    return asyncio.run(run())
+
+
+async def get(http, url):
+    """Return the response, its body and after how long it was whole, in ms."""
+    began_s = time.monotonic()
+    async with http.get(url) as response:
+        body = await response.read()
+    return response, body, (time.monotonic() - began_s) * 1000
+
+
+def test_a_large_answer_comes_whole_at_the_pace_of_the_link():
+    async def work(http, url):
+        return await get(http, f"{url}/large")
+
+    response, body, took_ms = play(LINK_MBPS, work)
+    assert body == LARGE
+    assert response.headers["Content-Length"] == str(len(LARGE))
+    assert response.headers["X-Way"] == "1"
+    # All but the last part have left the link by then.
+    assert took_ms >= 0.7 * LARGE_MS
+
+
+def test_two_large_answers_share_the_pace():
+    async def work(http, url):
+        return await asyncio.gather(*(get(http, f"{url}/large") for _ in range(2)))
+
+    rows = play(LINK_MBPS, work)
+    assert [row[1] for row in rows] == [LARGE] * 2
+    # The last part of each is not waited for.
+    assert max(row[2] for row in rows) >= 1.5 * LARGE_MS
+
+
+def test_a_small_answer_is_not_held_up_by_a_large_one():
+    async def work(http, url):
+        large = asyncio.create_task(get(http, f"{url}/large"))
+        await asyncio.sleep(LARGE_MS / 4000)
+        small = await get(http, f"{url}/small")
+        assert not large.done()
+        return small[1], (await large)[1]
+
+    assert play(LINK_MBPS, work) == (SMALL, LARGE)
+
+
+def test_on_a_quick_link_nothing_is_paced():
+    async def work(http, url):
+        return await get(http, f"{url}/large")
+
+    response, body, _ = play(1000.0, work)
+    assert body == LARGE
+    assert response.headers["Content-Length"] == str(len(LARGE))
+
+
+def test_a_caller_that_leaves_ends_its_answer_only():
+    async def work(http, url):
+        async with http.get(f"{url}/large") as response:
+            await response.content.readexactly(10_000)
+            response.close()
+        return (await get(http, f"{url}/large"))[1]
+
+    assert play(LINK_MBPS, work) == LARGE
+
+
+def test_a_host_that_stops_ends_the_connection_after_either_answer():
+    async def work(http, url):
+        rows = [await get(http, f"{url}/{name}") for name in ("small", "large")]
+        return [row[0].headers["Connection"] for row in rows]
+
+    assert play(LINK_MBPS, work, ends_connection=True) == ["close", "close"]
