Say until when keys stay with a holder that can't be asked

Cause: the trace of keys without a holder needed lines that the product did not write: a release that failed left nothing in the log. Change: "range not released" with the reason and the longest time until the move, once for each reason; a test plays a silent holder.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -23,7 +23,13 @@
 from .fleet_control import ControlHost, leads_with_newest_tables
 from .group_commit import commit
 from .logs import log, log_warning
-from .range_calls import CALL_TIMEOUT_S, RangeCallPaths, call_grant, call_release
+from .range_calls import (
+    CALL_TIMEOUT_S,
+    CallResult,
+    RangeCallPaths,
+    call_grant,
+    call_release,
+)
 
 TICK_S = 0.1
 # Without a leader for five seconds no holder may lose its keys.
@@ -38,6 +44,7 @@
 SILENT_NS = 3_500_000_000
 N_MOVES_MAX = 4
 NS_PER_S = 1_000_000_000
+NS_PER_MS = 1_000_000
 _NOT_CARRIED_OUT = frozenset({"newer_token", "refused", "not_sent"})
 
 
@@ -58,6 +65,7 @@
     is_busy: bool = False
     is_released: bool = False
     is_dead: bool = False
+    release_result: CallResult = "done"
     handover: str = ""
 
 
@@ -218,6 +226,9 @@
                 hold.handover = answer.handover
             elif answer.result == "no_process":
                 hold.is_dead = True
+            else:
+                _log_kept(row, hold, answer.result)
+            hold.release_result = answer.result
         if row is not None and not _is_free(host, row, hold):
             return
         await _assign(host, move, hold)
@@ -225,6 +236,20 @@
         hold.is_busy = False
 
 
+def _log_kept(row: KeyRange, hold: Hold, result: CallResult) -> None:
+    """Say, once for each reason, that keys stay with a holder that can't be asked."""
+    if result == hold.release_result:
+        return
+    log_warning(
+        "range not released",
+        upstream=row.upstream,
+        token=row.token,
+        result=result,
+        moves_within_ms=max(0, (hold.until_ns - now_ns()) // NS_PER_MS),
+        **_span(row),
+    )
+
+
 async def _assign(host: ControlHost, move: WantedRange, hold: Hold) -> None:
     row = move.current
     command = AssignRange(
--- a/packages/bergamotferry_host/tests/test_range_duty.py
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -202,6 +202,22 @@
     assert play.two_held == []
 
 
+def test_it_is_said_once_until_when_a_silent_holder_keeps_its_keys(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        range_duty, "log_warning", lambda event, **row: lines.append((event, row))
+    )
+    play = Play(monkeypatch, "u1", "u2")
+    play.beat("u1", "u2")
+    play_out(play, (0.3, leave(play, "u1", "dark")), (2 * HOLD_S, lambda: None))
+    said = [row for event, row in lines if event == "range not released"]
+    assert len(said) == 16
+    assert {row["result"] for row in said} == {"unsure"}
+    assert {row["upstream"] for row in said} == {"u1"}
+    longest_ms = range_duty.CLOCK_RATE_BOUND * HOLD_S * 1000 + 50
+    assert all(0 < row["moves_within_ms"] <= longest_ms for row in said)
+
+
 def test_a_leader_lease_that_lapses_for_moments_puts_no_move_off(monkeypatch):
     # On an unstable network the leader's lease runs out and comes back, in one term.
     play = Play(monkeypatch, "u1", "u2")
