--- /dev/null
+++ b/packages/bergamotferry_host/tests/direct_play.py
@@ -0,0 +1,162 @@
+"""A host that sends directly, with upstreams that behave as told, and its callers."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+
+from bergamotferry.configuration import (
+    CallerLimits,
+    Configuration,
+    DirectRoute,
+    DirectService,
+    WeightedService,
+)
+from bergamotferry.direct_placement import UpstreamLoad
+from bergamotferry.upstream_sessions import SessionRow
+from bergamotferry_host.direct_call import open_direct_session
+from bergamotferry_host.direct_host import DirectHost, Upstream
+from bergamotferry_host.direct_request import answer_request
+from bergamotferry_host.fleet_settings import FleetSettings
+from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.peer_link import PeerHandlers
+from bergamotferry_host.peer_network import PeerNetwork
+
+SETTINGS = FleetSettings(
+    name="127.0.0.1",
+    label="h",
+    data_centre="a",
+    region="north",
+    regions={"a": "north", "b": "south"},
+    peer_port=1,
+    seeds=("127.0.0.1",),
+)
+NAMES = SETTINGS.headers
+Behaviour = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def route(kind="safe", **changes) -> DirectRoute:
+    row = DirectRoute(
+        kind,
+        "a.example",
+        f"/{kind}/",
+        kind,
+        400,
+        300,
+        1,
+        2,
+        (WeightedService("lamps", 1),),
+        (),
+    )
+    return row._replace(**changes)
+
+
+async def served(request: web.Request) -> web.StreamResponse:
+    headers = {NAMES.request_id: request.headers[NAMES.request_id], NAMES.seal: "s"}
+    return web.Response(text="whole", headers=headers)
+
+
+async def failed(request: web.Request) -> web.StreamResponse:
+    headers = {NAMES.request_id: request.headers[NAMES.request_id], NAMES.seal: "s"}
+    return web.Response(status=500, headers=headers)
+
+
+async def full(request: web.Request) -> web.StreamResponse:
+    return web.Response(status=503, headers={NAMES.not_run: "1"})
+
+
+async def reset(request: web.Request) -> web.StreamResponse:
+    request.transport.abort()
+    return web.Response()
+
+
+async def slow(request: web.Request) -> web.StreamResponse:
+    await asyncio.sleep(1)
+    return await served(request)
+
+
+async def not_held(request: web.Request) -> web.StreamResponse:
+    return web.Response(status=421, headers={NAMES.not_run: "1"})
+
+
+class Play:
+    """A host, its upstreams by name, and which of them ran what."""
+
+    def __init__(self) -> None:
+        network = PeerNetwork("h", "t", {}, PeerHandlers(None, None, None))
+        self.host = DirectHost(SETTINGS, network, lambda source: [])
+        self.seen: list[tuple[str, str]] = []
+        self.left: list[str] = []
+        self.stack = contextlib.AsyncExitStack()
+        self.url = ""
+
+    async def __aenter__(self):
+        http = await self.stack.enter_async_context(open_direct_session())
+
+        async def on_request(request):
+            return await answer_request(self.host, http, request)
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", on_request)
+        self.url = await self.listen(edge_runner(app, EdgeLimits(50), 0.1))
+        self.http = await self.stack.enter_async_context(aiohttp.ClientSession())
+        return self
+
+    async def __aexit__(self, *error):
+        await self.stack.aclose()
+
+    async def listen(self, runner) -> str:
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.stack.push_async_callback(runner.cleanup)
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    def configure(self, *routes: DirectRoute, is_sharded=False) -> None:
+        service = DirectService("lamps", "/health", 9, 3.0, 3.0, is_sharded, 0.0)
+        self.host.configuration = Configuration.from_rows(
+            1, routes, [service], CallerLimits()
+        )
+
+    async def add(self, name: str, behaviour: Behaviour, data_centre="a") -> None:
+        async def on_request(request):
+            if request.path == "/health":
+                headers = {NAMES.upstream: name, NAMES.load: "0,0,2,100"}
+                return web.Response(headers=headers)
+            self.seen.append((name, request.headers[NAMES.request_id]))
+            try:
+                return await behaviour(request)
+            except asyncio.CancelledError:
+                self.left.append(name)
+                raise
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", on_request)
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        address = await self.listen(runner)
+        row = SessionRow(name, 1, 1, "lamps", address, data_centre, 2, "ready", 0)
+        upstream = Upstream(row, UpstreamLoad(2))
+        # Names in order are quicker in order, so that the first is tried first.
+        upstream.load.speed = 0.2 + 0.2 * len(self.host.upstreams)
+        self.host.upstreams[name] = upstream
+        self.host.by_service.setdefault("lamps", []).append(upstream)
+
+    async def ask(self, path: str, request_id="r1", **headers):
+        async with self.http.post(
+            f"http://{self.url}{path}",
+            headers={"Host": "a.example", NAMES.request_id: request_id, **headers},
+            data=b"body",
+        ) as answer:
+            return answer, await answer.text()
+
+
+def played(work: Callable[[Play], Awaitable[None]]) -> Play:
+    async def run():
+        async with Play() as play:
+            # The budget of a host that has run for long.
+            play.host.began_ns -= 60_000_000_000
+            await work(play)
+        return play
+
+    return asyncio.run(run())
