Serve large answers that can still be in time first on a busy link

Cause: a narrow link that is behind served large answers in order, so that all of them missed their latency objective by the same wait.

Change: an answer that can still come in time goes first, each kind in order; every fourth turn is the oldest one's, so that late ones come too. What a caller has waited at other hosts counts.

Hosts with quick links never have a large answer and take none of this code.

--- a/packages/bergamotferry/src/bergamotferry/answer_link.py
+++ b/packages/bergamotferry/src/bergamotferry/answer_link.py
@@ -4,8 +4,10 @@
 every large answer under way keeps a window of bytes queued, and what comes after waits
 behind all of them: small answers, new connections, and the host's own control traffic.
 So only as many large answers are under way as the link carries within a short time; the
-others wait here, in order, where they hold neither the link nor a slot of an upstream.
-On a link that is quick for its answers nothing ever waits.
+others wait here, where they hold neither the link nor a slot of an upstream. Those that
+can still come within their latency objective go first, since a link that is behind
+would otherwise bring every one late; now and then the oldest goes, so that late ones
+come too. On a link that is quick for its answers nothing ever waits.
 
 Callers choose their host blindly, so one link may be busy for seconds while others are
 idle. A caller that comes for the first time is kept for a short wait only; otherwise it
@@ -13,12 +15,15 @@
 """
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 # An answer that takes the link this long is large.
 LARGE_MS = 40.0
 # What may be under way at once, by how long the link takes for it: on a slow link, one
 # usual answer that goes out to its caller, and another that is fetched meanwhile.
 UNDER_WAY_MAX_MS = 800.0
+# Each so many turns the oldest answer begins, whether it can be in time or not.
+OLDEST_EVERY = 4
 # A part of a large answer; on the slowest links a small answer waits for it some 25 ms.
 PART_BYTES = 8_192
 # Each byte comes in from the upstream and goes out to the caller.
@@ -30,6 +35,13 @@
 FIRST_WAIT_SHARE = 0.4
 
 
+class WaitingAnswer(NamedTuple):
+    """What the link will carry for an answer, and until when it begins in time."""
+
+    n_bytes: float
+    begin_by_ms: float
+
+
 @dataclass(slots=True)
 class AnswerLink:
     """Large answers under way and waiting, by number, with the bytes still to carry.
@@ -41,8 +53,9 @@
 
     bytes_per_ms: float
     out_free_ms: float = 0.0
+    n_started: int = 0
     under_way: dict[int, float] = field(default_factory=dict)
-    waiting: dict[int, float] = field(default_factory=dict)
+    waiting: dict[int, WaitingAnswer] = field(default_factory=dict)
 
     @classmethod
     def from_config(cls, link_mbps: float) -> "AnswerLink":
@@ -57,7 +70,8 @@
 
 def expected_wait_ms(link: AnswerLink) -> float:
     """Return about how long one more large answer would wait before it may begin."""
-    n_bytes = sum(link.under_way.values()) + sum(link.waiting.values())
+    n_bytes = sum(link.under_way.values())
+    n_bytes += sum(row.n_bytes for row in link.waiting.values())
     return max(0.0, n_bytes / link.bytes_per_ms - UNDER_WAY_MAX_MS / 2)
 
 
@@ -89,19 +103,40 @@
     return expected_wait_ms(link) <= longest_ms
 
 
-def enqueue_answer(link: AnswerLink, number: int, n_bytes: float) -> None:
-    """Add a large answer to those that wait."""
-    link.waiting[number] = N_CROSSINGS * n_bytes
+def enqueue_answer(
+    link: AnswerLink, number: int, n_bytes: float, due_in_ms: float, now_ms: float
+) -> None:
+    """Add a large answer to those that wait.
+
+    Parameters
+    ----------
+    link : AnswerLink
+        Of the host.
+    number : int
+        Names the answer.
+    n_bytes : float
+        About its size.
+    due_in_ms : float
+        Until its upstream's work would have to begin, for the answer to be with its
+        caller within the latency objective if it took the link no time.
+    now_ms : float
+        The time.
+    """
+    n_carried = N_CROSSINGS * n_bytes
+    begin_by_ms = now_ms + due_in_ms - n_carried / link.bytes_per_ms
+    link.waiting[number] = WaitingAnswer(n_carried, begin_by_ms)
 
 
-def take_startable(link: AnswerLink) -> list[int]:
-    """Return the answers that may begin now, in the order in which they came."""
+def take_startable(link: AnswerLink, now_ms: float) -> list[int]:
+    """Return the answers that may begin now, in their order."""
     started: list[int] = []
-    for number, n_bytes in list(link.waiting.items()):
-        n_after = sum(link.under_way.values()) + n_bytes
+    while link.waiting:
+        number = _next_answer(link, now_ms)
+        n_after = sum(link.under_way.values()) + link.waiting[number].n_bytes
         if link.under_way and n_after > UNDER_WAY_MAX_MS * link.bytes_per_ms:
             break
-        link.under_way[number] = link.waiting.pop(number)
+        link.under_way[number] = link.waiting.pop(number).n_bytes
+        link.n_started += 1
         started.append(number)
     return started
 
@@ -129,3 +164,12 @@
     """Forget an answer that went out, has failed, or is not wanted any more."""
     link.under_way.pop(number, None)
     link.waiting.pop(number, None)
+
+
+def _next_answer(link: AnswerLink, now_ms: float) -> int:
+    if link.n_started % OLDEST_EVERY == 0:
+        return next(iter(link.waiting))
+    for number, row in link.waiting.items():
+        if now_ms <= row.begin_by_ms:
+            return number
+    return next(iter(link.waiting))
--- a/packages/bergamotferry/tests/test_answer_link.py
+++ b/packages/bergamotferry/tests/test_answer_link.py
@@ -27,6 +27,13 @@
 SMALL_BYTES, LARGE_BYTES = 5_000, 90_000
 SMALL_PER_S, LARGE_PER_S = 8.0, 1.1
 WORK_MS = 160.0
+PLAY_OBJECTIVE_MS = 1_600.0
+NOW_MS = 1_000.0
+
+
+def enqueue_in_time(link, number, n_bytes):
+    """Add an answer that will be in time whenever it begins."""
+    enqueue_answer(link, number, n_bytes, due_in_ms=1e9, now_ms=NOW_MS)
 
 
 def test_nothing_waits_on_a_quick_link_or_one_without_a_bound():
@@ -39,18 +46,18 @@
 def test_large_answers_begin_in_order_as_others_go_out():
     link = AnswerLink.from_config(2.8)
     for number in range(4):
-        enqueue_answer(link, number, LARGE_BYTES)
-    assert take_startable(link) == [0]
-    assert take_startable(link) == []
+        enqueue_in_time(link, number, LARGE_BYTES)
+    assert take_startable(link, NOW_MS) == [0]
+    assert take_startable(link, NOW_MS) == []
     leave_link(link, 1)
     # The first one came in, and has 257 ms of the link to go.
     assert 250 < note_fetched(link, 0, LARGE_BYTES) < 260
-    assert take_startable(link) == [2]
-    assert take_startable(link) == []
+    assert take_startable(link, NOW_MS) == [2]
+    assert take_startable(link, NOW_MS) == []
     leave_link(link, 0)
-    assert take_startable(link) == []
+    assert take_startable(link, NOW_MS) == []
     note_fetched(link, 2, LARGE_BYTES)
-    assert take_startable(link) == [3]
+    assert take_startable(link, NOW_MS) == [3]
     # One that left already is not taken up again.
     note_fetched(link, 0, LARGE_BYTES)
     assert set(link.under_way) == {2, 3}
@@ -59,10 +66,10 @@
 def test_one_that_is_larger_than_all_that_may_be_under_way_goes_alone():
     link = AnswerLink.from_config(1.0)
     for number in range(2):
-        enqueue_answer(link, number, 1e6)
-    assert take_startable(link) == [0]
+        enqueue_in_time(link, number, 1e6)
+    assert take_startable(link, NOW_MS) == [0]
     leave_link(link, 0)
-    assert take_startable(link) == [1]
+    assert take_startable(link, NOW_MS) == [1]
 
 
 def test_the_wait_grows_with_what_is_ahead():
@@ -70,8 +77,8 @@
     assert expected_wait_ms(link) == 0.0
     waits = []
     for number in range(12):
-        enqueue_answer(link, number, LARGE_BYTES)
-        take_startable(link)
+        enqueue_in_time(link, number, LARGE_BYTES)
+        take_startable(link, NOW_MS)
         waits.append(expected_wait_ms(link))
     assert waits == sorted(waits)
     # Twelve answers of 514 ms each are ahead.
@@ -120,10 +127,11 @@
             began[number] = (at, is_big)
             sizes[number] = (LARGE_BYTES if is_big else SMALL_BYTES) * spread
             if is_big and has_turns:
-                enqueue_answer(link, number, LARGE_BYTES)
+                due_in_ms = PLAY_OBJECTIVE_MS - WORK_MS - (now - at)
+                enqueue_answer(link, number, LARGE_BYTES, due_in_ms, now)
             else:
                 start(number)
-        for which in take_startable(link):
+        for which in take_startable(link, now):
             start(which)
         for at, which in [row for row in ready if row[0] <= now]:
             ready.remove((at, which))
@@ -187,7 +195,7 @@
         now, born, has_come_back = heapq.heappop(arrivals)
         (which,) = rng.choices(range(N_HOSTS), weights)
         ahead_ms = max(0.0, free_ms[which] - now)
-        links[which].waiting = {0: ahead_ms * bytes_per_ms}
+        links[which].under_way = {0: ahead_ms * bytes_per_ms}
         left_ms = DEADLINE_MS - (now - born)
         if not may_wait(links[which], WORK_MS, left_ms, OBJECTIVE_MS, has_come_back):
             n_failed += has_come_back
@@ -217,7 +225,7 @@
 def test_who_may_wait_for_the_link():
     link = AnswerLink.from_config(2.8)
     for number in range(6):
-        enqueue_answer(link, number, LARGE_BYTES)
+        enqueue_in_time(link, number, LARGE_BYTES)
     # About 2.7 s are ahead.
     assert not may_wait(link, WORK_MS, DEADLINE_MS, OBJECTIVE_MS, False)
     assert may_wait(link, WORK_MS, DEADLINE_MS, OBJECTIVE_MS, True)
@@ -236,3 +244,86 @@
     assert take_part(link, 3_500, now_ms=115.0) == pytest.approx(15.0)
     # A link that was idle saves up nothing.
     assert take_part(link, 3_500, now_ms=900.0) == pytest.approx(10.0)
+
+
+def test_answers_that_can_still_be_in_time_go_first():
+    link = AnswerLink.from_config(2.8)
+    # An answer takes the link 514 ms, so the second one is late already.
+    for number, due_in_ms in enumerate((5_000.0, 500.0, 700.0, 5_000.0)):
+        enqueue_answer(link, number, LARGE_BYTES, due_in_ms, NOW_MS)
+    began = []
+    for passed_ms in (0.0, 100.0, 500.0, 500.0):
+        began += take_startable(link, NOW_MS + passed_ms)
+        for number in list(link.under_way):
+            leave_link(link, number)
+    assert began == [0, 2, 3, 1]
+
+
+def test_every_fourth_turn_is_the_oldest_ones():
+    link = AnswerLink.from_config(2.8)
+    for number in range(8):
+        # The first three can't be in time any more.
+        due_in_ms = 0.0 if number < 3 else 1e9
+        enqueue_answer(link, number, LARGE_BYTES, due_in_ms, NOW_MS)
+    began = []
+    while link.waiting:
+        began += take_startable(link, NOW_MS)
+        for number in list(link.under_way):
+            leave_link(link, number)
+    assert began == [0, 3, 4, 5, 1, 6, 7, 2]
+
+
+def play_behind(load: float, seed: int, knows_objective: bool) -> tuple[float, float]:
+    """Return the shares of large answers in time, and never served, on one link.
+
+    The link carries those under way one after the other. Callers wait to their
+    deadline; without the objective, all wait in the order in which they came.
+    """
+    rng = random.Random(seed)
+    link = AnswerLink.from_config(2.6)
+    mean_ms = N_CROSSINGS * LARGE_BYTES / link.bytes_per_ms
+    arrivals, now = deque(), 0.0
+    while now < LENGTH_MS:
+        now += rng.expovariate(load / mean_ms)
+        arrivals.append(now)
+    n_all, n_in_time, n_served = len(arrivals), 0, 0
+    began: dict[int, float] = {}
+    ready: deque[tuple[int, float]] = deque()
+    now, number = 0.0, 0
+    while arrivals or link.waiting or ready:
+        while arrivals and arrivals[0] <= now:
+            number += 1
+            began[number] = arrivals.popleft()
+            due_in_ms = OBJECTIVE_MS - WORK_MS if knows_objective else 1e9
+            due_in_ms -= now - began[number]
+            enqueue_answer(link, number, LARGE_BYTES, due_in_ms, now)
+        for which in list(link.waiting):
+            if now - began[which] > DEADLINE_MS - WORK_MS:
+                leave_link(link, which)
+        for which in take_startable(link, now):
+            ready.append((which, now + WORK_MS))
+        if not ready:
+            now = arrivals[0] if arrivals else now
+            continue
+        which, at = ready.popleft()
+        now = max(now, at) + mean_ms * rng.lognormvariate(-0.18, 0.6)
+        leave_link(link, which)
+        n_in_time += now - began[which] <= OBJECTIVE_MS
+        n_served += now - began[which] <= DEADLINE_MS
+    return n_in_time / n_all, 1 - n_served / n_all
+
+
+@pytest.mark.parametrize("load", [0.9, 1.1])
+def test_a_link_that_is_behind_still_brings_answers_in_time(load):
+    known = [play_behind(load, seed, True) for seed in range(5)]
+    in_order = [play_behind(load, seed, False) for seed in range(5)]
+    n_in_time, n_in_time_in_order = (
+        sum(r[0] for r in rows) for rows in (known, in_order)
+    )
+    n_failed, n_failed_in_order = (
+        sum(r[1] for r in rows) for rows in (known, in_order)
+    )
+    print(load, n_in_time, n_in_time_in_order, n_failed, n_failed_in_order)
+    assert n_in_time >= 1.2 * n_in_time_in_order
+    # Those that wait longer for it may fail, but fewer than come in time instead.
+    assert n_failed - n_failed_in_order <= 0.5 * (n_in_time - n_in_time_in_order)
--- a/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
@@ -51,12 +51,9 @@
         request.may_return_at_once = True
         yield Refused(ResultCode.QUEUE_FULL, "the link is busy for too long")
         return
-    number = next(host.link_numbers)
     turn = LinkTurn()
-    begun: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-    host.link_turns[number] = begun
-    enqueue_answer(host.link, number, work.answer_bytes)
-    _begin_turns(host)
+    due_in_ms = objective_ms - _passed_ms(work, left_ms) - work.mean_ms
+    number, begun = _enqueue(host, work.answer_bytes, due_in_ms)
     try:
         yield await _wait_for(begun, request, work) or turn
     finally:
@@ -68,6 +65,17 @@
         )
 
 
+def _enqueue(
+    host: DirectHost, n_bytes: float, due_in_ms: float
+) -> tuple[int, "asyncio.Future[None]"]:
+    number = next(host.link_numbers)
+    begun: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    host.link_turns[number] = begun
+    enqueue_answer(host.link, number, n_bytes, due_in_ms, _now_ms())
+    _begin_turns(host)
+    return number, begun
+
+
 def _end_turn(host: DirectHost, number: int) -> None:
     leave_link(host.link, number)
     _begin_turns(host)
@@ -86,7 +94,7 @@
 
 
 def _begin_turns(host: DirectHost) -> None:
-    for number in take_startable(host.link):
+    for number in take_startable(host.link, _now_ms()):
         turn = host.link_turns.get(number)
         if turn is not None and not turn.done():
             turn.set_result(None)
@@ -94,3 +102,12 @@
 
 def _left_ms(request: DirectRequest) -> float:
     return (request.give_up_ns - now_ns()) / 1e6
+
+
+def _passed_ms(work: WorkTime, left_ms: float) -> float:
+    """Return about how long a caller has waited, here and at other hosts."""
+    return max(0.0, work.longest_left_ms - left_ms)
+
+
+def _now_ms() -> float:
+    return now_ns() / 1e6
