Let the soak's links to upstreams be slow, silent one way, and reset

The links run through the fault proxy of the test kit, overlapping with kills, freezes, crashes and stops. An upstream whose connection was reset met no transport to abort, in the test itself; mended.

--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -1,8 +1,9 @@
 """A seeded soak of the platform's programs: real processes, faults by signals.
 
 Callers keep connections open and go on while hosts are killed, frozen, stopped and
-started, upstreams crash and come back as new incarnations, and configurations change.
-What callers, upstreams and the operator saw is checked afterwards. By hand:
+started, upstreams crash and come back as new incarnations, their links are slow, silent
+in one direction, or reset, and configurations change. What callers, upstreams and the
+operator saw is checked afterwards. By hand:
 
     python packages/bergamotferry_testkit/tests/platform_soak.py --seed 1 --seconds 60
 """
@@ -33,9 +34,14 @@
     version_of,
 )
 
+from bergamotferry_testkit.fault_proxy import FaultProxy, Pair
+
 CORES = [f"127.8.{number}.1" for number in (1, 2, 3)]
 EDGES = [f"127.8.{number}.9" for number in (1, 2)]
 N_TARGETS = 4
+TARGETS = [str(number) for number in range(N_TARGETS)]
+# What the proxy calls the two ends of the links to upstreams.
+HOSTS = "hosts"
 N_CALLERS = 8
 HEARTBEAT_S = 0.4
 UP_WITHIN_S = 30.0
@@ -50,7 +56,11 @@
     ("stop", CORES),
     ("stop", EDGES),
     ("hangup", [*CORES, *EDGES]),
-    ("crash", [str(number) for number in range(N_TARGETS)]),
+    ("crash", TARGETS),
+    ("slow link", TARGETS),
+    ("deaf link", TARGETS),
+    ("mute link", TARGETS),
+    ("reset link", TARGETS),
     ("configure", [""]),
     ("kill all cores", [""]),
 )
@@ -96,16 +106,26 @@
         return f"i-{self.number}-{self.born}"
 
     @property
-    def address(self) -> str:
+    def own_address(self) -> str:
         return f"127.8.1.{50 + self.number}:18099"
 
+    @property
+    def link(self) -> Pair:
+        """The link from all hosts to it, on a port of the proxy."""
+        return Pair(HOSTS, str(self.number), 18100 + self.number, self.own_address)
+
+    @property
+    def address(self) -> str:
+        """Where hosts reach it."""
+        return f"127.0.0.1:{self.link.listen_port}"
+
     async def start(self) -> None:
         app = web.Application()
         app.router.add_get("/health", self.on_health)
         app.router.add_route("*", "/{path:.*}", self.on_request)
         self.runner = web.AppRunner(app, shutdown_timeout=0.05)
         await self.runner.setup()
-        ip, port = self.address.split(":")
+        ip, port = self.own_address.split(":")
         await web.TCPSite(self.runner, ip, int(port), reuse_address=True).start()
 
     async def crash(self) -> None:
@@ -126,7 +146,8 @@
         request_id = request.headers["X-Request-Id"]
         self.runs.append(request_id)
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
-        if self.rng.random() < 0.01:
+        # A reset link may have closed the connection meanwhile.
+        if self.rng.random() < 0.01 and request.transport is not None:
             request.transport.abort()
         headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
         return web.Response(text=f"answer to {request_id}", headers=headers)
@@ -139,6 +160,7 @@
     fleet: Fleet
     rng: random.Random
     http: aiohttp.ClientSession
+    proxy: FaultProxy = field(default_factory=FaultProxy)
     targets: list[Target] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
@@ -172,6 +194,7 @@
             Target(number, soak.runs, random.Random(f"{seed} {number}"))
             for number in range(N_TARGETS)
         ]
+        links = [await soak.proxy.listen(target.link) for target in soak.targets]
         try:
             for target in soak.targets:
                 await target.start()
@@ -192,7 +215,9 @@
         finally:
             soak.is_over = True
             await fleet.end_all()
-            for target in soak.targets:
+            for target, link in zip(soak.targets, links, strict=True):
+                link.close()
+                soak.proxy.reset(HOSTS, str(target.number))
                 await target.runner.cleanup()
     return soak
 
@@ -353,6 +378,9 @@
     """Do one thing to one place, unless another is under way there."""
     _, kind, place, length_s = fault
     needed = set(CORES) if kind == "kill all cores" else {place or kind}
+    if kind.endswith("link"):
+        # A link may fail while its upstream does.
+        needed = {f"link {place}"}
     if needed & soak.busy:
         return
     soak.busy |= needed
@@ -386,6 +414,13 @@
                 fleet.send(place, signal.SIGHUP)
             case "crash":
                 await soak.targets[int(place)].crash()
+            case "slow link":
+                await _change_link(soak, place, length_s, delay_ms=300)
+            case "deaf link" | "mute link":
+                is_deaf = kind == "deaf link"
+                await _change_link(soak, place, length_s, is_deaf, is_silent=True)
+            case "reset link":
+                soak.proxy.reset(HOSTS, place)
             case "configure":
                 await _configure(soak, next(soak.versions))
         # A process that has just started must not be hit before it can handle signals.
@@ -394,6 +429,21 @@
         soak.busy -= needed
 
 
+async def _change_link(
+    soak: Soak,
+    place: str,
+    length_s: float,
+    is_towards_upstream: bool = True,
+    **rule: object,
+) -> None:
+    """Change one direction of the link to an upstream for a while."""
+    ends = [[HOSTS], [place]] if is_towards_upstream else [[place], [HOSTS]]
+    row = {"sources": ends[0], "targets": ends[1]}
+    soak.proxy.apply({**row, **rule})
+    await asyncio.sleep(length_s)
+    soak.proxy.apply({**row, "delay_ms": 0, "is_silent": False})
+
+
 def main() -> None:
     """Run one seed and print what was broken."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
