Give no keys back to a process that has ended

Change: an incarnation whose address was found without its process gets no keys until it is heard of a second later. A play of the duty failed before: its own keys move once, and none goes back.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_duty.py
@@ -42,6 +42,8 @@
 SETTLE_S = 1.5
 # Several heartbeats in a row did not come.
 SILENT_NS = 3_500_000_000
+# What an upstream sent before it ended may be heard this much later.
+LATE_HEARTBEAT_NS = 1_000_000_000
 N_MOVES_MAX = 4
 NS_PER_S = 1_000_000_000
 NS_PER_MS = 1_000_000
@@ -76,6 +78,8 @@
     term: int = 0
     holds: dict[str, Hold] = field(default_factory=dict)
     seen_ns: dict[str, int] = field(default_factory=dict)
+    # When an incarnation's address was last found without its process.
+    ended_ns: dict[tuple[str, int], int] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
 
@@ -143,7 +147,7 @@
             return
         answer = await call_grant(http, paths, row, hold_ms, host.settings.headers)
         if answer.result == "no_process":
-            hold.is_dead = True
+            _note_ended(duty, row, hold)
         elif answer.result not in _NOT_CARRIED_OUT:
             # It may be carried out as late as the call is open.
             hold.until_ns = max(hold.until_ns, now_ns() + _hold_ns(hold_ms))
@@ -225,7 +229,7 @@
                 hold.is_released = True
                 hold.handover = answer.handover
             elif answer.result == "no_process":
-                hold.is_dead = True
+                _note_ended(duty, row, hold)
             else:
                 _log_kept(row, hold, answer.result)
             hold.release_result = answer.result
@@ -236,6 +240,11 @@
         hold.is_busy = False
 
 
+def _note_ended(duty: RangeDuty, row: KeyRange, hold: Hold) -> None:
+    hold.is_dead = True
+    duty.ended_ns[row.upstream, row.born_ms] = now_ns()
+
+
 def _log_kept(row: KeyRange, hold: Hold, result: CallResult) -> None:
     """Say, once for each reason, that keys stay with a holder that can't be asked."""
     if result == hold.release_result:
@@ -305,7 +314,19 @@
     for session in host.sessions.rows.values():
         duty.seen_ns.setdefault(session.row.service, now)
     settled_ns = now - int(SETTLE_S * NS_PER_S)
+    duty.ended_ns = {
+        incarnation: ended_ns
+        for incarnation, ended_ns in duty.ended_ns.items()
+        if now - ended_ns < SILENT_NS + LATE_HEARTBEAT_NS
+    }
     failing = {
+        (name, session.row.born_ms)
+        for name, session in host.sessions.rows.items()
+        if session.heard_ns
+        < duty.ended_ns.get((name, session.row.born_ms), -LATE_HEARTBEAT_NS)
+        + LATE_HEARTBEAT_NS
+    }
+    failing |= {
         (row.upstream, row.born_ms)
         for key, row in host.tables.ranges.items()
         if key in duty.holds and not _is_wanted(host, row, duty.holds[key])
--- a/packages/bergamotferry_host/tests/test_range_duty.py
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -43,7 +43,7 @@
     def __init__(self, monkeypatch, *names):
         self.holders = {name: Holder(self, name) for name in names}
         self.two_held: list[int] = []
-        self.moved_s: dict[str, float] = {}
+        self.assigned: list[str] = []
         bounds = FleetBounds(hold_max_ms=HOLD_MAX_MS)
         settings = FleetSettings(
             "1.1.1.1", "c", "a", "n", {"a": "n"}, 1, ("1.1.1.1",), bounds=bounds
@@ -87,6 +87,7 @@
             self.two_held.append(first_key)
 
     async def commit(self, group, command):
+        self.assigned.append(command.upstream)
         return apply_fleet_command(group.tables, command)
 
     async def call_grant(self, http, paths, row, hold_ms, headers):
@@ -202,6 +203,27 @@
     assert play.two_held == []
 
 
+def test_a_process_that_has_ended_gets_no_keys_back(monkeypatch):
+    # Its last heartbeat is recent, and it has no keys any more, as one that joins.
+    play = Play(monkeypatch, "u1", "u2", "u3")
+    play.beat("u1", "u2", "u3")
+    given_back = []
+
+    def end():
+        play.holders["u1"].mode = "ended"
+        play.assigned.clear()
+
+    play_out(
+        play,
+        (0.3, end),
+        (0.8, lambda: given_back.extend(play.assigned)),
+    )
+    assert "u1" not in given_back
+    assert play.n_held("u1") == 0
+    # No more than its own keys moved.
+    assert len(given_back) <= 11
+
+
 def test_it_is_said_once_until_when_a_silent_holder_keeps_its_keys(monkeypatch):
     lines = []
     monkeypatch.setattr(
