--- a/packages/bergamotferry_host/tests/test_range_duty.py
+++ b/packages/bergamotferry_host/tests/test_range_duty.py
@@ -21,6 +21,14 @@
 HOLD_MAX_MS = 800
 HOLD_S = HOLD_MAX_MS / 1000 * range_duty.HOLD_SHARE_OF_MAX
 
+# What a call to give and one to take back come to, by what became of the holder.
+UNANSWERED = {
+    "ended": ("no_process", "no_process"),
+    "dark": ("unsure", "unsure"),
+    "unreachable": ("not_sent", "not_sent"),
+    "address_reused": ("refused", "no_process"),
+}
+
 
 class Holder:
     """What one process holds, and until when; it may leave calls unanswered."""
@@ -92,14 +100,8 @@
 
     async def call_grant(self, http, paths, row, hold_ms, headers):
         holder = self.holders[row.upstream]
-        if holder.mode == "ended":
-            return RangeAnswer("no_process")
-        if holder.mode == "dark":
-            return RangeAnswer("unsure")
-        if holder.mode == "unreachable":
-            return RangeAnswer("not_sent")
-        if holder.mode == "address_reused":
-            return RangeAnswer("refused")
+        if holder.mode in UNANSWERED:
+            return RangeAnswer(UNANSWERED[holder.mode][0])
         holder.grant(row, hold_ms)
         if holder.mode == "answer_lost":
             return RangeAnswer("unsure")
@@ -107,14 +109,8 @@
 
     async def call_release(self, http, paths, row, headers):
         holder = self.holders[row.upstream]
-        if holder.mode == "ended":
-            return RangeAnswer("no_process")
-        if holder.mode == "dark":
-            return RangeAnswer("unsure")
-        if holder.mode == "unreachable":
-            return RangeAnswer("not_sent")
-        if holder.mode == "address_reused":
-            return RangeAnswer("no_process")
+        if holder.mode in UNANSWERED:
+            return RangeAnswer(UNANSWERED[holder.mode][1])
         until_ns = holder.until_ns.pop(row.first_key, 0)
         if holder.mode == "answer_lost":
             # The last grant is carried out after the release; its time counts from
