Log which request an upstream's process ended under, in the direct mode

The line sent called a reset, a garbled answer and the end of an upstream's process all broken, and nothing told that two requests with different ids had the same content. So the three hypotheses on the ended upstreams could not be told apart.

A broken connection now counts as the end of the process if there is a proof soon after: the address refuses a connection (checked once for all losses of an upstream), another process answers there, or the next incarnation reports. An upstream that had said that it leaves has not ended this way. The lines 'upstream ended' and 'upstream ended under request' carry a short digest of the content, as does 'sent'; the metric upstream_ends_total counts the ends. No decision uses any of this yet.

The dispatcher mode's check of an address moves to address_check, which both modes use.

--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
@@ -13,12 +13,12 @@
 from bergamotferry.quarantine import Verdict, verdict_on
 from bergamotferry.slow_start import begin_ramp
 
+from .address_check import refuses_connections
 from .background import start_task
 from .clock import now_ns
 from .dispatcher_table import UpstreamWork
 from .group_commit import commit
 from .host_state import HostState
-from .http_address import split_address
 from .logs import log
 
 CONNECT_CHECK_TIMEOUT_S = 0.2
@@ -36,7 +36,10 @@
 
     The upstream's slow-start ramp begins again.
     """
-    if work.has_crashed or not await _refuses_connections(work.session.address):
+    address = work.session.address
+    if work.has_crashed or not await refuses_connections(
+        address, CONNECT_CHECK_TIMEOUT_S
+    ):
         return
     # All connections to the upstream break together, and the request on each of them
     # may reach this point. The first request records the crash for all requests that
@@ -69,16 +72,3 @@
         return
     release = commit(state.own_group, ReleaseQuarantine(fingerprint))
     start_task(release, state.dispatchers.background_tasks)
-
-
-async def _refuses_connections(address: str) -> bool:
-    ip, port = split_address(address)
-    try:
-        async with asyncio.timeout(CONNECT_CHECK_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(ip, port)
-    except ConnectionRefusedError:
-        return True
-    except (TimeoutError, OSError):
-        return False
-    writer.close()
-    return False
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -36,6 +36,7 @@
 from .fleet_start import DecodeConfiguration
 from .logs import log, log_warning
 from .peer_network import PeerNetwork
+from .upstream_ends import EndWatch, record_proof
 
 # Upstreams that left or are lost stay known, so that a control host that lags cannot
 # bring them back. They are removed only while more upstreams than this are known.
@@ -80,7 +81,8 @@
     configuration is known. ``link_turns`` are the requests that wait for a turn on
     ``link`` or hold one. ``link_timer`` is set while the next request waits for the
     start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
-    asked to fetch answers.
+    asked to fetch answers. ``end_watch`` are the connection losses that may be ends of
+    upstreams.
     """
 
     settings: FleetSettings
@@ -116,6 +118,7 @@
     link_timer: asyncio.TimerHandle | None = None
     link_numbers: Iterator[int] = field(default_factory=count)
     fetch_pauses_ns: dict[str, int] = field(default_factory=dict)
+    end_watch: EndWatch = field(default_factory=EndWatch)
 
     @property
     def is_ready(self) -> bool:
@@ -265,6 +268,8 @@
         # Recent sends to the previous process may have reached the new one, so they
         # count towards the new one's cold rate.
         cold = ColdRate(sent_ns=known.cold.sent_ns) if known else ColdRate()
+        if known is not None:
+            record_proof(host.end_watch, row.name, "next incarnation")
         known = Upstream(row, load, cold, _rendezvous_rank(host, row))
         host.upstreams[row.name] = known
         log("upstream known", upstream=row.name, service=row.service, phase=row.phase)
@@ -324,5 +329,6 @@
     A later heartbeat restores the upstream if it is still running.
     """
     log("upstream not at its address", upstream=upstream.row.name)
+    record_proof(host.end_watch, upstream.row.name, "other process")
     upstream.row = upstream.row._replace(phase="lost")
     _rebuild_upstream_index(host)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -31,6 +31,12 @@
         single_value_family(
             "in_flight", "Requests under way here.", "gauge", host.n_in_flight
         ),
+        single_value_family(
+            "upstream_ends",
+            "Upstreams that ended while they ran a request of this host.",
+            "counter",
+            host.end_watch.n_ends,
+        ),
         MetricFamily(
             "repeats_left",
             "Repeated sends that the budget of a service still allows here.",
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -78,7 +78,8 @@
     free slot, or because of this host's own link; the caller may then retry
     immediately.
     ``excluded`` names the upstreams that the next send must avoid. ``caller`` is the
-    connection to the caller, once it is known.
+    connection to the caller, once it is known. ``fingerprint`` identifies the content,
+    once it was needed.
     """
 
     request_id: str
@@ -101,6 +102,7 @@
     excluded: set[str] = field(default_factory=set)
     last_detail: str = ""
     caller: CallerAnswer | None = None
+    fingerprint: str = ""
 
     @property
     def has_answer_begun(self) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -21,6 +21,7 @@
 
 from .clock import now_ns
 from .direct_call import DirectSend, SendOutcome, send_direct
+from .direct_crashes import record_run
 from .direct_host import (
     DirectHost,
     Upstream,
@@ -38,6 +39,7 @@
 from .link_turns import has_large_answer, hold_link_turn, remote_wait_left_ms
 from .logs import log_routine
 from .send_results import record_request_result, record_upstream_result
+from .upstream_ends import N_LOGGED_CHARACTERS
 
 N_SENDS_MAX = 6
 # With less time left, a failed answer is returned instead of a retry elsewhere.
@@ -207,6 +209,7 @@
         result = outcome.result if outcome is not None else "cancelled"
         took_ms = (now_ns() - sent_ns) / 1e6
         record_request_result(request, upstream, result, outcome)
+        record_run(host, request, upstream, outcome)
         record_upstream_result(host, request, reservation, result, outcome, sent_ns)
         record_send(host.metrics, upstream.row.data_centre, result, took_ms)
         log_routine(
@@ -226,6 +229,7 @@
             report_age_ms=reservation.report_age_ms,
             through=outcome.through if outcome is not None else "",
             revision=host.revision,
+            fingerprint=request.fingerprint[:N_LOGGED_CHARACTERS],
         )
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 
 import aiohttp
 from yarl import URL
@@ -29,6 +30,7 @@
 from .clock import now_ns
 from .direct_call import parse_cold_left_ms, parse_load_report
 from .direct_host import DirectHost, Upstream, distance_of, mark_replaced
+from .upstream_ends import record_proof
 
 # A longer wait would cost the request more time than the load report saves.
 PROBE_WAIT_S: dict[Distance, float] = {"here": 0.04, "near": 0.04, "far": 0.12}
@@ -95,7 +97,9 @@
             record_report(upstream.load, report, upstream.load.n_in_flight, now_ns())
         elif response.status == 200:
             host.services_without_load.add(service.name)
-    except aiohttp.ClientConnectorError:
+    except aiohttp.ClientConnectorError as error:
+        if error.os_error.errno == errno.ECONNREFUSED:
+            record_proof(host.end_watch, upstream.row.name, "connection refused")
         record_unreachable(upstream.load, now_ns())
         record_uncertain(upstream.cold, now_ns())
     except (aiohttp.ClientError, OSError):
--- a/packages/bergamotferry_host/src/bergamotferry_host/send_results.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/send_results.py
@@ -20,6 +20,7 @@
     work_time_of,
 )
 from .direct_placing import DirectRequest, Reservation
+from .upstream_ends import record_proof
 
 
 def record_request_result(
@@ -100,6 +101,8 @@
             # overdue, so the upstream may hang.
             record_failure(load, now)
         case "no_process" | "no_connection":
+            if result == "no_process":
+                record_proof(host.end_watch, upstream.row.name, "connection refused")
             record_unreachable(load, now)
             # The next connection may be accepted by a new, cold process of that name.
             record_uncertain(upstream.cold, now)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
@@ -0,0 +1,127 @@
+"""Detects that an upstream's process ended, and which requests it was running.
+
+A connection that breaks proves little: links reset connections, and so do upstreams
+that are full or that break off one answer. The loss of a connection therefore counts as
+the end of the process only with a proof: soon after the loss the address refuses a
+connection, another process answers there, or the upstream's next incarnation reports.
+An upstream that is silent, or that had said that it leaves, has not ended this way.
+
+The losses of one upstream wait here for such a proof. The first loss starts a check of
+the address; every later send, load probe and heartbeat may prove the end as well.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Literal, NamedTuple
+
+from .address_check import refuses_connections
+from .clock import now_ns
+from .logs import log, log_routine
+
+# A proof that arrives later than this after the loss may have another cause.
+PROOF_WINDOW_NS = 3_000_000_000
+# A process that ends closes its listening socket together with its connections.
+CHECK_TIMEOUT_S = 0.25
+# Losses kept for one upstream; it can't run more requests of one host at once.
+N_LOSSES_MAX = 64
+# Fingerprints are logged by this many leading characters.
+N_LOGGED_CHARACTERS = 8
+# How the client library and the peer links report that a connection broke.
+_CONNECTION_LOSSES = frozenset(
+    {
+        "ServerDisconnectedError",
+        "ClientOSError",
+        "ClientConnectionResetError",
+        "ClientPayloadError",
+        "ConnectionResetError",
+        "BrokenPipeError",
+        # The control host that fetched the answer lost its connection.
+        "StreamBroken",
+    }
+)
+
+EndProof = Literal["connection refused", "other process", "next incarnation"]
+
+
+class InterruptedRun(NamedTuple):
+    """A request that an upstream was running when their connection broke."""
+
+    request_id: str
+    fingerprint: str
+
+
+@dataclass(slots=True)
+class _Losses:
+    runs: list[InterruptedRun] = field(default_factory=list)
+    last_ns: int = 0
+    check: "asyncio.Task[None] | None" = None
+
+
+@dataclass(slots=True)
+class EndWatch:
+    """Connection losses that wait for a proof, by upstream, and the ends proved."""
+
+    losses: dict[str, _Losses] = field(default_factory=dict)
+    n_ends: int = 0
+
+
+def is_connection_loss(result: str, detail: str) -> bool:
+    """Return whether the result of a send says that its connection broke."""
+    return result == "broken" and detail in _CONNECTION_LOSSES
+
+
+def record_connection_loss(
+    watch: EndWatch, upstream: str, address: str, run: InterruptedRun
+) -> None:
+    """Record that the connection of a running request broke, and check the address."""
+    losses = watch.losses.setdefault(upstream, _Losses())
+    now = now_ns()
+    if now - losses.last_ns > PROOF_WINDOW_NS:
+        losses.runs.clear()
+    losses.last_ns = now
+    if len(losses.runs) < N_LOSSES_MAX:
+        losses.runs.append(run)
+    if losses.check is None:
+        losses.check = asyncio.create_task(_check_address(watch, upstream, address))
+
+
+async def wait_for_check(watch: EndWatch, upstream: str) -> None:
+    """Wait until the check that a connection loss started has ended, if any."""
+    losses = watch.losses.get(upstream)
+    if losses is not None and losses.check is not None:
+        await asyncio.wait({losses.check})
+
+
+def record_proof(watch: EndWatch, upstream: str, proof: EndProof) -> None:
+    """Record that an upstream's process has ended; does nothing without a loss."""
+    losses = watch.losses.get(upstream)
+    if losses is None or not losses.runs:
+        return
+    runs, losses.runs = losses.runs, []
+    if now_ns() - losses.last_ns > PROOF_WINDOW_NS:
+        return
+    watch.n_ends += 1
+    log("upstream ended", upstream=upstream, proof=proof, n_running=len(runs))
+    for run in runs:
+        log_routine(
+            "upstream ended under request",
+            request_id=run.request_id,
+            fingerprint=run.fingerprint[:N_LOGGED_CHARACTERS],
+            upstream=upstream,
+        )
+
+
+def drop_old_losses(watch: EndWatch) -> None:
+    """Forget the losses for which no proof has come in time."""
+    now = now_ns()
+    for upstream, losses in list(watch.losses.items()):
+        if losses.check is None and now - losses.last_ns > PROOF_WINDOW_NS:
+            del watch.losses[upstream]
+
+
+async def _check_address(watch: EndWatch, upstream: str, address: str) -> None:
+    try:
+        if await refuses_connections(address, CHECK_TIMEOUT_S):
+            record_proof(watch, upstream, "connection refused")
+    finally:
+        watch.losses[upstream].check = None
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_upstream_ends.py
@@ -0,0 +1,138 @@
+"""Which broken connections count as the end of an upstream's process."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from bergamotferry_host import upstream_ends
+from bergamotferry_host.upstream_ends import (
+    EndWatch,
+    InterruptedRun,
+    drop_old_losses,
+    is_connection_loss,
+    record_connection_loss,
+    record_proof,
+    wait_for_check,
+)
+
+RUN = InterruptedRun("r1", "f1")
+
+
+@contextlib.asynccontextmanager
+async def listening_address():
+    async def on_connection(reader, writer):
+        writer.close()
+
+    server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
+
+
+async def closed_address():
+    async with listening_address() as address:
+        return address
+
+
+def ended_runs(scenario, monkeypatch):
+    """Return the requests under which upstreams ended in a scenario."""
+    ended = []
+
+    def log_routine(event, request_id, **fields):
+        ended.append(request_id)
+
+    monkeypatch.setattr(upstream_ends, "log_routine", log_routine)
+
+    async def run():
+        await scenario(EndWatch())
+
+    asyncio.run(run())
+    return ended
+
+
+def test_refused_connection_after_a_loss_proves_the_end(monkeypatch):
+    async def scenario(watch):
+        record_connection_loss(watch, "u", await closed_address(), RUN)
+        record_connection_loss(watch, "u", "", RUN._replace(request_id="r2"))
+        await wait_for_check(watch, "u")
+        assert watch.n_ends == 1
+
+    assert ended_runs(scenario, monkeypatch) == ["r1", "r2"]
+
+
+def test_connection_reset_by_a_living_upstream_is_no_end(monkeypatch):
+    async def scenario(watch):
+        async with listening_address() as address:
+            record_connection_loss(watch, "u", address, RUN)
+            await wait_for_check(watch, "u")
+
+    assert ended_runs(scenario, monkeypatch) == []
+
+
+@pytest.mark.parametrize("proof", ["other process", "next incarnation"])
+def test_later_proof_counts_within_its_time_only(monkeypatch, proof):
+    now = 1_000_000_000_000
+    monkeypatch.setattr(upstream_ends, "now_ns", lambda: now)
+
+    async def scenario(watch):
+        nonlocal now
+        async with listening_address() as address:
+            for delay_ns in (upstream_ends.PROOF_WINDOW_NS, 1):
+                record_connection_loss(watch, "u", address, RUN)
+                await wait_for_check(watch, "u")
+                now += delay_ns
+                record_proof(watch, "u", proof)
+                now += 1
+            record_connection_loss(watch, "u", address, RUN)
+            await wait_for_check(watch, "u")
+            now += upstream_ends.PROOF_WINDOW_NS + 1
+            record_proof(watch, "u", proof)
+
+    assert len(ended_runs(scenario, monkeypatch)) == 2
+
+
+def test_proof_without_a_loss_is_no_end(monkeypatch):
+    async def scenario(watch):
+        record_proof(watch, "u", "connection refused")
+        assert watch.n_ends == 0
+
+    assert ended_runs(scenario, monkeypatch) == []
+
+
+def test_losses_without_a_proof_are_forgotten(monkeypatch):
+    now = 1_000_000_000_000
+    monkeypatch.setattr(upstream_ends, "now_ns", lambda: now)
+
+    async def scenario(watch):
+        nonlocal now
+        async with listening_address() as address:
+            for number in range(200):
+                run = RUN._replace(request_id=str(number))
+                record_connection_loss(watch, "u", address, run)
+            assert len(watch.losses["u"].runs) == upstream_ends.N_LOSSES_MAX
+            await wait_for_check(watch, "u")
+        now += upstream_ends.PROOF_WINDOW_NS + 1
+        drop_old_losses(watch)
+        assert watch.losses == {}
+
+    assert ended_runs(scenario, monkeypatch) == []
+
+
+@pytest.mark.parametrize(
+    ("result", "detail", "expected"),
+    [
+        ("broken", "ServerDisconnectedError", True),
+        ("broken", "ClientPayloadError", True),
+        ("broken", "TimeoutError", False),
+        ("broken", "the answer is encoded", False),
+        ("broken", "the answer belongs to another request", False),
+        ("not_run", "status 503", False),
+        ("answered", "", False),
+    ],
+)
+def test_time_outs_and_garbled_answers_are_no_lost_connections(
+    result, detail, expected
+):
+    assert is_connection_loss(result, detail) == expected
