Stop a request that ends its upstreams on every host in the direct mode

Cause: the direct mode kept no record of what an upstream ended under. The quarantine of the dispatcher mode was the only one, and the platform does not run that mode. Each attempt went to n_attempts_max upstreams, and the next host knew nothing.

Now each host records the ends it sees and exchanges the records with control hosts, without commits and without a leader. An end counts if its run began when the earlier ones were known; a success anywhere clears the request. After three ends it is refused with 503 and 1301; after one it is not hedged, after two not retried.

Why it works: a record is a pair that only grows, so any order and repetition of messages gives the same result on all hosts, and a host that starts gets all of them.

A third test without a leader: all hosts stop it within the contact time.

--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .crash_records import CrashRecord
 from .fleet_tables import KeyRange
 from .followers import Follower
 from .key_load import KeyWork
@@ -83,6 +84,28 @@
     rows: tuple[KeyWork, ...]
 
 
+class ExchangeCrashes(NamedTuple):
+    """A host sends its new crash records to a control host and asks for that one's.
+
+    ``source`` is the process that sent the last `CrashChanges`, and ``change`` the
+    position in its changes. The reply waits for ``wait_ms`` if there is no change.
+    """
+
+    host: str
+    source: str
+    change: int
+    rows: tuple[CrashRecord, ...]
+    wait_ms: int
+
+
+class CrashChanges(NamedTuple):
+    """The crash records that changed since the position of an `ExchangeCrashes`."""
+
+    source: str
+    change: int
+    rows: tuple[CrashRecord, ...]
+
+
 class AskSessions(NamedTuple):
     """Ask a control host for all its session rows."""
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -12,6 +12,7 @@
 
 from bergamotferry import (
     commands,
+    crash_records,
     fleet_commands,
     fleet_messages,
     fleet_tables,
@@ -44,6 +45,7 @@
 _TYPES: dict[str, type] = {
     **_named_tuples(records),
     **_named_tuples(commands),
+    **_named_tuples(crash_records),
     **_named_tuples(fleet_commands),
     **_named_tuples(fleet_tables),
     **_named_tuples(upstream_load),
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -12,6 +12,7 @@
     AskCurrent,
     AskSessions,
     CurrentReply,
+    ExchangeCrashes,
     FetchAnswer,
     FollowFleet,
     KeyWorkNews,
@@ -23,6 +24,7 @@
 
 from .answer_fetching import AnswerFetching, fetch_for_host, finish_fetching
 from .control_metrics import control_families
+from .crash_exchange import answer_exchange
 from .data_folder import DataFolder
 from .direct_call import open_direct_session
 from .fleet_control import (
@@ -36,6 +38,7 @@
     answer_follow,
     answer_sessions,
     apply_session_news,
+    run_crash_exchanges,
     run_session_news,
 )
 from .fleet_settings import FleetSettings
@@ -112,6 +115,7 @@
             run_group(group),
             run_table_updates(host),
             run_session_news(host),
+            run_crash_exchanges(host),
             run_range_assignment(host, http, call_names, assignments),
             run_range_balance(host, http, call_names, assignments),
             measure_loop_delays(delays),
@@ -138,6 +142,8 @@
                 return CurrentReply(is_current(host), host.tables.revision)
             case FollowFleet():
                 return await answer_follow(host, message)
+            case ExchangeCrashes():
+                return await answer_exchange(host.crashes, message)
             case Propose():
                 return await answer_propose(group, message)
             case ReadIndex():
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
@@ -1,11 +1,78 @@
-"""Records under which requests the upstreams of a host in direct mode end."""
+"""Keeps a request that ends its upstreams from running again and again.
 
-from bergamotferry.crash_records import request_fingerprint
+A host in direct mode records each end of an upstream under a request
+(`upstream_ends`), shares the records with all hosts (`crash_exchange`), and asks them
+before a run (`crash_records`). A request is identified by its content only once a
+connection has broken under it or some record exists, so usually at no cost.
+"""
 
+import asyncio
+
+from bergamotferry.crash_records import (
+    N_ENDS_RETRIED_MAX,
+    KnownEnds,
+    known_ends,
+    quarantine_left_s,
+    record_trial,
+    request_fingerprint,
+    verdict_on,
+)
+from bergamotferry.outcomes import Refused
+from bergamotferry.result_codes import ResultCode
+
+from .clock import now_ns
+from .crash_exchange import (
+    ROUND_PAUSE_S,
+    count_success,
+    forget_old_records,
+    poll_until_changed,
+    start_exchanges,
+    wait_for_change,
+)
 from .direct_call import SendOutcome
 from .direct_host import DirectHost, Upstream
 from .direct_placing import DirectRequest
-from .upstream_ends import InterruptedRun, is_connection_loss, record_connection_loss
+from .peer_link import PeerUnreachable
+from .upstream_ends import (
+    InterruptedRun,
+    drop_old_losses,
+    is_connection_loss,
+    record_connection_loss,
+    wait_for_check,
+)
+
+
+def quarantine_refusal(host: DirectHost, request: DirectRequest) -> Refused | None:
+    """Return the refusal of a quarantined request, or None if the request may run."""
+    table = host.crashes.table
+    if not table.entries or request.is_trial:
+        return None
+    fingerprint, now = fingerprint_of(request), now_ns()
+    if verdict_on(table, fingerprint, host.settings.name, now) == "quarantined":
+        n_ends = known_ends(table, fingerprint).n_ends
+        detail = f"{n_ends} upstreams ended under it"
+        return Refused(ResultCode.REQUEST_QUARANTINED, detail)
+    request.is_trial = record_trial(table, fingerprint, now)
+    return None
+
+
+def quarantine_pause_s(host: DirectHost, request: DirectRequest) -> float:
+    """Return the time in s until this host may let a quarantined request through."""
+    table, name = host.crashes.table, host.settings.name
+    return quarantine_left_s(table, fingerprint_of(request), name, now_ns())
+
+
+def ends_known_of(host: DirectHost, request: DirectRequest) -> KnownEnds:
+    """Return the ends of upstreams that are known of a request."""
+    table = host.crashes.table
+    if not table.entries:
+        return KnownEnds()
+    return known_ends(table, fingerprint_of(request))
+
+
+def may_run_again(host: DirectHost, request: DirectRequest) -> bool:
+    """Return whether a request may be sent to one more upstream after a failure."""
+    return ends_known_of(host, request).n_ends <= N_ENDS_RETRIED_MAX
 
 
 def record_run(
@@ -13,14 +80,29 @@
     request: DirectRequest,
     upstream: Upstream,
     outcome: SendOutcome | None,
+    known: KnownEnds,
 ) -> None:
-    """Record a connection that broke while the upstream ran the request."""
-    if outcome is None or not is_connection_loss(outcome.result, outcome.detail):
+    """Record what a send shows about the request: a success, or a broken connection.
+
+    ``known`` are the ends that were known when the send began.
+    """
+    if outcome is None:
         return
-    row = upstream.row
-    if row.phase == "ready":
-        run = InterruptedRun(request.request_id, fingerprint_of(request))
-        record_connection_loss(host.end_watch, row.name, row.address, run)
+    if outcome.result == "answered" and outcome.status < 500:
+        if host.crashes.table.entries:
+            count_success(host.crashes, fingerprint_of(request))
+    elif is_connection_loss(outcome.result, outcome.detail):
+        row = upstream.row
+        if row.phase == "ready":
+            run = InterruptedRun(request.request_id, fingerprint_of(request), known)
+            record_connection_loss(host.end_watch, row.name, row.address, run)
+            request.lost_upstream = row.name
+
+
+async def wait_for_end_check(host: DirectHost, request: DirectRequest) -> None:
+    """Wait until it is known whether the last upstream that was lost has ended."""
+    if request.lost_upstream:
+        await wait_for_check(host.end_watch, request.lost_upstream)
 
 
 def fingerprint_of(request: DirectRequest) -> str:
@@ -34,3 +116,25 @@
             request.body,
         )
     return request.fingerprint
+
+
+async def run_crash_exchange(host: DirectHost) -> None:
+    """Exchange crash records with control hosts, until cancelled."""
+    tasks: set[asyncio.Task[None]] = set()
+    while True:
+        forget_old_records(host.crashes)
+        drop_old_losses(host.end_watch)
+        if not await _poll_followed(host):
+            start_exchanges(host.crashes, host.network, host.control_hosts, tasks)
+            await wait_for_change(host.crashes, ROUND_PAUSE_S)
+
+
+async def _poll_followed(host: DirectHost) -> bool:
+    """Wait for changes of the followed control host; return whether it answers."""
+    if not host.followed:
+        return False
+    try:
+        await poll_until_changed(host.crashes, host.network, host.followed)
+    except PeerUnreachable:
+        return False
+    return True
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -32,6 +32,7 @@
 from bergamotferry.window_budget import WindowBudget
 
 from .clock import now_ns
+from .crash_exchange import CrashExchange, count_end
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
 from .logs import log, log_warning
@@ -81,8 +82,8 @@
     configuration is known. ``link_turns`` are the requests that wait for a turn on
     ``link`` or hold one. ``link_timer`` is set while the next request waits for the
     start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
-    asked to fetch answers. ``end_watch`` are the connection losses that may be ends of
-    upstreams.
+    asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
+    and ``end_watch`` the connection losses that may be such ends.
     """
 
     settings: FleetSettings
@@ -118,7 +119,13 @@
     link_timer: asyncio.TimerHandle | None = None
     link_numbers: Iterator[int] = field(default_factory=count)
     fetch_pauses_ns: dict[str, int] = field(default_factory=dict)
-    end_watch: EndWatch = field(default_factory=EndWatch)
+    crashes: CrashExchange = field(default_factory=CrashExchange)
+    end_watch: EndWatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.end_watch = EndWatch(
+            lambda run: count_end(self.crashes, run.fingerprint, run.known)
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -1,5 +1,6 @@
 """The metrics of a host that accepts requests in direct mode."""
 
+from bergamotferry.crash_records import crash_verdicts
 from bergamotferry.fleet_metrics import (
     MetricFamily,
     count_family,
@@ -37,6 +38,12 @@
             "counter",
             host.end_watch.n_ends,
         ),
+        count_family(
+            "crash_records",
+            "Requests under which upstreams ended, by verdict.",
+            "verdict",
+            crash_verdicts(host.crashes.table, host.settings.name, now),
+        ),
         MetricFamily(
             "repeats_left",
             "Repeated sends that the budget of a service still allows here.",
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -79,7 +79,8 @@
     immediately.
     ``excluded`` names the upstreams that the next send must avoid. ``caller`` is the
     connection to the caller, once it is known. ``fingerprint`` identifies the content,
-    once it was needed.
+    once it was needed. ``is_trial`` is set for the trial of a quarantined request.
+    ``lost_upstream`` is the last upstream whose connection broke under the request.
     """
 
     request_id: str
@@ -103,6 +104,8 @@
     last_detail: str = ""
     caller: CallerAnswer | None = None
     fingerprint: str = ""
+    is_trial: bool = False
+    lost_upstream: str = ""
 
     @property
     def has_answer_begun(self) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -22,6 +22,7 @@
 from .answer_sending import send_answer
 from .answer_streaming import CallerAnswer, CallerLeftError, abort_answer
 from .clock import now_ns
+from .direct_crashes import quarantine_pause_s
 from .direct_host import DirectHost, record_key_request, retry_budget_of, work_time_of
 from .direct_placing import DirectRequest
 from .direct_sending import serve_request
@@ -205,6 +206,8 @@
             time_left_s = (accepted.deadline_ns - now_ns()) / 1e9
         has_capacity = accepted is not None and accepted.may_retry_immediately
         pause_s = caller_retry_pause_s(has_capacity, time_left_s, random.random())
+        if accepted is not None and refusal.code is ResultCode.REQUEST_QUARANTINED:
+            pause_s = quarantine_pause_s(host, accepted)
         headers["Retry-After"] = f"{pause_s:.2f}"
     text = f"{int(refusal.code)} {refusal.code.name}\n"
     response = web.Response(status=status, headers=headers, text=text)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -16,6 +16,7 @@
 from .background import start_task
 from .clock import now_ns
 from .direct_call import open_direct_session
+from .direct_crashes import run_crash_exchange
 from .direct_host import DirectHost, add_control_hosts
 from .direct_metrics import direct_metric_families
 from .direct_request import answer_request
@@ -83,6 +84,7 @@
         log("started", label=settings.label)
         tasks: set[asyncio.Task[None]] = set()
         start_task(run_follower(host), tasks)
+        start_task(run_crash_exchange(host), tasks)
         if settings.splits_busy_ranges:
             start_task(run_key_reports(host), tasks)
         start_task(measure_loop_delays(delays), tasks)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -21,7 +21,13 @@
 
 from .clock import now_ns
 from .direct_call import DirectSend, SendOutcome, send_direct
-from .direct_crashes import record_run
+from .direct_crashes import (
+    ends_known_of,
+    may_run_again,
+    quarantine_refusal,
+    record_run,
+    wait_for_end_check,
+)
 from .direct_host import (
     DirectHost,
     Upstream,
@@ -50,6 +56,9 @@
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> SendOutcome | Refused:
     """Send a request in its turn on the link; return the answer or a refusal."""
+    refusal = quarantine_refusal(host, request)
+    if refusal is not None:
+        return refusal
     async with hold_link_turn(host, request) as turn:
         if isinstance(turn, Refused):
             return turn
@@ -64,20 +73,24 @@
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> SendOutcome | Refused:
     while True:
+        refusal = quarantine_refusal(host, request)
+        if refusal is not None:
+            return _refusal_or_unknown(request, refusal)
         if request.n_delivered and not take_retry(
             retry_budget_of(host, request.service.name),
             now_ns(),
             request.is_caller_retry,
         ):
-            refusal = Refused(ResultCode.UPSTREAM_SHED, "no repeat is left")
-            return _refusal_or_unknown(request, refusal)
+            shed = Refused(ResultCode.UPSTREAM_SHED, "no repeat is left")
+            return _refusal_or_unknown(request, shed)
         reservation = await reserve_upstream(host, http, request)
         if isinstance(reservation, Refused):
             return _refusal_or_unknown(request, reservation)
         outcome = await _send_hedged(host, http, request, reservation)
+        await wait_for_end_check(host, request)
         if outcome.result == "answered" and not _should_retry_answer(request, outcome):
             return outcome
-        if not _may_retry(request):
+        if not _may_retry(request) or _has_ended_upstreams(host, request, outcome):
             if outcome.result == "answered":
                 return outcome
             is_late = outcome.result == "too_late"
@@ -151,6 +164,7 @@
         and request.n_maybe_run == 0
         and request.route.n_attempts_max > 1
         and not has_large_answer(host, request)
+        and ends_known_of(host, request).n_ends == 0
     )
 
 
@@ -197,6 +211,7 @@
     request.n_sends += 1
     if not request.service.is_sharded:
         request.excluded.add(upstream.row.name)
+    known = ends_known_of(host, request)
     outcome: SendOutcome | None = None
     try:
         outcome = await _send_once(host, http, request, upstream)
@@ -209,7 +224,7 @@
         result = outcome.result if outcome is not None else "cancelled"
         took_ms = (now_ns() - sent_ns) / 1e6
         record_request_result(request, upstream, result, outcome)
-        record_run(host, request, upstream, outcome)
+        record_run(host, request, upstream, outcome, known)
         record_upstream_result(host, request, reservation, result, outcome, sent_ns)
         record_send(host.metrics, upstream.row.data_centre, result, took_ms)
         log_routine(
@@ -294,6 +309,13 @@
     return request.n_sends < N_SENDS_MAX and now_ns() < request.deadline_ns
 
 
+def _has_ended_upstreams(
+    host: DirectHost, request: DirectRequest, outcome: SendOutcome
+) -> bool:
+    """Return whether a further send might only end one more upstream."""
+    return outcome.result == "broken" and not may_run_again(host, request)
+
+
 def _refusal_or_unknown(request: DirectRequest, refusal: Refused) -> Refused:
     """Return the refusal; if the request may have run, return one that says so."""
     if request.n_maybe_run == 0:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -38,6 +38,7 @@
 )
 
 from .clock import now_ns
+from .crash_exchange import CrashExchange
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
@@ -66,7 +67,8 @@
     commands proposed here, by command and result code. ``key_work`` is the work in
     slot-milliseconds, by service and bucket of keys, that was reported to this host and
     that it has not yet forwarded to the leader. ``key_loads`` is the load that this
-    host recorded as the leader.
+    host recorded as the leader. ``crashes`` are the records of requests that end
+    upstreams.
     """
 
     settings: FleetSettings
@@ -86,6 +88,7 @@
     n_heartbeats: int = 0
     key_work: dict[tuple[str, int], float] = field(default_factory=dict)
     key_loads: KeyLoads = field(default_factory=KeyLoads)
+    crashes: CrashExchange = field(default_factory=CrashExchange)
 
     @property
     def tables(self) -> FleetTables:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -36,6 +36,12 @@
 
 from .background import start_task
 from .clock import now_ns
+from .crash_exchange import (
+    RESYNC_INTERVAL_S,
+    forget_old_records,
+    start_exchanges,
+    wait_for_change,
+)
 from .fleet_control import ControlHost, is_current, wake_followers
 from .key_reports import forward_key_work
 from .logs import log_warning
@@ -101,6 +107,16 @@
             host.network.notify(other, news)
 
 
+async def run_crash_exchanges(host: ControlHost) -> None:
+    """Exchange crash records with the other control hosts, until cancelled."""
+    tasks: set[asyncio.Task[None]] = set()
+    while True:
+        others = host.control_hosts - {host.settings.name}
+        start_exchanges(host.crashes, host.network, others, tasks)
+        await wait_for_change(host.crashes, RESYNC_INTERVAL_S)
+        forget_old_records(host.crashes)
+
+
 def apply_session_news(
     host: ControlHost, message: SessionNews, tasks: set[asyncio.Task[None]]
 ) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
@@ -11,9 +11,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
+from bergamotferry.crash_records import KnownEnds
+
 from .address_check import refuses_connections
 from .clock import now_ns
 from .logs import log, log_routine
@@ -22,6 +25,8 @@
 PROOF_WINDOW_NS = 3_000_000_000
 # A process that ends closes its listening socket together with its connections.
 CHECK_TIMEOUT_S = 0.25
+# Longest wait of a request for this check before it is sent elsewhere.
+CHECK_WAIT_S = 0.1
 # Losses kept for one upstream; it can't run more requests of one host at once.
 N_LOSSES_MAX = 64
 # Fingerprints are logged by this many leading characters.
@@ -44,10 +49,14 @@
 
 
 class InterruptedRun(NamedTuple):
-    """A request that an upstream was running when their connection broke."""
+    """A request that an upstream was running when their connection broke.
+
+    ``known`` are the earlier ends that were known when the run began.
+    """
 
     request_id: str
     fingerprint: str
+    known: KnownEnds
 
 
 @dataclass(slots=True)
@@ -59,8 +68,12 @@
 
 @dataclass(slots=True)
 class EndWatch:
-    """Connection losses that wait for a proof, by upstream, and the ends proved."""
+    """Connection losses that wait for a proof, by upstream, and the ends proved.
+
+    ``on_end`` is called for each request that an upstream was running as it ended.
+    """
 
+    on_end: Callable[[InterruptedRun], None]
     losses: dict[str, _Losses] = field(default_factory=dict)
     n_ends: int = 0
 
@@ -86,10 +99,10 @@
 
 
 async def wait_for_check(watch: EndWatch, upstream: str) -> None:
-    """Wait until the check that a connection loss started has ended, if any."""
+    """Wait for the check that a connection loss started, if it is still running."""
     losses = watch.losses.get(upstream)
     if losses is not None and losses.check is not None:
-        await asyncio.wait({losses.check})
+        await asyncio.wait({losses.check}, timeout=CHECK_WAIT_S)
 
 
 def record_proof(watch: EndWatch, upstream: str, proof: EndProof) -> None:
@@ -109,6 +122,7 @@
             fingerprint=run.fingerprint[:N_LOGGED_CHARACTERS],
             upstream=upstream,
         )
+        watch.on_end(run)
 
 
 def drop_old_losses(watch: EndWatch) -> None:
--- a/packages/bergamotferry_host/tests/test_upstream_ends.py
+++ b/packages/bergamotferry_host/tests/test_upstream_ends.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bergamotferry.crash_records import KnownEnds
 from bergamotferry_host import upstream_ends
 from bergamotferry_host.upstream_ends import (
     EndWatch,
@@ -16,7 +17,7 @@
     wait_for_check,
 )
 
-RUN = InterruptedRun("r1", "f1")
+RUN = InterruptedRun("r1", "f1", KnownEnds())
 
 
 @contextlib.asynccontextmanager
@@ -36,39 +37,34 @@
         return address
 
 
-def ended_runs(scenario, monkeypatch):
+def ended_runs(scenario):
     """Return the requests under which upstreams ended in a scenario."""
     ended = []
 
-    def log_routine(event, request_id, **fields):
-        ended.append(request_id)
-
-    monkeypatch.setattr(upstream_ends, "log_routine", log_routine)
-
     async def run():
-        await scenario(EndWatch())
+        await scenario(EndWatch(ended.append))
 
     asyncio.run(run())
     return ended
 
 
-def test_refused_connection_after_a_loss_proves_the_end(monkeypatch):
+def test_refused_connection_after_a_loss_proves_the_end():
     async def scenario(watch):
         record_connection_loss(watch, "u", await closed_address(), RUN)
         record_connection_loss(watch, "u", "", RUN._replace(request_id="r2"))
         await wait_for_check(watch, "u")
         assert watch.n_ends == 1
 
-    assert ended_runs(scenario, monkeypatch) == ["r1", "r2"]
+    assert [run.request_id for run in ended_runs(scenario)] == ["r1", "r2"]
 
 
-def test_connection_reset_by_a_living_upstream_is_no_end(monkeypatch):
+def test_connection_reset_by_a_living_upstream_is_no_end():
     async def scenario(watch):
         async with listening_address() as address:
             record_connection_loss(watch, "u", address, RUN)
             await wait_for_check(watch, "u")
 
-    assert ended_runs(scenario, monkeypatch) == []
+    assert ended_runs(scenario) == []
 
 
 @pytest.mark.parametrize("proof", ["other process", "next incarnation"])
@@ -90,15 +86,15 @@
             now += upstream_ends.PROOF_WINDOW_NS + 1
             record_proof(watch, "u", proof)
 
-    assert len(ended_runs(scenario, monkeypatch)) == 2
+    assert len(ended_runs(scenario)) == 2
 
 
-def test_proof_without_a_loss_is_no_end(monkeypatch):
+def test_proof_without_a_loss_is_no_end():
     async def scenario(watch):
         record_proof(watch, "u", "connection refused")
         assert watch.n_ends == 0
 
-    assert ended_runs(scenario, monkeypatch) == []
+    assert ended_runs(scenario) == []
 
 
 def test_losses_without_a_proof_are_forgotten(monkeypatch):
@@ -117,7 +113,7 @@
         drop_old_losses(watch)
         assert watch.losses == {}
 
-    assert ended_runs(scenario, monkeypatch) == []
+    assert ended_runs(scenario) == []
 
 
 @pytest.mark.parametrize(
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_ending_requests.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_ending_requests.py
@@ -180,3 +180,19 @@
     assert 3 <= len(ends_s) <= 3 + N_RETRIES_MAX
     assert later_ends_s == ends_s
     assert answer.status == 503 and b"1301" in answer.body
+
+
+def test_request_is_stopped_on_every_host_while_there_is_no_leader(tmp_path):
+    """Guards against records that spread through the replicated log only."""
+
+    async def scenario():
+        async with running_deployment(tmp_path, "unsafe") as deployment:
+            for core in CORES[1:]:
+                await deployment.fleet.end(core)
+            await asyncio.sleep(CONTACT_S)
+            await deployment.repeat(ENDING_PATH, 24, 0.3)
+            return deployment.ends_s()
+
+    ends_s = asyncio.run(scenario())
+    assert len(ends_s) >= 3
+    assert n_late_ends(ends_s) <= N_RETRIES_MAX, len(ends_s)
