Count a request as sent whose kept connection broke before the library reconnected

What callers could see: a request that had run was called 'not run', or was sent to up to six upstreams in one attempt, whatever its route allows.

Cause: for methods that HTTP calls idempotent the client library connects again by itself after a kept connection broke. If the upstream's process was gone, that connection was refused, and the send counted as 'no process', so nothing sent. The guard against a second send looked only once the new connection stood. On a route whose requests may run once, a PUT or DELETE could so run at a second upstream.

Evidence: the new test, red before for GET and PUT ('no_process'), green for POST. The guard now acts before a second connection is opened or reused, which also saves that connection. SentTwiceError counts as a broken connection in upstream_ends.

The field is_reused, which nobody read, goes.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -100,7 +100,6 @@
 @dataclass(slots=True)
 class _Progress:
     is_sent: bool = False
-    is_reused: bool = False
 
 
 class SentTwiceError(aiohttp.ClientError):
@@ -241,29 +240,31 @@
 
 
 def _trace_progress() -> aiohttp.TraceConfig:
+    """Return a tracer that records that a send began, and prevents a second one.
+
+    After a kept connection broke, the library would connect again. The failure of that
+    connection would then hide that the request had been sent.
+    """
     trace = aiohttp.TraceConfig()
 
-    async def on_reuse(
-        session: aiohttp.ClientSession,
-        context: SimpleNamespace,
-        params: aiohttp.TraceConnectionReuseconnParams,
+    async def check_not_sent(
+        session: aiohttp.ClientSession, context: SimpleNamespace, params: object
     ) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx.is_reused = True
+        progress = context.trace_request_ctx
+        # Load probes have no progress; they may be sent again.
+        if progress is not None and progress.is_sent:
+            raise SentTwiceError("the request was already sent once")
 
     async def on_head(
         session: aiohttp.ClientSession,
         context: SimpleNamespace,
         params: aiohttp.TraceRequestHeadersSentParams,
     ) -> None:
-        progress = context.trace_request_ctx
-        if progress is None:
-            # This is a load probe, which may be sent again.
-            return
-        if progress.is_sent:
-            raise SentTwiceError("the request was already sent once")
-        progress.is_sent = True
+        await check_not_sent(session, context, params)
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.is_sent = True
 
-    trace.on_connection_reuseconn.append(on_reuse)
+    trace.on_connection_create_start.append(check_not_sent)
+    trace.on_connection_reuseconn.append(check_not_sent)
     trace.on_request_headers_sent.append(on_head)
     return trace
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
@@ -40,6 +40,8 @@
         "ClientPayloadError",
         "ConnectionResetError",
         "BrokenPipeError",
+        # A kept connection broke, and the library tried to send a second time.
+        "SentTwiceError",
         # The control host that fetched the answer lost its connection.
         "StreamBroken",
     }
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -15,6 +15,7 @@
     send_direct,
 )
 from bergamotferry_host.fleet_settings import DirectHeaders
+from bergamotferry_host.upstream_ends import is_connection_loss
 
 HEADER_NAMES = DirectHeaders()
 REQUEST_ID_HEADER = f"{HEADER_NAMES.request_id}: r1"
@@ -197,3 +198,37 @@
 )
 def test_load_report_is_parsed_or_rejected(text, report):
     assert parse_load_report(text) == report
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+def test_request_may_have_run_if_its_upstream_ended_on_a_kept_connection(method):
+    """Guards against "nothing was sent" after the library reconnected by itself."""
+
+    async def run():
+        n_requests = 0
+
+        async def on_connection(reader, writer):
+            nonlocal n_requests
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                n_requests += 1
+                if n_requests == 2:
+                    server.close()
+                    writer.transport.abort()
+                    return
+                writer.write(
+                    head("200 OK", REQUEST_ID_HEADER, "Content-Length: 2") + b"ok"
+                )
+
+        server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with open_direct_session() as http:
+            send = send_of(address, method=method, body=b"")
+            first = await send_direct(http, HEADER_NAMES, send)
+            return first, await send_direct(http, HEADER_NAMES, send), n_requests
+
+    first, second, n_requests = asyncio.run(run())
+    assert first.result == "answered"
+    assert second.result == "broken"
+    assert is_connection_loss(second.result, second.detail)
+    assert n_requests == 2
