Read no more than a limit of an upstream's answer into memory

What operators reported: bytes that are no answer may come without end, in a head or a body. Cause: answers, refusals, answers to grants and to load probes were read whole, whatever their length.

Now an answer that is held has 16 MiB at most, one that a control host relays 1 MiB, and a body whose head says all 64 KiB; beyond that the connection is closed and the result is 'broken'. An answer with a length that is too large to hold is streamed; one that is too large to relay is fetched by the host itself. On a link without a limit a streamed answer broke off with a division by zero; its parts now don't wait.

Left: a chunked answer of more than 16 MiB, or one to a request that may be hedged, is answered 502.

--- a/packages/bergamotferry/src/bergamotferry/answer_link.py
+++ b/packages/bergamotferry/src/bergamotferry/answer_link.py
@@ -273,8 +273,10 @@
     The next part should be written no earlier. An answer that is written whole keeps
     the link's queue full until the answer is sent, and everything written meanwhile
     queues behind it. Small parts let other answers in between, and take no longer in
-    total.
+    total. On a link without a limit no part has to wait.
     """
+    if link.bytes_per_ms == 0:
+        return 0.0
     begin_ms = max(link.outbound_parts_end_ms, now_ms)
     link.outbound_parts_end_ms = begin_ms + n_bytes / link.bytes_per_ms
     return link.outbound_parts_end_ms - now_ms
--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -162,9 +162,10 @@
 
 
 class FetchRefused(NamedTuple):
-    """Nothing was sent: the requesting host should send the request itself.
+    """The requesting host should send the request itself.
 
-    It should send no further fetch to this control host for ``pause_s``.
+    Nothing was sent, or the answer is too large to relay. The host should send no
+    further fetch to this control host for ``pause_s``.
     """
 
     why: str
--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
@@ -40,7 +40,7 @@
 from bergamotferry.remote_window import record_remote_answer
 
 from .clock import now_ns
-from .direct_call import DirectSend, SendOutcome, send_direct
+from .direct_call import ANSWER_TOO_LARGE, DirectSend, SendOutcome, send_direct
 from .fleet_settings import DirectHeaders, FleetSettings
 from .logs import log_routine
 from .peer_stream import PeerStream
@@ -48,6 +48,8 @@
 
 # Maximum number of answers fetched or held at once; at 90 KB each they take 9 MB.
 N_HELD_MAX = 96
+# The host that asks for a larger answer fetches it itself.
+FETCHED_MAX_BYTES = 1024 * 1024
 # How long a refused host should not ask this host again, by the reason of the refusal.
 FULL_PAUSE_S = 1.0
 STOPPING_PAUSE_S = 10.0
@@ -125,6 +127,9 @@
         if fetched is None:
             late = FetchLate("the way between regions is busy")
             await stream.send_head(late, is_ended=True)
+        elif fetched.head.detail == ANSWER_TOO_LARGE:
+            too_large = FetchRefused(ANSWER_TOO_LARGE, 0.0)
+            await stream.send_head(too_large, is_ended=True)
         else:
             await _relay(host_link, stream, fetched.head, fetched.body)
     finally:
@@ -199,6 +204,7 @@
         message.body,
         message.time_left_ms - waited_ms,
         cast(Distance, message.distance),
+        answer_max_bytes=FETCHED_MAX_BYTES,
     )
     outcome = await send_direct(http, header_names, send)
     head = _to_head(outcome, began_ns)
--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
@@ -19,6 +19,7 @@
 
 from bergamotferry.answer_link import PART_BYTES, AnswerLink, is_large, take_part
 
+from .bounded_answer import ANSWER_MAX_BYTES
 from .clock import now_ns
 
 
@@ -48,7 +49,9 @@
 
 
 def may_stream(answer: CallerAnswer, status: int, n_bytes: int | None) -> bool:
-    """Return whether an answer may be streamed before it is complete.
+    """Return whether an answer is streamed before it is complete.
+
+    Answers that are large for the link are, and those that are too large to hold.
 
     Parameters
     ----------
@@ -60,7 +63,9 @@
         The length of the body in bytes, None if unknown.
     """
     is_success = 200 <= status < 300
-    return is_success and n_bytes is not None and is_large(answer.link, n_bytes)
+    if not is_success or n_bytes is None:
+        return False
+    return n_bytes > ANSWER_MAX_BYTES or is_large(answer.link, n_bytes)
 
 
 async def stream_answer(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -30,6 +30,12 @@
     may_stream,
     stream_answer,
 )
+from .bounded_answer import (
+    ANSWER_MAX_BYTES,
+    SHORT_BODY_MAX_BYTES,
+    AnswerTooLargeError,
+    read_whole,
+)
 from .clock import now_ns
 from .fleet_settings import DirectHeaders
 
@@ -38,6 +44,7 @@
 # Upstreams close idle connections, so a connection idle for longer is not reused.
 KEEPALIVE_S = 7.0
 ANSWER_SLACK_S = 0.05
+ANSWER_TOO_LARGE = "the answer is too large to hold"
 # "not_run": the upstream reports that it did not run the request.
 # "other_upstream": status 421; the process that answered must not run the request.
 # "no_connection", "no_process": nothing was sent; "no_process" if the connection was
@@ -59,7 +66,7 @@
     """A request as it is sent to one upstream.
 
     A large answer is streamed to ``caller``; if ``caller`` is None, the answer is
-    buffered until it is complete.
+    buffered until it is complete. A buffered answer has ``answer_max_bytes`` at most.
     """
 
     method: str
@@ -72,6 +79,7 @@
     time_left_ms: float
     distance: Distance = "here"
     caller: CallerAnswer | None = None
+    answer_max_bytes: int = ANSWER_MAX_BYTES
 
 
 @dataclass(slots=True)
@@ -153,6 +161,8 @@
         raise
     except (aiohttp.ClientError, OSError, ValueError) as error:
         detail = type(error).__name__
+        if isinstance(error, AnswerTooLargeError):
+            detail = ANSWER_TOO_LARGE
         if not progress.is_sent:
             return SendOutcome("no_connection", detail)
         return SendOutcome("broken", detail, is_timeout=isinstance(error, TimeoutError))
@@ -183,7 +193,7 @@
     report = parse_load_report(headers.get(header_names.load, ""))
     if response.status == 421 or header_names.not_run in headers:
         # The body is read to its end so that the connection can be reused.
-        await response.read()
+        await read_whole(response, SHORT_BODY_MAX_BYTES)
         detail = f"status {response.status}"
         result: SendResult = "other_upstream" if response.status == 421 else "not_run"
         return SendOutcome(result, detail, response.status, report=report)
@@ -208,7 +218,7 @@
             caller, outcome.status, outcome.headers, outcome.n_bytes, parts
         )
     else:
-        outcome.body = await response.read()
+        outcome.body = await read_whole(response, send.answer_max_bytes)
         outcome.n_bytes = len(outcome.body)
     return outcome
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
@@ -27,6 +27,7 @@
 )
 
 from .background import report_failure
+from .bounded_answer import SHORT_BODY_MAX_BYTES, read_whole
 from .clock import now_ns
 from .direct_call import parse_cold_left_ms, parse_load_report
 from .direct_host import DirectHost, Upstream, distance_of, mark_replaced
@@ -83,7 +84,7 @@
     add_overdue_time(upstream.load, due_ns)
     try:
         async with http.get(url, timeout=timeout, allow_redirects=False) as response:
-            await response.read()
+            await read_whole(response, SHORT_BODY_MAX_BYTES)
             if response.headers.get(header_names.upstream) != upstream.row.name:
                 # Another service may be running at the address by now.
                 mark_replaced(host, upstream)
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -18,6 +18,7 @@
 
 from bergamotferry.fleet_tables import KeyRange
 
+from .bounded_answer import SHORT_BODY_MAX_BYTES, read_whole
 from .fleet_settings import DirectHeaders
 
 GRANT_TIMEOUT_S = 1.0
@@ -119,7 +120,7 @@
             timeout=timeout,
             trace_request_ctx=progress,
         ) as response:
-            await response.read()
+            await read_whole(response, SHORT_BODY_MAX_BYTES)
             return _read_answer(response, header_names)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         if progress.is_sent:
--- a/packages/bergamotferry_host/tests/test_answer_fetching.py
+++ b/packages/bergamotferry_host/tests/test_answer_fetching.py
@@ -186,6 +186,17 @@
     assert events == ["request", "request", "answer", "answer"]
 
 
+def test_answer_too_large_to_relay_is_fetched_by_the_host_itself(monkeypatch):
+    monkeypatch.setattr(answer_fetching, "FETCHED_MAX_BYTES", len(BODY) - 1)
+
+    async def scenario(harness, control):
+        await harness.add("u1", large_answer())
+        async with send_request(harness) as answer:
+            assert (answer.status, await answer.read()) == (200, BODY)
+
+    assert [name for name, _ in run_with_control_host(scenario).sends] == ["u1", "u1"]
+
+
 def test_broken_download_is_retried_since_no_part_was_relayed():
     async def scenario(harness, control):
         await harness.add("u1", large_answer(then="reset"))
--- a/packages/bergamotferry_host/tests/test_answer_streaming.py
+++ b/packages/bergamotferry_host/tests/test_answer_streaming.py
@@ -12,6 +12,7 @@
 from bergamotferry.upstream_load import (
     WorkTime,
 )
+from bergamotferry_host import answer_streaming
 
 BODY = bytes(range(256)) * 400
 HALF = len(BODY) // 2
@@ -261,3 +262,19 @@
         assert await asyncio.gather(*downloads) == [BODY] * 3
 
     assert len(run_with_harness(scenario).sends) == 3
+
+
+def test_answer_too_large_to_hold_is_streamed_on_a_wide_link(monkeypatch):
+    monkeypatch.setattr(answer_streaming, "ANSWER_MAX_BYTES", len(BODY) - 1)
+
+    async def scenario(harness):
+        configure_route(harness, link_mbps=0.0)
+        upstream = HalvedUpstream()
+        await harness.add("u1", upstream)
+        assign_all_keys(harness, "u1")
+        async with request(harness) as answer:
+            assert await answer.content.readexactly(HALF) == BODY[:HALF]
+            upstream.may_finish.set()
+            assert await answer.read() == BODY[HALF:]
+
+    run_with_harness(scenario)
