--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
@@ -40,6 +40,7 @@
 from bergamotferry.remote_window import record_remote_answer
 
 from .clock import now_ns
+from .codec import encodable_text
 from .direct_call import ANSWER_TOO_LARGE, DirectSend, SendOutcome, send_direct
 from .fleet_settings import DirectHeaders, FleetSettings
 from .logs import log_routine
@@ -287,7 +288,7 @@
         outcome.result,
         outcome.detail,
         outcome.status,
-        tuple((str(name), value) for name, value in headers.items()),
+        tuple((str(name), encodable_text(value)) for name, value in headers.items()),
         outcome.n_bytes,
         outcome.report,
         outcome.cold_left_ms,
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -30,6 +30,10 @@
 _SCALARS = frozenset((str, int, bytes, bool, float, type(None)))
 
 
+class EncodeError(ValueError):
+    """The value contains a text or a number that has no encoding."""
+
+
 class DecodeError(ValueError):
     """The bytes contain no value that this version can decode."""
 
@@ -57,8 +61,26 @@
 
 
 def encode(value: Any) -> bytes:
-    """Return a value as CBOR bytes."""
-    return cbor2.dumps(_to_wire(value))
+    """Return a value as CBOR bytes.
+
+    Raises
+    ------
+    EncodeError
+        If a text or a number in the value has no encoding.
+    """
+    try:
+        return cbor2.dumps(_to_wire(value))
+    except (ValueError, TypeError, OverflowError) as error:
+        raise EncodeError(f"no CBOR: {type(error).__name__}") from error
+
+
+def encodable_text(text: str) -> str:
+    """Return a text without the parts that have no encoding.
+
+    Bytes of a header that are no UTF-8 become such parts. The HTTP library leaves them
+    out of the headers that it writes, too.
+    """
+    return text.encode("utf-8", "ignore").decode()
 
 
 def decode(data: bytes) -> Any:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -44,6 +44,7 @@
 # Upstreams close idle connections, so a connection idle for longer is not reused.
 KEEPALIVE_S = 7.0
 ANSWER_SLACK_S = 0.05
+COUNT_DIGITS_MAX = 7
 ANSWER_TOO_LARGE = "the answer is too large to hold"
 # "not_run": the upstream reports that it did not run the request.
 # "other_upstream": status 421; the process that answered must not run the request.
@@ -171,15 +172,16 @@
 def parse_load_report(text: str) -> LoadReport | None:
     """Parse an upstream's load report; return None if it is malformed."""
     parts = text.split(",")
-    if len(parts) < 3:
+    counts = [_parse_count(part) for part in parts[:3]]
+    if len(counts) < 3 or None in counts:
         return None
     try:
-        n_running, n_waiting, n_slots = (int(part) for part in parts[:3])
         slowness = float(parts[3]) / 100 if len(parts) > 3 else 1.0
     except ValueError:
         return None
-    if min(n_running, n_waiting, n_slots) < 0 or not 0 < slowness < 1000:
+    if not 0 < slowness < 1000:
         return None
+    n_running, n_waiting, n_slots = (count or 0 for count in counts)
     return LoadReport(n_running, n_waiting, n_slots, slowness)
 
 
@@ -246,7 +248,15 @@
 
 def parse_cold_left_ms(text: str) -> int:
     """Parse how long an upstream stays cold, in ms; return 0 if it is not reported."""
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 8 else 0
+    return _parse_count(text) or 0
+
+
+def _parse_count(text: str) -> int | None:
+    """Parse a whole number of a header; return None if it is malformed or too large."""
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit()) or len(digits) > COUNT_DIGITS_MAX:
+        return None
+    return int(digits)
 
 
 def _trace_progress() -> aiohttp.TraceConfig:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
@@ -22,6 +22,7 @@
 
 from .answer_streaming import may_stream, stream_answer
 from .clock import now_ns
+from .codec import encodable_text
 from .direct_call import ANSWER_SLACK_S, DirectSend, SendOutcome, SendResult
 from .direct_host import DirectHost
 from .fleet_follower import nearest_first
@@ -116,7 +117,9 @@
         send.address,
         send.upstream,
         send.request_id,
-        tuple((str(name), value) for name, value in send.headers.items()),
+        tuple(
+            (str(name), encodable_text(value)) for name, value in send.headers.items()
+        ),
         send.body,
         send.time_left_ms,
         wait_ms,
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -23,7 +23,7 @@
 from bergamotferry.records import TrafficClass
 
 from .background import log_failure, report_failure, start_task
-from .codec import DecodeError, decode, encode
+from .codec import DecodeError, EncodeError, decode, encode
 from .peer_stream import FrameKind, PeerStream, PeerUnreachable, StreamBroken
 
 __all__ = [
@@ -103,6 +103,8 @@
         ------
         PeerUnreachable
             If the connection is closed.
+        EncodeError
+            If the payload has no encoding.
         """
         data = encode((stream_id, int(kind), payload))
         try:
@@ -223,10 +225,17 @@
             log_failure(error)
             reply = None
         try:
-            await self.send_frame(call_id, FrameKind.REPLY, reply)
+            await self._send_reply(call_id, reply)
         except PeerUnreachable:
             return
 
+    async def _send_reply(self, call_id: int, reply: Any) -> None:
+        try:
+            await self.send_frame(call_id, FrameKind.REPLY, reply)
+        except EncodeError as error:
+            log_failure(error)
+            await self.send_frame(call_id, FrameKind.REPLY, None)
+
     async def _handle_stream(self, stream: PeerStream, head: Any) -> None:
         try:
             await self.handlers.on_stream(stream, head, self.peer)
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -18,8 +18,9 @@
 
 from bergamotferry.records import HostAddress, TrafficClass
 
-from .background import start_task
+from .background import log_failure, start_task
 from .clock import now_ns
+from .codec import EncodeError
 from .http_address import split_address
 from .peer_link import (
     FRAME_MAX_BYTES,
@@ -175,6 +176,9 @@
                 await link.send_frame(0, FrameKind.NOTICE, message)
             except PeerUnreachable:
                 continue
+            except EncodeError as error:
+                # The next notice may be a vote or an append, which must not be lost.
+                log_failure(error)
 
     async def _connected_link(self, host: str, link_class: LinkClass) -> PeerLink:
         link_key = (host, link_class)
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -23,6 +23,7 @@
 
 GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 3.0
+HANDOVER_MAX_CHARACTERS = 1_024
 
 CallResult = Literal[
     "done", "newer_token", "no_process", "refused", "not_sent", "unsure"
@@ -142,7 +143,8 @@
 ) -> RangeAnswer:
     match response.status:
         case 200:
-            return RangeAnswer("done", response.headers.get(header_names.handover, ""))
+            handover = response.headers.get(header_names.handover, "")
+            return RangeAnswer("done", handover if _is_handover(handover) else "")
         case 409:
             return RangeAnswer("newer_token")
         case 421:
@@ -154,6 +156,11 @@
             return RangeAnswer("unsure")
 
 
+def _is_handover(text: str) -> bool:
+    """Return whether a handover can be stored; keys move without it otherwise."""
+    return text.isascii() and len(text) <= HANDOVER_MAX_CHARACTERS
+
+
 @dataclass(slots=True)
 class _CallProgress:
     """Tracks whether any byte of a call may have left this host."""
--- a/packages/bergamotferry_host/tests/test_answer_fetching.py
+++ b/packages/bergamotferry_host/tests/test_answer_fetching.py
@@ -186,6 +186,41 @@
     assert events == ["request", "request", "answer", "answer"]
 
 
+def test_header_that_is_no_text_costs_no_answer():
+    """Guards against a caller's or an upstream's header that no message can carry."""
+
+    async def odd_answer(request: web.Request) -> web.StreamResponse:
+        head = [
+            "HTTP/1.1 200 OK",
+            f"{HEADER_NAMES.request_id}: {request.headers[HEADER_NAMES.request_id]}",
+            f"Content-Length: {len(BODY)}",
+            "X-Name: caf\xe9",
+        ]
+        request.transport.write("\r\n".join([*head, "", ""]).encode("latin-1") + BODY)
+        await asyncio.sleep(0.5)
+        return web.Response()
+
+    async def scenario(harness, control):
+        await harness.add("u1", odd_answer)
+        ip, port = harness.url.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = [
+            "GET /download/1 HTTP/1.1",
+            "Host: a.example",
+            f"{HEADER_NAMES.request_id}: r1",
+            "X-Name: caf\xe9",
+            "Connection: close",
+        ]
+        writer.write("\r\n".join([*head, "", ""]).encode("latin-1"))
+        answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert answer.endswith(BODY)
+        assert control.fetching.counts == {("answered",): 1}
+
+    run_with_control_host(scenario)
+
+
 def test_answer_too_large_to_relay_is_fetched_by_the_host_itself(monkeypatch):
     monkeypatch.setattr(answer_fetching, "FETCHED_MAX_BYTES", len(BODY) - 1)
 
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -194,6 +194,12 @@
         ("-1,0,8", None),
         ("1,0,8,0", None),
         ("1,0,8,inf", None),
+        ("1,0,8,nan", None),
+        ("1,0," + "9" * 400, None),
+        ("9" * 5_000 + ",0,8", None),
+        ("1,0,8," + "9" * 400, None),
+        ("1_0,0,8", None),
+        ("\u0661,0,8", None),
     ],
 )
 def test_load_report_is_parsed_or_rejected(text, report):
--- a/packages/bergamotferry_host/tests/test_peer_network.py
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -143,3 +143,36 @@
 
     asyncio.run(scenario())
     assert reported == []
+
+
+def test_notice_that_has_no_encoding_does_not_stop_the_ones_after_it():
+    """Guards against a lost vote or append after one odd row."""
+
+    async def run_two_hosts():
+        received = asyncio.Queue()
+        first, second = free_ports(2)
+        addresses = [
+            HostAddress(name, "a", "r", f"127.0.0.1:{port}", False)
+            for name, port in (("a", first), ("b", second))
+        ]
+        networks = [
+            PeerNetwork.from_config(
+                address,
+                tuple(addresses),
+                TOKEN,
+                PeerHandlers(
+                    None, lambda message, peer: received.put_nowait(message), None
+                ),
+            )
+            for address in addresses
+        ]
+        for network in networks:
+            await network.start()
+        networks[0].notify("b", TimeoutNow("\ud800", 2, MEMBER))
+        networks[0].notify("b", TimeoutNow("dc:a", 2, MEMBER))
+        message = await asyncio.wait_for(received.get(), 5)
+        for network in networks:
+            await network.stop()
+        return message
+
+    assert asyncio.run(run_two_hosts()) == TimeoutNow("dc:a", 2, MEMBER)
--- a/packages/bergamotferry_host/tests/test_range_calls.py
+++ b/packages/bergamotferry_host/tests/test_range_calls.py
@@ -8,6 +8,7 @@
 
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry_host import range_calls
+from bergamotferry_host.codec import encode
 from bergamotferry_host.fleet_settings import DirectHeaders
 from bergamotferry_host.range_calls import (
     RangeCallNames,
@@ -80,6 +81,23 @@
     assert body == {"first_key": 0, "last_key": 9, "token": 7}
 
 
+@pytest.mark.parametrize("handover", [b"\xed\xa0\x80", b"\xff", b"h" * 5_000])
+def test_handover_that_no_message_can_carry_is_left_out(handover):
+    """Guards against a holder whose odd handover ends the leader that commits it."""
+
+    async def call(http, port):
+        return await call_release(http, CALL_NAMES, range_at(port), HEADER_NAMES)
+
+    name = HEADER_NAMES.handover.encode()
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%b: %b\r\n\r\n" % (
+        name,
+        handover,
+    )
+    result, _ = asyncio.run(call_and_answer(answer, call))
+    assert (result.result, result.handover) == ("done", "")
+    encode(result.handover)
+
+
 @pytest.mark.parametrize(
     ("answer", "expected"),
     [
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_manifest.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_manifest.py
@@ -158,6 +158,12 @@
         ((*SPLIT, 0, "weight"), -1),
         (SPLIT, []),
         (SPLIT, [{"service": "log", "weight": 0}]),
+        ((*SPLIT, 0, "weight"), 10**400),
+        ((*ROUTE, "max-attempts"), 10**400),
+        ((*ROUTE, "service"), "\ud800"),
+        ((*ROUTE, "allowed-regions"), ["\ud800"]),
+        (("resources", 2, "metadata", "name"), "\udc00"),
+        (("resources", 2, "spec", "warmup-s"), 10**400),
     ],
 )
 def test_invalid_manifest_is_rejected_with_reasons(path, value):
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
@@ -192,6 +192,55 @@
     asyncio.run(_run_scenario(tmp_path))
 
 
+ODD_PINGS = [
+    b"[" * 9_999,
+    b'{"x": ' * 2_000,
+    b"\xff\xfe",
+    json.dumps({**heartbeat(1), "service": "\ud800"}).encode(),
+    json.dumps({**heartbeat(1), "version": "\udfff"}).encode(),
+    json.dumps({**heartbeat(1), "slots": 10**400}).encode(),
+    json.dumps({**heartbeat(1), "warmup-left-ms": 10**400}).encode(),
+    json.dumps({**heartbeat(1), "sequence": 10**400}).encode(),
+    json.dumps({**heartbeat(1), "born": 10**400}).encode(),
+    json.dumps({**heartbeat(1), "address": "127.9.1.50:" + "9" * 5_000}).encode(),
+    json.dumps({**heartbeat(1), "address": "127.9.1.50:99999"}).encode(),
+]
+
+
+async def _send_odd_pings(tmp_path):
+    """Send odd pings to every control host; return whether requests are served."""
+    async with (
+        running_fleet(tmp_path) as fleet,
+        running_upstream("i-1"),
+        aiohttp.ClientSession() as http,
+    ):
+
+        def put(core, path, content):
+            url = f"http://{core}:18166{path}"
+            return send_http_request(http, "PUT", url, data=content)
+
+        def send_request():
+            headers = {"Host": "one.example", REQUEST_ID_HEADER: "a"}
+            url = f"http://{EDGE}:18161/x/1"
+            return send_http_request(http, "POST", url, headers=headers)
+
+        content = json.dumps(manifest(1)).encode()
+        await wait_for_status(200, lambda: put(CORES[0], "/api/config", content))
+        for core in CORES:
+            for number, odd_ping in enumerate(ODD_PINGS):
+                status, _ = await put(core, f"/api/instances/odd-{number}", odd_ping)
+                assert status == 400, odd_ping[:80]
+        path, ping = "/api/instances/i-1", json.dumps(heartbeat(1)).encode()
+        for core in CORES:
+            await wait_for_status(200, lambda core=core: put(core, path, ping))
+        await wait_for_status(200, send_request)
+        assert all(process.returncode is None for process in fleet.processes.values())
+
+
+def test_odd_pings_end_no_process_and_hide_no_upstream(tmp_path):
+    asyncio.run(_send_odd_pings(tmp_path))
+
+
 @pytest.mark.parametrize("role", ["edge", "core"])
 def test_bad_settings_prevent_the_start_with_a_line_each(tmp_path, role):
     async def start():
