Take no refusal for the answer to another send

What operators reported: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or these ran at a second target (TWICE). Both can happen here.

Cause, two parts. A refusal without any id counted as 'not run', whoever it answered. And a request of a sharded service that its holder refused is sent to the same holder again with the same id, on the same kept connection: a refusal that is repeated there bears the right id and passed for the answer to the second send, while the holder ran the request; the third send ran it again. Evidence, tests red before: refusals without an id (503 and 421, with and without a reset) gave not_run and other_upstream; with a refusal repeated after 10, 30 and 60 ms a filing ran twice.

The stand-ins of the tests send the id with their refusals, as the platform's targets do. In the dispatcher mode requests that may run once have a connection of their own each, so the same can't happen there.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -45,6 +45,8 @@
 KEEPALIVE_S = 7.0
 ANSWER_SLACK_S = 0.05
 COUNT_DIGITS_MAX = 7
+OTHER_ANSWER = "the answer belongs to another request"
+ANSWER_WITHOUT_ID = "the answer bears no id"
 ANSWER_TOO_LARGE = "the answer is too large to hold"
 # "not_run": the upstream reports that it did not run the request.
 # "other_upstream": status 421; the process that answered must not run the request.
@@ -189,9 +191,11 @@
     response: aiohttp.ClientResponse, header_names: DirectHeaders, send: DirectSend
 ) -> SendOutcome:
     headers = response.headers
-    if headers.get(header_names.request_id) not in (None, send.request_id):
+    request_id = headers.get(header_names.request_id)
+    if request_id != send.request_id:
         response.close()
-        return SendOutcome("broken", "the answer belongs to another request")
+        is_other = request_id is not None
+        return SendOutcome("broken", OTHER_ANSWER if is_other else ANSWER_WITHOUT_ID)
     report = parse_load_report(headers.get(header_names.load, ""))
     if response.status == 421 or header_names.not_run in headers:
         # The body is read to its end so that the connection can be reused.
@@ -199,7 +203,7 @@
         detail = f"status {response.status}"
         result: SendResult = "other_upstream" if response.status == 421 else "not_run"
         return SendOutcome(result, detail, response.status, report=report)
-    unusable_reason = _unusable_reason(response, header_names)
+    unusable_reason = _unusable_reason(response)
     if unusable_reason:
         response.close()
         return SendOutcome("broken", unusable_reason)
@@ -225,12 +229,8 @@
     return outcome
 
 
-def _unusable_reason(
-    response: aiohttp.ClientResponse, header_names: DirectHeaders
-) -> str:
+def _unusable_reason(response: aiohttp.ClientResponse) -> str:
     """Return why an answer with this head is unusable; empty if it is usable."""
-    if header_names.request_id not in response.headers:
-        return "the answer bears no id"
     if "Content-Encoding" in response.headers:
         return "the answer is encoded"
     if not has_length(response):
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -71,8 +71,19 @@
     return web.Response(status=500, headers=headers)
 
 
+def refusal(request: web.Request, status: int, load="") -> web.Response:
+    """Return the answer of an upstream that did not run a request."""
+    headers = {
+        HEADER_NAMES.request_id: request.headers[HEADER_NAMES.request_id],
+        HEADER_NAMES.not_run: "1",
+    }
+    if load:
+        headers[HEADER_NAMES.load] = load
+    return web.Response(status=status, headers=headers)
+
+
 async def full(request: web.Request) -> web.StreamResponse:
-    return web.Response(status=503, headers={HEADER_NAMES.not_run: "1"})
+    return refusal(request, 503)
 
 
 async def reset(request: web.Request) -> web.StreamResponse:
@@ -86,7 +97,7 @@
 
 
 async def not_held(request: web.Request) -> web.StreamResponse:
-    return web.Response(status=421, headers={HEADER_NAMES.not_run: "1"})
+    return refusal(request, 421)
 
 
 class DirectHarness:
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -19,6 +19,7 @@
 
 HEADER_NAMES = DirectHeaders()
 REQUEST_ID_HEADER = f"{HEADER_NAMES.request_id}: r1"
+NOT_RUN_HEADER = f"{HEADER_NAMES.not_run}: 1"
 
 
 def head(status: str, *lines: str) -> bytes:
@@ -98,14 +99,26 @@
     ("answer", "result"),
     [
         (
-            head("503 Full", f"{HEADER_NAMES.not_run}: 1", "Content-Length: 0"),
+            head("503 Full", REQUEST_ID_HEADER, NOT_RUN_HEADER, "Content-Length: 0"),
             "not_run",
         ),
         (
-            head("429 Full", f"{HEADER_NAMES.not_run}: 1", "Content-Length: 0"),
+            head("429 Full", REQUEST_ID_HEADER, NOT_RUN_HEADER, "Content-Length: 0"),
             "not_run",
         ),
-        (head("421 Other", "Content-Length: 0"), "other_upstream"),
+        (head("421 Other", REQUEST_ID_HEADER, "Content-Length: 0"), "other_upstream"),
+        # Without an id it may be a late answer to another request.
+        (head("503 Full", NOT_RUN_HEADER, "Content-Length: 0"), "broken"),
+        (head("421 Other", NOT_RUN_HEADER, "Content-Length: 0"), "broken"),
+        (
+            head(
+                "503 Full",
+                f"{HEADER_NAMES.request_id}: r0",
+                NOT_RUN_HEADER,
+                "Content-Length: 0",
+            ),
+            "broken",
+        ),
         (head("503 Failed", REQUEST_ID_HEADER, "Content-Length: 0"), "answered"),
         (head("200 OK", "Content-Length: 0"), "broken"),
         (
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -1,6 +1,7 @@
 """Tests of the responses to callers in direct mode, by the upstreams' behaviour."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -10,6 +11,7 @@
     failed,
     full,
     not_held,
+    refusal,
     reset,
     route,
     run_with_harness,
@@ -276,9 +278,7 @@
     load, is_short_pause
 ):
     async def shed(request: web.Request) -> web.StreamResponse:
-        return web.Response(
-            status=503, headers={HEADER_NAMES.not_run: "1", HEADER_NAMES.load: load}
-        )
+        return refusal(request, 503, load)
 
     async def scenario(harness):
         # The deadline is long, because the pause is limited to a share of the time
@@ -303,9 +303,7 @@
         if n_shed == 2:
             return await served(request)
         n_shed += 1
-        return web.Response(
-            status=503, headers={HEADER_NAMES.not_run: "1", HEADER_NAMES.load: load}
-        )
+        return refusal(request, 503, load)
 
     async def scenario(harness):
         harness.configure(route("unsafe", timeout_ms=2_000), is_sharded=True)
@@ -322,3 +320,49 @@
         assert time.monotonic() - began_s < 0.7
 
     assert len(run_with_harness(scenario).sends) == (3 if status == 200 else 1)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.01, 0.03, 0.06])
+def test_refusal_that_a_holder_repeats_is_not_taken_for_the_next_answer(delay_s):
+    """Guards against "not run", or a second run, for a request that the holder runs."""
+    runs = []
+
+    async def on_connection(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(4)
+                lines = [
+                    f"{HEADER_NAMES.request_id}: r1",
+                    f"{HEADER_NAMES.load}: 0,0,2,100",
+                ]
+                if not n_refused:
+                    n_refused.append(head)
+                    lines += [f"{HEADER_NAMES.not_run}: 1", "Content-Length: 0"]
+                    refused = "\r\n".join(["HTTP/1.1 503 Full", *lines, "", ""])
+                    writer.write(refused.encode())
+                    await asyncio.sleep(delay_s)
+                    writer.write(refused.encode())
+                    continue
+                runs.append(head)
+                await asyncio.sleep(0.1)
+                lines.append("Content-Length: 5")
+                answer = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", "whole"])
+                writer.write(answer.encode())
+
+    async def scenario(harness):
+        harness.configure(route("unsafe", timeout_ms=2_000), is_sharded=True)
+        server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        harness.add_at("u1", address)
+        key_range = KeyRange("lamps", 0, 9, "u1", 1, address, 1, "")
+        harness.host.ranges = {"lamps": [key_range]}
+        answer, text = await harness.send_request(
+            "/unsafe/1", **{HEADER_NAMES.shard_key: "5"}
+        )
+        server.close()
+        assert (answer.status, text) == (200, "whole")
+
+    n_refused = []
+    run_with_harness(scenario)
+    assert len(runs) == 1
--- a/packages/bergamotferry_testkit/tests/ending_upstreams.py
+++ b/packages/bergamotferry_testkit/tests/ending_upstreams.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from platform_fleet import heartbeat
+from platform_fleet import heartbeat, not_run_answer
 
 BACK_AFTER_S = 1.0
 
@@ -65,7 +65,7 @@
 
     async def on_request(self, request: web.Request) -> web.Response:
         if request.headers.get("X-Expected-Instance") != self.name:
-            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+            return not_run_answer(request)
         request_id = request.headers["X-Request-Id"]
         self.runs.append(request_id)
         await asyncio.sleep(0.02)
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
@@ -11,7 +11,13 @@
 import platform_fleet
 import pytest
 from aiohttp import web
-from platform_fleet import METRICS_PORT, Fleet, route, send_http_request
+from platform_fleet import (
+    METRICS_PORT,
+    Fleet,
+    not_run_answer,
+    route,
+    send_http_request,
+)
 
 CORES = ["127.9.1.1", "127.9.2.1", "127.9.3.1"]
 EDGE = "127.9.1.9"
@@ -48,7 +54,7 @@
 
     async def on_request(request):
         if request.headers.get("X-Expected-Instance") != name:
-            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+            return not_run_answer(request)
         served.append((request.headers[REQUEST_ID_HEADER], await request.read()))
         headers = {
             REQUEST_ID_HEADER: request.headers[REQUEST_ID_HEADER],
--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import aiohttp
+from aiohttp import web
 
 METRICS_PORT = 19464
 # Logged by a program as soon as it can handle signals.
@@ -212,3 +213,10 @@
 def manifest_version(body: bytes) -> int:
     """Return the version of a manifest in a body that a control host answered."""
     return int(json.loads(body)["version"], 16)
+
+
+def not_run_answer(request: web.Request) -> web.Response:
+    """Return the answer of an upstream that must not run a request."""
+    request_id = request.headers.get("X-Request-Id", "")
+    headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+    return web.Response(status=421, headers=headers)
--- a/packages/bergamotferry_testkit/tests/platform_soak_keys.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_keys.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from aiohttp import web
+from platform_fleet import not_run_answer
 from platform_soak_upstream import SoakUpstream
 
 KEYS_PER_BUCKET = 64
@@ -121,12 +122,12 @@
 
     async def on_request(self, request: web.Request) -> web.StreamResponse:
         if request.headers.get("X-Expected-Instance") != self.name:
-            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+            return not_run_answer(request)
         if request.path in ("/api/grant", "/api/release"):
             return await self._serve_control_call(request)
         bucket = int(request.headers["X-Shard-Key"]) // KEYS_PER_BUCKET
         if not self.held.holds(self.name, bucket):
-            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+            return not_run_answer(request)
         self.held.record_run(self.name, bucket)
         await asyncio.sleep(0.03)
         return await super().on_request(request)
--- a/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from aiohttp import web
+from platform_fleet import not_run_answer
 
 from bergamotferry_testkit.fault_proxy import Pair
 
@@ -90,7 +91,7 @@
 
     async def on_request(self, request: web.Request) -> web.StreamResponse:
         if request.headers.get("X-Expected-Instance") != self.name:
-            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+            return not_run_answer(request)
         request_id = request.headers["X-Request-Id"]
         self.runs.append(request_id)
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
