Give each call for a key range a connection of its own

What could happen: the leader takes an answer that a faulty holder repeats for the answer to its next call. A repeated 200 makes a release count as done while the holder is still at work, a repeated 421 makes it count as ended; in both cases its keys get another holder at once.

Evidence: the new test on the code before, with the answer repeated 20 ms later: 'done' and 'no_process' where the holder's own answer to the second call was a refusal. Answers to these calls bear no id, so no check can tell them apart; a connection that is closed after each call can carry none.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -58,7 +58,7 @@
     """Return an HTTP session whose connections are reset when they are closed."""
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            limit=0, socket_factory=_create_resetting_socket
+            limit=0, force_close=True, socket_factory=_create_resetting_socket
         ),
         trace_configs=[_trace_headers_sent()],
     )
--- a/packages/bergamotferry_host/tests/test_range_calls.py
+++ b/packages/bergamotferry_host/tests/test_range_calls.py
@@ -1,7 +1,9 @@
 """Grant and release calls: results of answers, and of calls without an answer."""
 
 import asyncio
+import contextlib
 import json
+import re
 import socket
 
 import pytest
@@ -133,6 +135,49 @@
     assert asyncio.run(call_and_answer(answer, call))[0].result == expected
 
 
+@pytest.mark.parametrize(
+    "repeated",
+    [
+        b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+def test_answer_that_a_holder_repeats_is_not_taken_for_that_of_the_next_call(repeated):
+    """Guards against keys given on while their last holder is still at work."""
+
+    async def run():
+        n_calls = 0
+
+        async def on_connection(reader, writer):
+            nonlocal n_calls
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+                    await reader.readexactly(length)
+                    n_calls += 1
+                    if n_calls == 2:
+                        await asyncio.sleep(0.2)
+                        writer.write(NOT_RUN_400)
+                        continue
+                    writer.write(repeated)
+                    await asyncio.sleep(0.02)
+                    writer.write(repeated)
+
+        server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with open_range_session() as http:
+            await call_grant(http, CALL_NAMES, range_at(port), 4000, HEADER_NAMES)
+            await asyncio.sleep(0.1)
+            answer = await call_grant(
+                http, CALL_NAMES, range_at(port), 4000, HEADER_NAMES
+            )
+        server.close()
+        return answer.result
+
+    assert asyncio.run(run()) == "refused"
+
+
 def test_call_without_a_connection_is_not_sent(monkeypatch):
     monkeypatch.setattr(range_calls, "GRANT_TIMEOUT_S", 0.1)
 
