Log a request as served whose caller leaves with its whole answer

What on-call engineers saw: a lookup whose caller had the whole answer was logged as left by its caller (3004), with status 0 and counted as such.

Cause: the caller closed its connection as soon as it had the bytes that the head announced, before the entry host had read the end of the dispatcher's stream. The handler was cancelled then, and every cancelled request was logged as CALLER_GONE.

A request counts as served once the head and all announced bytes were written.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_sinks.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_sinks.py
@@ -33,6 +33,11 @@
         is_strong = self.etag.startswith('"')
         return self.status == 200 and is_strong and self.n_bytes < self.size_bytes
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the head and every byte that it announced were relayed."""
+        return self.has_head and self.n_bytes == self.size_bytes
+
     async def head(self, head: ResponseHead) -> None:
         """Relay the head; no other attempt is made after this."""
         self.has_head = True
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -71,6 +71,9 @@
         return refusal_response(outcome, decision.request_id)
     finally:
         state.n_in_flight -= 1
+        if _is_caller_gone(outcome) and sink.is_whole:
+            # The caller had its whole answer and closed the connection at once.
+            outcome = Served(sink.status, sink.n_bytes, "")
         took_ms = (now_ns() - started_ns) / 1e6
         refusal = outcome if isinstance(outcome, Refused) else None
         status = outcome.status if isinstance(outcome, Served) else 0
@@ -108,6 +111,10 @@
             del state.in_flight_by_account[account.name]
 
 
+def _is_caller_gone(outcome: Served | Refused) -> bool:
+    return isinstance(outcome, Refused) and outcome.code is ResultCode.CALLER_GONE
+
+
 def _not_ready_refusal(state: HostState) -> Refused:
     if state.is_stopping:
         return Refused(ResultCode.HOST_STOPPING, "ask another host")
--- a/packages/bergamotferry_host/tests/test_caller_edge.py
+++ b/packages/bergamotferry_host/tests/test_caller_edge.py
@@ -9,6 +9,7 @@
 import pytest
 from pythonjsonlogger.json import JsonFormatter
 
+from bergamotferry.messages import ResponseHead
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 from bergamotferry_host import caller_body, caller_edge
 from bergamotferry_host.http_edge import EdgeLimits
@@ -402,3 +403,34 @@
             "code": 0,
         }.items()
     )
+
+
+@pytest.mark.parametrize(("n_bytes", "expected"), [(4, None), (2, "CALLER_GONE")])
+def test_caller_that_leaves_is_logged_as_served_if_it_had_its_whole_answer(
+    edge, monkeypatch, n_bytes, expected
+):
+    """Guards against a served request that is logged as left by its caller."""
+    logged = []
+
+    async def serve(state, is_idempotent, head, body, sink):
+        length = (("Content-Length", "4"),)
+        await sink.head(ResponseHead(0, "", 200, length, "a-2", 7, False))
+        await sink.data(b"body"[:n_bytes])
+        await asyncio.sleep(5)
+
+    def log_request(decision, refusal, status, took_ms, metrics):
+        logged.append(refusal.code.name if refusal else None)
+
+    monkeypatch.setattr(caller_edge, "serve_request", serve)
+    monkeypatch.setattr(caller_edge, "log_request", log_request)
+
+    async def leave_after_the_answer():
+        async with edge() as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GOOD_REQUEST)
+            await reader.readuntil(b"body"[:n_bytes])
+            writer.transport.abort()
+            await asyncio.sleep(0.2)
+
+    asyncio.run(leave_after_the_answer())
+    assert logged == [expected]
