Leave a host's own pause out of the service time of its upstreams

What callers saw: lookups refused 1202 within 0.1 s after a host went on from a pause of 1 s; their upstream answered in 10 ms, and the queue expected a wait of over 3 s.

Cause: an answer that was on its way while the dispatcher was paused counted with the pause in it, and the mean that the queue expects rose by a tenth of the pause with each such answer. Evidence: the new test, red before (60 ms expected after one answer and a pause of 0.5 s, 10 ms before); two such answers and a pause of 1 s give 190 ms, which with some thirty lookups that waited through the pause is the wait that was refused.

The dispatcher's own ticks show its pauses: a wake-up that is over 200 ms late means that the process did not run. That time is taken out of the service time. Smaller delays are not, since subtracting the load of a busy host was tried and made it admit too much. The refusal's detail now gives the inputs of the decision.

--- a/packages/bergamotferry/src/bergamotferry/admission.py
+++ b/packages/bergamotferry/src/bergamotferry/admission.py
@@ -84,9 +84,13 @@
     wait_ms = expected_wait_ms(queue, ticket, now_ns)
     finish_ns = now_ns + int((wait_ms + class_queue.service_time_ms) * 1e6)
     if wait_ms and queue.is_early_refusal and finish_ns > ticket.deadline_ns:
-        return Refused(
-            ResultCode.DEADLINE_TOO_SHORT, f"expected wait is {wait_ms:.0f} ms"
+        detail = (
+            f"expected wait is {wait_ms:.0f} ms: {queue.n_waiting} requests wait, "
+            f"one takes {class_queue.service_time_ms:.0f} ms, "
+            f"{n_slots_allowed(queue.ramp, queue.n_slots, now_ns)} slots, "
+            f"{rate_per_s(queue.ramp, now_ns):.0f} starts a second"
         )
+        return Refused(ResultCode.DEADLINE_TOO_SHORT, detail)
     if not class_queue.n_waiting:
         # A class earns no credit for the time it was idle.
         busy_virtual_times_ms = [
--- a/packages/bergamotferry_host/src/bergamotferry_host/cold_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/cold_watch.py
@@ -21,6 +21,8 @@
 from .logs import log
 
 NS_PER_MS = 1_000_000
+# A busy host wakes up late by less; one that is later than this did not run at all.
+PAUSE_MIN_MS = 200.0
 # Averages over about ten wake-ups: a single late one does not mean that the host is
 # busy.
 LOOP_DELAY_SMOOTHING = 0.1
@@ -97,11 +99,23 @@
         table.latencies.rows.pop(identity[0], None)
 
 
+def total_paused_ms(state: HostState) -> float:
+    """Return for how long this host was paused since its start, in ms.
+
+    That includes a pause that has just ended, before the dispatcher has woken up.
+    """
+    table = state.dispatchers
+    late_ms = (now_ns() - table.wake_due_ns) / NS_PER_MS if table.wake_due_ns else 0.0
+    return table.paused_ms + (late_ms if late_ms >= PAUSE_MIN_MS else 0.0)
+
+
 async def sleep_and_record_delay(state: HostState, pause_s: float) -> None:
     """Sleep, and update the smoothed event loop delay with the wake-up's lateness."""
-    due_ns = now_ns() + int(pause_s * 1e9)
+    table = state.dispatchers
+    due_ns = table.wake_due_ns = now_ns() + int(pause_s * 1e9)
     await asyncio.sleep(pause_s)
     late_ms = max(0.0, (now_ns() - due_ns) / NS_PER_MS)
+    table.paused_ms, table.wake_due_ns = total_paused_ms(state), 0
     smoothed_ms = state.dispatchers.loop_delay_ms
     step_ms = LOOP_DELAY_SMOOTHING * (late_ms - smoothed_ms)
     state.dispatchers.loop_delay_ms = smoothed_ms + step_ms
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -42,6 +42,7 @@
     record_incarnations,
     record_slowness,
     sleep_and_record_delay,
+    total_paused_ms,
 )
 from .crash_watch import current_verdict, record_crash_if_down, record_good_run
 from .decision_log import log_dispatch
@@ -224,13 +225,15 @@
     sink: AnswerSink,
 ) -> Served | Refused | None:
     """Send a request that holds a slot, then free the slot; None if it was aborted."""
-    started_ns = now_ns()
-    took_ms = None
+    started_ns, paused_before_ms = now_ns(), total_paused_ms(state)
+    service_time_ms = None
     try:
         call = send_to_upstream(state, request, sink)
         outcome = await run_abortable(work, call)
         if isinstance(outcome, Served):
             took_ms = (now_ns() - started_ns) / NS_PER_MS
+            # A pause of this host says nothing about how long the upstream takes.
+            service_time_ms = took_ms - (total_paused_ms(state) - paused_before_ms)
             record_answer(state, work, ticket, took_ms, outcome.status)
             record_good_run(state, work, ticket)
         elif request.progress.is_reset:
@@ -241,7 +244,7 @@
         record_latency(state, work, request, outcome, started_ns)
         return outcome
     finally:
-        finish(work.queue, ticket.request_id, took_ms)
+        finish(work.queue, ticket.request_id, service_time_ms)
         work.fingerprints.pop(ticket.request_id, None)
         _start_ready_requests(work)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatcher_table.py
@@ -61,7 +61,8 @@
     by name and incarnation. ``reported_seen_ns`` is the same time as reported by the
     leader, for incarnations that no log entry applied here names yet.
     ``loop_delay_ms`` is the smoothed delay with which this host's event loop resumes
-    its tasks.
+    its tasks. ``paused_ms`` is for how long this host was paused altogether, and
+    ``wake_due_ns`` when its dispatcher should wake up next, 0 while it is awake.
     """
 
     work_by_upstream: dict[str, UpstreamWork] = field(default_factory=dict)
@@ -76,4 +77,6 @@
     latencies: LatencyTable = field(default_factory=LatencyTable)
     hot_keys: HotKeyCounts = field(default_factory=HotKeyCounts)
     loop_delay_ms: float = 0.0
+    paused_ms: float = 0.0
+    wake_due_ns: int = 0
     ticket_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 import pytest
 from request_fakes import SHARD, RecordingSink, ScriptedUpstream, make_head, make_state
 
-from bergamotferry.admission import UpstreamQueue
+from bergamotferry.admission import SERVICE_TIME_INITIAL_MS, UpstreamQueue
 from bergamotferry.commands import MakeException, RecordCrash
 from bergamotferry.data_centre_tables import apply_data_centre_command
 from bergamotferry.key_exceptions import exception_shard
@@ -24,7 +24,11 @@
 )
 from bergamotferry_host import dispatch
 from bergamotferry_host.clock import now_ns
-from bergamotferry_host.cold_watch import record_incarnations, record_session_ages
+from bergamotferry_host.cold_watch import (
+    record_incarnations,
+    record_session_ages,
+    sleep_and_record_delay,
+)
 from bergamotferry_host.dispatcher_table import UpstreamWork
 from bergamotferry_host.exchange import RequestBody, Served
 
@@ -332,3 +336,31 @@
 
     for head in (LOOKUP, FILING):
         assert asyncio.run(run(head)) == (Code.HOST_NOT_READY, True, [])
+
+
+def test_pause_of_the_host_is_not_taken_for_a_slow_upstream():
+    """Guards against refusals of lookups right after a host was paused."""
+
+    def pause_host():
+        time.sleep(0.5)
+
+    async def tick(upstream):
+        while True:
+            await sleep_and_record_delay(upstream.state, 0.02)
+
+    async def run():
+        async with ScriptedUpstream("silent") as upstream:
+            work = add_work(upstream)
+            ticks = asyncio.create_task(tick(upstream))
+            task = start(upstream, LOOKUP)
+            await wait_until(lambda: upstream.requests)
+            upstream.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            pause_host()
+            outcome = await task
+            ticks.cancel()
+            return outcome, work.queue.classes["lookup"].service_time_ms
+
+    outcome, service_time_ms = asyncio.run(run())
+    assert outcome.status == 200
+    # With the pause it would be 0.1 of 500 ms above the initial time.
+    assert service_time_ms < SERVICE_TIME_INITIAL_MS + 20.0
