Pass a late outcome on to the data centre that has taken the shard over

What callers saw: a filing answered 0, whose resends get 2001 for as long as its record is kept. At most once held.

Cause: a dispatcher that was frozen while its shard was handed over goes on, gets its upstream's answer and records it in the data centre that has released the shard. That data centre accepted it, so the caller was answered 0; the new home had imported the open intent as unknown and never heard.

The old home still records the resolution, but refuses it as stale, and the dispatcher commits the same command at the next home before it answers. It is repeated until the next home has imported the intent, where the attempt's late outcome replaces 'unknown' as it does within one data centre. What the tables hold after each command is unchanged, so replicas of both versions agree; only the reply differs.

--- a/packages/bergamotferry/src/bergamotferry/outcome_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/outcome_tables.py
@@ -76,7 +76,11 @@
 def record_outcome(
     tables: "DataCentreTables", command: RecordOutcome
 ) -> Accepted | Refused:
-    """Record the outcome of an attempt; a state of "done" is final."""
+    """Record the outcome of an attempt; a state of "done" is final.
+
+    Refused as stale if the shard has been released meanwhile. Its next home may then
+    have the record as "unknown", and needs this command too.
+    """
     key = (command.account, command.idempotency_key)
     known = tables.outcomes.get(key)
     if known is None or known.attempt_id != command.attempt_id:
@@ -93,11 +97,16 @@
         )
         tables.outcome_body_bytes += len(body)
         _evict_bodies(tables)
-    return Accepted(tables.last_epoch)
+    return _accept_unless_released(tables, known)
 
 
-def forget_intent(tables: "DataCentreTables", command: ForgetIntent) -> Accepted:
-    """Remove the intent of a request that was certainly not run."""
+def forget_intent(
+    tables: "DataCentreTables", command: ForgetIntent
+) -> Accepted | Refused:
+    """Remove the intent of a request that was certainly not run.
+
+    Refused as stale if the shard has been released meanwhile.
+    """
     key = (command.account, command.idempotency_key)
     known = tables.outcomes.get(key)
     if known is not None and known.attempt_id == command.attempt_id:
@@ -105,6 +114,7 @@
         # request ran, but the host of this attempt knows that it did not.
         if known.state != "done":
             del tables.outcomes[key]
+        return _accept_unless_released(tables, known)
     return Accepted(tables.last_epoch)
 
 
@@ -144,6 +154,16 @@
     return len(record.body) == record.size_bytes
 
 
+def _accept_unless_released(
+    tables: "DataCentreTables", record: OutcomeRecord
+) -> Accepted | Refused:
+    released_epoch = tables.released_homes.get(record.shard)
+    home_epoch = record.grant_epoch >> HOME_EPOCH_SHIFT
+    if released_epoch is not None and released_epoch >= home_epoch:
+        return Refused(ResultCode.STALE_EPOCH, "the shard has been released")
+    return Accepted(tables.last_epoch)
+
+
 def _answer_known_request(
     tables: "DataCentreTables", known: OutcomeRecord, command: RecordIntent
 ) -> Accepted | Refused:
--- a/packages/bergamotferry/tests/test_outcome_tables.py
+++ b/packages/bergamotferry/tests/test_outcome_tables.py
@@ -122,6 +122,39 @@
     assert (code_received, record and record.state) == (code, state)
 
 
+@pytest.mark.parametrize("resolution", [outcome("done"), outcome("unknown"), forget()])
+@pytest.mark.parametrize(("released_epoch", "code"), [(2, 0), (3, Code.STALE_EPOCH)])
+def test_resolution_after_the_release_of_its_shard_must_be_passed_on(
+    resolution, released_epoch, code
+):
+    """Guards against a served filing whose next home keeps it as unknown."""
+    grant_epoch = (3 << HOME_EPOCH_SHIFT) + 5
+    tables = make_tables(grant_epoch)
+    tables.imported_homes[SHARD] = 3
+    assert isinstance(
+        apply_data_centre_command(tables, intent(grant_epoch=grant_epoch)), Accepted
+    )
+    tables.released_homes[SHARD] = released_epoch
+    answer = apply_data_centre_command(tables, resolution)
+    assert (0 if isinstance(answer, Accepted) else answer.code) == code
+
+
+def test_late_outcome_replaces_the_unknown_one_at_the_next_home():
+    grant_epoch = (3 << HOME_EPOCH_SHIFT) + 5
+    old = make_tables(grant_epoch)
+    old.imported_homes[SHARD] = 3
+    apply_data_centre_command(old, intent(grant_epoch=grant_epoch))
+    (record,) = old.outcomes.values()
+    new = make_tables()
+    late = outcome("done")
+    # The next home refuses the outcome until it has imported the intent.
+    assert not isinstance(apply_data_centre_command(new, late), Accepted)
+    imported = record._replace(state="unknown")
+    apply_data_centre_command(new, ImportOutcomes((imported,), (SHARD,), (4,)))
+    assert isinstance(apply_data_centre_command(new, late), Accepted)
+    assert new.outcomes[KEY].state == "done"
+
+
 def test_oversized_body_is_dropped_but_its_size_and_digest_are_recorded():
     tables = make_tables()
     body = bytes(OUTCOME_BODY_MAX_BYTES + 1)
--- a/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
@@ -7,15 +7,17 @@
 regions, since one of them may hold the shard later.
 """
 
+import asyncio
 from collections import defaultdict
 
-from bergamotferry.commands import ImportOutcomes
+from bergamotferry.commands import ForgetIntent, ImportOutcomes, RecordOutcome
 from bergamotferry.global_tables import GlobalTables, region_rule
 from bergamotferry.messages import Propose, ProposeReply
 from bergamotferry.outcome_tables import has_imported_outcomes
 from bergamotferry.records import OutcomeRecord, ShardHome, ShardId
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
+from .clock import now_ns
 from .group import Group
 from .group_commit import commit
 from .host_state import HostState, LeaderState
@@ -25,6 +27,7 @@
 
 N_OUTCOMES_PER_BATCH = 64
 IMPORT_TIMEOUT_S = 1.0
+PASS_ON_PAUSE_S = 0.05
 
 
 def released_homes_in_handover(
@@ -67,7 +70,10 @@
         if record.shard not in incomplete:
             continue
         for target in outcome_targets(
-            state.global_tables, record, incomplete[record.shard]
+            state.global_tables,
+            record.shard,
+            record.account,
+            incomplete[record.shard],
         ):
             records_by_target[target].append(_close_open_intent(record))
             shards_by_target[target].add(record.shard)
@@ -88,6 +94,41 @@
             leader.exported_home_epochs.update(epochs)
 
 
+async def pass_on_resolution(
+    state: HostState,
+    shard: ShardId,
+    account: str,
+    command: RecordOutcome | ForgetIntent,
+    timeout_s: float,
+) -> bool:
+    """Commit at a released shard's next home how an intent was resolved.
+
+    The next home takes the command only once it has imported the intent, so this is
+    retried. Returns whether it was taken within ``timeout_s`` seconds.
+    """
+    deadline_ns = now_ns() + int(timeout_s * 1e9)
+    while now_ns() < deadline_ns:
+        targets = _next_homes(state, shard, account)
+        taken = [await _propose(state, target, command) for target in targets]
+        if taken and all(taken):
+            return True
+        await asyncio.sleep(PASS_ON_PAUSE_S)
+    return False
+
+
+def _next_homes(state: HostState, shard: ShardId, account: str) -> list[str]:
+    """Return the data centres that hold the outcomes of a shard released here."""
+    own = state.host.data_centre
+    home = state.global_tables.shard_homes.get(shard)
+    if home is None:
+        return []
+    target = home.next_data_centre or home.data_centre
+    if target == own:
+        return []
+    handover = ShardHome(own, home.epoch, target)
+    return outcome_targets(state.global_tables, shard, account, handover)
+
+
 async def open_shards_of_fenced_data_centres(state: HostState, group: Group) -> None:
     """Let filings run on shards whose outcomes were lost with a fenced data centre.
 
@@ -112,14 +153,13 @@
 
 
 def outcome_targets(
-    tables: GlobalTables, record: OutcomeRecord, home: ShardHome
+    tables: GlobalTables, shard: ShardId, account: str, home: ShardHome
 ) -> list[str]:
     """Return the data centres that must commit an outcome before its shard is released.
 
     All of them are in the home regions of the request, if it has any.
     """
-    shard = record.shard
-    rule = region_rule(tables, shard.service, shard.domain, record.account)
+    rule = region_rule(tables, shard.service, shard.domain, account)
     target = tables.data_centres[home.next_data_centre]
     if rule is None or target.region in rule.regions:
         return [target.name]
@@ -131,7 +171,7 @@
 
 
 def _close_open_intent(record: OutcomeRecord) -> OutcomeRecord:
-    # Once a shard is released, no host can report the outcome of its open intents.
+    # A dispatcher that learns the outcome later passes it on (`pass_on_resolution`).
     return record._replace(state="unknown") if record.state == "intent" else record
 
 
@@ -157,7 +197,11 @@
     return await _propose(state, target, ImportOutcomes((), tuple(epochs), next_epochs))
 
 
-async def _propose(state: HostState, target: str, command: ImportOutcomes) -> bool:
+async def _propose(
+    state: HostState,
+    target: str,
+    command: ImportOutcomes | RecordOutcome | ForgetIntent,
+) -> bool:
     message = Propose(data_centre_group(target), command)
     candidates = hosts_of_data_centre(state.network.addresses, target)
     called_hosts: set[str] = set()
--- a/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/run_once.py
@@ -14,7 +14,6 @@
 from dataclasses import dataclass, field
 
 from bergamotferry.commands import (
-    DataCentreCommand,
     ForgetIntent,
     RecordIntent,
     RecordOutcome,
@@ -32,6 +31,7 @@
 from .group_commit import commit
 from .host_state import HostState
 from .logs import log_warning
+from .outcome_transfer import pass_on_resolution
 from .upstream_call import time_left_s
 
 # Answers to non-idempotent requests are held in memory until their outcome is
@@ -182,7 +182,7 @@
     state: HostState, work: UpstreamWork, intent: RecordIntent
 ) -> None:
     try:
-        await _commit_resolution(state, _forget_command(intent))
+        await _commit_resolution(state, intent, _forget_command(intent))
     finally:
         work.unresolved_attempts.discard(intent.attempt_id)
 
@@ -233,14 +233,14 @@
         if not request.progress.is_sent:
             result = Refused(ResultCode.NO_OWNER, "the owner was lost")
     if isinstance(result, Refused) and result.is_not_run:
-        await _commit_resolution(state, _forget_command(intent))
+        await _commit_resolution(state, intent, _forget_command(intent))
         return result
     if isinstance(result, Refused):
-        await _commit_resolution(
-            state, _outcome_command(intent, "unknown", HeldAnswer())
-        )
+        unknown = _outcome_command(intent, "unknown", HeldAnswer())
+        await _commit_resolution(state, intent, unknown)
         return result
-    if await _commit_resolution(state, _outcome_command(intent, "done", answer)):
+    done = _outcome_command(intent, "done", answer)
+    if await _commit_resolution(state, intent, done):
         return answer
     detail = "it ran, but that could not be recorded"
     return Refused(ResultCode.OUTCOME_UNKNOWN, detail)
@@ -264,14 +264,21 @@
     )
 
 
-async def _commit_resolution(state: HostState, command: DataCentreCommand) -> bool:
+async def _commit_resolution(
+    state: HostState, intent: RecordIntent, command: RecordOutcome | ForgetIntent
+) -> bool:
     """Commit how an intent was resolved, and return whether it was accepted.
 
-    While there is no leader, the commit is retried for up to ``RECORD_TIMEOUT_S``.
+    While there is no leader, the commit is retried for up to ``RECORD_TIMEOUT_S``. If
+    the shard has been handed over meanwhile, its next home must accept it too.
     """
     outcome = await commit(state.own_group, command, RECORD_TIMEOUT_S)
     if isinstance(outcome, Accepted):
         return True
+    if outcome.code is ResultCode.STALE_EPOCH and await pass_on_resolution(
+        state, intent.shard, intent.account, command, RECORD_TIMEOUT_S
+    ):
+        return True
     name = type(command).__name__
     log_warning("outcome not recorded", command=name, code=int(outcome.code))
     return False
@@ -310,9 +317,8 @@
             and not is_orphan_resolved
         ):
             orphan = intent._replace(attempt_id=record.attempt_id)
-            await _commit_resolution(
-                state, _outcome_command(orphan, "unknown", HeldAnswer())
-            )
+            unknown = _outcome_command(orphan, "unknown", HeldAnswer())
+            await _commit_resolution(state, orphan, unknown)
             is_orphan_resolved = True
         await asyncio.sleep(PENDING_POLL_S)
     return refusal
