Prove ends of upstreams by who reports from their address, and disprove them by answers

Now a new upstream's row proves the end of the one that was lost at its address; a process ends once, so what is sent after the first loss is not blamed; and an answer to what was sent later disproves the end. A proof counts for 5 s, as upstreams take some seconds to return.

Behind proxies that accept them, a request is stopped later: each end is known only once the next process reports.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
@@ -38,6 +38,7 @@
     drop_old_losses,
     is_connection_loss,
     record_connection_loss,
+    record_life,
     wait_for_check,
 )
 
@@ -81,22 +82,25 @@
     upstream: Upstream,
     outcome: SendOutcome | None,
     known: KnownEnds,
+    sent_ns: int,
 ) -> None:
     """Record what a send shows about the request: a success, or a broken connection.
 
-    ``known`` are the ends that were known when the send began.
+    ``known`` are the ends that were known when the send began, at ``sent_ns``.
     """
     if outcome is None:
         return
+    row = upstream.row
+    if outcome.result in ("answered", "not_run"):
+        record_life(host.end_watch, row.name, sent_ns)
     if outcome.result == "answered" and outcome.status < 500:
         if host.crashes.table.entries:
             count_success(host.crashes, fingerprint_of(request))
-    elif is_connection_loss(outcome.result, outcome.detail):
-        row = upstream.row
-        if row.phase == "ready":
-            run = InterruptedRun(request.request_id, fingerprint_of(request), known)
-            record_connection_loss(host.end_watch, row.name, row.address, run)
-            request.lost_upstream = row.name
+    elif is_connection_loss(outcome.result, outcome.detail) and row.phase == "ready":
+        fingerprint = fingerprint_of(request)
+        run = InterruptedRun(request.request_id, fingerprint, known, sent_ns)
+        record_connection_loss(host.end_watch, row.name, row.address, run)
+        request.lost_upstream = row.name
 
 
 async def wait_for_end_check(host: DirectHost, request: DirectRequest) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -37,7 +37,7 @@
 from .fleet_start import DecodeConfiguration
 from .logs import log, log_warning
 from .peer_network import PeerNetwork
-from .upstream_ends import EndWatch, record_proof
+from .upstream_ends import EndWatch, record_address_in_use, record_proof
 
 # Upstreams that left or are lost stay known, so that a control host that lags cannot
 # bring them back. They are removed only while more upstreams than this are known.
@@ -277,6 +277,7 @@
         cold = ColdRate(sent_ns=known.cold.sent_ns) if known else ColdRate()
         if known is not None:
             record_proof(host.end_watch, row.name, "next incarnation")
+        record_address_in_use(host.end_watch, row.address, row.name)
         known = Upstream(row, load, cold, _rendezvous_rank(host, row))
         host.upstreams[row.name] = known
         log("upstream known", upstream=row.name, service=row.service, phase=row.phase)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -224,7 +224,7 @@
         result = outcome.result if outcome is not None else "cancelled"
         took_ms = (now_ns() - sent_ns) / 1e6
         record_request_result(request, upstream, result, outcome)
-        record_run(host, request, upstream, outcome, known)
+        record_run(host, request, upstream, outcome, known, sent_ns)
         record_upstream_result(host, request, reservation, result, outcome, sent_ns)
         record_send(host.metrics, upstream.row.data_centre, result, took_ms)
         log_routine(
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
@@ -31,7 +31,7 @@
 from .clock import now_ns
 from .direct_call import parse_cold_left_ms, parse_load_report
 from .direct_host import DirectHost, Upstream, distance_of, mark_replaced
-from .upstream_ends import record_proof
+from .upstream_ends import record_life, record_proof
 
 # A longer wait would cost the request more time than the load report saves.
 PROBE_WAIT_S: dict[Distance, float] = {"here": 0.04, "near": 0.04, "far": 0.12}
@@ -80,7 +80,8 @@
     header_names = host.settings.headers
     url = URL(f"http://{upstream.row.address}{service.health_path}", encoded=True)
     timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
-    due_ns = now_ns() + _probe_due_after_ns(host, upstream)
+    sent_ns = now_ns()
+    due_ns = sent_ns + _probe_due_after_ns(host, upstream)
     add_overdue_time(upstream.load, due_ns)
     try:
         async with http.get(url, timeout=timeout, allow_redirects=False) as response:
@@ -93,6 +94,7 @@
             left_ms = parse_cold_left_ms(
                 response.headers.get(header_names.cold_left_ms, "")
             )
+        record_life(host.end_watch, upstream.row.name, sent_ns)
         record_probe_answer(upstream.cold, left_ms, now_ns())
         if report is not None:
             record_report(upstream.load, report, upstream.load.n_in_flight, now_ns())
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
@@ -7,7 +7,9 @@
 An upstream that is silent, or that had said that it leaves, has not ended this way.
 
 The losses of one upstream wait here for such a proof. The first loss starts a check of
-the address; every later send, load probe and heartbeat may prove the end as well.
+the address; every later send, load probe and heartbeat may prove the end as well. An
+answer of the upstream disproves it. A process ends only once, so requests that are sent
+after the first loss were not running as it ended.
 """
 
 import asyncio
@@ -22,7 +24,7 @@
 from .logs import log, log_routine
 
 # A proof that arrives later than this after the loss may have another cause.
-PROOF_WINDOW_NS = 3_000_000_000
+PROOF_WINDOW_NS = 5_000_000_000
 # A process that ends closes its listening socket together with its connections.
 CHECK_TIMEOUT_S = 0.25
 # Longest wait of a request for this check before it is sent elsewhere.
@@ -53,18 +55,22 @@
 class InterruptedRun(NamedTuple):
     """A request that an upstream was running when their connection broke.
 
-    ``known`` are the earlier ends that were known when the run began.
+    ``known`` are the earlier ends that were known when the run began, at ``sent_ns``.
     """
 
     request_id: str
     fingerprint: str
     known: KnownEnds
+    sent_ns: int
 
 
 @dataclass(slots=True)
 class _Losses:
+    """Runs that were lost with an upstream at ``address``, from ``first_ns`` on."""
+
+    address: str
+    first_ns: int
     runs: list[InterruptedRun] = field(default_factory=list)
-    last_ns: int = 0
     check: "asyncio.Task[None] | None" = None
 
 
@@ -89,15 +95,18 @@
     watch: EndWatch, upstream: str, address: str, run: InterruptedRun
 ) -> None:
     """Record that the connection of a running request broke, and check the address."""
-    losses = watch.losses.setdefault(upstream, _Losses())
     now = now_ns()
-    if now - losses.last_ns > PROOF_WINDOW_NS:
+    losses = watch.losses.get(upstream)
+    if losses is None:
+        losses = watch.losses[upstream] = _Losses(address, now)
+    elif now - losses.first_ns > PROOF_WINDOW_NS:
         losses.runs.clear()
-    losses.last_ns = now
-    if len(losses.runs) < N_LOSSES_MAX:
-        losses.runs.append(run)
+        losses.first_ns = now
+    if run.sent_ns > losses.first_ns or len(losses.runs) >= N_LOSSES_MAX:
+        return
+    losses.runs.append(run)
     if losses.check is None:
-        losses.check = asyncio.create_task(_check_address(watch, upstream, address))
+        losses.check = asyncio.create_task(_check_address(watch, upstream, losses))
 
 
 async def wait_for_check(watch: EndWatch, upstream: str) -> None:
@@ -113,7 +122,7 @@
     if losses is None or not losses.runs:
         return
     runs, losses.runs = losses.runs, []
-    if now_ns() - losses.last_ns > PROOF_WINDOW_NS:
+    if now_ns() - losses.first_ns > PROOF_WINDOW_NS:
         return
     watch.n_ends += 1
     log("upstream ended", upstream=upstream, proof=proof, n_running=len(runs))
@@ -127,17 +136,34 @@
         watch.on_end(run)
 
 
+def record_address_in_use(watch: EndWatch, address: str, upstream: str) -> None:
+    """Record that an upstream reports from an address, perhaps that of an ended one."""
+    for name, losses in list(watch.losses.items()):
+        if losses.address == address and name != upstream:
+            record_proof(watch, name, "other process")
+
+
+def record_life(watch: EndWatch, upstream: str, sent_ns: int) -> None:
+    """Record that an upstream has answered what was sent at ``sent_ns``.
+
+    If that was after its first loss, the loss was not the end of its process.
+    """
+    losses = watch.losses.get(upstream)
+    if losses is not None and sent_ns > losses.first_ns:
+        del watch.losses[upstream]
+
+
 def drop_old_losses(watch: EndWatch) -> None:
     """Forget the losses for which no proof has come in time."""
     now = now_ns()
     for upstream, losses in list(watch.losses.items()):
-        if losses.check is None and now - losses.last_ns > PROOF_WINDOW_NS:
+        if now - losses.first_ns > PROOF_WINDOW_NS:
             del watch.losses[upstream]
 
 
-async def _check_address(watch: EndWatch, upstream: str, address: str) -> None:
+async def _check_address(watch: EndWatch, upstream: str, losses: _Losses) -> None:
     try:
-        if await refuses_connections(address, CHECK_TIMEOUT_S):
+        if await refuses_connections(losses.address, CHECK_TIMEOUT_S):
             record_proof(watch, upstream, "connection refused")
     finally:
-        watch.losses[upstream].check = None
+        losses.check = None
