Play requests that end their upstreams in the soak

A caller sends content that ends each upstream that runs it, 40 times each, on all three kinds of routes, while hosts are killed, frozen and stopped. Checked: at most three retries later than 3 s after the third end, through hosts that were undisturbed so long and while some control host ran; and no proper request is refused as quarantined. An upstream that is down sends no heartbeats, and its address refuses connections.

--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -49,6 +49,7 @@
     KINDS,
     LINK_MBPS,
     Call,
+    End,
     Soak,
 )
 from platform_soak_upstream import HOSTS, SoakUpstream
@@ -63,6 +64,9 @@
 # These callers send requests for the hot keys without a pause, so that the hot keys
 # overload a single holder on a slow machine too.
 N_HOT_KEY_CALLERS = 3
+# Each content that ends upstreams is sent this often, some 7 s in all.
+N_ENDING_REPEATS = 40
+ENDING_KINDS = ("safe", "unsafe", "keyed")
 # Pause of a caller of hot keys after a request that was not served.
 NOT_SERVED_PAUSE_S = 0.05
 HEARTBEAT_INTERVAL_S = 0.4
@@ -132,24 +136,29 @@
     rng = random.Random(seed)
     async with aiohttp.ClientSession() as http, asyncio.TaskGroup() as group:
         soak = Soak(fleet, rng, http)
+
+        def record_end(path: str, request_id: str) -> None:
+            soak.breaks.append(time.monotonic())
+            soak.ends.append(End(time.monotonic(), path, request_id))
+
         soak.upstreams = [
             SoakUpstream(
                 number,
                 soak.runs,
                 random.Random(f"{seed} {number}"),
                 soak.broken_off,
+                record_end,
+                proxy=soak.proxy,
             )
             for number in range(N_UPSTREAMS)
         ]
-        link_servers = [
-            await soak.proxy.listen(upstream.link) for upstream in soak.upstreams
-        ]
         soak.keyed_upstreams = [
             KeyedUpstream(
                 number,
                 soak.runs,
                 random.Random(f"{seed} holder {number}"),
                 soak.broken_off,
+                record_end,
                 held=soak.held,
             )
             for number in range(N_KEYED_UPSTREAMS)
@@ -157,6 +166,7 @@
         try:
             for upstream in (*soak.upstreams, *soak.keyed_upstreams):
                 await upstream.start()
+                await upstream.open_link()
             await fleet.start_hosts()
             group.create_task(_send_heartbeats(soak))
             await _apply_configuration(soak, 1)
@@ -169,6 +179,7 @@
                 group.create_task(_send_hot_key_requests(soak, N_CALLERS + number))
                 for number in range(N_HOT_KEY_CALLERS)
             ]
+            callers.append(group.create_task(_send_ending_requests(soak)))
             configuration_poll = group.create_task(_poll_configuration(soak))
             await _run_plan(soak, plan)
             await _wait_all_serving(soak)
@@ -179,17 +190,16 @@
         finally:
             soak.is_finished = True
             await fleet.end_hosts()
-            for upstream, server in zip(soak.upstreams, link_servers, strict=True):
-                server.close()
-                soak.proxy.reset(HOSTS, str(upstream.number))
             for upstream in (*soak.upstreams, *soak.keyed_upstreams):
-                await upstream.runner.cleanup()
+                await upstream.stop()
     return soak
 
 
 async def _send_heartbeats(soak: Soak) -> None:
     while not soak.is_finished:
         for upstream in (*soak.upstreams, *soak.keyed_upstreams):
+            if upstream.is_down:
+                continue
             upstream.sequence += 1
             core = soak.rng.choice(CORES)
             url = f"http://{core}:{CONTROL_PORT}/api/instances/{upstream.name}"
@@ -234,6 +244,22 @@
                 await asyncio.sleep(NOT_SERVED_PAUSE_S)
 
 
+async def _send_ending_requests(soak: Soak) -> None:
+    """Send requests that end each upstream that runs them, each content many times."""
+    rng = random.Random(f"ending {soak.rng.random()}")
+    async with aiohttp.ClientSession() as http:
+        for count in itertools.count():
+            if soak.is_finished:
+                return
+            number = count // N_ENDING_REPEATS
+            kind = ENDING_KINDS[number % len(ENDING_KINDS)]
+            edge = rng.choice(EDGES)
+            call = Call(f"ending-{count}", kind, edge, time.monotonic())
+            call.content = f"ending-{number}"
+            await _send_and_record(soak, http, call, draw_key(rng))
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+
+
 async def _send_and_record(
     soak: Soak, http: aiohttp.ClientSession, call: Call, shard_key: int
 ) -> None:
@@ -357,12 +383,14 @@
             case "kill" | "kill all cores":
                 for ip in affected:
                     soak.hard_faults.append((ip, time.monotonic()))
+                    soak.record_down(ip)
                     await fleet.end(ip)
                 await asyncio.sleep(duration_s)
                 for ip in affected:
                     await fleet.start(ip)
             case "freeze":
                 soak.hard_faults.append((target, time.monotonic()))
+                soak.record_down(target)
                 fleet.send_signal(target, signal.SIGSTOP)
                 if target in CORES:
                     await _apply_configuration_and_thaw(soak, target, duration_s)
@@ -371,6 +399,7 @@
                     fleet.send_signal(target, signal.SIGCONT)
             case "stop":
                 from_s = time.monotonic()
+                soak.record_down(target)
                 status = await fleet.end(target, signal.SIGTERM)
                 soak.stops.append((target, from_s, time.monotonic(), status))
                 await fleet.start(target)
@@ -395,6 +424,7 @@
                 await _apply_configuration(soak, next(soak.versions), N_MANY_ROUTES)
             case "lose disk":
                 soak.hard_faults.append((target, time.monotonic()))
+                soak.record_down(target)
                 await fleet.end(target)
                 shutil.rmtree(fleet.tmp_path / target)
                 await fleet.start(target)
@@ -402,6 +432,7 @@
         # The next fault may be a signal, which a new process can't handle at once.
         for ip in affected & set(fleet.processes):
             await fleet.wait_started(ip)
+            soak.record_return(ip)
         await asyncio.sleep(FAULT_COOLDOWN_S)
     finally:
         soak.occupied -= affected
--- a/packages/bergamotferry_testkit/tests/platform_soak_check.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_check.py
@@ -3,10 +3,14 @@
 from collections import Counter
 
 from platform_soak_state import APPLY_S, CORES, Call, Soak
-from platform_soak_upstream import answer_body
+from platform_soak_upstream import answer_body, is_ending
 
 # The effects of a hard fault may last for this long after it.
 FAULT_EFFECT_S = 3.0
+# What a host has seen is known to those in touch after this time.
+CONTACT_S = 3.0
+N_ENDS_MAX = 3
+N_RETRIES_MAX = 3
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -33,6 +37,7 @@
         for ip, _, _, status in soak.stops
         if status
     ]
+    broken += _check_ending_requests(soak, run_counts)
     return broken + _check_planned_stops(soak, run_counts)
 
 
@@ -79,6 +84,47 @@
     return broken
 
 
+def _check_ending_requests(soak: Soak, run_counts: Counter[str]) -> list[str]:
+    """Return one line for each request that ended upstreams and was not stopped.
+
+    Hosts that are in touch must stop a request within `CONTACT_S` after the third end,
+    but for `N_RETRIES_MAX` retries. No proper request may be taken for the cause.
+    """
+    broken = [
+        f"{call.request_id} for {call.path} was refused as quarantined"
+        for call in soak.calls
+        if not is_ending(call.path) and call.body.startswith(b"1301")
+    ]
+    for path in {end.path for end in soak.ends}:
+        ends_s = sorted(end.at_s for end in soak.ends if end.path == path)
+        late_ids = [
+            call.request_id
+            for call in soak.calls
+            if call.path == path
+            and run_counts[call.request_id]
+            and len(ends_s) >= N_ENDS_MAX
+            and call.began_s > ends_s[N_ENDS_MAX - 1] + CONTACT_S
+            and _is_in_touch(soak, call)
+        ]
+        if len(late_ids) > N_RETRIES_MAX:
+            broken.append(f"{path} ended {len(ends_s)} upstreams, late: {late_ids}")
+    return broken
+
+
+def _is_in_touch(soak: Soak, call: Call) -> bool:
+    """Return whether the host of a request could have heard what others had seen."""
+    since_s = call.began_s - CONTACT_S
+    disturbances = [*soak.hard_faults, *soak.returns]
+    disturbances += [(ip, from_s) for ip, from_s, _, _ in soak.stops]
+    is_disturbed = any(
+        ip == call.edge and since_s < at_s < call.ended_s for ip, at_s in disturbances
+    )
+    is_blacked_out = any(
+        from_s < call.ended_s and since_s < to_s for from_s, to_s in soak.blackouts
+    )
+    return not is_disturbed and not is_blacked_out
+
+
 def _has_hard_fault(soak: Soak, edge: str, from_s: float, to_s: float) -> bool:
     """Return whether a host had a hard fault during a stop or shortly before it."""
     return any(
--- a/packages/bergamotferry_testkit/tests/platform_soak_keys.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_keys.py
@@ -115,10 +115,10 @@
         """Address at which hosts reach the upstream."""
         return self.own_address
 
-    async def crash(self) -> None:
+    async def _crash(self) -> None:
         self.held.hold_ends_s.pop(self.name, None)
         self.fencing_tokens.clear()
-        await super().crash()
+        await super()._crash()
 
     async def on_request(self, request: web.Request) -> web.StreamResponse:
         if request.headers.get("X-Expected-Instance") != self.name:
--- a/packages/bergamotferry_testkit/tests/platform_soak_state.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_state.py
@@ -2,8 +2,10 @@
 
 import itertools
 import random
+import time
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import aiohttp
 from platform_fleet import Fleet
@@ -32,11 +34,20 @@
     ended_s: float = 0.0
     status: int = 0
     body: bytes = b""
+    content: str = "1"
 
     @property
     def path(self) -> str:
         """Path of the request."""
-        return f"/{self.kind}/1"
+        return f"/{self.kind}/{self.content}"
+
+
+class End(NamedTuple):
+    """The end of an upstream that ran a request which ends its upstreams."""
+
+    at_s: float
+    path: str
+    request_id: str
 
 
 @dataclass
@@ -50,6 +61,9 @@
     read. ``stops`` are planned stops (host, start, end, exit status), ``hard_faults``
     the kills, freezes and lost disks (host, time). ``versions`` yields the versions of
     further configurations. ``occupied`` are the targets that a running fault affects.
+    ``ends`` are the ends of upstreams under requests. ``down`` are the hosts that are
+    killed or frozen, and ``returns`` when a host ran again (host, time). ``blackouts``
+    are the spans (start, end) in which no control host ran.
     """
 
     fleet: Fleet
@@ -70,4 +84,25 @@
     versions: itertools.count = field(default_factory=lambda: itertools.count(2))
     n_faults_by_kind: Counter[str] = field(default_factory=Counter)
     occupied: set[str] = field(default_factory=set)
+    ends: list[End] = field(default_factory=list)
+    down: set[str] = field(default_factory=set)
+    returns: list[tuple[str, float]] = field(default_factory=list)
+    blackouts: list[tuple[float, float]] = field(default_factory=list)
+    blackout_began_s: float = 0.0
+
+    def record_down(self, ip: str) -> None:
+        """Record that a host was killed, stopped or frozen."""
+        self.down.add(ip)
+        if self.down.issuperset(CORES):
+            self.blackout_began_s = time.monotonic()
+
+    def record_return(self, ip: str) -> None:
+        """Record that a host runs again."""
+        if ip not in self.down:
+            return
+        if self.down.issuperset(CORES) and ip in CORES:
+            self.blackouts.append((self.blackout_began_s, time.monotonic()))
+        self.down.remove(ip)
+        self.returns.append((ip, time.monotonic()))
+
     is_finished: bool = False
--- a/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
@@ -6,12 +6,13 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from aiohttp import web
 from platform_fleet import not_run_answer
 
-from bergamotferry_testkit.fault_proxy import Pair
+from bergamotferry_testkit.fault_proxy import FaultProxy, Pair
 
 # Name in the proxy of the hosts' end of each link; an upstream's end is its number.
 HOSTS = "hosts"
@@ -22,6 +23,11 @@
 BROKEN_OFF_SHARE = 0.05
 
 
+def is_ending(path: str) -> bool:
+    """Return whether a request ends each upstream that runs it."""
+    return "/ending-" in path
+
+
 def answer_body(path: str, request_id: str) -> bytes:
     """Return the body of the whole answer to a request."""
     text = f"answer to {request_id}".encode()
@@ -35,16 +41,22 @@
     """An upstream of the service without shards.
 
     ``runs`` are the ids of the requests that all incarnations began to run, and
-    ``broken_off`` those whose answer the upstream broke off.
+    ``broken_off`` those whose answer the upstream broke off. ``on_end`` is called with
+    the path and the id of a request that ends the upstream. Hosts connect through
+    ``proxy``, if there is one.
     """
 
     number: int
     runs: list[str]
     rng: random.Random
     broken_off: list[str]
+    on_end: Callable[[str, str], None]
     incarnation: int = 1
     sequence: int = 0
     runner: web.AppRunner | None = None
+    crash_task: "asyncio.Task[None] | None" = None
+    proxy: FaultProxy | None = None
+    link_server: asyncio.Server | None = None
 
     service = "log"
     n_slots = 2
@@ -77,13 +89,46 @@
         ip, port = self.own_address.split(":")
         await web.TCPSite(self.runner, ip, int(port), reuse_address=True).start()
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the process has crashed and not yet started again."""
+        return self.crash_task is not None and not self.crash_task.done()
+
     async def crash(self) -> None:
-        """End this incarnation and start the next one, which has no state."""
+        """End this incarnation and start the next one, which has no state.
+
+        Does nothing while an earlier crash is not over.
+        """
+        if not self.is_down:
+            self.crash_task = asyncio.create_task(self._crash())
+        await asyncio.shield(self.crash_task)
+
+    async def stop(self) -> None:
+        """Stop for good, once a crash is over."""
+        if self.crash_task is not None:
+            await self.crash_task
+        self.close_link()
+        await self.runner.cleanup()
+
+    async def _crash(self) -> None:
+        self.close_link()
         await self.runner.cleanup()
         self.incarnation += 1
         self.sequence = 0
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         await self.start()
+        await self.open_link()
+
+    async def open_link(self) -> None:
+        """Let hosts connect to the upstream through the proxy, if there is one."""
+        if self.proxy is not None:
+            self.link_server = await self.proxy.listen(self.link)
+
+    def close_link(self) -> None:
+        """Refuse and break connections, as the address of an ended process does."""
+        if self.link_server is not None:
+            self.link_server.close()
+            self.proxy.reset(HOSTS, str(self.number))
 
     async def on_health(self, request: web.Request) -> web.Response:
         headers = {"X-Instance-Id": self.name, "X-Server-Load": "0,0,2,100"}
@@ -95,6 +140,11 @@
         request_id = request.headers["X-Request-Id"]
         self.runs.append(request_id)
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
+        if is_ending(request.path):
+            self.on_end(request.path, request_id)
+            if request.transport is not None:
+                request.transport.abort()
+            await self.crash()
         # Some connections are aborted after their request has run. The transport is
         # None if a reset of the link closed the connection meanwhile.
         if self.rng.random() < 0.01 and request.transport is not None:
