Keep texts without an encoding out of the dispatcher mode's log

The cause of the odd pings, looked for in the other mode: an upstream's renewal or leave took any text as a name, and the content type of an answer to a filing went into the outcome as it came, so both could put into a command what no log or message can encode. Announcements, callers' heads and operators' notes were bounded already.

Tests, red before: a renewal and a leave of half a surrogate pair and of 200 characters (503 no leader, now 400), and a filing whose answer has a content type with a byte that is no UTF-8 (its outcome could not be encoded). That a host ends by it was not shown.

--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_call.py
@@ -26,6 +26,7 @@
 
 from .answer_framing import has_length
 from .clock import now_ns
+from .codec import encodable_text
 from .exchange import (
     AnswerSink,
     SendProgress,
@@ -282,7 +283,7 @@
     state: HostState, request: UpstreamRequest, response: aiohttp.ClientResponse
 ) -> ResponseHead:
     headers = [
-        (name, response.headers[name])
+        (name, encodable_text(response.headers[name]))
         for name in _RELAYED_HEADERS
         if name in response.headers
     ]
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_edge.py
@@ -89,9 +89,9 @@
 
 async def _renew(state: HostState, body: dict[str, Any]) -> dict[str, object] | Refused:
     name, incarnation = body.get("name"), body.get("incarnation")
-    if not isinstance(name, str) or not _is_positive_int(incarnation, 1 << 62):
+    if not _is_name(name) or not _is_positive_int(incarnation, 1 << 62):
         return Refused(ResultCode.BAD_REQUEST, "needs name and incarnation")
-    outcome = await renew_session(state, name, int(incarnation or 0))
+    outcome = await renew_session(state, str(name), int(incarnation or 0))
     if isinstance(outcome, Refused):
         return outcome
     return {"lease_ms": SESSION_LEASE_MS, "renew_every_ms": RENEW_EVERY_MS}
@@ -99,9 +99,9 @@
 
 async def _leave(state: HostState, body: dict[str, Any]) -> dict[str, object] | Refused:
     name, incarnation = body.get("name"), body.get("incarnation")
-    if not isinstance(name, str) or not _is_positive_int(incarnation, 1 << 62):
+    if not _is_name(name) or not _is_positive_int(incarnation, 1 << 62):
         return Refused(ResultCode.BAD_REQUEST, "needs name and incarnation")
-    command = DrainSession(name, int(incarnation or 0), False)
+    command = DrainSession(str(name), int(incarnation or 0), False)
     outcome = await commit(state.own_group, command)
     if isinstance(outcome, Refused):
         return outcome
@@ -140,6 +140,10 @@
     )
 
 
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and _NAME.match(value) is not None
+
+
 def _is_positive_int(value: object, maximum: int) -> bool:
     is_int = isinstance(value, int) and not isinstance(value, bool)
     return is_int and 0 < value <= maximum  # type: ignore[operator]
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -204,6 +204,8 @@
 
 
 ANSWERS = {
+    "odd type": b"HTTP/1.1 200 OK\r\nContent-Type: caf\xe9\r\n"
+    b"Content-Length: 4\r\n\r\ndata",
     "whole": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",
     "short": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata",
     "no length": b"HTTP/1.1 200 OK\r\n\r\ndata",
--- a/packages/bergamotferry_host/tests/test_control_edge.py
+++ b/packages/bergamotferry_host/tests/test_control_edge.py
@@ -38,6 +38,16 @@
     )
 
 
+def renewal(name):
+    body = json.dumps({"name": name, "incarnation": 1}).encode()
+    return post("/upstreams/v1/renew", body, UPSTREAM_TOKEN)
+
+
+def leave(name):
+    body = json.dumps({"name": name, "incarnation": 1}).encode()
+    return post("/upstreams/v1/leave", body, UPSTREAM_TOKEN)
+
+
 def chunks(n_bytes):
     chunk = b"fff\r\n" + b" " * 0xFFF + b"\r\n"
     return chunk * (n_bytes // 0xFFF + 1) + b"0\r\n\r\n"
@@ -103,6 +113,9 @@
     ("slots that are not a number", announce(n_slots=True), "BAD_REQUEST"),
     ("bad address", announce(address="localhost"), "BAD_REQUEST"),
     ("name that is not valid Unicode", announce(name="\ud800"), "BAD_REQUEST"),
+    ("renewal of a name that is not valid Unicode", renewal("\ud800"), "BAD_REQUEST"),
+    ("leave of a name that is not valid Unicode", leave("\ud800"), "BAD_REQUEST"),
+    ("leave of a name over the limit", leave("x" * 200), "BAD_REQUEST"),
     ("other data centre", announce(data_centre="b"), "SESSION_WRONG_DATA_CENTRE"),
     ("unknown service", announce(service="none"), "SESSION_WRONG_SERVICE"),
     ("no leader", announce(), "NO_LEADER"),
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -24,6 +24,7 @@
 )
 from bergamotferry_host import dispatch
 from bergamotferry_host.clock import now_ns
+from bergamotferry_host.codec import encode
 from bergamotferry_host.cold_watch import (
     record_incarnations,
     record_session_ages,
@@ -111,6 +112,21 @@
     assert asyncio.run(run(FILING)) == (1, ("done", b"ok"), {})
 
 
+def test_header_of_an_upstream_that_is_no_text_is_relayed_without_it():
+    """Guards against an outcome that the log can't encode."""
+
+    async def run():
+        async with ScriptedUpstream("odd type") as upstream:
+            add_work(upstream)
+            sink = RecordingSink()
+            return await start(upstream, FILING, sink), outcome_record(upstream)
+
+    outcome, record = asyncio.run(run())
+    assert outcome.status == 200
+    assert encode(record)
+    assert record.content_type == "caf"
+
+
 def test_filing_continues_past_its_deadline_and_a_resend_gets_its_answer():
     async def run():
         async with ScriptedUpstream("silent", "whole") as upstream:
