Move a key range only in the term in which its holder released it

Cause: a leader that was frozen after it had sent a release went on, got the answer, and committed the move by way of the next leader, which had renewed the holder's grant meanwhile. A renewal keeps the token, so the command's check of the token passed. The new simulation shows the same, red before: ranges held twice after a change of leader during a release.

Moves, splits and joins of ranges are now committed only by the host that decided them, in the term in which it did so, and never through another leader. A new leader renews only after it has applied all entries of earlier terms, so it knows every move that can still be committed.

--- a/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
@@ -40,6 +40,27 @@
         await asyncio.sleep(PROPOSE_PAUSE_S)
 
 
+async def commit_as_leader(
+    group: Group, command: Command, term: int
+) -> Accepted | Refused:
+    """Commit a command that is only safe while this host leads in a certain term.
+
+    It never goes through another leader. A leader that goes on after a freeze can thus
+    commit nothing that the next leader does not know of: that one leads only once it
+    has applied all earlier entries, and later ones of the old term are not committed.
+
+    Returns
+    -------
+    Accepted or Refused
+        After ``NO_LEADER`` the command may or may not be committed.
+    """
+    is_current = group.replica.term == term
+    future = append_if_leader(group, command) if is_current else None
+    if future is None:
+        return Refused(ResultCode.NO_LEADER, f"{group.name}: term {term} is over")
+    return await wait_committed(group, future)
+
+
 async def answer_propose(group: Group, message: Propose) -> ProposeReply:
     """Commit a command that a peer or this host proposes, if this host leads."""
     future = append_if_leader(group, message.command)
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
@@ -26,7 +26,7 @@
 from .background import start_task
 from .clock import now_ns
 from .fleet_control import ControlHost, is_caught_up_leader
-from .group_commit import commit
+from .group_commit import commit_as_leader
 from .logs import log, log_warning
 from .range_calls import (
     GRANT_TIMEOUT_S,
@@ -225,6 +225,9 @@
     hold: Hold,
     reason: MoveReason,
 ) -> None:
+    # The next leader may renew what was released here, so the release moves the range
+    # in this term only.
+    term = assignments.term
     try:
         row = move.current
         if (
@@ -244,7 +247,7 @@
             hold.release_result = answer.result
         if row is not None and not _can_reassign(host, row, hold):
             return
-        await _assign(host, move, hold, reason)
+        await _assign(host, move, hold, reason, term)
     finally:
         hold.is_busy = False
 
@@ -286,7 +289,7 @@
 
 
 async def _assign(
-    host: ControlHost, move: WantedRange, hold: Hold, reason: MoveReason
+    host: ControlHost, move: WantedRange, hold: Hold, reason: MoveReason, term: int
 ) -> None:
     row = move.current
     command = AssignRange(
@@ -299,7 +302,7 @@
         hold.handover,
         row.token if row is not None else 0,
     )
-    outcome = await commit(host.group, command)
+    outcome = await commit_as_leader(host.group, command, term)
     log(
         "range assigned",
         upstream=move.next_holder.name,
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_balance.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_balance.py
@@ -27,7 +27,7 @@
 from .background import start_task
 from .clock import now_ns
 from .fleet_control import ControlHost, is_caught_up_leader
-from .group_commit import commit
+from .group_commit import commit_as_leader
 from .logs import log
 from .range_assignment import eligible_upstreams, start_move
 from .range_calls import RangeCallNames
@@ -141,7 +141,7 @@
         row.service, row.first_key, row.last_key, row.token, first_keys
     )
     try:
-        outcome = await commit(host.group, command)
+        outcome = await commit_as_leader(host.group, command, assignments.term)
     finally:
         hold.is_busy = False
     log(
@@ -179,7 +179,7 @@
         lower.service, lower.first_key, lower.token, upper.first_key, upper.token
     )
     try:
-        outcome = await commit(host.group, command)
+        outcome = await commit_as_leader(host.group, command, assignments.term)
     finally:
         for hold in holds:
             hold.is_busy = False
--- a/packages/bergamotferry_host/tests/range_harness.py
+++ b/packages/bergamotferry_host/tests/range_harness.py
@@ -8,7 +8,9 @@
 from bergamotferry.fleet_commands import AssignRange
 from bergamotferry.fleet_tables import FleetTables, apply_fleet_command
 from bergamotferry.messages import Member, Membership
+from bergamotferry.outcomes import Refused
 from bergamotferry.replication import Replica
+from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_sessions import Heartbeat, Sessions, record_heartbeat
 from bergamotferry_host import range_assignment
 from bergamotferry_host.clock import now_ns
@@ -84,7 +86,7 @@
         monkeypatch.setattr(range_assignment, "RENEW_EVERY_S", 0.1)
         monkeypatch.setattr(range_assignment, "HOLD_MARGIN_S", 0.05)
         monkeypatch.setattr(range_assignment, "GRANT_TIMEOUT_S", 0.0)
-        monkeypatch.setattr(range_assignment, "commit", self.commit)
+        monkeypatch.setattr(range_assignment, "commit_as_leader", self.commit)
         monkeypatch.setattr(range_assignment, "call_grant", self.call_grant)
         monkeypatch.setattr(range_assignment, "call_release", self.call_release)
 
@@ -103,7 +105,9 @@
         if len(holding) > 1:
             self.doubly_held.append(first_key)
 
-    async def commit(self, group, command):
+    async def commit(self, group, command, term):
+        if not group.is_leader or group.replica.term != term:
+            return Refused(ResultCode.NO_LEADER, "")
         if isinstance(command, AssignRange):
             self.assigned.append(command.upstream)
         return apply_fleet_command(group.tables, command)
--- a/packages/bergamotferry_host/tests/test_group.py
+++ b/packages/bergamotferry_host/tests/test_group.py
@@ -10,7 +10,7 @@
 from bergamotferry_host import group as group_module
 from bergamotferry_host.disk_log import DiskLog, persist, recover_log
 from bergamotferry_host.group import transfer_leadership
-from bergamotferry_host.group_commit import commit
+from bergamotferry_host.group_commit import commit, commit_as_leader
 from bergamotferry_testkit.local_group import (
     NAMES,
     WAIT_S,
@@ -56,6 +56,26 @@
     asyncio.run(run())
 
 
+def test_command_of_an_earlier_term_or_of_a_follower_is_not_committed(tmp_path):
+    """Guards against a former leader whose command the next leader commits."""
+
+    async def run():
+        async with LocalGroup.from_config(tmp_path) as cluster:
+            leader = await cluster.leader()
+            term = leader.replica.term
+            follower = next(
+                group for group in cluster.groups.values() if group is not leader
+            )
+            outcomes = [
+                await commit_as_leader(follower, numbered_command(1), term),
+                await commit_as_leader(leader, numbered_command(2), term - 1),
+                await commit_as_leader(leader, numbered_command(3), term),
+            ]
+            return [isinstance(outcome, Accepted) for outcome in outcomes]
+
+    assert asyncio.run(run()) == [False, False, True]
+
+
 @pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EROFS, errno.EIO])
 def test_voter_whose_disk_fails_stops_voting_and_continues_as_a_reader(
     tmp_path, monkeypatch, error_number
--- a/packages/bergamotferry_host/tests/test_range_assignment.py
+++ b/packages/bergamotferry_host/tests/test_range_assignment.py
@@ -1,5 +1,7 @@
 """Ranges move only when no other holder can have them; upstreams are simulated."""
 
+import asyncio
+
 import pytest
 from range_harness import HOLD_S, RangeHarness, run_steps
 
@@ -302,3 +304,38 @@
     held = [key for h in harness.holders.values() for key in h.until_ns if h.holds(key)]
     assert len(set(held)) == N_RANGES_PER_SERVICE
     assert harness.doubly_held == []
+
+
+def test_release_of_an_earlier_term_moves_no_range_that_was_renewed_since(monkeypatch):
+    """Guards against a leader that goes on after a freeze and moves what it released.
+
+    The next leader has renewed the holder's grant meanwhile.
+    """
+    harness = RangeHarness(monkeypatch, "u1", "u2")
+    harness.send_heartbeats("u1", "u2")
+    release = harness.call_release
+    n_releases = 0
+
+    async def release_and_freeze(*arguments):
+        nonlocal n_releases
+        n_releases += 1
+        answer = await release(*arguments)
+        if n_releases <= 16:
+            await asyncio.sleep(0.5 * HOLD_S)
+        return answer
+
+    monkeypatch.setattr(range_assignment, "call_release", release_and_freeze)
+
+    def elect_next_leader():
+        session = harness.host.sessions.rows["u1"]
+        session.row = session.row._replace(phase="ready")
+        harness.replica.term = harness.replica.snapshot_term = 2
+
+    run_steps(
+        harness,
+        (0.3, make_holder_leave(harness, "u1", "answers")),
+        (0.1, elect_next_leader),
+        (2 * HOLD_S, lambda: None),
+    )
+    assert n_releases >= 16
+    assert harness.doubly_held == []
--- a/packages/bergamotferry_host/tests/test_range_balance.py
+++ b/packages/bergamotferry_host/tests/test_range_balance.py
@@ -50,7 +50,7 @@
 
     def __init__(self, monkeypatch, *names):
         super().__init__(monkeypatch, *names)
-        monkeypatch.setattr(range_balance, "commit", self.commit)
+        monkeypatch.setattr(range_balance, "commit_as_leader", self.commit)
 
     async def call_release(self, http, call_names, key_range, headers):
         holder = self.holders[key_range.upstream]
