Keep quarantined requests over a restart of all hosts

Records of requests that end upstreams are held in memory by all hosts; a restart of all of them at once lost them, and three more upstreams ended before the request was stopped again.

--- a/packages/bergamotferry/src/bergamotferry/crash_records.py
+++ b/packages/bergamotferry/src/bergamotferry/crash_records.py
@@ -66,6 +66,15 @@
     age_ms: int
 
 
+class SavedCrash(NamedTuple):
+    """A record as a control host saves it; ``changed_at_ms`` is a time of day."""
+
+    fingerprint: str
+    generation: int
+    n_ends: int
+    changed_at_ms: int
+
+
 @dataclass(slots=True)
 class CrashEntry:
     """A record as one host keeps it.
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -25,6 +25,7 @@
 from .answer_fetching import AnswerFetching, fetch_for_host, finish_fetching
 from .control_metrics import control_families
 from .crash_exchange import answer_exchange
+from .crash_store import load_crash_records, run_crash_store
 from .data_folder import DataFolder
 from .direct_call import open_direct_session
 from .fleet_control import (
@@ -93,6 +94,7 @@
     host = ControlHost(
         settings, network, group, decode_configuration, secrets.token_hex(8)
     )
+    load_crash_records(host.crashes.table, folder.path)
     session_fetches: set[asyncio.Task[None]] = set()
     reload_on_hangup(read_settings, lambda seeds: group.sources.extend(seeds))
     _set_control_handlers(host, handlers, session_fetches)
@@ -116,6 +118,7 @@
             run_table_updates(host),
             run_session_news(host),
             run_crash_exchanges(host),
+            run_crash_store(host.crashes, folder.path),
             run_range_assignment(host, http, call_names, assignments),
             run_range_balance(host, http, call_names, assignments),
             measure_loop_delays(delays),
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_crash_store.py
@@ -0,0 +1,105 @@
+"""Saved crash records, and files that can't be read or written."""
+
+import asyncio
+
+import pytest
+
+from bergamotferry.crash_records import (
+    N_ENDS_MAX,
+    PAUSE_FIRST_S,
+    CrashTable,
+    KnownEnds,
+    known_ends,
+    quarantine_left_s,
+    record_end,
+    record_success,
+)
+from bergamotferry_host import crash_store
+from bergamotferry_host.clock import now_ns
+from bergamotferry_host.codec import encode
+from bergamotferry_host.crash_exchange import CrashExchange, count_end, count_success
+from bergamotferry_host.crash_store import (
+    FILE_NAME,
+    load_crash_records,
+    run_crash_store,
+)
+
+
+def run_store(monkeypatch, folder, *changes):
+    """Apply changes to an exchange one by one while its records are saved."""
+    monkeypatch.setattr(crash_store, "SAVE_INTERVAL_S", 0.02)
+
+    async def run():
+        exchange = CrashExchange()
+        store = asyncio.create_task(run_crash_store(exchange, folder))
+        for change in (lambda exchange: None, *changes):
+            change(exchange)
+            await asyncio.sleep(0.2)
+        store.cancel()
+
+    asyncio.run(run())
+
+
+def quarantine(exchange):
+    for _ in range(N_ENDS_MAX):
+        count_end(exchange, "a", known_ends(exchange.table, "a"))
+    count_end(exchange, "suspected only", KnownEnds())
+
+
+def loaded(folder):
+    table = CrashTable()
+    load_crash_records(table, folder)
+    return table
+
+
+def test_quarantined_requests_are_read_again_after_a_restart(monkeypatch, tmp_path):
+    run_store(monkeypatch, tmp_path, quarantine)
+    table = loaded(tmp_path)
+    assert set(table.entries) == {"a"}
+    assert known_ends(table, "a") == KnownEnds(0, N_ENDS_MAX)
+    assert quarantine_left_s(table, "a", "h", now_ns()) > PAUSE_FIRST_S - 5
+
+
+def test_cleared_request_is_not_read_again(monkeypatch, tmp_path):
+    run_store(
+        monkeypatch, tmp_path, quarantine, lambda exchange: count_success(exchange, "a")
+    )
+    assert loaded(tmp_path).entries == {}
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"\xff\xff", encode("text"), encode(((1, 2),)), encode(None)]
+)
+def test_damaged_file_counts_as_empty(tmp_path, content):
+    (tmp_path / FILE_NAME).write_bytes(content)
+    assert loaded(tmp_path).entries == {}
+
+
+def test_missing_file_counts_as_empty(tmp_path):
+    assert loaded(tmp_path).entries == {}
+
+
+def test_disk_that_takes_no_bytes_does_not_stop_the_host(monkeypatch, tmp_path):
+    n_writes = 0
+
+    def fail(path, data):
+        nonlocal n_writes
+        n_writes += 1
+        raise OSError("no space left")
+
+    def quarantine_another(exchange):
+        for _ in range(N_ENDS_MAX):
+            count_end(exchange, "b", known_ends(exchange.table, "b"))
+
+    monkeypatch.setattr(crash_store, "write_file", fail)
+    run_store(monkeypatch, tmp_path, quarantine, quarantine_another)
+    assert n_writes == 2
+
+
+def test_older_saved_record_does_not_replace_a_newer_one(monkeypatch, tmp_path):
+    run_store(monkeypatch, tmp_path, quarantine)
+    table = CrashTable()
+    record_end(table, "a", KnownEnds(), now_ns())
+    record_success(table, "a", now_ns())
+    load_crash_records(table, tmp_path)
+    assert known_ends(table, "a") == KnownEnds(1, 0)
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_ending_requests.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_ending_requests.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import aiohttp
+import pytest
 from ending_upstreams import EndingUpstream
 from platform_fleet import CONTROL_PORT, Fleet, manifest, route, send_http_request
 
@@ -158,7 +159,8 @@
     assert sum(answer.status == 200 for answer in busy) > 0.9 * len(busy)
 
 
-def test_hosts_that_start_later_know_of_the_request(tmp_path):
+@pytest.mark.parametrize("restarted", [CORES, [*CORES, *EDGES[:3]]])
+def test_hosts_that_start_later_know_of_the_request(tmp_path, restarted):
     """Guards against a start of hosts that lets the request through again."""
 
     async def scenario():
@@ -166,10 +168,10 @@
             await deployment.repeat(ENDING_PATH, 8, 0.3)
             ends_s = deployment.ends_s()
             fleet = deployment.fleet
-            for core in CORES:
-                await fleet.end(core)
-            for core in CORES:
-                await fleet.start(core)
+            for ip in restarted:
+                await fleet.end(ip)
+            for ip in restarted:
+                await fleet.start(ip)
             await fleet.start(EDGES[3])
             await deployment.wait_serving(EDGES[3])
             await asyncio.sleep(CONTACT_S)
