Exchange crash records over a link of their own

A host of the version before closes the link at a message that it doesn't know. Over the link for requests that would have broken the large answers that control hosts fetch, again and again while both versions run; a link that carries nothing else costs nothing when it is closed. Idle links of this kind to other control hosts are closed when one is followed, as the control links are. Not run with hosts of both versions.

--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
@@ -120,7 +120,7 @@
         network.own_name, position.source, position.n_received, rows, wait_ms
     )
     timeout_s = wait_ms / 1000 + REPLY_TIMEOUT_S
-    reply = await network.call(peer, message, timeout_s, "request")
+    reply = await network.call(peer, message, timeout_s, "records")
     if not isinstance(reply, CrashChanges):
         raise PeerUnreachable(f"{peer}: no crash records")
     # A new process at the peer has only the rows of this exchange.
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -102,9 +102,9 @@
 
 
 def _close_other_links(host: DirectHost, control_host: str) -> None:
-    """Close control links to all other hosts, which would only cost heartbeats."""
+    """Close idle links to all other hosts, which would only cost heartbeats."""
     for (name, link_class), link in list(host.network.links.items()):
-        if name != control_host and link_class == "control" and not link.is_closed:
+        if name != control_host and link_class != "request" and not link.is_closed:
             link.connection.transport.abort()
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -1,4 +1,4 @@
-"""Links to peers, dialled on demand: one for control and one for requests per peer.
+"""Links to peers, dialled on demand: for control, for requests and for records.
 
 The control link is a separate connection, so heartbeats never wait behind a download.
 """
@@ -33,7 +33,9 @@
     SentBytesKey,
 )
 
-LinkClass = Literal["control", "request"]
+# The link for records has messages that hosts of older versions don't know. They close
+# it, which must not break anything else.
+LinkClass = Literal["control", "request", "records"]
 
 DIAL_TIMEOUT_S = 1.0
 REDIAL_PAUSE_NS = 100_000_000
