Move the choice of holders out of the assignment of ranges

What decides from sessions and holds who may have, keep or get a range is range_holders now; what calls upstreams and commits stays. The limit of busy ranges is one constant in place of four times another.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
@@ -21,7 +21,6 @@
 from bergamotferry.fleet_tables import KeyRange, range_key
 from bergamotferry.key_ranges import WantedRange, plan_ranges
 from bergamotferry.outcomes import result_code
-from bergamotferry.upstream_sessions import SessionRow
 
 from .background import start_task
 from .clock import now_ns
@@ -35,6 +34,14 @@
     call_grant,
     call_release,
 )
+from .range_holders import (
+    can_reassign,
+    eligible_upstreams,
+    has_process_ended,
+    keeps_serving,
+    released_first_keys,
+    should_keep_range,
+)
 from .range_holds import Hold, RangeAssignments, current_hold
 
 TICK_S = 0.1
@@ -46,16 +53,8 @@
 # last longer.
 CLOCK_RATE_BOUND = 1.02
 HOLD_MARGIN_S = 0.3
-# The first assignment of a service waits this long, so that upstreams that start
-# together all get keys in it.
-SETTLE_S = 1.5
-# An upstream without a heartbeat for this long is silent: it has missed several in a
-# row.
-HEARTBEAT_TIMEOUT_NS = 3_500_000_000
-# A heartbeat sent before the process ended may arrive this much later.
-HEARTBEAT_DELAY_MAX_NS = 1_000_000_000
-# No further assigned range starts to move while four times this many ranges are busy.
-N_MOVES_MAX = 4
+# No further assigned range starts to move while this many ranges are busy.
+N_BUSY_MAX = 16
 NS_PER_S = 1_000_000_000
 NS_PER_MS = 1_000_000
 # "holder": a holder leaves, is lost or joins; "load": the holder is overloaded.
@@ -112,7 +111,7 @@
     if (
         is_idle
         and now_ns() >= hold.next_renewal_ns
-        and _should_keep_range(host, row, hold)
+        and should_keep_range(host, row, hold)
     ):
         hold.is_busy = True
         renewal = _renew(assignments, host, http, call_names, row, hold, hold_ms)
@@ -179,7 +178,7 @@
             host.tables.ranges.values(),
             upstreams,
             frozenset(host.tables.evacuated),
-            _released_first_keys(assignments, host, service.name),
+            released_first_keys(assignments, host, service.name),
         )
         for move in wanted:
             start_move(assignments, host, http, call_names, move)
@@ -204,10 +203,10 @@
         hold = current_hold(assignments, key, move.current)
     if hold.is_busy:
         return None
-    if move.current is not None and _keeps_serving(host, move.current, hold):
+    if move.current is not None and keeps_serving(host, move.current, hold):
         return None
     n_busy = sum(1 for other in assignments.holds.values() if other.is_busy)
-    if move.current is not None and n_busy >= N_MOVES_MAX * 4:
+    if move.current is not None and n_busy >= N_BUSY_MAX:
         return None
     hold.is_busy = True
     return start_task(
@@ -233,7 +232,7 @@
         if (
             row is not None
             and not hold.is_released
-            and not _has_process_ended(host, row, hold)
+            and not has_process_ended(host, row, hold)
         ):
             answer = await call_release(http, call_names, row, host.settings.headers)
             if answer.result == "done":
@@ -245,7 +244,7 @@
             else:
                 _log_not_released(row, hold, answer.result)
             hold.release_result = answer.result
-        if row is not None and not _can_reassign(host, row, hold):
+        if row is not None and not can_reassign(host, row, hold):
             return
         await _assign(host, move, hold, reason, term)
     finally:
@@ -316,109 +315,6 @@
     )
 
 
-def _can_reassign(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
-    """Return whether the holder neither holds the range nor can acquire it again."""
-    if _has_process_ended(host, row, hold) or now_ns() >= hold.until_ns:
-        return True
-    # An unanswered grant may still take effect after the release.
-    return hold.is_released and now_ns() >= hold.uncertain_until_ns
-
-
-def _keeps_serving(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
-    """Return whether a ready holder keeps its range for now.
-
-    The holder keeps the range while the range could not move immediately after a
-    release. The released keys would have no holder until the move.
-    """
-    session = host.sessions.rows.get(row.upstream)
-    if session is None or hold.is_released or now_ns() >= hold.uncertain_until_ns:
-        return False
-    is_allowed = session.row.data_centre not in host.tables.evacuated
-    is_ready = session.row.phase == "ready" and is_allowed
-    return (
-        is_ready
-        and _should_keep_range(host, row, hold)
-        and not _has_process_ended(host, row, hold)
-    )
-
-
-def _released_first_keys(
-    assignments: RangeAssignments, host: ControlHost, service: str
-) -> frozenset[int]:
-    """Return the first keys of ranges that their holders released."""
-    return frozenset(
-        row.first_key
-        for key, row in host.tables.ranges.items()
-        if row.service == service and key in assignments.holds
-        if assignments.holds[key].is_released
-        and assignments.holds[key].token == row.token
-    )
-
-
-def _has_process_ended(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
-    """Return whether the holder's process has ended or was replaced by a newer one."""
-    session = host.sessions.rows.get(row.upstream)
-    is_restarted = session is not None and session.row.born_ms > row.born_ms
-    return hold.has_ended or is_restarted
-
-
-def _should_keep_range(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
-    """Return whether the holder should keep its range.
-
-    It should not if it is silent, draining, gone or replaced by a newer process.
-    """
-    session = host.sessions.rows.get(row.upstream)
-    if session is None or session.row.born_ms != row.born_ms:
-        return False
-    last_contact_ns = max(session.last_contact_ns, hold.confirmed_ns)
-    is_recent = now_ns() - last_contact_ns < HEARTBEAT_TIMEOUT_NS
-    return session.row.phase in ("ready", "lost") and is_recent
-
-
-def eligible_upstreams(
-    assignments: RangeAssignments, host: ControlHost
-) -> dict[str, SessionRow]:
-    """Return the upstreams that may be given ranges.
-
-    The upstreams of a new service are eligible only after `SETTLE_S`. Upstreams that
-    are silent, whose process has ended, or that should lose a range are left out.
-    """
-    now = now_ns()
-    for session in host.sessions.rows.values():
-        assignments.first_seen_ns.setdefault(session.row.service, now)
-    settled_before_ns = now - int(SETTLE_S * NS_PER_S)
-    assignments.ended_ns = {
-        incarnation: ended_ns
-        for incarnation, ended_ns in assignments.ended_ns.items()
-        if now - ended_ns < HEARTBEAT_TIMEOUT_NS + HEARTBEAT_DELAY_MAX_NS
-    }
-    excluded = {
-        (name, session.row.born_ms)
-        for name, session in host.sessions.rows.items()
-        if session.last_contact_ns
-        < assignments.ended_ns.get((name, session.row.born_ms), -HEARTBEAT_DELAY_MAX_NS)
-        + HEARTBEAT_DELAY_MAX_NS
-    }
-    excluded |= {
-        (row.upstream, row.born_ms)
-        for key, row in host.tables.ranges.items()
-        if key in assignments.holds
-        and not _should_keep_range(host, row, assignments.holds[key])
-    }
-    excluded |= {
-        (row.upstream, row.born_ms)
-        for key, row in host.tables.ranges.items()
-        if key in assignments.holds and assignments.holds[key].has_ended
-    }
-    return {
-        name: session.row
-        for name, session in host.sessions.rows.items()
-        if assignments.first_seen_ns[session.row.service] <= settled_before_ns
-        and now - session.last_contact_ns < HEARTBEAT_TIMEOUT_NS
-        and (name, session.row.born_ms) not in excluded
-    }
-
-
 def _longest_hold_ns(hold_ms: int) -> int:
     """Return how long a hold may last by the leader's clock."""
     return int((hold_ms / 1000 * CLOCK_RATE_BOUND + HOLD_MARGIN_S) * NS_PER_S)
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_balance.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_balance.py
@@ -29,8 +29,9 @@
 from .fleet_control import ControlHost, is_caught_up_leader
 from .group_commit import commit_as_leader
 from .logs import log
-from .range_assignment import eligible_upstreams, start_move
+from .range_assignment import start_move
 from .range_calls import RangeCallNames
+from .range_holders import eligible_upstreams
 from .range_holds import Hold, RangeAssignments, record_split
 
 # Hosts report key load twice a second; a plan between reports has no new input.
--- a/packages/bergamotferry_host/tests/range_harness.py
+++ b/packages/bergamotferry_host/tests/range_harness.py
@@ -12,7 +12,7 @@
 from bergamotferry.replication import Replica
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_sessions import Heartbeat, Sessions, record_heartbeat
-from bergamotferry_host import range_assignment
+from bergamotferry_host import range_assignment, range_holders
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.fleet_control import ControlHost
 from bergamotferry_host.fleet_settings import FleetBounds, FleetSettings
@@ -81,7 +81,7 @@
             1, [], [service], CallerLimits()
         )
         self.host.sessions = Sessions()
-        monkeypatch.setattr(range_assignment, "SETTLE_S", 0.0)
+        monkeypatch.setattr(range_holders, "SETTLE_S", 0.0)
         monkeypatch.setattr(range_assignment, "TICK_S", 0.01)
         monkeypatch.setattr(range_assignment, "RENEW_EVERY_S", 0.1)
         monkeypatch.setattr(range_assignment, "HOLD_MARGIN_S", 0.05)
--- a/packages/bergamotferry_host/tests/test_range_assignment.py
+++ b/packages/bergamotferry_host/tests/test_range_assignment.py
@@ -6,7 +6,7 @@
 from range_harness import HOLD_S, RangeHarness, run_steps
 
 from bergamotferry.key_ranges import N_RANGES_PER_SERVICE
-from bergamotferry_host import range_assignment
+from bergamotferry_host import range_assignment, range_holders
 
 
 def make_holder_leave(harness, name, mode):
@@ -56,7 +56,7 @@
     # The holder's data centre lost power: no connection succeeds, and the holder counts
     # as ready until it has missed several heartbeats.
     silent_s = 2 * HOLD_S
-    monkeypatch.setattr(range_assignment, "HEARTBEAT_TIMEOUT_NS", int(silent_s * 1e9))
+    monkeypatch.setattr(range_holders, "HEARTBEAT_TIMEOUT_NS", int(silent_s * 1e9))
     harness = RangeHarness(monkeypatch, "u1", "u2")
     harness.send_heartbeats("u1", "u2")
     n_moved = []
