Move the dispatcher's upkeep of its upstreams out of dispatch

What creates, aborts and drops the state of upstreams as sessions and dispatchers change is dispatcher_sync now, and has docstrings.

--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -20,8 +20,6 @@
 
 from bergamotferry.admission import (
     Ticket,
-    UpstreamQueue,
-    clear_waiting,
     enqueue,
     finish,
     take_ready,
@@ -31,21 +29,20 @@
 from bergamotferry.messages import RequestHead
 from bergamotferry.outcomes import Refused
 from bergamotferry.quarantine import request_fingerprint
-from bergamotferry.records import Route, UpstreamSession
+from bergamotferry.records import Route
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.slow_start import SlowStart
 
 from .background import report_failure, start_task
 from .clock import now_ns
 from .cold_watch import (
     record_answer,
-    record_incarnations,
     record_slowness,
     sleep_and_record_delay,
     total_paused_ms,
 )
 from .crash_watch import current_verdict, record_crash_if_down, record_good_run
 from .decision_log import log_dispatch
+from .dispatcher_sync import resolve_wait, sync_with_tables
 from .dispatcher_table import UpstreamWork
 from .exchange import AnswerSink, RequestBody, Served, UpstreamRequest
 from .host_state import HostState
@@ -170,7 +167,7 @@
         state.dispatchers.policies_off = policies_off
         state.dispatchers.retry_budget.is_enabled = "retry-budget" not in policies_off
         while True:
-            _sync_with_tables(state)
+            sync_with_tables(state)
             for work in state.dispatchers.work_by_upstream.values():
                 is_settled = work.settled_index == state.own_group.applied_index
                 if not (work.is_ordering or is_settled) and state.has_host_lease:
@@ -350,68 +347,7 @@
 def _start_ready_requests(work: UpstreamWork) -> None:
     started, expired = take_ready(work.queue, now_ns())
     for ticket in started:
-        _resolve_wait(work, ticket.request_id, None)
+        resolve_wait(work, ticket.request_id, None)
     too_late = Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "waited too long")
     for ticket in expired:
-        _resolve_wait(work, ticket.request_id, too_late)
-
-
-def _resolve_wait(work: UpstreamWork, ticket_id: str, refusal: Refused | None) -> None:
-    future = work.slot_futures.get(ticket_id)
-    if future is not None and not future.done():
-        future.set_result(refusal)
-
-
-def _sync_with_tables(state: HostState) -> None:
-    """Create, abort and drop the state of upstreams as their sessions change.
-
-    The state of an upstream is its `UpstreamWork`.
-    """
-    tables = state.own_tables
-    work_by_upstream = state.dispatchers.work_by_upstream
-    record_incarnations(state)
-    for name, dispatcher in tables.dispatchers.items():
-        session = tables.sessions.get(name)
-        if session is None or dispatcher.host != state.host.name:
-            continue
-        work = work_by_upstream.get(name)
-        if work is None or work.epoch != dispatcher.epoch:
-            _drop_work(state, name)
-            queue = _new_queue(state, session)
-            work_by_upstream[name] = UpstreamWork(session, dispatcher.epoch, queue)
-        is_replaced = (
-            session.opened_epoch != work_by_upstream[name].session.opened_epoch
-        )
-        if session.state == "expired" or is_replaced:
-            _abort_work(work_by_upstream[name])
-        elif session.state != "serving" or dispatcher.state != "serving":
-            _refuse_waiting(work_by_upstream[name])
-    for name in list(work_by_upstream):
-        current = tables.dispatchers.get(name)
-        if current is None or current.host != state.host.name:
-            _drop_work(state, name)
-
-
-def _new_queue(state: HostState, session: UpstreamSession) -> UpstreamQueue:
-    began_ns = state.dispatchers.first_seen_ns[session.name, session.incarnation]
-    policies_off = state.dispatchers.policies_off
-    ramp = SlowStart(began_ns, is_enabled="slow-start" not in policies_off)
-    return UpstreamQueue(session.n_slots, ramp, "early-refusal" not in policies_off)
-
-
-def _drop_work(state: HostState, name: str) -> None:
-    work = state.dispatchers.work_by_upstream.pop(name, None)
-    if work is not None:
-        _abort_work(work)
-
-
-def _abort_work(work: UpstreamWork) -> None:
-    _refuse_waiting(work)
-    for task in list(work.send_tasks):
-        task.cancel()
-
-
-def _refuse_waiting(work: UpstreamWork) -> None:
-    clear_waiting(work.queue)
-    for ticket_id in list(work.slot_futures):
-        _resolve_wait(work, ticket_id, Refused(ResultCode.NOT_DISPATCHER, ""))
+        resolve_wait(work, ticket.request_id, too_late)
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -22,7 +22,7 @@
     SlowStart,
     is_ramping,
 )
-from bergamotferry_host import dispatch
+from bergamotferry_host import dispatch, dispatcher_sync
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.codec import encode
 from bergamotferry_host.cold_watch import (
@@ -30,6 +30,7 @@
     record_session_ages,
     sleep_and_record_delay,
 )
+from bergamotferry_host.dispatcher_sync import abort_work
 from bergamotferry_host.dispatcher_table import UpstreamWork
 from bergamotferry_host.exchange import RequestBody, Served
 
@@ -83,7 +84,7 @@
             work = add_work(upstream)
             task = start(upstream, head)
             await wait_until(lambda: upstream.requests)
-            dispatch._abort_work(work)
+            abort_work(work)
             outcome = await asyncio.wait_for(task, 2.0)
             await asyncio.sleep(0)
             return outcome.code, work.queue.running, work.in_flight
@@ -338,7 +339,7 @@
     else:
         record_incarnations(state)
         record_session_ages(state, session_ages)
-    queue = dispatch._new_queue(state, state.own_tables.sessions["u1"])
+    queue = dispatcher_sync._new_queue(state, state.own_tables.sessions["u1"])
     assert is_ramping(queue.ramp, now_ns()) == is_cold
 
 
