Read an answer that has arrived to its end although its link has closed

Cause: the control host had sent everything and stopped in order. The entry host had all of it, the end included, but not yet read: parts that it passes on at its link's pace wait in the stream. When the link closed, every stream on it was marked as broken, and what had arrived was dropped. Evidence: the new test on loopback, red before: 128 KiB and their end were sent before the stop, the reader got a broken stream after its first part; a stream without its end still breaks.

Only streams whose end has not come are broken now; the digest at the end still decides whether the answer is whole.

--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -253,7 +253,8 @@
     def _break_streams_and_calls(self) -> None:
         self.is_closed = True
         for stream in list(self.streams.values()):
-            stream.abort()
+            if not stream.has_whole_answer:
+                stream.abort()
         self.streams.clear()
         for future in self.replies.values():
             if not future.done():
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_stream.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_stream.py
@@ -67,6 +67,14 @@
     sent_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
     received_digest: xxhash.xxh3_64 = field(default_factory=xxhash.xxh3_64)
 
+    @property
+    def has_whole_answer(self) -> bool:
+        """Whether an answer has arrived up to its end, though it may not be read yet.
+
+        It can be read after its link has closed.
+        """
+        return self.is_ended and self.handler_task is None
+
     async def send_head(self, head: Any, is_ended: bool = False) -> None:
         """Send a head; ``is_ended`` states that no data follows."""
         kind = FrameKind.OPEN_ENDED if is_ended else FrameKind.OPEN
--- a/packages/bergamotferry_host/tests/test_peer_network.py
+++ b/packages/bergamotferry_host/tests/test_peer_network.py
@@ -20,7 +20,12 @@
 from bergamotferry.records import HostAddress
 from bergamotferry_host.background import log_library_failures
 from bergamotferry_host.codec import encode
-from bergamotferry_host.peer_link import FrameKind, PeerHandlers, PeerLink
+from bergamotferry_host.peer_link import (
+    FrameKind,
+    PeerHandlers,
+    PeerLink,
+    StreamBroken,
+)
 from bergamotferry_host.peer_network import PeerNetwork
 from bergamotferry_testkit.local_deployment import free_ports
 
@@ -176,3 +181,47 @@
         return message
 
     assert asyncio.run(run_two_hosts()) == TimeoutNow("dc:a", 2, MEMBER)
+
+
+@pytest.mark.parametrize("is_ended", [True, False])
+def test_answer_that_has_arrived_is_read_whole_after_its_link_has_closed(is_ended):
+    """Guards against a planned stop that cuts answers which it had sent."""
+    n_parts, part = 16, b"x" * 8_192
+
+    async def run_two_hosts():
+        sent = asyncio.Event()
+
+        async def on_stream(stream, head, peer):
+            await stream.send_head(head)
+            for _ in range(n_parts):
+                await stream.send(part)
+            if is_ended:
+                await stream.end()
+            sent.set()
+            await asyncio.sleep(5)
+
+        addresses = tuple(
+            HostAddress(name, "a", "r", f"127.0.0.1:{port}", False)
+            for name, port in zip("ab", free_ports(2), strict=True)
+        )
+        handlers = PeerHandlers(None, None, on_stream)
+        server, client = (
+            PeerNetwork.from_config(address, addresses, TOKEN, handlers)
+            for address in addresses
+        )
+        await server.start()
+        stream = await client.open_stream("a", HostStatusRequest(0, 0), is_ended=True)
+        await stream.receive_head()
+        await sent.wait()
+        await server.stop()
+        n_bytes = 0
+        try:
+            async for data in stream:
+                n_bytes += len(data)
+        except StreamBroken:
+            n_bytes = -1
+        await client.stop()
+        return n_bytes
+
+    expected = n_parts * len(part) if is_ended else -1
+    assert asyncio.run(run_two_hosts()) == expected
