--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 
 from bergamotferry.caller_retry_pause import caller_retry_pause_s
-from bergamotferry.configuration import choose_service, find_route
+from bergamotferry.configuration import N_SHARD_KEYS, choose_service, find_route
 from bergamotferry.fleet_metrics import NO_ROUTE, count_answer
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
@@ -141,7 +141,7 @@
     )
     work = work_time_of(host, route)
     shard_key = int(_parse_digits(request.headers.get(header_names.shard_key), -1.0))
-    if service.is_sharded:
+    if service.is_sharded and 0 <= shard_key < N_SHARD_KEYS:
         record_key_request(host, service.name, shard_key, work.mean_ms)
     return DirectRequest(
         request.headers.get(header_names.request_id, ""),
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -366,3 +366,15 @@
     n_refused = []
     run_with_harness(scenario)
     assert len(runs) == 1
+
+
+def test_keys_that_do_not_exist_are_not_counted():
+    """Guards against counts without a bound for keys that callers make up."""
+
+    async def scenario(harness):
+        harness.configure(route(timeout_ms=100), is_sharded=True)
+        for shard_key in ("65535", "65536", "999999999999", "-1", "x", ""):
+            await harness.send_request("/safe/1", **{HEADER_NAMES.shard_key: shard_key})
+
+    harness = run_with_harness(scenario)
+    assert list(harness.host.key_work) == [("lamps", 1_023)]
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
@@ -60,3 +60,19 @@
     text = EDGE_SETTINGS.replace("listen-addrs.front", "listen-addrs.control")
     with pytest.raises(SettingsError, match="data folder"):
         decode_settings(text)
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("grace-s=6", "grace-s=inf"),
+        ("grace-s=6", "grace-s=nan"),
+        ("grace-s=6", "grace-s=1e999"),
+        ("7000,7015", "\u0667000,7015"),
+        ("7000,7015", "9" * 5_000),
+    ],
+)
+def test_number_that_no_setting_can_have_prevents_the_start(old, new):
+    assert old in EDGE_SETTINGS
+    with pytest.raises(SettingsError):
+        decode_settings(EDGE_SETTINGS.replace(old, new))
