--- a/packages/bergamotferry/src/bergamotferry/crash_records.py
+++ b/packages/bergamotferry/src/bergamotferry/crash_records.py
@@ -46,6 +46,7 @@
 # Longer bodies are told apart by their length and their first part.
 DIGESTED_BODY_MAX_BYTES = 1_048_576
 DIGEST_BYTES = 16
+N_LOGGED_CHARACTERS = 8
 
 Verdict = Literal["clear", "suspected", "quarantined"]
 
@@ -108,6 +109,11 @@
     return digest.hexdigest()
 
 
+def logged_fingerprint(fingerprint: str) -> str:
+    """Return the part of a fingerprint that logs show, enough to compare lines."""
+    return fingerprint[:N_LOGGED_CHARACTERS]
+
+
 def known_ends(table: CrashTable, fingerprint: str) -> KnownEnds:
     """Return the ends that are known of a request."""
     entry = table.entries.get(fingerprint)
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
@@ -22,6 +22,7 @@
     CrashTable,
     KnownEnds,
     expire_records,
+    logged_fingerprint,
     record_end,
     record_row,
     record_success,
@@ -75,14 +76,18 @@
     """Count the end of an upstream under a request, if it is news."""
     if record_end(exchange.table, fingerprint, known, now_ns()):
         n_ends = exchange.table.entries[fingerprint].known.n_ends
-        log("request ends upstreams", fingerprint=fingerprint[:8], n_ends=n_ends)
+        log(
+            "request ends upstreams",
+            fingerprint=logged_fingerprint(fingerprint),
+            n_ends=n_ends,
+        )
         _wake(exchange)
 
 
 def count_success(exchange: CrashExchange, fingerprint: str) -> None:
     """Clear a request that an upstream has run to its end, if it was suspected."""
     if record_success(exchange.table, fingerprint, now_ns()):
-        log("request cleared", fingerprint=fingerprint[:8])
+        log("request cleared", fingerprint=logged_fingerprint(fingerprint))
         _wake(exchange)
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from bergamotferry.answer_link import max_delay_ms
+from bergamotferry.crash_records import logged_fingerprint
 from bergamotferry.fleet_metrics import record_placement_time, record_send
 from bergamotferry.hedging import hedge_delay_ms, late_hedge_delay_ms
 from bergamotferry.outcomes import Refused
@@ -45,7 +46,6 @@
 from .link_turns import has_large_answer, hold_link_turn, remote_wait_left_ms
 from .logs import log_routine
 from .send_results import record_request_result, record_upstream_result
-from .upstream_ends import N_LOGGED_CHARACTERS
 
 N_SENDS_MAX = 6
 # With less time left, a failed answer is returned instead of a retry elsewhere.
@@ -244,7 +244,7 @@
             report_age_ms=reservation.report_age_ms,
             through=outcome.through if outcome is not None else "",
             revision=host.revision,
-            fingerprint=request.fingerprint[:N_LOGGED_CHARACTERS],
+            fingerprint=logged_fingerprint(request.fingerprint),
         )
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
-from bergamotferry.crash_records import KnownEnds
+from bergamotferry.crash_records import KnownEnds, logged_fingerprint
 
 from .address_check import refuses_connections
 from .clock import now_ns
@@ -31,8 +31,6 @@
 CHECK_WAIT_S = 0.1
 # Losses kept for one upstream; it can't run more requests of one host at once.
 N_LOSSES_MAX = 64
-# Fingerprints are logged by this many leading characters.
-N_LOGGED_CHARACTERS = 8
 # How the client library and the peer links report that a connection broke.
 _CONNECTION_LOSSES = frozenset(
     {
@@ -130,7 +128,7 @@
         log_routine(
             "upstream ended under request",
             request_id=run.request_id,
-            fingerprint=run.fingerprint[:N_LOGGED_CHARACTERS],
+            fingerprint=logged_fingerprint(run.fingerprint),
             upstream=upstream,
         )
         watch.on_end(run)
