Let the test of failed fetches wait for its load probes

A host waits 40 ms for a probe and then avoids the upstream, which is right; the test took it for granted that a probe in the same process is quicker. It waits as long as a probe may take now; what it asserts is unchanged.

--- a/packages/bergamotferry_host/tests/test_answer_fetching.py
+++ b/packages/bergamotferry_host/tests/test_answer_fetching.py
@@ -23,7 +23,7 @@
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.records import HostAddress
 from bergamotferry.upstream_load import WorkTime
-from bergamotferry_host import answer_fetching
+from bergamotferry_host import answer_fetching, load_probes
 from bergamotferry_host.answer_fetching import (
     N_HELD_MAX,
     AnswerFetching,
@@ -33,6 +33,7 @@
 from bergamotferry_host.control_run import _stream_handler
 from bergamotferry_host.direct_call import open_direct_session
 from bergamotferry_host.link_turns import REMOTE_WAIT_MAX_MS
+from bergamotferry_host.load_probes import PROBE_TIMEOUT_S
 from bergamotferry_host.peer_link import PeerHandlers
 from bergamotferry_host.peer_network import PeerNetwork
 from bergamotferry_host.remote_turns import end_remote_turn
@@ -247,7 +248,12 @@
     ("behaviour", "result"),
     [(full, "not_run"), (reset, "broken"), (not_held, "other_upstream")],
 )
-def test_result_of_a_failed_fetch_is_the_same_as_of_a_direct_send(behaviour, result):
+def test_result_of_a_failed_fetch_is_the_same_as_of_a_direct_send(
+    behaviour, result, monkeypatch
+):
+    # The first upstream is chosen first only if its load probe is not given up.
+    monkeypatch.setitem(load_probes.PROBE_WAIT_S, "here", PROBE_TIMEOUT_S)
+
     async def scenario(harness, control):
         await harness.add("u1", behaviour)
         await harness.add("u2", large_answer())
