Refuse what may not be answered before a stopping host ends, and close idle connections

Connections without a request stayed open until the end, so their callers kept sending to a host that was about to go.

In a planned stop a request is refused as not run, before it is sent and with a short Retry-After, if the slowest of them would come too late and its own deadline is later too; so is a retry. What is sent gets no more time than the host has, so a slow upstream ends the request itself and its whole answer is passed on.

Refused that would have ended: requests that arrive with less than the route's slowest recent answer left; the new test checks that no other is refused.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -24,6 +24,7 @@
 from bergamotferry.key_load import bucket_of
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.key_ranges import merge_ranges, range_of_key
+from bergamotferry.stop_admission import AnswerTimes
 from bergamotferry.upstream_load import (
     UpstreamLoad,
     WorkTime,
@@ -78,10 +79,12 @@
     key ranges of each service, in order of keys. ``key_work`` is the requested work by
     service and bucket of keys, in slot-milliseconds, since the last report to the
     control host. ``services_without_load`` are the services whose upstreams report no
-    load. ``idle`` is set while no request is in flight, and ``configured`` once a
-    configuration is known. ``link_turns`` are the requests that wait for a turn on
-    ``link`` or hold one. ``link_timer`` is set while the next request waits for the
-    start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
+    load. ``stop_end_ns`` is set in a planned stop: by then all answers must be ready.
+    ``answer_times`` are the recent answer times by route. ``idle`` is set while no
+    request is in flight, and ``configured`` once a configuration is known.
+    ``link_turns`` are the requests that wait for a turn on ``link`` or hold one.
+    ``link_timer`` is set while the next request waits for the start of its turn.
+    ``fetch_pauses_ns`` is, by control host, until when it is not
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
     and ``end_watch`` the connection losses that may be such ends.
     """
@@ -112,7 +115,8 @@
     n_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=lambda: _new_set_event())
     configured: asyncio.Event = field(default_factory=asyncio.Event)
-    is_stopping: bool = False
+    stop_end_ns: int | None = None
+    answer_times: dict[str, AnswerTimes] = field(default_factory=dict)
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
     link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
     link_turns: dict[int, "asyncio.Future[None]"] = field(default_factory=dict)
@@ -127,6 +131,11 @@
             lambda run: count_end(self.crashes, run.fingerprint, run.known)
         )
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stop_end_ns is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this host."""
@@ -187,6 +196,11 @@
     return work
 
 
+def answer_times_of(host: DirectHost, route: DirectRoute) -> AnswerTimes:
+    """Return the recent answer times of a route at this host."""
+    return host.answer_times.setdefault(route.name, AnswerTimes())
+
+
 def distance_of(settings: FleetSettings, data_centre: str) -> Distance:
     """Return the distance of a data centre: this one, same region or cross-region."""
     if data_centre == settings.data_centre:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -139,7 +139,7 @@
     n_compared = N_COMPARED
     while True:
         now = now_ns()
-        time_left_ms = (request.deadline_ns - now) / 1e6
+        time_left_ms = time_to_answer_ms(host, request)
         if time_left_ms < SEND_MIN_MS:
             return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
         candidates = _candidates(host, request, now, unanswered)
@@ -159,7 +159,7 @@
                 for upstream in probed
                 if is_uncertain(upstream.cold, now)
             }
-            time_left_ms = (request.deadline_ns - now) / 1e6
+            time_left_ms = time_to_answer_ms(host, request)
         placed = place_request(chosen.candidates or candidates, work, time_left_ms, now)
         match placed:
             case Placed(name, expected_ms):
@@ -204,7 +204,7 @@
     """
     now = now_ns()
     work = work_time_of_last_attempt(work_time_of(host, request.route))
-    time_left_ms = (request.deadline_ns - now) / 1e6
+    time_left_ms = time_to_answer_ms(host, request)
     chosen = shortlist(_candidates(host, request, now), work, time_left_ms, now)
     probed = [host.upstreams[candidate.name] for candidate in chosen.to_probe]
     await probe_loads(host, http, request.service, probed)
@@ -240,6 +240,14 @@
     return (now_ns() - request.began_ns) / 1e6
 
 
+def time_to_answer_ms(host: DirectHost, request: DirectRequest) -> float:
+    """Return the time in ms until the caller's deadline, or until this host stops."""
+    end_ns = request.deadline_ns
+    if host.stop_end_ns is not None:
+        end_ns = min(end_ns, host.stop_end_ns)
+    return (end_ns - now_ns()) / 1e6
+
+
 def _candidates(
     host: DirectHost,
     request: DirectRequest,
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -13,9 +13,8 @@
 from bergamotferry.fleet_metrics import NO_ROUTE, count_answer
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
-from bergamotferry.upstream_load import (
-    record_arrival,
-)
+from bergamotferry.stop_admission import record_answer_time
+from bergamotferry.upstream_load import record_arrival
 from bergamotferry.window_budget import record_request
 
 from .answer_framing import HOP_HEADERS
@@ -23,7 +22,13 @@
 from .answer_streaming import CallerAnswer, CallerLeftError, abort_answer
 from .clock import now_ns
 from .direct_crashes import quarantine_pause_s
-from .direct_host import DirectHost, record_key_request, retry_budget_of, work_time_of
+from .direct_host import (
+    DirectHost,
+    answer_times_of,
+    record_key_request,
+    retry_budget_of,
+    work_time_of,
+)
 from .direct_placing import DirectRequest
 from .direct_sending import serve_request
 from .http_body import read_body
@@ -74,6 +79,7 @@
         code = ResultCode.UPSTREAM_FAILED if is_failure else ResultCode.SERVED
         took_ms = _elapsed_ms(accepted.began_ns)
         count_answer(host.metrics, accepted.route.kind, code, took_ms)
+        record_answer_time(answer_times_of(host, accepted.route), took_ms)
         if caller.response is not None:
             return caller.response
         return await send_answer(caller, outcome)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -1,8 +1,9 @@
 """Assembles and runs a host that accepts requests, and stops it gracefully.
 
 To stop, the host first reports that it is not ready and keeps serving until the load
-balancer sends it no more callers. It then waits for the requests in flight and closes
-idle connections.
+balancer sends it no more callers. It then closes idle connections and waits for the
+requests in flight. A request that may not be answered before the host ends is refused
+before it is sent.
 """
 
 import asyncio
@@ -32,7 +33,7 @@
     reload_on_hangup,
     stop_event,
 )
-from .http_edge import wait_for_flush
+from .http_edge import close_idle_connections, wait_for_flush
 from .key_reports import run_key_reports
 from .logs import log
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
@@ -102,15 +103,16 @@
     """Wait until callers use other hosts and all answers in flight are sent.
 
     The wait ends `STOP_RESERVE_S` before the end of the grace period at the latest.
+    Once the load balancer has reacted, idle connections are closed, so that the next
+    requests of their callers go to other hosts.
     """
-    host.is_stopping = True
-    began_ns = now_ns()
+    left_s = host.settings.bounds.grace_s - STOP_RESERVE_S
+    stop_end_ns = host.stop_end_ns = now_ns() + int(left_s * 1e9)
     log("stopping", n_in_flight=host.n_in_flight)
     await asyncio.sleep(BALANCER_REACTION_S)
-    end_s = host.settings.bounds.grace_s - STOP_RESERVE_S
-    left_s = end_s - (now_ns() - began_ns) / 1e9
+    close_idle_connections(caller_runner)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(left_s):
+        async with asyncio.timeout((stop_end_ns - now_ns()) / 1e9):
             await host.idle.wait()
             await wait_for_flush(caller_runner)
     log("drained", n_in_flight=host.n_in_flight)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -17,6 +17,7 @@
 from bergamotferry.hedging import hedge_delay_ms, late_hedge_delay_ms
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
+from bergamotferry.stop_admission import may_answer_before_stop
 from bergamotferry.upstream_load import record_ended, record_report
 from bergamotferry.window_budget import take_retry
 
@@ -32,6 +33,7 @@
 from .direct_host import (
     DirectHost,
     Upstream,
+    answer_times_of,
     distance_of,
     retry_budget_of,
 )
@@ -41,6 +43,7 @@
     elapsed_ms,
     reserve_hedge,
     reserve_upstream,
+    time_to_answer_ms,
 )
 from .fetch_call import FETCH_REQUEST_BODY_MAX_BYTES, fetch_answer, fetching_host_for
 from .link_turns import has_large_answer, hold_link_turn, remote_wait_left_ms
@@ -76,6 +79,9 @@
         refusal = quarantine_refusal(host, request)
         if refusal is not None:
             return _refusal_or_unknown(request, refusal)
+        if not _may_still_send(host, request):
+            stopping = Refused(ResultCode.HOST_STOPPING, "the answer may come too late")
+            return _refusal_or_unknown(request, stopping)
         if request.n_delivered and not take_retry(
             retry_budget_of(host, request.service.name),
             now_ns(),
@@ -99,6 +105,21 @@
             return _refusal_or_unknown(request, refusal)
 
 
+def _may_still_send(host: DirectHost, request: DirectRequest) -> bool:
+    """Return whether a request that is sent now is answered before this host stops."""
+    if host.stop_end_ns is None:
+        return True
+    now = now_ns()
+    may_send = may_answer_before_stop(
+        answer_times_of(host, request.route),
+        (request.deadline_ns - now) / 1e6,
+        (host.stop_end_ns - now) / 1e6,
+    )
+    # The next host of the caller is not stopping.
+    request.may_retry_immediately = not may_send
+    return may_send
+
+
 async def _send_hedged(
     host: DirectHost,
     http: aiohttp.ClientSession,
@@ -263,7 +284,7 @@
         request.request_id,
         request.headers,
         request.body,
-        (request.deadline_ns - now_ns()) / 1e6,
+        time_to_answer_ms(host, request),
         distance_of(host.settings, upstream.row.data_centre),
         # With a hedge the first good answer wins, so both answers are buffered.
         None if _may_hedge(host, request) else request.caller,
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -92,6 +92,14 @@
         await asyncio.sleep(FLUSH_POLL_S)
 
 
+def close_idle_connections(runner: web.AppRunner) -> None:
+    """Close the connections on which no part of a request has arrived."""
+    server = cast(_EdgeServer, runner.server)
+    for connection in server.connections:
+        if cast(_EdgeConnection, connection).is_silent:
+            connection.force_close()
+
+
 @web.middleware
 async def _result_code_middleware(
     request: web.Request, handler: Any
@@ -180,6 +188,11 @@
         response.force_close()
         return response
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether no request is in progress and no part of a next one has arrived."""
+        return self._header_timer is None and self._is_idle()
+
     def _is_idle(self) -> bool:
         return not self._messages and self._current_request is None
 
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -117,6 +117,7 @@
         self.cancelled: list[str] = []
         self.stack = contextlib.AsyncExitStack()
         self.url = ""
+        self.runner: web.AppRunner | None = None
 
     async def __aenter__(self):
         http = await self.stack.enter_async_context(open_direct_session())
@@ -126,7 +127,8 @@
 
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", on_request)
-        self.url = await self.listen(edge_runner(app, EdgeLimits(50), 0.1))
+        self.runner = edge_runner(app, EdgeLimits(50), 0.1)
+        self.url = await self.listen(self.runner)
         self.http = await self.stack.enter_async_context(aiohttp.ClientSession())
         return self
 
--- a/packages/bergamotferry_host/tests/test_answer_streaming.py
+++ b/packages/bergamotferry_host/tests/test_answer_streaming.py
@@ -13,6 +13,7 @@
     WorkTime,
 )
 from bergamotferry_host import answer_streaming
+from bergamotferry_host.clock import now_ns
 
 BODY = bytes(range(256)) * 400
 HALF = len(BODY) // 2
@@ -226,7 +227,7 @@
         upstream.may_finish.set()
         await harness.add("u1", upstream)
         assign_all_keys(harness, "u1")
-        harness.host.is_stopping = True
+        harness.host.stop_end_ns = now_ns() + 60_000_000_000
         async with request(harness) as answer:
             assert await answer.read() == BODY
             assert answer.headers["Connection"] == "close"
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -197,7 +197,7 @@
     async def scenario(harness):
         harness.configure(route())
         await harness.add("u1", served)
-        harness.host.is_stopping = True
+        harness.host.stop_end_ns = now_ns() + 60_000_000_000
         assert not harness.host.is_ready
         answer, _ = await harness.send_request("/safe/1")
         assert answer.status == 200
--- a/packages/bergamotferry_host/tests/test_direct_stop.py
+++ b/packages/bergamotferry_host/tests/test_direct_stop.py
@@ -1,16 +1,31 @@
-"""Tests that a stopping host does not exit before its callers have their answers."""
+"""Tests that a stopping host loses no request, and no answer on its way to a caller."""
 
 import asyncio
 import socket
 
 import pytest
 from aiohttp import web
-
+from direct_harness import (
+    HEADER_NAMES,
+    DirectHarness,
+    refusal,
+    route,
+    run_with_harness,
+    served,
+)
+
+from bergamotferry.stop_admission import N_ANSWERS_MIN, record_answer_time
 from bergamotferry_host import direct_run
-from bergamotferry_host.direct_host import DirectHost
+from bergamotferry_host.clock import now_ns
+from bergamotferry_host.direct_host import DirectHost, answer_times_of
 from bergamotferry_host.direct_run import drain
 from bergamotferry_host.fleet_settings import FleetBounds, FleetSettings
-from bergamotferry_host.http_edge import EdgeLimits, edge_runner, wait_for_flush
+from bergamotferry_host.http_edge import (
+    EdgeLimits,
+    close_idle_connections,
+    edge_runner,
+    wait_for_flush,
+)
 
 # More than the test's socket buffers hold, and less than the amount at which the HTTP
 # library blocks writers.
@@ -95,3 +110,104 @@
         assert not host.is_ready
 
     asyncio.run(scenario())
+
+
+def stop_soon(harness: DirectHarness, left_s: float, usual_ms: float) -> None:
+    """Let the host stop in ``left_s``; its answers have taken ``usual_ms`` so far."""
+    times = answer_times_of(harness.host, harness.host.configuration.routes[0])
+    for _ in range(N_ANSWERS_MIN):
+        record_answer_time(times, usual_ms)
+    harness.host.stop_end_ns = now_ns() + int(left_s * 1e9)
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_request_that_may_not_end_before_the_stop_is_refused_unsent(kind):
+    async def scenario(harness):
+        harness.configure(route(kind, timeout_ms=3_000))
+        await harness.add("u1", served)
+        stop_soon(harness, 1.0, 1_500.0)
+        answer, text = await harness.send_request(f"/{kind}/1")
+        assert answer.status == 503
+        assert text.startswith("1108 ")
+        assert answer.headers["Connection"] == "close"
+        assert float(answer.headers["Retry-After"]) < 0.1
+
+    assert run_with_harness(scenario).sends == []
+
+
+def test_request_that_ends_before_the_stop_is_served():
+    async def scenario(harness):
+        harness.configure(route("unsafe", timeout_ms=3_000))
+        await harness.add("u1", served)
+        stop_soon(harness, 2.0, 1_500.0)
+        answer, _ = await harness.send_request("/unsafe/1")
+        assert answer.status == 200
+
+    assert len(run_with_harness(scenario).sends) == 1
+
+
+def test_refused_request_is_not_sent_again_if_the_retry_may_not_end_before_the_stop():
+    async def refuse_late(request):
+        await asyncio.sleep(0.3)
+        return refusal(request, 503)
+
+    async def scenario(harness):
+        harness.configure(route("unsafe", timeout_ms=3_000))
+        await harness.add("u1", refuse_late)
+        await harness.add("u2", served)
+        stop_soon(harness, 1.0, 900.0)
+        answer, text = await harness.send_request("/unsafe/1")
+        assert answer.status == 503
+        assert text.startswith("1108 ")
+
+    assert [name for name, _ in run_with_harness(scenario).sends] == ["u1"]
+
+
+def test_upstream_is_given_no_more_time_than_the_host_has():
+    deadlines_ms = []
+
+    async def record_deadline(request):
+        deadlines_ms.append(int(request.headers[HEADER_NAMES.deadline_ms]))
+        return await served(request)
+
+    async def scenario(harness):
+        harness.configure(route("unsafe", timeout_ms=3_000))
+        await harness.add("u1", record_deadline)
+        stop_soon(harness, 1.0, 10.0)
+        await harness.send_request("/unsafe/1")
+
+    run_with_harness(scenario)
+    assert len(deadlines_ms) == 1
+    assert 500 < deadlines_ms[0] <= 1_000
+
+
+def test_stopping_host_closes_idle_connections_only():
+    async def scenario(harness):
+        harness.configure(route())
+        answer_may_end = asyncio.Event()
+
+        async def serve_later(request):
+            await answer_may_end.wait()
+            return await served(request)
+
+        await harness.add("u1", serve_later)
+        host, port = harness.url.split(":")
+        idle_reader, idle_writer = await asyncio.open_connection(host, int(port))
+        begun_reader, begun_writer = await asyncio.open_connection(host, int(port))
+        head = b"GET /safe/1 HTTP/1.1\r\nHost: a.example\r\n"
+        head += f"{HEADER_NAMES.request_id}: r\r\n\r\n".encode()
+        begun_writer.write(head[:30])
+        busy_reader, busy_writer = await asyncio.open_connection(host, int(port))
+        busy_writer.write(head)
+        await asyncio.sleep(0.1)
+        close_idle_connections(harness.runner)
+        assert await idle_reader.read() == b""
+        begun_writer.write(head[30:])
+        answer_may_end.set()
+        assert (await busy_reader.readline()).startswith(b"HTTP/1.1 200")
+        assert (await begun_reader.readline()).startswith(b"HTTP/1.1 200")
+        for writer in (idle_writer, begun_writer, busy_writer):
+            writer.close()
+            await writer.wait_closed()
+
+    run_with_harness(scenario)
