Count the time of a request that waits behind others on its connection

Cause: a caller may send requests ahead; the HTTP library handles them one after the other. The time of a request began when its handler did, so one that had waited behind a slow request was passed on with the whole time that its caller had once had, and ran when its caller had already given up.

Change: the edge records when the head of each request arrived, and both modes count its deadline from then. A request whose deadline passes while it waits is refused unsent.

--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -23,6 +23,7 @@
 from .exchange import Served
 from .host_state import HostState
 from .http_answers import bearer_token, outcome_headers, refusal_response
+from .http_edge import arrived_ns
 from .readiness import has_configuration, is_ready
 from .request_path import serve_request
 
@@ -56,7 +57,7 @@
     decision = RequestDecision(
         secrets.token_hex(8), revision=state.global_tables.revision
     )
-    started_ns = now_ns()
+    started_ns = arrived_ns(request)
     state.n_in_flight += 1
     sink = CountingSink(_CallerSink(request, decision))
     outcome: Served | Refused = Refused(ResultCode.INTERNAL_ERROR, "a fault")
@@ -160,16 +161,16 @@
     decision: RequestDecision,
     sink: CountingSink,
 ) -> Served | Refused:
-    started_ns = now_ns()
     body_start = await begin_body(
         request, routed.route.max_body_bytes, decision.deadline_ms / 1000
     )
     if isinstance(body_start, Refused):
         return body_start
     caller_body, body = body_start
-    body_read_ms = (now_ns() - started_ns) // 1_000_000
+    # The time behind earlier requests of the connection, and the time of the body.
+    spent_ms = (now_ns() - arrived_ns(request)) // 1_000_000
     head = _request_head(
-        parsed, routed, decision, max(1, decision.deadline_ms - body_read_ms)
+        parsed, routed, decision, max(1, decision.deadline_ms - spent_ms)
     )
     serving = serve_request(state, routed.route.is_idempotent, head, body, sink)
     try:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -32,6 +32,7 @@
 from .direct_placing import DirectRequest
 from .direct_sending import serve_request
 from .http_body import read_body
+from .http_edge import arrived_ns
 from .logs import log_routine
 
 # A host that has no configuration this long after its start counts as cut off from the
@@ -48,7 +49,7 @@
     host: DirectHost, http: aiohttp.ClientSession, request: web.Request
 ) -> web.StreamResponse:
     """Handle one request of a caller and return the response."""
-    began_ns = now_ns()
+    began_ns = arrived_ns(request)
     host.n_in_flight += 1
     host.idle.clear()
     try:
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -4,10 +4,16 @@
 the number of connections, a timeout for the head of a request, and result codes instead
 of the library's error pages. A connection that breaks a limit is closed without
 affecting the others.
+
+A caller may send further requests before the first one is answered (pipelining). The
+library handles the requests of a connection one after the other, in order, and stops
+reading while many are waiting. This module adds the time at which each of them arrived.
+After an answer that closes the connection, the requests behind it are not handled.
 """
 
 import asyncio
 import json
+from collections import deque
 from http import HTTPStatus
 from typing import Any, NamedTuple, cast
 
@@ -19,6 +25,7 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 
+from .clock import now_ns
 from .http_answers import outcome_headers, refusal_body, refusal_response
 from .logs import log_warning
 
@@ -39,6 +46,9 @@
 }
 
 
+_ARRIVED_NS = web.RequestKey("arrived_ns", int)
+
+
 class EdgeLimits(NamedTuple):
     """Limits of one HTTP edge, for connections and for their timeouts."""
 
@@ -77,6 +87,11 @@
     )
 
 
+def arrived_ns(request: web.Request) -> int:
+    """Return when the head of a request arrived; it may have waited behind others."""
+    return request.get(_ARRIVED_NS) or now_ns()
+
+
 async def wait_for_flush(runner: web.AppRunner) -> None:
     """Wait until the write buffers of all connections are empty.
 
@@ -136,7 +151,15 @@
 class _EdgeConnection(RequestHandler):
     """One connection, which is refused at once if the limit is reached."""
 
-    __slots__ = ("_edge", "_header_timer", "_limits", "_open_transport")
+    __slots__ = (
+        "_arrivals_ns",
+        "_edge",
+        "_header_timer",
+        "_last_data_ns",
+        "_limits",
+        "_n_arrived",
+        "_open_transport",
+    )
 
     def __init__(self, manager: "_EdgeServer", **settings: Any) -> None:
         super().__init__(manager, **settings)
@@ -144,6 +167,10 @@
         self._limits = manager.limits
         self._open_transport: asyncio.Transport | None = None
         self._header_timer: asyncio.TimerHandle | None = None
+        # Arrival times of the requests that wait to be handled.
+        self._arrivals_ns: deque[int] = deque()
+        self._n_arrived = 0
+        self._last_data_ns = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         server = self._edge
@@ -162,8 +189,11 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        if data:
+            self._last_data_ns = now_ns()
         n_requests = self._request_count
         super().data_received(data)
+        self._record_arrivals()
         if self._request_count > n_requests:
             self._stop_header_timer()
         elif self._header_timer is None and self._is_idle():
@@ -173,6 +203,19 @@
                 self._limits.header_timeout_s, self._on_header_timeout
             )
 
+    async def _handle_request(
+        self, request: web.BaseRequest, start_time: float | None, request_handler: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        self._record_arrivals()
+        request[_ARRIVED_NS] = self._arrivals_ns.popleft()
+        return await super()._handle_request(request, start_time, request_handler)
+
+    def _record_arrivals(self) -> None:
+        """Record the arrival of the requests that were parsed since the last call."""
+        n_new = self._request_count - self._n_arrived
+        self._arrivals_ns.extend([self._last_data_ns] * n_new)
+        self._n_arrived = self._request_count
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_http_edge.py
@@ -0,0 +1,136 @@
+"""Tests of requests that a caller sends ahead on one connection (pipelining)."""
+
+import asyncio
+import re
+from collections.abc import Callable
+
+from aiohttp import web
+from direct_harness import (
+    HEADER_NAMES,
+    DirectHarness,
+    route,
+    run_with_harness,
+    served,
+)
+
+from bergamotferry_host.clock import now_ns
+
+
+def head(request_id: str, deadline_ms: int = 2_000, path: str = "/safe/1") -> bytes:
+    lines = [
+        f"GET {path} HTTP/1.1",
+        "Host: a.example",
+        f"{HEADER_NAMES.request_id}: {request_id}",
+        f"{HEADER_NAMES.deadline_ms}: {deadline_ms}",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def connect(harness: DirectHarness):
+    host, port = harness.url.split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[int, str]:
+    """Read one answer; return its status and the id of its request."""
+    answer = (await reader.readuntil(b"\r\n\r\n")).decode()
+    n_bytes = int(re.search(r"(?i)content-length: (\d+)", answer)[1])
+    await reader.readexactly(n_bytes)
+    request_id = re.search(rf"(?i){HEADER_NAMES.request_id}: (\w+)", answer)[1]
+    return int(answer.split()[1]), request_id
+
+
+def serve_after(delay_s: float, deadlines_ms: dict[str, int]) -> Callable:
+    """Return a behaviour that serves later, and records the time left by request."""
+
+    async def serve(request: web.Request) -> web.StreamResponse:
+        request_id = request.headers[HEADER_NAMES.request_id]
+        deadlines_ms[request_id] = int(request.headers[HEADER_NAMES.deadline_ms])
+        await asyncio.sleep(delay_s)
+        return await served(request)
+
+    return serve
+
+
+def test_answers_come_in_order_and_deadlines_count_from_arrival():
+    deadlines_ms: dict[str, int] = {}
+
+    async def scenario(harness):
+        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        await harness.add("u1", serve_after(0.2, deadlines_ms))
+        reader, writer = await connect(harness)
+        writer.write(b"".join(head(f"r{number}") for number in range(4)))
+        answers = [await read_answer(reader) for _ in range(4)]
+        assert answers == [(200, f"r{number}") for number in range(4)]
+        writer.close()
+        await writer.wait_closed()
+
+    run_with_harness(scenario)
+    # Each request has waited for 0.2 s more than the one before it.
+    for number in range(4):
+        assert deadlines_ms[f"r{number}"] <= 2_000 - 200 * number
+
+
+def test_request_whose_deadline_passes_behind_another_is_refused_unsent():
+    async def scenario(harness):
+        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        await harness.add("u1", serve_after(0.4, {}))
+        reader, writer = await connect(harness)
+        writer.write(head("r0") + head("r1", deadline_ms=300) + head("r2"))
+        answers = [await read_answer(reader) for _ in range(3)]
+        assert answers == [(200, "r0"), (503, "r1"), (200, "r2")]
+        writer.close()
+        await writer.wait_closed()
+
+    harness = run_with_harness(scenario)
+    assert [request_id for _, request_id in harness.sends] == ["r0", "r2"]
+
+
+def test_requests_behind_a_closing_answer_are_not_passed_on():
+    async def scenario(harness):
+        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        await harness.add("u1", serve_after(0.2, {}))
+        reader, writer = await connect(harness)
+        writer.write(b"".join(head(f"r{number}") for number in range(5)))
+        await asyncio.sleep(0.05)
+        harness.host.stop_end_ns = now_ns() + 60_000_000_000
+        assert await read_answer(reader) == (200, "r0")
+        assert await reader.read() == b""
+        writer.close()
+        await writer.wait_closed()
+
+    harness = run_with_harness(scenario)
+    assert [request_id for _, request_id in harness.sends] == ["r0"]
+
+
+def test_caller_that_leaves_cancels_its_request_and_those_behind_it():
+    async def scenario(harness):
+        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        await harness.add("u1", serve_after(1.0, {}))
+        _, writer = await connect(harness)
+        writer.write(b"".join(head(f"r{number}") for number in range(5)))
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+        await asyncio.sleep(0.3)
+        assert harness.host.n_in_flight == 0
+
+    harness = run_with_harness(scenario)
+    assert harness.sends == [("u1", "r0")]
+    assert harness.cancelled == ["u1"]
+
+
+def test_flood_behind_a_slow_request_is_not_read():
+    async def scenario(harness):
+        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        await harness.add("u1", serve_after(1.0, {}))
+        reader, writer = await connect(harness)
+        writer.write(head("r0") * 20_000)
+        await asyncio.sleep(0.5)
+        # Most of the requests are still with the caller and in socket buffers.
+        (connection,) = harness.runner.server.connections
+        assert len(connection._messages) <= 64
+        assert not connection._open_transport.is_reading()
+        assert (await read_answer(reader))[0] == 200
+        writer.transport.abort()
+
+    run_with_harness(scenario)
