Let a connection linger after an answer that closes it

Cause: a host in a planned stop closes each connection after its answer. When further requests of the caller arrived meanwhile, the kernel reset the connection, and what was still on its way to the caller was discarded: a request that had run was lost.

Change: after such an answer the edge closes its sending half only, drops what arrives, and closes when the caller does, after 0.5 s at the latest. Connections whose caller asked to close are closed as before.

Measured, test_closing_answer_arrives_whole_although_further_requests_arrive: before, a connection reset with one further request; after, green with 0, 1 and 50.

--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -8,10 +8,13 @@
 A caller may send further requests before the first one is answered (pipelining). The
 library handles the requests of a connection one after the other, in order, and stops
 reading while many are waiting. This module adds the time at which each of them arrived.
-After an answer that closes the connection, the requests behind it are not handled.
+After an answer that closes the connection, the requests behind it are not handled, and
+the connection lingers until the caller has read the answer: a socket that is closed
+while requests are still arriving is reset, and the reset would discard the answer.
 """
 
 import asyncio
+import contextlib
 import json
 from collections import deque
 from http import HTTPStatus
@@ -36,6 +39,8 @@
 LINGERING_S = 2.0
 REFUSED_LINGER_S = 0.5
 N_REFUSED_LINGERING_MAX = 256
+# How long a connection stays half open after an answer that closes it.
+CLOSE_LINGER_S = 0.5
 # How often a stopping host polls whether its answers have left the process.
 FLUSH_POLL_S = 0.02
 
@@ -153,8 +158,10 @@
 
     __slots__ = (
         "_arrivals_ns",
+        "_closed",
         "_edge",
         "_header_timer",
+        "_is_lingering",
         "_last_data_ns",
         "_limits",
         "_n_arrived",
@@ -171,6 +178,8 @@
         self._arrivals_ns: deque[int] = deque()
         self._n_arrived = 0
         self._last_data_ns = 0
+        self._is_lingering = False
+        self._closed = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         server = self._edge
@@ -184,11 +193,14 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._stop_header_timer()
+        self._closed.set()
         if self._open_transport is not None:
             self._edge.transports.discard(self._open_transport)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        if self._is_lingering:
+            return
         if data:
             self._last_data_ns = now_ns()
         n_requests = self._request_count
@@ -210,6 +222,32 @@
         request[_ARRIVED_NS] = self._arrivals_ns.popleft()
         return await super()._handle_request(request, start_time, request_handler)
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send the rest of a response; linger if it closes a kept connection."""
+        response, is_reset = await super().finish_response(request, resp, start_time)
+        if request.keep_alive and not response.keep_alive and not is_reset:
+            await self._linger()
+        return response, is_reset
+
+    async def _linger(self) -> None:
+        """Close the sending half, and drop what arrives until the caller closes."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self._is_lingering = True
+        self._messages.clear()
+        if transport.can_write_eof():
+            transport.write_eof()
+        transport.resume_reading()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_LINGER_S):
+                await self._closed.wait()
+
     def _record_arrivals(self) -> None:
         """Record the arrival of the requests that were parsed since the last call."""
         n_new = self._request_count - self._n_arrived
--- a/packages/bergamotferry_host/tests/test_http_edge.py
+++ b/packages/bergamotferry_host/tests/test_http_edge.py
@@ -1,9 +1,12 @@
 """Tests of requests that a caller sends ahead on one connection (pipelining)."""
 
 import asyncio
+import contextlib
 import re
-from collections.abc import Callable
+import socket
+from collections.abc import AsyncIterator, Callable
 
+import pytest
 from aiohttp import web
 from direct_harness import (
     HEADER_NAMES,
@@ -14,6 +17,11 @@
 )
 
 from bergamotferry_host.clock import now_ns
+from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+
+# More than a caller's and a host's socket buffers hold together.
+LARGE_BODY = b"a" * 500_000
+BUFFER_BYTES = 4_096
 
 
 def head(request_id: str, deadline_ms: int = 2_000, path: str = "/safe/1") -> bytes:
@@ -134,3 +142,54 @@
         writer.transport.abort()
 
     run_with_harness(scenario)
+
+
+@contextlib.asynccontextmanager
+async def slow_caller(is_closing: bool) -> AsyncIterator[socket.socket]:
+    """Serve large answers; yield a caller with small buffers that is connected."""
+
+    async def answer(request: web.Request) -> web.Response:
+        response = web.Response(body=LARGE_BODY)
+        if is_closing:
+            response.force_close()
+        return response
+
+    app = web.Application()
+    app.router.add_get("/", answer)
+    runner = edge_runner(app, EdgeLimits(50), 0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    caller.setblocking(False)
+    try:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, runner.addresses[0])
+        yield caller
+    finally:
+        caller.close()
+        await runner.cleanup()
+
+
+@pytest.mark.parametrize("n_sent_while_reading", [0, 1, 50])
+def test_closing_answer_arrives_whole_although_further_requests_arrive(
+    n_sent_while_reading,
+):
+    """Guards against the reset of a connection that is closed with unread requests."""
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        received = b""
+        async with slow_caller(is_closing=True) as caller:
+            await loop.sock_sendall(caller, request)
+            n_left = n_sent_while_reading
+            while part := await loop.sock_recv(caller, 65_536):
+                received += part
+                if n_left and len(received) > len(LARGE_BODY) // 4:
+                    await loop.sock_sendall(caller, request)
+                    n_left -= 1
+        assert received.endswith(LARGE_BODY)
+        assert received.count(b"HTTP/1.1 200") == 1
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
