Handle safe requests that a caller sends ahead side by side

Cause: the HTTP library handles the requests of a connection one after the other.

Change: up to 8 requests of a connection are handled at the same time, and up to 256 of an edge before their turn; answers keep their order. It holds for requests with a safe method and no body behind requests of the same kind. A request of a route that may run only once, or with a large answer, still waits for its turn before it is sent. A stopping host starts none ahead, and closes a connection with the last answer to what it has begun, so nothing that was passed on is cut.

Weighed: one after the other holds less in memory (one answer a connection) and is what the library does; fairness between connections is kept by the limit of 8, which is less than the 32 that the library parses.

Test: six requests behind a slow one, 1.0 s before, under 0.8 s after; the planned stop with callers that send ahead is green.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_sending.py
@@ -20,9 +20,6 @@
         await begin_answer(caller, outcome.status, outcome.headers, len(outcome.body))
         await send_part(caller, outcome.body)
         return await end_answer(caller)
-    response = web.Response(
+    return web.Response(
         status=outcome.status, headers=outcome.headers, body=outcome.body
     )
-    if caller.is_stopping():
-        response.force_close()
-    return response
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -23,7 +23,7 @@
 from .exchange import Served
 from .host_state import HostState
 from .http_answers import bearer_token, outcome_headers, refusal_response
-from .http_edge import arrived_ns
+from .pipelining import arrived_ns
 from .readiness import has_configuration, is_ready
 from .request_path import serve_request
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -32,8 +32,9 @@
 from .direct_placing import DirectRequest
 from .direct_sending import serve_request
 from .http_body import read_body
-from .http_edge import arrived_ns
+from .link_turns import has_large_answer
 from .logs import log_routine
+from .pipelining import arrived_ns, has_begun_behind, wait_for_turn
 
 # A host that has no configuration this long after its start counts as cut off from the
 # control hosts, and refuses requests at once.
@@ -56,7 +57,15 @@
         accepted = await _accept(host, request, began_ns)
         if isinstance(accepted, Refused):
             return _refusal_response(host, request, accepted, began_ns, None)
-        caller = CallerAnswer(host.link, request, lambda: host.is_stopping)
+        if not accepted.route.is_idempotent or has_large_answer(host, accepted):
+            # It must not be sent if an earlier answer closes the connection, or it
+            # writes its answer to the connection as it arrives.
+            await wait_for_turn(request)
+        caller = CallerAnswer(
+            host.link,
+            request,
+            lambda: host.is_stopping and not has_begun_behind(request),
+        )
         accepted.caller = caller
         return await _serve(host, http, accepted, caller)
     finally:
@@ -217,10 +226,7 @@
             pause_s = quarantine_pause_s(host, accepted)
         headers["Retry-After"] = f"{pause_s:.2f}"
     text = f"{int(refusal.code)} {refusal.code.name}\n"
-    response = web.Response(status=status, headers=headers, text=text)
-    if host.is_stopping:
-        response.force_close()
-    return response
+    return web.Response(status=status, headers=headers, text=text)
 
 
 def _http_status(refusal: Refused) -> int:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -72,7 +72,9 @@
         caller_app.router.add_route("*", "/{path:.*}", on_request)
         ready = web.Application()
         ready.router.add_get(ready_path, on_ready)
-        caller_runner = await listen(caller_app, settings.caller_address, settings)
+        caller_runner = await listen(
+            caller_app, settings.caller_address, settings, lambda: host.is_stopping
+        )
         ready_runner = await listen(ready, settings.ready_address, settings)
         runners = [ready_runner, caller_runner]
         delays = Histogram()
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
@@ -58,11 +58,18 @@
 
 
 async def listen(
-    app: web.Application, address: str, settings: FleetSettings
+    app: web.Application,
+    address: str,
+    settings: FleetSettings,
+    is_stopping: Callable[[], bool] | None = None,
 ) -> web.AppRunner:
-    """Serve an application at an address, within the host's file descriptor limit."""
+    """Serve an application at an address, within the host's file descriptor limit.
+
+    ``is_stopping`` is that of `http_edge.edge_runner`.
+    """
     n_connections_max = max(64, settings.n_descriptors_max - N_DESCRIPTORS_RESERVED)
-    runner = edge_runner(app, EdgeLimits(n_connections_max), STOP_RESERVE_S)
+    limits = EdgeLimits(n_connections_max)
+    runner = edge_runner(app, limits, STOP_RESERVE_S, is_stopping)
     await runner.setup()
     ip, port = split_address(address)
     site = web.TCPSite(runner, ip, port, reuse_address=True, backlog=LISTEN_BACKLOG)
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -5,22 +5,24 @@
 of the library's error pages. A connection that breaks a limit is closed without
 affecting the others.
 
-A caller may send further requests before the first one is answered (pipelining). The
-library handles the requests of a connection one after the other, in order, and stops
-reading while many are waiting. This module adds the time at which each of them arrived.
-After an answer that closes the connection, the requests behind it are not handled, and
-the connection lingers until the caller has read the answer: a socket that is closed
-while requests are still arriving is reset, and the reset would discard the answer.
+A caller may send further requests before the first one is answered. The library stops
+reading while many are waiting; `pipelining` decides which are handled before their
+turn. A stopping edge closes a connection with the last answer to the requests that it
+has begun. The requests behind that answer are not handled, and the connection lingers
+until the caller has read the answer: a socket that is closed while requests are still
+arriving is reset, and the reset would discard the answer.
 """
 
 import asyncio
 import contextlib
 import json
-from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
+from itertools import islice
 from typing import Any, NamedTuple, cast
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage, StreamWriter
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_server import Server
@@ -31,6 +33,17 @@
 from .clock import now_ns
 from .http_answers import outcome_headers, refusal_body, refusal_response
 from .logs import log_warning
+from .pipelining import (
+    N_AHEAD_MAX,
+    N_SIDE_BY_SIDE_MAX,
+    Pipeline,
+    cancel_waiting,
+    has_begun_behind,
+    is_safe,
+    record_arrivals,
+    start_ahead,
+    take_next,
+)
 
 HEADER_LINE_MAX_BYTES = 8190
 N_HEADERS_MAX = 64
@@ -51,9 +64,6 @@
 }
 
 
-_ARRIVED_NS = web.RequestKey("arrived_ns", int)
-
-
 class EdgeLimits(NamedTuple):
     """Limits of one HTTP edge, for connections and for their timeouts."""
 
@@ -63,7 +73,10 @@
 
 
 def edge_runner(
-    app: web.Application, limits: EdgeLimits, shutdown_timeout_s: float
+    app: web.Application,
+    limits: EdgeLimits,
+    shutdown_timeout_s: float,
+    is_stopping: Callable[[], bool] | None = None,
 ) -> web.AppRunner:
     """Return a runner that serves an application within limits.
 
@@ -75,11 +88,15 @@
         Limits for connections and timeouts.
     shutdown_timeout_s : float
         How long handlers may continue to run when the runner stops, in seconds.
+    is_stopping : callable, optional
+        Returns whether a planned stop has begun, in which answers close connections.
+        If it is given, requests that a caller sends ahead are handled side by side.
     """
     app.middlewares.append(_result_code_middleware)
     return _EdgeRunner(
         app,
         limits=limits,
+        is_stopping=is_stopping,
         access_log=None,
         handler_cancellation=True,
         shutdown_timeout=shutdown_timeout_s,
@@ -92,11 +109,6 @@
     )
 
 
-def arrived_ns(request: web.Request) -> int:
-    """Return when the head of a request arrived; it may have waited behind others."""
-    return request.get(_ARRIVED_NS) or now_ns()
-
-
 async def wait_for_flush(runner: web.AppRunner) -> None:
     """Wait until the write buffers of all connections are empty.
 
@@ -157,15 +169,14 @@
     """One connection, which is refused at once if the limit is reached."""
 
     __slots__ = (
-        "_arrivals_ns",
         "_closed",
         "_edge",
         "_header_timer",
         "_is_lingering",
         "_last_data_ns",
         "_limits",
-        "_n_arrived",
         "_open_transport",
+        "_pipeline",
     )
 
     def __init__(self, manager: "_EdgeServer", **settings: Any) -> None:
@@ -174,9 +185,7 @@
         self._limits = manager.limits
         self._open_transport: asyncio.Transport | None = None
         self._header_timer: asyncio.TimerHandle | None = None
-        # Arrival times of the requests that wait to be handled.
-        self._arrivals_ns: deque[int] = deque()
-        self._n_arrived = 0
+        self._pipeline = Pipeline()
         self._last_data_ns = 0
         self._is_lingering = False
         self._closed = asyncio.Event()
@@ -194,6 +203,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         self._stop_header_timer()
         self._closed.set()
+        self._edge.n_ahead -= cancel_waiting(self._pipeline)
         if self._open_transport is not None:
             self._edge.transports.discard(self._open_transport)
         super().connection_lost(exc)
@@ -206,6 +216,7 @@
         n_requests = self._request_count
         super().data_received(data)
         self._record_arrivals()
+        self._start_ahead()
         if self._request_count > n_requests:
             self._stop_header_timer()
         elif self._header_timer is None and self._is_idle():
@@ -219,8 +230,18 @@
         self, request: web.BaseRequest, start_time: float | None, request_handler: Any
     ) -> tuple[web.StreamResponse, bool]:
         self._record_arrivals()
-        request[_ARRIVED_NS] = self._arrivals_ns.popleft()
-        return await super()._handle_request(request, start_time, request_handler)
+        waiting = take_next(self._pipeline, request)
+        task = waiting.task
+        if task is None:
+            self._start_ahead()
+            return await super()._handle_request(request, start_time, request_handler)
+        self._edge.n_ahead -= 1
+        self._start_ahead()
+
+        async def take_answer(_: web.BaseRequest) -> web.StreamResponse:
+            return await task
+
+        return await super()._handle_request(request, start_time, take_answer)
 
     async def finish_response(
         self,
@@ -229,7 +250,11 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Send the rest of a response; linger if it closes a kept connection."""
+        is_last = not has_begun_behind(request)
+        if self._edge.is_stopping() and is_last and not resp.prepared:
+            resp.force_close()
         response, is_reset = await super().finish_response(request, resp, start_time)
+        self._pipeline.is_current_safe = False
         if request.keep_alive and not response.keep_alive and not is_reset:
             await self._linger()
         return response, is_reset
@@ -241,6 +266,7 @@
             return
         self._is_lingering = True
         self._messages.clear()
+        self._edge.n_ahead -= cancel_waiting(self._pipeline)
         if transport.can_write_eof():
             transport.write_eof()
         transport.resume_reading()
@@ -250,9 +276,35 @@
 
     def _record_arrivals(self) -> None:
         """Record the arrival of the requests that were parsed since the last call."""
-        n_new = self._request_count - self._n_arrived
-        self._arrivals_ns.extend([self._last_data_ns] * n_new)
-        self._n_arrived = self._request_count
+        record_arrivals(self._pipeline, self._request_count, self._last_data_ns)
+
+    def _start_ahead(self) -> None:
+        """Start the handlers of safe requests that wait behind safe ones."""
+        pipeline, edge = self._pipeline, self._edge
+        # The library takes a message some time before it starts its handler.
+        is_between = len(pipeline.waiting) != len(self._messages)
+        if is_between or not pipeline.is_current_safe or not edge.may_serve_ahead:
+            return
+        waiting = islice(
+            zip(self._messages, pipeline.waiting, strict=True), N_SIDE_BY_SIDE_MAX - 1
+        )
+        for (message, payload), entry in waiting:
+            if entry.task is not None:
+                continue
+            request = self._request_ahead(message, payload)
+            if request is None or not is_safe(request) or edge.n_ahead >= N_AHEAD_MAX:
+                return
+            edge.n_ahead += 1
+            start_ahead(entry, request, edge.request_handler)
+
+    def _request_ahead(self, message: Any, payload: Any) -> web.BaseRequest | None:
+        """Return the request of a message that waits; None if it failed to parse."""
+        if not isinstance(message, RawRequestMessage) or self._task_handler is None:
+            return None
+        writer = StreamWriter(self, self._loop)
+        return self._edge.request_factory(
+            message, payload, self, writer, self._task_handler
+        )
 
     def handle_error(
         self,
@@ -294,7 +346,12 @@
 class _EdgeServer(Server):
     """Creates the connections of one edge and enforces their limit."""
 
-    def __init__(self, base: Server, limits: EdgeLimits) -> None:
+    def __init__(
+        self,
+        base: Server,
+        limits: EdgeLimits,
+        is_stopping: Callable[[], bool] | None,
+    ) -> None:
         super().__init__(
             base.request_handler,
             request_factory=base.request_factory,
@@ -303,6 +360,9 @@
             **base._kwargs,
         )
         self.limits = limits
+        self._is_stopping = is_stopping
+        # Requests that are handled, or whose answer is held, before their turn.
+        self.n_ahead = 0
         self.n_refused_lingering = 0
         # Transports of all connections that are not closed yet, closing ones included.
         self.transports: set[asyncio.Transport] = set()
@@ -310,6 +370,15 @@
     def __call__(self) -> RequestHandler:
         return _EdgeConnection(self, loop=self._loop, **self._kwargs)
 
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._is_stopping is not None and self._is_stopping()
+
+    @property
+    def may_serve_ahead(self) -> bool:
+        """Whether requests may be handled before their turn."""
+        return self._is_stopping is not None and not self._is_stopping()
+
     @property
     def n_connections(self) -> int:
         """Number of accepted connections that are open."""
@@ -339,16 +408,22 @@
 
 
 class _EdgeRunner(web.AppRunner):
-    __slots__ = ("_limits",)
+    __slots__ = ("_is_stopping", "_limits")
 
     def __init__(
-        self, app: web.Application, limits: EdgeLimits, **settings: Any
+        self,
+        app: web.Application,
+        limits: EdgeLimits,
+        is_stopping: Callable[[], bool] | None,
+        **settings: Any,
     ) -> None:
         super().__init__(app, **settings)
         self._limits = limits
+        self._is_stopping = is_stopping
 
     async def _make_server(self) -> Server:
-        return _EdgeServer(await super()._make_server(), self._limits)
+        server = await super()._make_server()
+        return _EdgeServer(server, self._limits, self._is_stopping)
 
 
 def raw_refusal(refusal: Refused) -> bytes:
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -127,7 +127,9 @@
 
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", on_request)
-        self.runner = edge_runner(app, EdgeLimits(50), 0.1)
+        self.runner = edge_runner(
+            app, EdgeLimits(50), 0.1, lambda: self.host.is_stopping
+        )
         self.url = await self.listen(self.runner)
         self.http = await self.stack.enter_async_context(aiohttp.ClientSession())
         return self
--- a/packages/bergamotferry_host/tests/test_http_edge.py
+++ b/packages/bergamotferry_host/tests/test_http_edge.py
@@ -4,6 +4,7 @@
 import contextlib
 import re
 import socket
+import time
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -18,6 +19,7 @@
 
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.pipelining import N_SIDE_BY_SIDE_MAX
 
 # More than a caller's and a host's socket buffers hold together.
 LARGE_BODY = b"a" * 500_000
@@ -60,16 +62,28 @@
     return serve
 
 
-def test_answers_come_in_order_and_deadlines_count_from_arrival():
+def configure(harness: DirectHarness, *kinds: str) -> None:
+    """Configure routes on which no hedge is sent."""
+    harness.configure(
+        *(route(kind, timeout_ms=2_000, latency_objective_ms=2_000) for kind in kinds)
+    )
+
+
+def ids(first: int, last: int) -> list[str]:
+    return [f"r{number}" for number in range(first, last + 1)]
+
+
+def test_unsafe_requests_wait_their_turn_and_deadlines_count_from_arrival():
     deadlines_ms: dict[str, int] = {}
 
     async def scenario(harness):
-        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        configure(harness, "unsafe")
         await harness.add("u1", serve_after(0.2, deadlines_ms))
         reader, writer = await connect(harness)
-        writer.write(b"".join(head(f"r{number}") for number in range(4)))
+        for request_id in ids(0, 3):
+            writer.write(head(request_id, path="/unsafe/1"))
         answers = [await read_answer(reader) for _ in range(4)]
-        assert answers == [(200, f"r{number}") for number in range(4)]
+        assert answers == [(200, request_id) for request_id in ids(0, 3)]
         writer.close()
         await writer.wait_closed()
 
@@ -81,10 +95,11 @@
 
 def test_request_whose_deadline_passes_behind_another_is_refused_unsent():
     async def scenario(harness):
-        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        configure(harness, "unsafe")
         await harness.add("u1", serve_after(0.4, {}))
         reader, writer = await connect(harness)
-        writer.write(head("r0") + head("r1", deadline_ms=300) + head("r2"))
+        for request_id, deadline_ms in (("r0", 2_000), ("r1", 300), ("r2", 2_000)):
+            writer.write(head(request_id, deadline_ms, "/unsafe/1"))
         answers = [await read_answer(reader) for _ in range(3)]
         assert answers == [(200, "r0"), (503, "r1"), (200, "r2")]
         writer.close()
@@ -94,42 +109,111 @@
     assert [request_id for _, request_id in harness.sends] == ["r0", "r2"]
 
 
-def test_requests_behind_a_closing_answer_are_not_passed_on():
+def test_safe_requests_run_side_by_side_and_are_answered_in_order():
+    async def serve_first_last(request):
+        is_first = request.headers[HEADER_NAMES.request_id] == "r0"
+        await asyncio.sleep(0.5 if is_first else 0.1)
+        return await served(request)
+
+    async def scenario(harness):
+        configure(harness, "safe")
+        await harness.add("u1", serve_first_last)
+        reader, writer = await connect(harness)
+        began_s = time.monotonic()
+        writer.write(b"".join(head(request_id) for request_id in ids(0, 5)))
+        answers = [await read_answer(reader) for _ in range(6)]
+        assert answers == [(200, request_id) for request_id in ids(0, 5)]
+        # One after the other they would take 1 s.
+        assert time.monotonic() - began_s < 0.8
+        writer.close()
+        await writer.wait_closed()
+
+    run_with_harness(scenario)
+
+
+def test_safe_requests_do_not_overtake_an_unsafe_one():
     async def scenario(harness):
-        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        configure(harness, "safe", "unsafe")
         await harness.add("u1", serve_after(0.2, {}))
         reader, writer = await connect(harness)
-        writer.write(b"".join(head(f"r{number}") for number in range(5)))
-        await asyncio.sleep(0.05)
+        writer.write(
+            b"POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n"
+            + f"{HEADER_NAMES.request_id}: r0\r\n\r\nb".encode()
+            + head("r1")
+        )
+        await asyncio.sleep(0.1)
+        assert harness.sends == [("u1", "r0")]
+        assert [await read_answer(reader) for _ in range(2)] == [
+            (200, "r0"),
+            (200, "r1"),
+        ]
+        writer.close()
+        await writer.wait_closed()
+
+    run_with_harness(scenario)
+
+
+def test_requests_of_one_connection_in_progress_are_limited():
+    async def scenario(harness):
+        configure(harness, "safe")
+        await harness.add("u1", serve_after(0.2, {}))
+        await harness.add("u2", serve_after(0.2, {}))
+        await harness.add("u3", serve_after(0.2, {}))
+        await harness.add("u4", serve_after(0.2, {}))
+        reader, writer = await connect(harness)
+        writer.write(b"".join(head(request_id) for request_id in ids(0, 29)))
+        await asyncio.sleep(0.15)
+        assert len(harness.sends) <= N_SIDE_BY_SIDE_MAX
+        answers = [await read_answer(reader) for _ in range(30)]
+        assert [request_id for _, request_id in answers] == ids(0, 29)
+        assert harness.runner.server.n_ahead == 0
+        writer.close()
+        await writer.wait_closed()
+
+    run_with_harness(scenario)
+
+
+@pytest.mark.parametrize(("kind", "n_begun"), [("safe", 8), ("unsafe", 1)])
+def test_stopping_host_answers_what_it_has_begun_and_passes_on_no_more(kind, n_begun):
+    async def scenario(harness):
+        configure(harness, kind)
+        for name in ("u1", "u2", "u3", "u4"):
+            await harness.add(name, serve_after(0.3, {}))
+        reader, writer = await connect(harness)
+        for request_id in ids(0, 11):
+            writer.write(head(request_id, path=f"/{kind}/1"))
+        await asyncio.sleep(0.15)
         harness.host.stop_end_ns = now_ns() + 60_000_000_000
-        assert await read_answer(reader) == (200, "r0")
+        answers = [await read_answer(reader) for _ in range(n_begun)]
+        assert answers == [(200, request_id) for request_id in ids(0, n_begun - 1)]
         assert await reader.read() == b""
         writer.close()
         await writer.wait_closed()
 
     harness = run_with_harness(scenario)
-    assert [request_id for _, request_id in harness.sends] == ["r0"]
+    assert sorted(request_id for _, request_id in harness.sends) == ids(0, n_begun - 1)
 
 
 def test_caller_that_leaves_cancels_its_request_and_those_behind_it():
     async def scenario(harness):
-        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        configure(harness, "safe")
         await harness.add("u1", serve_after(1.0, {}))
         _, writer = await connect(harness)
-        writer.write(b"".join(head(f"r{number}") for number in range(5)))
+        writer.write(b"".join(head(request_id) for request_id in ids(0, 19)))
         await asyncio.sleep(0.2)
         writer.transport.abort()
         await asyncio.sleep(0.3)
         assert harness.host.n_in_flight == 0
+        assert harness.runner.server.n_ahead == 0
 
     harness = run_with_harness(scenario)
-    assert harness.sends == [("u1", "r0")]
-    assert harness.cancelled == ["u1"]
+    assert len(harness.sends) <= N_SIDE_BY_SIDE_MAX
+    assert len(harness.cancelled) == len(harness.sends)
 
 
 def test_flood_behind_a_slow_request_is_not_read():
     async def scenario(harness):
-        harness.configure(route("safe", timeout_ms=2_000, latency_objective_ms=2_000))
+        configure(harness, "safe")
         await harness.add("u1", serve_after(1.0, {}))
         reader, writer = await connect(harness)
         writer.write(head("r0") * 20_000)
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_planned_stop.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_planned_stop.py
@@ -1,14 +1,16 @@
 """Planned stop of an edge under load: every request of its callers is counted.
 
-Callers keep their connections open until the process is gone. They send requests that
-may run only once, and the stand-in upstreams record which of them ran. Work that takes
-long now and then is what a stop finds in flight.
+Callers keep their connections open until the process is gone. Some send requests that
+may run only once, others send several safe requests ahead on one connection. The
+stand-in upstreams record which of them ran. Work that takes long now and then is what a
+stop finds in flight.
 """
 
 import asyncio
 import contextlib
 import functools
 import random
+import re
 import signal
 import time
 from collections.abc import AsyncIterator
@@ -19,6 +21,7 @@
 from aiohttp import web
 from platform_fleet import (
     CONTROL_PORT,
+    FRONT_PORT,
     Fleet,
     heartbeat,
     manifest,
@@ -43,6 +46,8 @@
 SLOW_SHARE = 0.15
 N_CALLERS = 12
 CALLER_PAUSE_S = 0.05
+N_CALLERS_AHEAD = 3
+N_SENT_AHEAD = 4
 
 
 class Call(NamedTuple):
@@ -112,7 +117,7 @@
         await self.fleet.start_hosts()
         for upstream in self.upstreams:
             await upstream.start()
-        routes = [route("/quick/"), route("/slow/")]
+        routes = [route("/quick/"), route("/slow/"), route("/safe/", "safe")]
         await self._wait_for_200(
             lambda: send_http_request(
                 self.http,
@@ -147,6 +152,43 @@
                 self.calls.append(call)
                 await asyncio.sleep(CALLER_PAUSE_S)
 
+    async def run_caller_ahead(self, number: int, edge: str) -> None:
+        """Send groups of safe requests, each group on a connection of its own."""
+        for count in range(100_000):
+            names = [f"a{number}-{count}-{n}" for n in range(N_SENT_AHEAD)]
+            sent_s = time.monotonic()
+            answered = await self._send_ahead(edge, names)
+            for name in names:
+                status = answered.get(name, 0)
+                call = Call(name, "/safe/slow/1", sent_s, time.monotonic(), status)
+                self.calls.append(call)
+            await asyncio.sleep(CALLER_PAUSE_S)
+
+    async def _send_ahead(self, edge: str, names: list[str]) -> dict[str, int]:
+        """Send requests on one connection; return the statuses of the whole answers."""
+        answered: dict[str, int] = {}
+        writer = None
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(4):
+                reader, writer = await asyncio.open_connection(edge, FRONT_PORT)
+                for name in names:
+                    lines = (
+                        "GET /safe/slow/1 HTTP/1.1",
+                        "Host: one.example",
+                        "X-Deadline-Ms: 3000",
+                        f"X-Request-Id: {name}",
+                    )
+                    writer.write("\r\n".join([*lines, "", ""]).encode())
+                for name in names:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                    assert f"x-request-id: {name}\r\n" in head.lower()
+                    length = int(re.search(r"(?i)Content-Length: (\d+)", head)[1])
+                    await reader.readexactly(length)
+                    answered[name] = int(head.split()[1])
+        if writer is not None:
+            writer.close()
+        return answered
+
     async def _send(
         self, http: aiohttp.ClientSession, edge: str, request_id: str, path: str
     ) -> Call:
@@ -159,7 +201,7 @@
         status = 0
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with http.post(
-                f"http://{edge}:18161{path}",
+                f"http://{edge}:{FRONT_PORT}{path}",
                 headers=headers,
                 data=b"body",
                 timeout=aiohttp.ClientTimeout(total=4),
@@ -195,17 +237,24 @@
             for number in range(N_CALLERS):
                 caller = deployment.run_caller(number, EDGES[0])
                 tasks.append(asyncio.create_task(caller))
+            for number in range(N_CALLERS_AHEAD):
+                caller = deployment.run_caller_ahead(number, EDGES[0])
+                tasks.append(asyncio.create_task(caller))
             # The host learns how long answers take.
             await asyncio.sleep(5.0)
             yield deployment
         finally:
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            ends = await asyncio.gather(*tasks, return_exceptions=True)
             await fleet.end_hosts()
             for upstream in deployment.upstreams:
                 if upstream.runner is not None:
                     await upstream.runner.cleanup()
+            # A caller that failed counted nothing.
+            for end in ends:
+                if not isinstance(end, asyncio.CancelledError):
+                    raise AssertionError("a caller ended") from end
 
 
 def check_calls(deployment: Deployment) -> None:
@@ -239,7 +288,7 @@
             for call in deployment.calls
             if call.path == path and call.status == 200
         )
-        for path in ("/quick/1", "/slow/1")
+        for path in ("/quick/1", "/slow/1", "/safe/slow/1")
     }
     for call in deployment.calls:
         if call.status == 503 and call.sent_s > stop_s:
