Count the work for a key as the time that it takes at its holder

Cause: the balance of keys counted the mean work of a route, but upstreams of a service run at 0.5 to 1.5 of the mean speed. A slow holder at twice its capacity looked half busy, was relieved of one bucket of keys at a time, and kept its queue for seconds.

Change: hosts multiply the mean by what they have learnt of the holder's speed, within 0.5 and 2, since a queue makes a holder look slower than it is. Nothing on the wire changes.

--- a/packages/bergamotferry/src/bergamotferry/key_load.py
+++ b/packages/bergamotferry/src/bergamotferry/key_load.py
@@ -4,6 +4,9 @@
 busy keys changes within seconds. Hosts that take requests count the requested work by
 buckets of neighbouring keys, and the leader adds up the counts of all hosts. Refused
 work counts too, because it shows where capacity is missing.
+
+Upstreams of one service differ in speed, so work counts as the time that it takes at
+the holder of its key. After a move it counts anew within some seconds.
 """
 
 import math
@@ -18,6 +21,8 @@
 DECAY_TIME_MS = 3_000.0
 # A bucket below this holds only the remainder of old work and is removed.
 TRACKED_SLOTS_MIN = 0.001
+# Queueing at a busy holder makes it look slower than any upstream of a service is.
+RELATIVE_WORK_TIME_MIN, RELATIVE_WORK_TIME_MAX = 0.5, 2.0
 NS_PER_MS = 1_000_000
 
 
@@ -42,6 +47,14 @@
     return key // KEYS_PER_BUCKET
 
 
+def work_at_holder_ms(work_ms: float, relative_work_time: float) -> float:
+    """Return how long a holder takes for work that takes ``work_ms`` in the mean."""
+    bounded = max(
+        RELATIVE_WORK_TIME_MIN, min(RELATIVE_WORK_TIME_MAX, relative_work_time)
+    )
+    return work_ms * bounded
+
+
 def record_key_work(loads: KeyLoads, rows: Iterable[KeyWork], now_ns: int) -> None:
     """Add the work that hosts report; invalid buckets and negative work are skipped.
 
--- a/packages/bergamotferry/tests/test_key_balance.py
+++ b/packages/bergamotferry/tests/test_key_balance.py
@@ -20,6 +20,7 @@
     bucket_of,
     busy_slots_by_bucket,
     record_key_work,
+    work_at_holder_ms,
 )
 from bergamotferry.upstream_sessions import SessionRow
 
@@ -212,16 +213,28 @@
 
 
 class KeyLoadSimulation:
-    """Seeded simulation of Poisson arrivals for keys whose holders queue and shed."""
+    """Seeded simulation of Poisson arrivals for keys whose holders queue and shed.
 
-    def __init__(self, seed, is_balanced):
+    Holder number n takes ``relative_work_times[n % 4]`` times the mean for a request.
+    With ``learns_speed`` hosts learn this from answers, queueing included.
+    """
+
+    def __init__(
+        self, seed, is_balanced, relative_work_times=(1.0,) * 4, learns_speed=True
+    ):
         self.rng = random.Random(seed)
         self.is_balanced = is_balanced
         self.ranges = even_ranges()
         self.free_ms = {name: [0.0] * N_SLOTS for name in UPSTREAMS}
         self.loads = KeyLoads()
         self.pending_work_ms: dict[int, float] = {}
+        self.relative_work_times = {
+            name: relative_work_times[n % 4] for n, name in enumerate(sorted(UPSTREAMS))
+        }
+        self.learns_speed = learns_speed
+        self.learnt = dict.fromkeys(UPSTREAMS, 1.0)
         self.n_requests = self.n_in_time = self.n_shed = 0
+        self.n_moved_keys = 0
 
     def run(
         self, until_ms=30_000, work_ms=130.0, requests_per_s=90.0, objective_ms=500.0
@@ -242,10 +255,15 @@
 
     def send(self, key, now_ms, work_ms, objective_ms):
         bucket = bucket_of(key)
-        self.pending_work_ms[bucket] = self.pending_work_ms.get(bucket, 0.0) + work_ms
         holder = next(
             key_range for key_range in self.ranges if key <= key_range.last_key
         ).upstream
+        counted_ms = work_at_holder_ms(work_ms, self.learnt[holder])
+        self.pending_work_ms[bucket] = (
+            self.pending_work_ms.get(bucket, 0.0) + counted_ms
+        )
+        mean_ms = work_ms
+        work_ms *= self.relative_work_times[holder]
         slots_free_ms = self.free_ms[holder]
         self.n_requests += 1
         begin_ms = max(now_ms, slots_free_ms[0])
@@ -253,6 +271,9 @@
             self.n_shed += 1
             return
         heapq.heapreplace(slots_free_ms, begin_ms + work_ms)
+        if self.learns_speed:
+            ratio = (begin_ms + work_ms - now_ms) / mean_ms
+            self.learnt[holder] += 0.2 * (ratio - self.learnt[holder])
         self.n_in_time += begin_ms + work_ms - now_ms <= objective_ms
 
     def report(self, now_ms):
@@ -266,6 +287,7 @@
     def balance(self, now_ms):
         busy_slots = busy_slots_by_bucket(self.loads, "s", int(now_ms * 1e6))
         moves = plan_load_moves(self.ranges, busy_slots, UPSTREAMS)
+        self.n_moved_keys += sum(move.last_key - move.first_key + 1 for move in moves)
         self.ranges = after_moves(self.ranges, moves)
 
 
@@ -278,3 +300,18 @@
         balanced.run()
         assert balanced.n_shed < unbalanced.n_shed / 3
         assert balanced.n_in_time > 0.9 * balanced.n_requests > unbalanced.n_in_time
+
+
+def test_learnt_speeds_serve_callers_of_slow_holders_in_time():
+    """The load is half of all slots, on upstreams at 0.5 to 1.5 of the mean speed."""
+    speeds = (2.0, 1.0, 1.0, 0.67)
+    n_late = {True: 0, False: 0}
+    n_moved = {True: 0, False: 0}
+    for learns_speed in (True, False):
+        for seed in range(6):
+            simulation = KeyLoadSimulation(seed, True, speeds, learns_speed)
+            simulation.run()
+            n_late[learns_speed] += simulation.n_requests - simulation.n_in_time
+            n_moved[learns_speed] += simulation.n_moved_keys
+    assert n_late[True] < 0.7 * n_late[False]
+    assert n_moved[True] < 6 * N_SHARD_KEYS
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -21,7 +21,7 @@
 from bergamotferry.fleet_messages import FleetChanges
 from bergamotferry.fleet_metrics import RequestMetrics
 from bergamotferry.fleet_tables import KeyRange
-from bergamotferry.key_load import bucket_of
+from bergamotferry.key_load import bucket_of, work_at_holder_ms
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.key_ranges import merge_ranges, range_of_key
 from bergamotferry.stop_admission import AnswerTimes
@@ -218,6 +218,10 @@
     host: DirectHost, service: str, key: int, work_ms: float
 ) -> None:
     """Count the work of a request for a key, for the report to the control host."""
+    key_range = assigned_range(host, service, key)
+    holder = host.upstreams.get(key_range.upstream) if key_range else None
+    if holder is not None:
+        work_ms = work_at_holder_ms(work_ms, holder.load.relative_work_time)
     bucket = service, bucket_of(key)
     host.key_work[bucket] = host.key_work.get(bucket, 0.0) + work_ms
 
