--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -45,6 +45,8 @@
 KEEPALIVE_S = 7.0
 ANSWER_SLACK_S = 0.05
 COUNT_DIGITS_MAX = 7
+# No machine is faster or slower than usual by more than this factor.
+SLOWNESS_MIN, SLOWNESS_MAX = 0.001, 1_000.0
 OTHER_ANSWER = "the answer belongs to another request"
 ANSWER_WITHOUT_ID = "the answer bears no id"
 ANSWER_TOO_LARGE = "the answer is too large to hold"
@@ -181,7 +183,7 @@
         slowness = float(parts[3]) / 100 if len(parts) > 3 else 1.0
     except ValueError:
         return None
-    if not 0 < slowness < 1000:
+    if not SLOWNESS_MIN <= slowness <= SLOWNESS_MAX:
         return None
     n_running, n_waiting, n_slots = (count or 0 for count in counts)
     return LoadReport(n_running, n_waiting, n_slots, slowness)
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -208,6 +208,11 @@
         ("1,0,8,0", None),
         ("1,0,8,inf", None),
         ("1,0,8,nan", None),
+        # Its reciprocal would overflow.
+        ("1,0,8,1e-320", None),
+        ("1,0,8,0.05", None),
+        ("1,0,8,0.1", LoadReport(1, 0, 8, 0.001)),
+        ("1,0,8,100001", None),
         ("1,0," + "9" * 400, None),
         ("9" * 5_000 + ",0,8", None),
         ("1,0,8," + "9" * 400, None),
