Let a stopping control host finish the answers that it relays

Change: it waits until the answers must have left, as an entry host does. It takes no new fetches meanwhile, as before.

Measured: a fetch of 2.3 s ended in the new test; with the former bound of 2 s it would have been cut (the bound was a constant; the former code was not run with the new test).

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
@@ -55,8 +55,6 @@
 FULL_PAUSE_S = 1.0
 STOPPING_PAUSE_S = 10.0
 UNSUPPORTED_PAUSE_S = 600.0
-# A planned stop waits this long for fetches in progress.
-FINISH_TIMEOUT_S = 2.0
 _DISTANCES: tuple[str, ...] = get_args(Distance)
 
 
@@ -153,12 +151,12 @@
         )
 
 
-async def finish_fetching(fetching: AnswerFetching) -> None:
-    """Wait up to `FINISH_TIMEOUT_S` for the fetches in progress."""
+async def finish_fetching(fetching: AnswerFetching, timeout_s: float) -> None:
+    """Wait up to ``timeout_s`` for the fetches in progress."""
     if fetching.n_held == 0:
         return
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(FINISH_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             await fetching.idle.wait()
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -23,6 +23,7 @@
 from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
 
 from .answer_fetching import AnswerFetching, fetch_for_host, finish_fetching
+from .clock import now_ns
 from .control_metrics import control_families
 from .crash_exchange import answer_exchange
 from .crash_store import load_crash_records, run_crash_store
@@ -44,6 +45,7 @@
 )
 from .fleet_settings import FleetSettings
 from .fleet_start import (
+    STOP_RESERVE_S,
     DecodeConfiguration,
     ReadSettings,
     fleet_network,
@@ -124,8 +126,9 @@
             measure_loop_delays(delays),
         )
         host.is_stopping = fetching.is_stopping = True
+        stop_end_ns = now_ns() + int((settings.bounds.grace_s - STOP_RESERVE_S) * 1e9)
         await transfer_leadership(group)
-        await finish_fetching(fetching)
+        await finish_fetching(fetching, (stop_end_ns - now_ns()) / 1e9)
         await runner.cleanup()
         if metrics is not None:
             await metrics.cleanup()
--- a/packages/bergamotferry_host/tests/test_answer_fetching.py
+++ b/packages/bergamotferry_host/tests/test_answer_fetching.py
@@ -364,13 +364,34 @@
         await harness.add("u1", large_answer())
         async with send_request(harness) as answer:
             control.fetching.is_stopping = True
-            await finish_fetching(control.fetching)
+            await finish_fetching(control.fetching, 2.0)
             assert control.fetching.n_held == 0
             assert await answer.read() == BODY
 
     run_with_control_host(scenario)
 
 
+def test_planned_stop_waits_for_a_long_fetch_while_its_grace_lasts():
+    async def answer_late(request: web.Request) -> web.StreamResponse:
+        await asyncio.sleep(2.3)
+        return await large_answer()(request)
+
+    async def scenario(harness, control):
+        await harness.add("u1", answer_late)
+        request_task = asyncio.create_task(send_request(harness).__aenter__())
+        await asyncio.sleep(0.2)
+        control.fetching.is_stopping = True
+        assert control.fetching.n_held == 1
+        await finish_fetching(control.fetching, 0.1)
+        assert control.fetching.n_held == 1
+        await finish_fetching(control.fetching, 5.0)
+        assert control.fetching.n_held == 0
+        answer = await request_task
+        assert (answer.status, await answer.read()) == (200, BODY)
+
+    run_with_control_host(scenario)
+
+
 def test_cross_region_fetch_waits_for_its_turn():
     async def scenario(harness, control):
         await harness.add("far", large_answer(), "b")
