Count load probes, and the bytes of bodies, by the upstream's distance

Nobody could say from the metrics which bytes cross regions, or how many health checks a host sends. The entry host's page has both now, by distance: this data centre, another one of the region, another region. What control traffic crosses is not split yet.

--- a/packages/bergamotferry/src/bergamotferry/fleet_metrics.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_metrics.py
@@ -49,7 +49,9 @@
     ``answers`` counts by route kind and result code, and ``sends`` by the upstream's
     data centre and result. ``request_ms`` is the time from the head of a request to its
     answer, and ``placing_ms`` the time until its first send, both by route kind.
-    ``send_ms`` is the time of single sends by data centre.
+    ``send_ms`` is the time of single sends by data centre. ``probes`` counts load
+    probes, and ``payload_bytes`` the bytes of bodies sent to and received from
+    upstreams, by the upstream's distance.
     """
 
     answers: Counter[LabelValues] = field(default_factory=Counter)
@@ -58,6 +60,8 @@
     placing_ms: dict[str, Histogram] = field(default_factory=dict)
     send_ms: dict[str, Histogram] = field(default_factory=dict)
     n_hedges: int = 0
+    probes: Counter[LabelValues] = field(default_factory=Counter)
+    payload_bytes: Counter[LabelValues] = field(default_factory=Counter)
 
 
 def observe(histogram: Histogram, duration_ms: float) -> None:
@@ -85,6 +89,14 @@
     observe(metrics.send_ms.setdefault(data_centre, Histogram()), took_ms)
 
 
+def record_payload(
+    metrics: RequestMetrics, distance: str, n_request_bytes: int, n_answer_bytes: int
+) -> None:
+    """Count the bytes of the bodies of one send, by the upstream's distance."""
+    metrics.payload_bytes[distance, "request"] += n_request_bytes
+    metrics.payload_bytes[distance, "answer"] += n_answer_bytes
+
+
 def request_families(metrics: RequestMetrics) -> list[MetricFamily]:
     """Return the metric families of a host that takes requests."""
     return [
@@ -105,6 +117,20 @@
         single_value_family(
             "hedges", "Second sends of late requests.", "counter", metrics.n_hedges
         ),
+        MetricFamily(
+            "load_probes",
+            "Load probes of upstreams, by their distance.",
+            "counter",
+            ("distance",),
+            metrics.probes,
+        ),
+        MetricFamily(
+            "payload_bytes",
+            "Bodies sent to and received from upstreams, by their distance.",
+            "counter",
+            ("distance", "direction"),
+            metrics.payload_bytes,
+        ),
         _by_label(
             "request_seconds", "From head to answer.", "kind", metrics.request_ms
         ),
--- a/packages/bergamotferry/tests/test_fleet_metrics.py
+++ b/packages/bergamotferry/tests/test_fleet_metrics.py
@@ -7,6 +7,7 @@
     count_answer,
     count_family,
     observe,
+    record_payload,
     record_placement_time,
     record_send,
     request_families,
@@ -38,6 +39,22 @@
     assert families["send_seconds"].rows[("b",)].sum_ms == 120.0
 
 
+def test_bytes_and_probes_are_counted_by_distance():
+    metrics = RequestMetrics()
+    record_payload(metrics, "far", 300, 5_000)
+    record_payload(metrics, "far", 0, 400)
+    record_payload(metrics, "here", 10, 0)
+    metrics.probes["near",] += 1
+    families = {family.name: family for family in request_families(metrics)}
+    assert families["payload_bytes"].rows == {
+        ("far", "request"): 300,
+        ("far", "answer"): 5_400,
+        ("here", "request"): 10,
+        ("here", "answer"): 0,
+    }
+    assert families["load_probes"].rows == {("near",): 1}
+
+
 def test_values_are_counted_by_label():
     family = count_family("upstreams", "Known.", "phase", ["ready", "gone", "ready"])
     assert family.rows == {("ready",): 2.0, ("gone",): 1.0}
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -13,7 +13,11 @@
 
 from bergamotferry.answer_link import max_delay_ms
 from bergamotferry.crash_records import logged_fingerprint
-from bergamotferry.fleet_metrics import record_placement_time, record_send
+from bergamotferry.fleet_metrics import (
+    record_payload,
+    record_placement_time,
+    record_send,
+)
 from bergamotferry.hedging import hedge_delay_ms, late_hedge_delay_ms
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
@@ -248,6 +252,12 @@
         record_run(host, request, upstream, outcome, known, sent_ns)
         record_upstream_result(host, request, reservation, result, outcome, sent_ns)
         record_send(host.metrics, upstream.row.data_centre, result, took_ms)
+        record_payload(
+            host.metrics,
+            distance_of(host.settings, upstream.row.data_centre),
+            len(request.body),
+            outcome.n_bytes if outcome is not None else 0,
+        )
         log_routine(
             "sent",
             request_id=request.request_id,
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
@@ -83,6 +83,8 @@
     sent_ns = now_ns()
     due_ns = sent_ns + _probe_due_after_ns(host, upstream)
     add_overdue_time(upstream.load, due_ns)
+    distance = distance_of(host.settings, upstream.row.data_centre)
+    host.metrics.probes[distance,] += 1
     try:
         async with http.get(url, timeout=timeout, allow_redirects=False) as response:
             await read_whole(response, SHORT_BODY_MAX_BYTES)
