Move the replication of groups into a sub-package

A move alone: replication.py is the package's front, its five prefixed modules lose their prefix, their tests stand in a folder of the same name. No behaviour, wire name, setting, stored data or metric changes.

--- a/packages/bergamotferry/src/bergamotferry/replication.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/__init__.py
@@ -12,8 +12,8 @@
 sent only after the state that they depend on is on disk.
 """
 
-from .commands import Command
-from .messages import (
+from ..commands import Command
+from ..messages import (
     AppendEntries,
     AppendReply,
     InstallSnapshot,
@@ -26,7 +26,7 @@
     TimeoutNow,
     VoteReply,
 )
-from .replication_append import (
+from .append import (
     advance_commit,
     append_committed,
     on_append_entries,
@@ -35,19 +35,19 @@
     send_entries,
     tick_leader,
 )
-from .replication_election import (
+from .election import (
     begin_transfer,
     on_request_vote,
     on_timeout_now,
     on_vote_reply,
     start_election,
 )
-from .replication_snapshot import (
+from .snapshot import (
     install_snapshot,
     on_install_snapshot,
     on_snapshot_reply,
 )
-from .replication_state import (
+from .state import (
     ELECTION_MIN_NS,
     LEADER_LEASE_NS,
     Outgoing,
--- a/packages/bergamotferry/src/bergamotferry/replication_append.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/append.py
@@ -9,9 +9,9 @@
 restart of every process.
 """
 
-from .messages import AppendEntries, AppendReply, LogEntry, Member
-from .replication_snapshot import send_snapshot
-from .replication_state import (
+from ..messages import AppendEntries, AppendReply, LogEntry, Member
+from .snapshot import send_snapshot
+from .state import (
     BYTES_PER_MESSAGE_MAX,
     ELECTION_MAX_NS,
     ENTRIES_IN_FLIGHT_MAX,
--- a/packages/bergamotferry/src/bergamotferry/replication_election.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/election.py
@@ -9,9 +9,9 @@
 counts only votes of the incarnations that its own membership lists as voters.
 """
 
-from .commands import Noop
-from .messages import LogEntry, Member, RequestVote, TimeoutNow, VoteReply
-from .replication_state import (
+from ..commands import Noop
+from ..messages import LogEntry, Member, RequestVote, TimeoutNow, VoteReply
+from .state import (
     ELECTION_MIN_NS,
     TRANSFER_TIMEOUT_NS,
     Peer,
--- a/packages/bergamotferry/src/bergamotferry/replication_membership.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/membership.py
@@ -18,9 +18,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from .messages import Member, Membership
-from .records import HostAddress
-from .replication_state import NS_PER_MS, Replica
+from ..messages import Member, Membership
+from ..records import HostAddress
+from .state import NS_PER_MS, Replica
 
 GLOBAL_GROUP = "global"
 DATA_CENTRE_PREFIX = "dc:"
--- a/packages/bergamotferry/src/bergamotferry/replication_snapshot.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/snapshot.py
@@ -5,8 +5,8 @@
 the transfer by one heartbeat.
 """
 
-from .messages import InstallSnapshot, Member, SnapshotReply
-from .replication_state import (
+from ..messages import InstallSnapshot, Member, SnapshotReply
+from .state import (
     SNAPSHOT_PART_BYTES,
     IncomingSnapshot,
     Peer,
--- a/packages/bergamotferry/src/bergamotferry/replication_state.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/state.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
-from .messages import LogEntry, Member, Membership, ReplicationMessage
+from ..messages import LogEntry, Member, Membership, ReplicationMessage
 
 NS_PER_MS = 1_000_000
 HEARTBEAT_NS = 60 * NS_PER_MS
--- a/packages/bergamotferry/tests/test_replication_plans.py
+++ b/packages/bergamotferry/tests/replication/test_replication_plans.py
@@ -7,9 +7,9 @@
 import pytest
 from replication_cluster import ClusterModel
 
-from bergamotferry import replication_state
 from bergamotferry.messages import AppendEntries, Membership
 from bergamotferry.replication import last_index, propose, term_at
+from bergamotferry.replication import state as replication_state
 
 CANDIDATES = ("pre_candidate", "candidate", "leader")
 PLAN_SEEDS = range(6)
--- a/packages/bergamotferry/tests/test_replication_rules.py
+++ b/packages/bergamotferry/tests/replication/test_replication_rules.py
@@ -29,7 +29,7 @@
     take_unpersisted,
     tick,
 )
-from bergamotferry.replication_membership import (
+from bergamotferry.replication.membership import (
     JoinRequest,
     choose_target,
     plan_membership,
--- a/packages/bergamotferry/tests/replication_cluster.py
+++ b/packages/bergamotferry/tests/replication_cluster.py
@@ -8,7 +8,6 @@
 import random
 from dataclasses import dataclass, field
 
-from bergamotferry import replication_snapshot, replication_state
 from bergamotferry.commands import FinishHandover
 from bergamotferry.messages import Member, Membership
 from bergamotferry.records import HostAddress, ShardId
@@ -33,7 +32,9 @@
     term_at,
     tick,
 )
-from bergamotferry.replication_membership import JoinRequest, plan_membership
+from bergamotferry.replication import snapshot as replication_snapshot
+from bergamotferry.replication import state as replication_state
+from bergamotferry.replication.membership import JoinRequest, plan_membership
 
 NS_PER_MS = 1_000_000
 TICK_NS = 20 * NS_PER_MS
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -27,7 +27,7 @@
 from bergamotferry.messages import Member, Membership
 from bergamotferry.outcomes import Accepted, Refused, result_code
 from bergamotferry.replication import Replica
-from bergamotferry.replication_membership import GLOBAL_GROUP
+from bergamotferry.replication.membership import GLOBAL_GROUP
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_sessions import (
     Heartbeat,
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -43,7 +43,7 @@
     term_at,
     tick,
 )
-from bergamotferry.replication_membership import N_VOTERS_DEFAULT, JoinRequest
+from bergamotferry.replication.membership import N_VOTERS_DEFAULT, JoinRequest
 from bergamotferry.result_codes import ResultCode
 
 from .background import log_failure
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -14,7 +14,7 @@
     is_voter,
     propose,
 )
-from bergamotferry.replication_membership import JoinRequest, plan_membership
+from bergamotferry.replication.membership import JoinRequest, plan_membership
 
 from .clock import now_ns
 from .group import Group, run_replica
--- a/packages/bergamotferry_host/tests/test_log_batches.py
+++ b/packages/bergamotferry_host/tests/test_log_batches.py
@@ -14,7 +14,7 @@
 )
 from bergamotferry.release_note import NOTE_MAX_BYTES
 from bergamotferry.replication import Replica
-from bergamotferry.replication_state import (
+from bergamotferry.replication.state import (
     BYTES_PER_MESSAGE_MAX,
     append_entry,
     entries_within,
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_checks.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from bergamotferry.outcome_tables import N_OUTCOMES_MAX, OUTCOME_RETENTION_S
-from bergamotferry.replication_state import LEADER_LEASE_NS, NS_PER_MS
+from bergamotferry.replication.state import LEADER_LEASE_NS, NS_PER_MS
 from bergamotferry_host.group_compaction import LOG_MAX_BYTES
 from bergamotferry_host.group_reader import FETCH_WAIT_MS
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S, PLACEMENT_TICK_S
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_steps.py
@@ -15,7 +15,7 @@
     SESSION_LEASE_MS,
 )
 from bergamotferry.ownership import OUT_GRACE_MS
-from bergamotferry.replication_state import ELECTION_MAX_NS, NS_PER_MS
+from bergamotferry.replication.state import ELECTION_MAX_NS, NS_PER_MS
 from bergamotferry.retry_budget import BACKOFF_MAX_MS
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
 from bergamotferry_host.group import TICK_S
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_terms.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/capacity_terms.py
@@ -7,7 +7,7 @@
 
 from bergamotferry.leases import RENEW_INTERVAL_MS
 from bergamotferry.outcome_tables import N_OUTCOMES_MAX
-from bergamotferry.replication_state import HEARTBEAT_NS
+from bergamotferry.replication.state import HEARTBEAT_NS
 from bergamotferry_host.dispatch import DISPATCHER_TICK_S
 from bergamotferry_host.group_reader import FETCH_WAIT_MS
 from bergamotferry_host.leader_duties import OWNERSHIP_TICK_S, PLACEMENT_TICK_S
