Cut no request that was read just as a stopping host closes idle connections

Change: a connection counts as idle only if no request waits, is taken, is handled or is being answered on it. The host ends its wait when all connections are idle, in place of when no handler runs. A request on a connection without another is no longer started ahead, which only moved its start into that moment.

Measured: the new test closes idle connections at every turn of the event loop; red before (the connection ended without an answer), green after.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -80,11 +80,10 @@
     service and bucket of keys, in slot-milliseconds, since the last report to the
     control host. ``services_without_load`` are the services whose upstreams report no
     load. ``stop_end_ns`` is set in a planned stop: by then all answers must be ready.
-    ``answer_times`` are the recent answer times by route. ``idle`` is set while no
-    request is in flight, and ``configured`` once a configuration is known.
-    ``link_turns`` are the requests that wait for a turn on ``link`` or hold one.
-    ``link_timer`` is set while the next request waits for the start of its turn.
-    ``fetch_pauses_ns`` is, by control host, until when it is not
+    ``answer_times`` are the recent answer times by route. ``configured`` is set once a
+    configuration is known. ``link_turns`` are the requests that wait for a turn on
+    ``link`` or hold one. ``link_timer`` is set while the next request waits for the
+    start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
     and ``end_watch`` the connection losses that may be such ends.
     """
@@ -113,7 +112,6 @@
     key_work: dict[tuple[str, int], float] = field(default_factory=dict)
     began_ns: int = field(default_factory=now_ns)
     n_in_flight: int = 0
-    idle: asyncio.Event = field(default_factory=lambda: _new_set_event())
     configured: asyncio.Event = field(default_factory=asyncio.Event)
     stop_end_ns: int | None = None
     answer_times: dict[str, AnswerTimes] = field(default_factory=dict)
@@ -243,12 +241,6 @@
     return tuple(sorted(host.host_reported_ns))
 
 
-def _new_set_event() -> asyncio.Event:
-    event = asyncio.Event()
-    event.set()
-    return event
-
-
 def _apply_ranges(host: DirectHost, changed: tuple[KeyRange, ...]) -> None:
     for service in {row.service for row in changed}:
         rows = [row for row in changed if row.service == service]
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -52,7 +52,6 @@
     """Handle one request of a caller and return the response."""
     began_ns = arrived_ns(request)
     host.n_in_flight += 1
-    host.idle.clear()
     try:
         accepted = await _accept(host, request, began_ns)
         if isinstance(accepted, Refused):
@@ -70,8 +69,6 @@
         return await _serve(host, http, accepted, caller)
     finally:
         host.n_in_flight -= 1
-        if host.n_in_flight == 0:
-            host.idle.set()
 
 
 async def _serve(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -33,7 +33,7 @@
     reload_on_hangup,
     stop_event,
 )
-from .http_edge import close_idle_connections, wait_for_flush
+from .http_edge import close_when_idle, wait_for_flush
 from .key_reports import run_key_reports
 from .logs import log
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
@@ -112,9 +112,8 @@
     stop_end_ns = host.stop_end_ns = now_ns() + int(left_s * 1e9)
     log("stopping", n_in_flight=host.n_in_flight)
     await asyncio.sleep(BALANCER_REACTION_S)
-    close_idle_connections(caller_runner)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout((stop_end_ns - now_ns()) / 1e9):
-            await host.idle.wait()
+            await close_when_idle(caller_runner)
             await wait_for_flush(caller_runner)
     log("drained", n_in_flight=host.n_in_flight)
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -54,8 +54,9 @@
 N_REFUSED_LINGERING_MAX = 256
 # How long a connection stays half open after an answer that closes it.
 CLOSE_LINGER_S = 0.5
-# How often a stopping host polls whether its answers have left the process.
-FLUSH_POLL_S = 0.02
+# How often a stopping host polls whether its connections are idle, and whether its
+# answers have left the process.
+STOP_POLL_S = 0.02
 
 _RESULT_CODE_OF_STATUS = {
     404: ResultCode.UNKNOWN_ROUTE,
@@ -121,15 +122,30 @@
             transport.get_write_buffer_size() for transport in server.transports
         ):
             return
-        await asyncio.sleep(FLUSH_POLL_S)
+        await asyncio.sleep(STOP_POLL_S)
 
 
-def close_idle_connections(runner: web.AppRunner) -> None:
-    """Close the connections on which no part of a request has arrived."""
+async def close_when_idle(runner: web.AppRunner) -> None:
+    """Close each connection once it is idle; return when none is left open."""
+    while True:
+        if not close_idle_connections(runner):
+            return
+        await asyncio.sleep(STOP_POLL_S)
+
+
+def close_idle_connections(runner: web.AppRunner) -> int:
+    """Close the connections on which no part of a request has arrived.
+
+    Returns the number of the others.
+    """
     server = cast(_EdgeServer, runner.server)
+    n_busy = 0
     for connection in server.connections:
         if cast(_EdgeConnection, connection).is_silent:
             connection.force_close()
+        else:
+            n_busy += 1
+    return n_busy
 
 
 @web.middleware
@@ -323,8 +339,13 @@
 
     @property
     def is_silent(self) -> bool:
-        """Whether no request is in progress and no part of a next one has arrived."""
-        return self._header_timer is None and self._is_idle()
+        """Whether no request is in progress and no part of a next one has arrived.
+
+        The library has taken a request for some time before its handler starts, and
+        has ended the handler for some time before the answer is written.
+        """
+        is_unread = self._header_timer is None and not self._pipeline.waiting
+        return is_unread and self._is_idle() and not self._request_in_progress
 
     def _is_idle(self) -> bool:
         return not self._messages and self._current_request is None
--- a/packages/bergamotferry_host/src/bergamotferry_host/pipelining.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/pipelining.py
@@ -46,12 +46,13 @@
 class Pipeline:
     """The requests of one connection that wait for their turn, in order.
 
-    ``is_current_safe`` is whether the request in progress may be handled beside others.
+    ``is_current_safe`` is whether a request is in progress that may be handled beside
+    others.
     """
 
     waiting: deque[WaitingRequest] = field(default_factory=deque)
     n_arrived: int = 0
-    is_current_safe: bool = True
+    is_current_safe: bool = False
 
 
 _WAITING = web.RequestKey("waiting", WaitingRequest)
--- a/packages/bergamotferry_host/tests/test_answer_sending.py
+++ b/packages/bergamotferry_host/tests/test_answer_sending.py
@@ -10,6 +10,7 @@
 from bergamotferry_host.answer_sending import send_answer
 from bergamotferry_host.answer_streaming import CallerAnswer
 from bergamotferry_host.direct_call import SendOutcome
+from bergamotferry_host.http_edge import EdgeLimits, edge_runner
 
 SMALL, LARGE = b"s" * 500, bytes(range(256)) * 160
 # The large answer takes 328 ms on the link.
@@ -31,7 +32,7 @@
 
         app = web.Application()
         app.router.add_get("/{name}", answer)
-        runner = web.AppRunner(app)
+        runner = edge_runner(app, EdgeLimits(50), 0.1, lambda: ends_connection)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         url = f"http://127.0.0.1:{runner.addresses[0][1]}"
--- a/packages/bergamotferry_host/tests/test_http_edge.py
+++ b/packages/bergamotferry_host/tests/test_http_edge.py
@@ -18,7 +18,11 @@
 )
 
 from bergamotferry_host.clock import now_ns
-from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.http_edge import (
+    EdgeLimits,
+    close_idle_connections,
+    edge_runner,
+)
 from bergamotferry_host.pipelining import N_SIDE_BY_SIDE_MAX
 
 # More than a caller's and a host's socket buffers hold together.
@@ -229,8 +233,13 @@
 
 
 @contextlib.asynccontextmanager
-async def slow_caller(is_closing: bool) -> AsyncIterator[socket.socket]:
-    """Serve large answers; yield a caller with small buffers that is connected."""
+async def slow_caller(
+    is_closing: bool, runners: list[web.AppRunner]
+) -> AsyncIterator[socket.socket]:
+    """Serve large answers; yield a caller with small buffers that is connected.
+
+    The runner that serves is added to ``runners``.
+    """
 
     async def answer(request: web.Request) -> web.Response:
         response = web.Response(body=LARGE_BODY)
@@ -241,6 +250,7 @@
     app = web.Application()
     app.router.add_get("/", answer)
     runner = edge_runner(app, EdgeLimits(50), 0.1)
+    runners.append(runner)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     caller = socket.socket()
@@ -265,7 +275,7 @@
     async def scenario():
         loop = asyncio.get_running_loop()
         received = b""
-        async with slow_caller(is_closing=True) as caller:
+        async with slow_caller(True, []) as caller:
             await loop.sock_sendall(caller, request)
             n_left = n_sent_while_reading
             while part := await loop.sock_recv(caller, 65_536):
@@ -277,3 +287,52 @@
         assert received.count(b"HTTP/1.1 200") == 1
 
     asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+async def close_idle_often(runners: list[web.AppRunner]) -> None:
+    """Close idle connections at every turn of the event loop, once a request came."""
+    while True:
+        if any(
+            connection._pipeline.n_arrived
+            for runner in runners
+            for connection in runner.server.connections
+        ):
+            close_idle_connections(runners[0])
+        await asyncio.sleep(0)
+
+
+def test_connection_with_a_request_is_not_idle_at_any_moment():
+    """Guards against a request that is cut since it was read just before the closing.
+
+    Traced on the bench: a request that had been sent to its upstream in the same
+    millisecond was cut.
+    """
+
+    async def read_whole_answer() -> bytes:
+        received = b""
+        runners: list[web.AppRunner] = []
+        async with slow_caller(False, runners) as caller:
+            closer = asyncio.create_task(close_idle_often(runners))
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            while part := await loop.sock_recv(caller, 65_536):
+                received += part
+            closer.cancel()
+        return received
+
+    async def scenario(harness):
+        configure(harness, "safe")
+        await harness.add("u1", serve_after(0.05, {}))
+        closer = asyncio.create_task(close_idle_often([harness.runner]))
+        for request_id in ids(0, 9):
+            reader, writer = await connect(harness)
+            writer.write(head(request_id))
+            assert await read_answer(reader) == (200, request_id)
+            assert await reader.read() == b""
+            writer.close()
+            await writer.wait_closed()
+        closer.cancel()
+
+    harness = run_with_harness(scenario)
+    assert [request_id for _, request_id in harness.sends] == ids(0, 9)
+    assert asyncio.run(read_whole_answer()).endswith(LARGE_BODY)
