Let the test of a broken download wait for its load probes

A host waits 40 ms for a probe and then avoids the upstream, which is right; the same case of another test was traced in. What the test asserts is unchanged.

--- a/packages/bergamotferry_host/tests/test_answer_fetching.py
+++ b/packages/bergamotferry_host/tests/test_answer_fetching.py
@@ -233,7 +233,10 @@
     assert [name for name, _ in run_with_control_host(scenario).sends] == ["u1", "u1"]
 
 
-def test_broken_download_is_retried_since_no_part_was_relayed():
+def test_broken_download_is_retried_since_no_part_was_relayed(monkeypatch):
+    # The first upstream is chosen first only if its load probe is not given up.
+    monkeypatch.setitem(load_probes.PROBE_WAIT_S, "here", PROBE_TIMEOUT_S)
+
     async def scenario(harness, control):
         await harness.add("u1", large_answer(then="reset"))
         await harness.add("u2", large_answer())
