Leave the queue of a key's holder to urgent requests

Cause: a route's priority was decoded and read by no decision. A host knows little of what others have sent to a holder: its only candidate was never probed.

Change: requests that are less urgent than others of a sharded service are sent to their holder only while it seems to have a free slot; they wait at the host, where urgent ones overtake them. A holder that was full at its last report is probed before anything is sent to it. Services whose routes are equally urgent, and those without keys, are placed as before but for that probe.

--- a/packages/bergamotferry/src/bergamotferry/configuration.py
+++ b/packages/bergamotferry/src/bergamotferry/configuration.py
@@ -83,13 +83,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Routes, services and limits of one version, with an index of the routes."""
+    """Routes, services and limits of one version, with an index of the routes.
+
+    ``most_urgent`` is the priority of the most urgent route of each service.
+    """
 
     version: int
     routes: tuple[DirectRoute, ...] = ()
     services: dict[str, DirectService] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     routes_by_prefix: dict[tuple[str, str], DirectRoute] = field(default_factory=dict)
+    most_urgent: dict[str, int] = field(default_factory=dict)
 
     @classmethod
     def from_rows(
@@ -107,6 +111,7 @@
             {service.name: service for service in services},
             limits,
             {(route.host_name, route.path_prefix): route for route in listed_routes},
+            _most_urgent(listed_routes),
         )
 
 
@@ -137,6 +142,13 @@
     return None
 
 
+def is_most_urgent(
+    configuration: Configuration, route: DirectRoute, service: str
+) -> bool:
+    """Return whether no other route of a service is more urgent than this one."""
+    return route.priority <= configuration.most_urgent.get(service, route.priority)
+
+
 def choose_service(route: DirectRoute, fraction: float) -> str:
     """Return the service for one request, chosen by weight.
 
@@ -155,6 +167,16 @@
     return next(p.service for p in reversed(route.services) if p.weight > 0)
 
 
+def _most_urgent(routes: Iterable[DirectRoute]) -> dict[str, int]:
+    most_urgent: dict[str, int] = {}
+    for route in routes:
+        for part in route.services:
+            if part.weight > 0:
+                known = most_urgent.get(part.service, route.priority)
+                most_urgent[part.service] = min(known, route.priority)
+    return most_urgent
+
+
 def _check_route(
     route: DirectRoute, services: dict[str, DirectService]
 ) -> list[ConfigurationError]:
--- a/packages/bergamotferry/src/bergamotferry/direct_placement.py
+++ b/packages/bergamotferry/src/bergamotferry/direct_placement.py
@@ -13,6 +13,11 @@
 from few hosts, and the work per request does not grow with the service. If none of them
 is idle, the host scans all upstreams of the service.
 
+The key of a request may have one holder only. Less urgent requests are sent to a holder
+while it has a free slot, so that its queue is left to urgent ones. This is for holders
+that are busy for seconds, at a load of the service of one half and less. A holder that
+was full at its last report is probed before anything is sent to it.
+
 What a host doesn't know of an upstream is mostly which requests other hosts have sent
 there, and whether the upstream's neighbours slow it at this moment. So each host has a
 few preferred upstreams of its own. The best candidates are probed for their load before
@@ -38,6 +43,10 @@
 # connections when they are full, and whether the requests sent to them ran is then
 # uncertain.
 N_QUEUED_MAX = 2
+# The same number at the holder of a key, for requests that are less urgent than others
+# of its service. A holder serves its queue in order, so what waits there can't be
+# overtaken; what waits at a host can.
+N_QUEUED_LESS_URGENT_MAX = 0
 # Number of upstreams that are scanned before the rest of their service.
 N_SCANNED_FIRST = 24
 # The same number for upstreams in other regions. Few requests need to go there, so they
@@ -105,6 +114,7 @@
     work: WorkTime,
     time_left_ms: float,
     now_ns: int,
+    n_queued_max: int = N_QUEUED_MAX,
 ) -> Placed | Wait | NoCapacity:
     """Choose the upstream for a request, or return that it must wait or be refused.
 
@@ -118,9 +128,13 @@
         Time until the caller's deadline.
     now_ns : int
         Current time in nanoseconds.
+    n_queued_max : int
+        Largest number of requests that may be queued at the upstream.
     """
     known_candidates = list(candidates)
-    ranked = _rank_candidates(known_candidates, work, time_left_ms, now_ns)
+    ranked = _rank_candidates(
+        known_candidates, work, time_left_ms, now_ns, n_queued_max
+    )
     if ranked:
         _, response_ms, best = min(ranked, key=lambda entry: entry[0])
         return Placed(best.name, response_ms)
@@ -143,13 +157,15 @@
     time_left_ms: float,
     now_ns: int,
     n_compared: int = N_COMPARED,
+    n_queued_max: int = N_QUEUED_MAX,
 ) -> Shortlist:
     """Return the candidates to choose from, and which of them to probe for their load.
 
     A candidate in another region is probed only if it is uncertain whether it is cold,
     or if it has not reported recently and a failure would lose the request. Otherwise
     the round trip costs more than the report is worth. A single candidate is probed
-    only if it is uncertain whether it is cold.
+    only if it is uncertain whether it is cold, or if its last report showed that it was
+    full: the requests of other hosts may fill it by now.
 
     Parameters
     ----------
@@ -163,8 +179,10 @@
         Current time in nanoseconds.
     n_compared : int
         Largest number of candidates to return.
+    n_queued_max : int
+        Largest number of requests that may be queued at an upstream.
     """
-    ranked = _rank_candidates(candidates, work, time_left_ms, now_ns)
+    ranked = _rank_candidates(candidates, work, time_left_ms, now_ns, n_queued_max)
     best = sorted(ranked, key=lambda entry: entry[0])[:n_compared]
     chosen = tuple(candidate for _, _, candidate in best)
     to_probe = tuple(
@@ -172,6 +190,7 @@
         for candidate in chosen
         if candidate.is_uncertain
         or (len(chosen) > 1 and _is_worth_probing(candidate, work, now_ns))
+        or (len(chosen) == 1 and _may_be_full(candidate.load, now_ns))
     )
     return Shortlist(chosen, to_probe)
 
@@ -186,7 +205,11 @@
 
 
 def _rank_candidates(
-    candidates: Iterable[Candidate], work: WorkTime, time_left_ms: float, now_ns: int
+    candidates: Iterable[Candidate],
+    work: WorkTime,
+    time_left_ms: float,
+    now_ns: int,
+    n_queued_max: int,
 ) -> list[tuple[float, float, Candidate]]:
     """Return the candidates that can take a request, with cost and response time.
 
@@ -199,7 +222,7 @@
         if load.blocked_until_ns > now_ns:
             continue
         response_ms = _response_ms(candidate, work, now_ns)
-        is_full = n_ahead(load, now_ns) + 1 > load.n_slots + N_QUEUED_MAX
+        is_full = n_ahead(load, now_ns) + 1 > load.n_slots + n_queued_max
         if is_full or response_ms > time_left_ms:
             continue
         cost_ms = response_ms + _bytes_cost_ms(candidate.distance, work.answer_bytes)
@@ -217,6 +240,11 @@
     return is_silent and work.failure_cost_ms >= UNSAFE_FAILURE_COST_MS
 
 
+def _may_be_full(load: UpstreamLoad, now_ns: int) -> bool:
+    """Return whether an upstream was full at its last report, which is not fresh."""
+    return load.was_full and not is_report_fresh(load, now_ns)
+
+
 def _response_ms(candidate: Candidate, work: WorkTime, now_ns: int) -> float:
     return (
         expected_ms(candidate.load, work.mean_ms, now_ns)
--- a/packages/bergamotferry/src/bergamotferry/upstream_load.py
+++ b/packages/bergamotferry/src/bergamotferry/upstream_load.py
@@ -66,7 +66,8 @@
 class UpstreamLoad:
     """What a host knows of an upstream's load and work time.
 
-    ``n_others`` is the number of requests of other hosts in the last report.
+    ``n_others`` is the number of requests of other hosts in the last report, and
+    ``was_full`` whether no slot was free then.
     ``relative_work_time`` is how long the upstream takes for a request relative to the
     mean of its service, so a slow upstream has a value above 1. ``failure_share`` is as
     of ``failed_ns``. ``due_ns`` are the times, in order, from which this host's
@@ -79,6 +80,7 @@
     n_others: int = 0
     slowness: float = 1.0
     reported_ns: int = 0
+    was_full: bool = False
     relative_work_time: float = 1.0
     failure_share: float = 0.0
     failed_ns: int = 0
@@ -205,6 +207,7 @@
         return
     load.n_slots = report.n_slots or load.n_slots
     load.n_others = max(0, report.n_running + report.n_waiting - max(0, n_own))
+    load.was_full = report.n_running >= load.n_slots
     load.slowness = report.slowness
     load.reported_ns = now_ns
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -20,9 +20,11 @@
 
 from bergamotferry.answer_link import inbound_ms
 from bergamotferry.cold_rate import is_cold, is_uncertain, may_send_cold, record_send
-from bergamotferry.configuration import DirectRoute, DirectService
+from bergamotferry.configuration import DirectRoute, DirectService, is_most_urgent
 from bergamotferry.direct_placement import (
     N_COMPARED,
+    N_QUEUED_LESS_URGENT_MAX,
+    N_QUEUED_MAX,
     N_SCANNED_FIRST,
     N_SCANNED_FIRST_REMOTE,
     Candidate,
@@ -133,6 +135,7 @@
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> Reservation | Refused:
     """Wait until an upstream can accept the request, or refuse the request."""
+    n_queued_max = _n_queued_max(host, request)
     key_poll_end_ns = now_ns() + int(KEY_POLL_MAX_MS * 1e6)
     work = _work_of_attempt(host, request)
     unanswered: set[str] = set()
@@ -149,7 +152,9 @@
                 return Refused(ResultCode.NO_OWNER, "no upstream may take it")
             await asyncio.sleep(KEY_POLL_MS / 1000)
             continue
-        chosen = shortlist(candidates, work, time_left_ms, now, n_compared)
+        chosen = shortlist(
+            candidates, work, time_left_ms, now, n_compared, n_queued_max
+        )
         if chosen.to_probe:
             probed = [host.upstreams[candidate.name] for candidate in chosen.to_probe]
             await probe_loads(host, http, request.service, probed)
@@ -160,7 +165,9 @@
                 if is_uncertain(upstream.cold, now)
             }
             time_left_ms = time_to_answer_ms(host, request)
-        placed = place_request(chosen.candidates or candidates, work, time_left_ms, now)
+        placed = place_request(
+            chosen.candidates or candidates, work, time_left_ms, now, n_queued_max
+        )
         match placed:
             case Placed(name, expected_ms):
                 upstream = host.upstreams[name]
@@ -223,6 +230,15 @@
     return _reserve(host, work, upstream, placed.expected_ms, now)
 
 
+def _n_queued_max(host: DirectHost, request: DirectRequest) -> int:
+    """Return how many requests may be queued where a request is sent."""
+    service = request.service
+    is_urgent = is_most_urgent(host.configuration, request.route, service.name)
+    if service.is_sharded and not is_urgent:
+        return N_QUEUED_LESS_URGENT_MAX
+    return N_QUEUED_MAX
+
+
 def _no_capacity_detail(expected_ms: float, n_candidates: int) -> str:
     if math.isinf(expected_ms):
         return f"none of {n_candidates} upstreams can be reached"
