Test which routes are most urgent, and keep slow probes and open writers out of tests

- Unit test of the most urgent routes of a service, and one that a less urgent request waits for a free slot while an urgent one is sent.
- The tests of test_direct_request take it for granted that load probes in the same process answer within 40 ms.
- A handler in these tests left its writer open.
Its finalizer raised in a later test, the traceback of that warning was formatted with ast.parse, and where the collector ran in the midst of another ast.parse, that one failed with 'AST constructor recursion depth mismatch': red each time for test_configuration, test_direct_request and test_proofs in one process, green each time with the writer closed.

--- a/packages/bergamotferry/tests/test_configuration.py
+++ b/packages/bergamotferry/tests/test_configuration.py
@@ -13,6 +13,7 @@
     check_configuration,
     choose_service,
     find_route,
+    is_most_urgent,
 )
 
 SERVICE = DirectService("lamps", "/health", 10, 3.0, 4.0, False, 0.0)
@@ -79,3 +80,29 @@
     )
     expected = "a" if fraction < 0.75 else "b"
     assert choose_service(ROUTE._replace(services=parts), fraction) == expected
+
+
+def test_most_urgent_routes_of_a_service_are_those_that_send_to_it():
+    """A route of weight 0 sends nothing, so it makes no other route less urgent."""
+    other_service = SERVICE._replace(name="proofs")
+    both = (WeightedService("lamps", 1), WeightedService("proofs", 0))
+    rows = [
+        ROUTE._replace(name="first", path_prefix="/1/", priority=0, services=both),
+        ROUTE._replace(name="second", path_prefix="/2/", priority=1),
+        ROUTE._replace(
+            name="third",
+            path_prefix="/3/",
+            priority=2,
+            services=(WeightedService("proofs", 1),),
+        ),
+    ]
+    indexed = Configuration.from_rows(1, rows, [SERVICE, other_service], CallerLimits())
+    urgent = {
+        (route.name, part.service)
+        for route in rows
+        for part in route.services
+        if part.weight > 0 and is_most_urgent(indexed, route, part.service)
+    }
+    assert urgent == {("first", "lamps"), ("third", "proofs")}
+    # A route that the configuration in force no longer has may still be in progress.
+    assert is_most_urgent(Configuration(0), ROUTE, "lamps")
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -25,9 +25,19 @@
 from bergamotferry.upstream_load import (
     WorkTime,
 )
+from bergamotferry_host import load_probes
 from bergamotferry_host.clock import now_ns
 
 
+@pytest.fixture(autouse=True)
+def patient_probes(monkeypatch):
+    """Wait for load probes as long as they may take.
+
+    The first upstream is chosen first only if its load probe is not given up.
+    """
+    monkeypatch.setitem(load_probes.PROBE_WAIT_S, "here", load_probes.PROBE_TIMEOUT_S)
+
+
 @pytest.mark.parametrize(
     ("kind", "first", "second", "status", "n_sends"),
     [
@@ -349,6 +359,7 @@
                 lines.append("Content-Length: 5")
                 answer = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", "whole"])
                 writer.write(answer.encode())
+        writer.close()
 
     async def scenario(harness):
         harness.configure(route("unsafe", timeout_ms=2_000), is_sharded=True)
@@ -378,3 +389,29 @@
 
     harness = run_with_harness(scenario)
     assert list(harness.host.key_work) == [("lamps", 1_023)]
+
+
+def test_less_urgent_requests_wait_for_a_free_slot_of_the_holder_of_their_key():
+    """The holder says that it is full; what is sent to it now would wait there."""
+
+    async def scenario(harness):
+        urgent = route("unsafe", priority=0, timeout_ms=1_000)
+        harness.configure(urgent, route("safe", timeout_ms=1_000), is_sharded=True)
+        await harness.add("u1", served)
+        session = harness.host.upstreams["u1"].row
+        key_range = KeyRange("lamps", 0, 9, "u1", 1, session.address, 1, "")
+        harness.host.ranges = {"lamps": [key_range]}
+        load = harness.host.upstreams["u1"].load
+        load.n_others, load.reported_ns = load.n_slots, now_ns()
+        headers = {HEADER_NAMES.shard_key: "5"}
+        less_urgent = asyncio.create_task(
+            harness.send_request("/safe/1", "later", **headers)
+        )
+        await asyncio.sleep(0.02)
+        answer, _ = await harness.send_request("/unsafe/1", "first", **headers)
+        assert answer.status == 200
+        answer, _ = await less_urgent
+        assert answer.status == 200
+
+    harness = run_with_harness(scenario)
+    assert [request_id for _, request_id in harness.sends] == ["first", "later"]
