Keep the hint to retry at once of a request that a stopping host still sends

Cause, read: the check of a planned stop overwrote, for each further send, whether an upstream with a free slot had refused the request. Change: it only sets the hint when it refuses. Measured: test_direct_stop green; the case itself has no test.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -119,8 +119,9 @@
         (request.deadline_ns - now) / 1e6,
         (host.stop_end_ns - now) / 1e6,
     )
-    # The next host of the caller is not stopping.
-    request.may_retry_immediately = not may_send
+    if not may_send:
+        # The next host of the caller is not stopping.
+        request.may_retry_immediately = True
     return may_send
 
 
