Give the test of key reports a holder that is slow

The test has a holder that takes 1.5 times as long now, and expects its work counted so (301 in place of 201 ms); the key without a holder counts as before.

--- a/packages/bergamotferry_host/tests/test_key_reports.py
+++ b/packages/bergamotferry_host/tests/test_key_reports.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from bergamotferry.fleet_messages import KeyWorkNews
+from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.key_load import (
     KEYS_PER_BUCKET,
     KeyLoads,
@@ -38,7 +39,16 @@
 
 def test_host_reports_requested_work_to_the_followed_control_host(monkeypatch):
     monkeypatch.setattr(key_reports, "REPORT_INTERVAL_S", 0.01)
-    host = SimpleNamespace(key_work={}, followed="", network=FakeNetwork())
+    # The first bucket is held by an upstream that takes 1.5 times as long as others.
+    slow_holder = SimpleNamespace(load=SimpleNamespace(relative_work_time=1.5))
+    held_range = KeyRange("s", 0, KEYS_PER_BUCKET - 1, "u1", 1, "u1:1", 1, "")
+    host = SimpleNamespace(
+        key_work={},
+        followed="",
+        network=FakeNetwork(),
+        ranges={"s": [held_range]},
+        upstreams={"u1": slow_holder},
+    )
 
     async def run():
         task = asyncio.create_task(run_key_reports(host))
@@ -54,7 +64,7 @@
         task.cancel()
 
     asyncio.run(run())
-    key_work = (KeyWork("s", 0, 201), KeyWork("s", 1, 100))
+    key_work = (KeyWork("s", 0, 301), KeyWork("s", 1, 100))
     assert host.network.sent == [("c1", KeyWorkNews(key_work))]
 
 
