Part the HTTP edge by its three jobs

Its connections and their server are in edge_connection now, what is answered in place of the library's error pages in edge_errors; http_edge runs and stops an application. A move alone, with a docstring for what has become public.

--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -31,6 +31,7 @@
 from .data_folder import DataFolder
 from .dispatch import run_dispatcher
 from .dispatcher_table import DispatcherTable
+from .edge_connection import EdgeLimits
 from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
 from .group import Group, deliver_message
@@ -40,7 +41,7 @@
 from .group_start import start_group
 from .host_state import HostState
 from .http_address import split_address
-from .http_edge import EdgeLimits, edge_runner
+from .http_edge import edge_runner
 from .leader_duties import (
     answer_capacity_question,
     answer_renewal,
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
@@ -11,9 +11,10 @@
 from bergamotferry.records import HostAddress
 
 from .background import log_loop_failures
+from .edge_connection import EdgeLimits
 from .fleet_settings import FleetSettings
 from .http_address import split_address
-from .http_edge import EdgeLimits, edge_runner
+from .http_edge import edge_runner
 from .logs import log, log_warning
 from .peer_link import PeerHandlers
 from .peer_network import PeerNetwork
--- a/packages/bergamotferry_host/tests/conftest.py
+++ b/packages/bergamotferry_host/tests/conftest.py
@@ -19,10 +19,11 @@
 from bergamotferry.records import ShardHome
 from bergamotferry_host import caller_edge
 from bergamotferry_host.dispatcher_table import DispatcherTable
+from bergamotferry_host.edge_connection import EdgeLimits
 from bergamotferry_host.exchange import Served
 from bergamotferry_host.group_start import start_group
 from bergamotferry_host.host_state import HostState
-from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.http_edge import edge_runner
 from bergamotferry_host.metrics import NoMetrics
 from bergamotferry_host.operator_edge import add_operator_routes
 from bergamotferry_host.peer_link import PeerHandlers
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -21,8 +21,9 @@
 from bergamotferry_host.direct_call import open_direct_session
 from bergamotferry_host.direct_host import DirectHost, Upstream
 from bergamotferry_host.direct_request import answer_request
+from bergamotferry_host.edge_connection import EdgeLimits
 from bergamotferry_host.fleet_settings import FleetSettings
-from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.http_edge import edge_runner
 from bergamotferry_host.peer_link import PeerHandlers
 from bergamotferry_host.peer_network import PeerNetwork
 
--- a/packages/bergamotferry_host/tests/test_answer_sending.py
+++ b/packages/bergamotferry_host/tests/test_answer_sending.py
@@ -10,7 +10,8 @@
 from bergamotferry_host.answer_sending import send_answer
 from bergamotferry_host.answer_streaming import CallerAnswer
 from bergamotferry_host.direct_call import SendOutcome
-from bergamotferry_host.http_edge import EdgeLimits, edge_runner
+from bergamotferry_host.edge_connection import EdgeLimits
+from bergamotferry_host.http_edge import edge_runner
 
 SMALL, LARGE = b"s" * 500, bytes(range(256)) * 160
 # The large answer takes 328 ms on the link.
--- a/packages/bergamotferry_host/tests/test_caller_edge.py
+++ b/packages/bergamotferry_host/tests/test_caller_edge.py
@@ -12,7 +12,7 @@
 from bergamotferry.messages import ResponseHead
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 from bergamotferry_host import caller_body, caller_edge
-from bergamotferry_host.http_edge import EdgeLimits
+from bergamotferry_host.edge_connection import EdgeLimits
 
 TOKEN = "token-of-a-caller"
 
--- a/packages/bergamotferry_host/tests/test_direct_stop.py
+++ b/packages/bergamotferry_host/tests/test_direct_stop.py
@@ -19,9 +19,9 @@
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.direct_host import DirectHost, answer_times_of
 from bergamotferry_host.direct_run import drain
+from bergamotferry_host.edge_connection import EdgeLimits
 from bergamotferry_host.fleet_settings import FleetBounds, FleetSettings
 from bergamotferry_host.http_edge import (
-    EdgeLimits,
     close_idle_connections,
     edge_runner,
     wait_for_flush,
--- a/packages/bergamotferry_host/tests/test_http_edge.py
+++ b/packages/bergamotferry_host/tests/test_http_edge.py
@@ -18,8 +18,8 @@
 )
 
 from bergamotferry_host.clock import now_ns
+from bergamotferry_host.edge_connection import EdgeLimits
 from bergamotferry_host.http_edge import (
-    EdgeLimits,
     close_idle_connections,
     edge_runner,
 )
