--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,7 @@
 SLOW_WORK_S = 1.05
 # When the slow filings are sent, counted from the SIGTERM of their entry host.
 SLOW_AT_S = (4.4, 4.5, 4.6)
-N_CLIENTS = 12
+N_CLIENTS = 18
 
 
 class Balancer:
