Ask a restarted holder to release what it took for its former process

Cause: a grant names its receiver by id only, so the new process accepted a renewal that was meant for the old one. With its first heartbeat the leader took the end of the old process for the end of all its holds, and moved ranges with no release while that renewal still held.

Change: a later start no longer skips the release or the wait. The process that is there now is asked to release the range; without an answer the range waits for the end of its hold. Only an answer of another process skips both.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
@@ -4,9 +4,11 @@
 tables at which the assignment is applied becomes the fencing token, so a later
 assignment always has a higher token. A grant lets the holder serve the keys for a
 limited time, its hold. The leader renews holds well before they expire. A range moves
-only after its holder released it or can no longer hold it: the holder's process has
-ended, or the hold of every call that may still take effect has expired. A refused
-connection does not prove that the process has ended.
+only after its holder released it or can no longer hold it: another process answers at
+the holder's address, or the hold of every call that may still take effect has expired.
+A refused connection does not prove that the holder's process has ended. A later start
+under the holder's name does, but the new process may have accepted a renewal that was
+meant for the old one, so it is asked to release the range too.
 
 A new leader does not know which calls of the previous leader are still in flight, so it
 waits for one full hold before it moves a range. A ready holder keeps serving its keys
@@ -236,9 +238,9 @@
     term = assignments.term
     try:
         row = move.current
-        if row is not None and should_release(host, row, hold):
+        if row is not None and should_release(hold):
             await _release(assignments, host, http, call_names, row, hold)
-        if row is not None and not can_reassign(host, row, hold):
+        if row is not None and not can_reassign(hold):
             return
         await _assign(host, move, hold, reason, term)
     finally:
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_holders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_holders.py
@@ -94,11 +94,7 @@
         return False
     is_allowed = session.row.data_centre not in host.tables.evacuated
     is_ready = session.row.phase == "ready" and is_allowed
-    return (
-        is_ready
-        and should_keep_range(host, row, hold)
-        and not has_process_ended(host, row, hold)
-    )
+    return is_ready and should_keep_range(host, row, hold) and not hold.has_ended
 
 
 def may_be_reached_again(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
@@ -110,27 +106,24 @@
     return hold.is_unreachable and is_held and should_keep_range(host, row, hold)
 
 
-def should_release(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
-    """Return whether to ask the holder to release its range before it moves."""
-    is_known = hold.is_released or has_process_ended(host, row, hold)
-    return not is_known and now_ns() >= hold.next_release_ns
+def should_release(hold: Hold) -> bool:
+    """Return whether to ask the holder to release its range before it moves.
+
+    A process that started again under the holder's name is asked too: it accepts
+    renewals that were meant for the process before it.
+    """
+    is_held = not hold.is_released and not hold.has_ended
+    return is_held and now_ns() >= hold.next_release_ns
 
 
-def can_reassign(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
+def can_reassign(hold: Hold) -> bool:
     """Return whether the holder neither holds the range nor can acquire it again."""
-    if has_process_ended(host, row, hold) or now_ns() >= hold.until_ns:
+    if hold.has_ended or now_ns() >= hold.until_ns:
         return True
     # An unanswered grant may still take effect after the release.
     return hold.is_released and now_ns() >= hold.uncertain_until_ns
 
 
-def has_process_ended(host: ControlHost, row: KeyRange, hold: Hold) -> bool:
-    """Return whether the holder's process has ended or was replaced by a newer one."""
-    session = host.sessions.rows.get(row.upstream)
-    is_restarted = session is not None and session.row.born_ms > row.born_ms
-    return hold.has_ended or is_restarted
-
-
 def released_first_keys(
     assignments: RangeAssignments, host: ControlHost, service: str
 ) -> frozenset[int]:
--- a/packages/bergamotferry_host/tests/test_range_assignment.py
+++ b/packages/bergamotferry_host/tests/test_range_assignment.py
@@ -271,6 +271,46 @@
     assert harness.doubly_held == []
 
 
+@pytest.mark.parametrize("is_renewed", [True, False])
+def test_renewal_that_reaches_a_restarted_process_is_released_before_its_range_moves(
+    monkeypatch, is_renewed
+):
+    """Guards against two holders after a restart between two renewals.
+
+    A process that starts again under its name accepts what was meant for the one
+    before. Its first heartbeat comes later.
+    """
+    harness = RangeHarness(monkeypatch, "u0", "u1", "u2", "u3", "u4")
+    harness.send_heartbeats("u1", "u2", "u3", "u4")
+    before: dict[str, int] = {}
+
+    def restart_process():
+        harness.holders["u4"].until_ns.clear()
+
+    def send_first_heartbeat():
+        rows = harness.host.tables.ranges
+        before.update(
+            {key: row.token for key, row in rows.items() if row.upstream == "u4"}
+        )
+        if not is_renewed:
+            restart_process()
+        harness.assigned.clear()
+        harness.send_heartbeats("u4", born_ms=2)
+
+    run_steps(
+        harness,
+        (0.3, lambda: harness.send_heartbeats("u0")),
+        (0.4, restart_process),
+        (0.25, send_first_heartbeat),
+        (0.25, lambda: None),
+    )
+    # The newcomer has fewer keys, so some of the ranges go to it.
+    assert "u0" in harness.assigned
+    rows = harness.host.tables.ranges
+    assert all(rows[key].token > token for key, token in before.items())
+    assert harness.doubly_held == []
+
+
 def test_leader_with_stale_tables_makes_no_calls(monkeypatch):
     """Guards against grants by a leader that has committed nothing in its term.
 
