Let a host with a full disk wait for space and vote again

Cause: after one failed write a control host left the group under a new identity and never asked to join again while its process ran. Each full disk cost the group one voter for good.

Change: a write that fails for lack of space is repeated until it succeeds; the record is cut off and written anew. Meanwhile the host acknowledges nothing, votes for nobody, drops its messages and doesn't ask to join. It stays the same member, since all that it acknowledged is on its disk. Other failures (EIO, EROFS) stop the voting as before.

--- a/packages/bergamotferry/src/bergamotferry/replication/__init__.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/__init__.py
@@ -79,6 +79,7 @@
     "begin_transfer",
     "can_change_membership",
     "compact_log",
+    "discard_messages",
     "entries_from",
     "entries_within",
     "install_snapshot",
@@ -246,6 +247,11 @@
     return immediate
 
 
+def discard_messages(replica: Replica) -> None:
+    """Discard the queued messages; each is repeated or replaced if it is needed."""
+    replica.outgoing.clear()
+
+
 def take_messages(replica: Replica) -> list[Outgoing]:
     """Return the queued messages, and clear the queue."""
     outgoing, replica.outgoing = replica.outgoing, []
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
@@ -30,6 +30,12 @@
         single_value_family(
             "leader_age_seconds", "Since the leader was heard.", "gauge", leader_age_s
         ),
+        single_value_family(
+            "is_disk_full",
+            "Whether writes wait for space on the disk.",
+            "gauge",
+            host.group.is_disk_full,
+        ),
         single_value_family(
             "commit_index", "Of the group's log.", "gauge", replica.commit_index
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/disk_log.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/disk_log.py
@@ -11,10 +11,11 @@
 it is the first log file.
 """
 
+import errno
 import os
 import struct
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -27,12 +28,17 @@
 _HEADER_FIELDS = struct.Struct("<II")
 _END_MARK = b"\xa5"
 FIRST_FILE_NUMBER = 1
+_NO_SPACE_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 class DiskLogDamaged(OSError):  # noqa: N818 - names the state of the file
     """A file has damage that an interrupted append does not explain."""
 
 
+class DiskFullError(OSError):
+    """The disk has no space; the call changed nothing and may be repeated."""
+
+
 class RecoveredLog(NamedTuple):
     """The state that a member recovers from its disk."""
 
@@ -44,12 +50,16 @@
 
 @dataclass(slots=True)
 class DiskLog:
-    """The open log file of a group."""
+    """The open log file of a group.
+
+    ``size_bytes`` is the size of the file up to its last whole record.
+    """
 
     folder: Path
     name: str
     number: int
     descriptor: int
+    size_bytes: int = 0
     n_syncs: int = 0
     n_entries: int = 0
 
@@ -61,7 +71,8 @@
         flags = os.O_RDWR | os.O_CREAT | os.O_APPEND
         descriptor = os.open(_log_path(folder, name, number), flags, 0o600)
         sync_folder(folder)
-        return cls(folder, name, number, descriptor)
+        size_bytes = os.fstat(descriptor).st_size
+        return cls(folder, name, number, descriptor, size_bytes)
 
     @property
     def path(self) -> Path:
@@ -93,6 +104,7 @@
         if payload is None:
             os.ftruncate(disk_log.descriptor, offset)
             os.fsync(disk_log.descriptor)
+            disk_log.size_bytes = offset
             break
         term, voted_for, truncate_from, new_entries = _decode(
             disk_log.path, payload, offset
@@ -111,16 +123,20 @@
 
     Raises
     ------
+    DiskFullError
+        If the disk has no space. What was persisted before is intact.
     OSError
-        If writing or syncing fails; the files are unreliable afterwards.
+        If writing or syncing fails otherwise; the files are unreliable afterwards.
     """
-    if unpersisted.snapshot is not None:
-        _begin_next_file(disk_log, unpersisted)
-        return
-    _write_all(disk_log.descriptor, _encode_record(tuple(unpersisted)[:4]))
-    os.fsync(disk_log.descriptor)
-    disk_log.n_syncs += 1
-    disk_log.n_entries += len(unpersisted.entries)
+    try:
+        if unpersisted.snapshot is not None:
+            _begin_next_file(disk_log, unpersisted)
+        else:
+            _append_record(disk_log, unpersisted)
+    except OSError as error:
+        if error.errno in _NO_SPACE_ERRORS:
+            raise DiskFullError(*error.args) from error
+        raise
 
 
 def sync_folder(folder: Path) -> None:
@@ -146,17 +162,36 @@
     sync_folder(path.parent)
 
 
+def _append_record(disk_log: DiskLog, unpersisted: Unpersisted) -> None:
+    """Append a record, after removing what an earlier failed call left of one.
+
+    The record is written anew rather than synced again: after a failed sync, the next
+    one would report success although data may be lost.
+    """
+    record = _encode_record(tuple(unpersisted)[:4])
+    if os.fstat(disk_log.descriptor).st_size != disk_log.size_bytes:
+        os.ftruncate(disk_log.descriptor, disk_log.size_bytes)
+    _write_all(disk_log.descriptor, record)
+    os.fsync(disk_log.descriptor)
+    disk_log.size_bytes += len(record)
+    disk_log.n_syncs += 1
+    disk_log.n_entries += len(unpersisted.entries)
+
+
 def _begin_next_file(disk_log: DiskLog, unpersisted: Unpersisted) -> None:
+    """Write a snapshot and the next log file; only then change ``disk_log``."""
     if unpersisted.snapshot is None:
         raise ValueError("a new log file needs a snapshot")
-    disk_log.number += 1
-    write_file(disk_log.snapshot_path, _encode_record(tuple(unpersisted.snapshot)))
+    next_log = replace(disk_log, number=disk_log.number + 1)
+    write_file(next_log.snapshot_path, _encode_record(tuple(unpersisted.snapshot)))
     first_record = _encode_record(
         (unpersisted.term, unpersisted.voted_for, 0, unpersisted.entries)
     )
-    write_file(disk_log.path, first_record)
+    write_file(next_log.path, first_record)
     old_descriptor = disk_log.descriptor
-    disk_log.descriptor = os.open(disk_log.path, os.O_RDWR | os.O_APPEND)
+    disk_log.descriptor = os.open(next_log.path, os.O_RDWR | os.O_APPEND)
+    disk_log.number = next_log.number
+    disk_log.size_bytes = len(first_record)
     os.close(old_descriptor)
     disk_log.n_syncs += 4
     disk_log.n_entries += len(unpersisted.entries)
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -7,6 +7,10 @@
 The disk is written on a thread, by one task at a time, so that the event loop is not
 blocked. A message that acknowledges or votes is sent only after the state it depends on
 is on disk. A leader's heartbeats don't wait for the disk.
+
+A full disk is treated like one that hangs: the write is repeated until it succeeds, and
+meanwhile this host acknowledges nothing and votes for nobody. It stays a member under
+its identity, since all that it has acknowledged is still on its disk.
 """
 
 import asyncio
@@ -29,6 +33,7 @@
     Replica,
     Unpersisted,
     begin_transfer,
+    discard_messages,
     entries_from,
     is_voter,
     last_index,
@@ -48,7 +53,7 @@
 
 from .background import log_failure
 from .clock import now_ns
-from .disk_log import DiskLog, persist
+from .disk_log import DiskFullError, DiskLog, persist
 from .group_compaction import compact_if_over_limit
 from .logs import log, log_warning
 from .peer_network import PeerNetwork
@@ -57,6 +62,7 @@
 TICK_S = 0.02
 IDLE_TICK_S = 0.1
 TRANSFER_TIMEOUT_S = 1.0
+DISK_FULL_RETRY_S = 0.25
 
 ApplyCommand = Callable[[Any, Command], Accepted | Refused]
 
@@ -68,7 +74,9 @@
     ``sources`` are the hosts to fetch the log from; while no leader is known, calls to
     the leader are sent to them in turn. ``reads_log`` is whether this host fetches the
     log while it is no member. ``waiters`` holds, by log index, the term and the future
-    of each command that waits for its commit.
+    of each command that waits for its commit. ``is_disk_full`` is set while a write is
+    repeated because the disk has no space, and ``has_failed_disk`` after a write that
+    failed for another reason.
     """
 
     name: str
@@ -92,6 +100,7 @@
     waiters: dict[int, tuple[int, asyncio.Future[Accepted | Refused]]] = field(
         default_factory=dict
     )
+    is_disk_full: bool = False
     has_failed_disk: bool = False
     is_stopping: bool = False
 
@@ -248,7 +257,7 @@
     held_messages: list[Outgoing],
 ) -> None:
     try:
-        await asyncio.to_thread(persist, disk_log, unpersisted)
+        await _persist_once_there_is_space(group, replica, disk_log, unpersisted)
         _finish_write(group, replica, unpersisted.term, index, held_messages)
     except Exception as error:
         # After a failed write of any cause, this state is not known to be on disk, and
@@ -261,6 +270,32 @@
         group.wake_event.set()
 
 
+async def _persist_once_there_is_space(
+    group: Group, replica: Replica, disk_log: DiskLog, unpersisted: Unpersisted
+) -> None:
+    """Write to disk; while the disk has no space, repeat the write.
+
+    Raises
+    ------
+    OSError
+        If the write fails for another reason.
+    """
+    while True:
+        try:
+            await asyncio.to_thread(persist, disk_log, unpersisted)
+        except DiskFullError as error:
+            if not group.is_disk_full:
+                log_warning("disk full, no votes", group=group.name, why=str(error))
+            group.is_disk_full = True
+            await asyncio.sleep(DISK_FULL_RETRY_S)
+            discard_messages(replica)
+            continue
+        if group.is_disk_full:
+            log("disk has space again", group=group.name)
+        group.is_disk_full = False
+        return
+
+
 def _finish_write(
     group: Group, replica: Replica, term: int, index: int, held_messages: list[Outgoing]
 ) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -44,7 +44,7 @@
         _add_voters_to_sources(group)
         if group.is_leader:
             _propose_membership(group)
-        elif _should_join(group) and now_ns() >= next_join_ns:
+        elif should_join(group) and now_ns() >= next_join_ns:
             retry_ms = await _join(group)
             next_join_ns = now_ns() + retry_ms * 1_000_000
 
@@ -86,8 +86,11 @@
         )
 
 
-def _should_join(group: Group) -> bool:
-    if not group.is_eligible_member or group.has_failed_disk or group.is_stopping:
+def should_join(group: Group) -> bool:
+    """Return whether this host should request to become a member of the group."""
+    if group.has_failed_disk or group.is_disk_full:
+        return False
+    if not group.is_eligible_member or group.is_stopping:
         return False
     return not (is_voter(group.replica) and has_leader_contact(group.replica))
 
--- a/packages/bergamotferry_host/tests/test_disk_log.py
+++ b/packages/bergamotferry_host/tests/test_disk_log.py
@@ -10,7 +10,13 @@
 from bergamotferry.records import ShardId
 from bergamotferry.replication import Snapshot, Unpersisted
 from bergamotferry_host import disk_log as disk_log_module
-from bergamotferry_host.disk_log import DiskLog, DiskLogDamaged, persist, recover_log
+from bergamotferry_host.disk_log import (
+    DiskFullError,
+    DiskLog,
+    DiskLogDamaged,
+    persist,
+    recover_log,
+)
 
 MEMBER = Member("a", "1", True)
 MEMBERSHIP = Membership((MEMBER,), ())
@@ -176,3 +182,45 @@
         persist(log, Unpersisted(2, None, 4, (LogEntry(4, 2, Noop()),)))
     monkeypatch.undo()
     assert recover(tmp_path).entries[:3] == (entry(1), entry(2), entry(3, 2))
+
+
+@pytest.mark.parametrize(
+    ("call", "has_snapshot"),
+    [
+        ("write", False),
+        ("fsync", False),
+        ("write", True),
+        ("fsync", True),
+        ("rename", True),
+    ],
+)
+@pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EDQUOT])
+def test_call_refused_by_a_full_disk_can_be_repeated(
+    tmp_path, monkeypatch, call, error_number, has_snapshot
+):
+    """Guards against a host that votes no more after its disk was full."""
+    log = write_entries(tmp_path)
+    before = recover(tmp_path)
+    snapshot = Snapshot(2, 1, MEMBERSHIP, b"tables") if has_snapshot else None
+    first = (entry(3, 2),) if has_snapshot else ()
+    unpersisted = Unpersisted(3, MEMBER, 4, (*first, entry(4, 3)), snapshot)
+    os_write = os.write
+
+    def refuse(*arguments):
+        if call == "write":
+            os_write(arguments[0], bytes(arguments[1])[:7])
+        raise OSError(error_number, os.strerror(error_number))
+
+    for _ in range(3):
+        with monkeypatch.context() as patched:
+            patched.setattr(os, call, refuse)
+            with pytest.raises(DiskFullError, match=os.strerror(error_number)):
+                persist(log, unpersisted)
+        if call == "write":
+            assert recover(tmp_path) == before
+    persist(log, unpersisted)
+    persist(log, Unpersisted(3, MEMBER, 5, (entry(5, 3),)))
+    recovered = recover(tmp_path)
+    assert (recovered.term, recovered.voted_for) == (3, MEMBER)
+    assert recovered.entries[-3:] == (entry(3, 2), entry(4, 3), entry(5, 3))
+    assert recovered.snapshot == snapshot
