Repeat a save of quarantined requests that a full disk refused

Callers would have seen a quarantined request end more upstreams after a restart of all control hosts.

The test before checked that two changes cause two failing writes and no more, which states the fault; the new one, red before, checks that a refused write is repeated, that its records are read again, and that none is written twice.

--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_store.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_store.py
@@ -50,23 +50,29 @@
 
 
 async def run_crash_store(exchange: CrashExchange, folder: Path) -> None:
-    """Save the quarantined requests whenever they change, until cancelled."""
+    """Save the quarantined requests whenever they change, until cancelled.
+
+    A save that fails is repeated.
+    """
     saved = _quarantined_rows(exchange.table)
     while True:
         await wait_for_change(exchange, SAVE_INTERVAL_S)
         rows = _quarantined_rows(exchange.table)
         if _identities(rows) != _identities(saved):
-            await _save(folder, rows)
-            saved = rows
+            if await _save(folder, rows):
+                saved = rows
         await asyncio.sleep(SAVE_INTERVAL_S)
 
 
-async def _save(folder: Path, rows: tuple[SavedCrash, ...]) -> None:
+async def _save(folder: Path, rows: tuple[SavedCrash, ...]) -> bool:
+    """Save rows; return whether they are on disk."""
     try:
         # In a thread, since a slow disk must not stop this host.
         await asyncio.to_thread(write_file, folder / FILE_NAME, encode(rows))
     except OSError as error:
         log_warning("crash records not saved", why=str(error))
+        return False
+    return True
 
 
 def _quarantined_rows(table: CrashTable) -> tuple[SavedCrash, ...]:
--- a/packages/bergamotferry_host/tests/test_crash_store.py
+++ b/packages/bergamotferry_host/tests/test_crash_store.py
@@ -23,6 +23,7 @@
     load_crash_records,
     run_crash_store,
 )
+from bergamotferry_host.disk_log import write_file
 
 
 def run_store(monkeypatch, folder, *changes):
@@ -79,21 +80,24 @@
     assert loaded(tmp_path).entries == {}
 
 
-def test_disk_that_takes_no_bytes_does_not_stop_the_host(monkeypatch, tmp_path):
+def test_records_that_a_full_disk_refused_are_saved_once_it_has_space(
+    monkeypatch, tmp_path
+):
+    """Guards against records that are given up after one failed write."""
     n_writes = 0
 
-    def fail(path, data):
+    def refuse_the_first_writes(path, data):
         nonlocal n_writes
         n_writes += 1
-        raise OSError("no space left")
+        if n_writes <= 2:
+            raise OSError("no space left")
+        write_file(path, data)
 
-    def quarantine_another(exchange):
-        for _ in range(N_ENDS_MAX):
-            count_end(exchange, "b", known_ends(exchange.table, "b"))
-
-    monkeypatch.setattr(crash_store, "write_file", fail)
-    run_store(monkeypatch, tmp_path, quarantine, quarantine_another)
-    assert n_writes == 2
+    monkeypatch.setattr(crash_store, "write_file", refuse_the_first_writes)
+    run_store(monkeypatch, tmp_path, quarantine)
+    # The third write succeeds, and what is saved is not written again.
+    assert n_writes == 3
+    assert set(loaded(tmp_path).entries) == {"a"}
 
 
 def test_older_saved_record_does_not_replace_a_newer_one(monkeypatch, tmp_path):
