Send nothing late in a planned stop that may last longer than the host

Cause: the host sent what the longest of the last 128 answers of the route would have allowed. A request may take until its deadline, whatever others took.

--- a/packages/bergamotferry/src/bergamotferry/stop_admission.py
+++ b/packages/bergamotferry/src/bergamotferry/stop_admission.py
@@ -5,11 +5,13 @@
 be retried. So a request whose answer may come too late is refused before it is sent;
 its caller retries at another host.
 
-The decision compares the time left with the upper quantile of the route's recent answer
-times, since the mean says nothing about the slow ones: with 128 recent answers, one
-request in 129 takes longer than all of them. The design is for routes whose slowest
-answers take several times the mean, on hosts that answer at least some requests of the
-route per second.
+A request ends at its deadline, which its route and its caller limit, and whatever its
+recent answers took, it may take until then. Once the load balancer sends callers to
+other hosts, only requests whose deadline is before the end of the host are accepted.
+
+Until then callers have no other choice than this host, and much of the grace period is
+left. The time left is compared with the upper quantile of the route's recent answer
+times: with 128 recent answers, one request in 129 takes longer than all of them.
 """
 
 from collections import deque
@@ -43,7 +45,10 @@
 
 
 def may_answer_before_stop(
-    times: AnswerTimes, time_left_ms: float, stop_left_ms: float
+    times: AnswerTimes,
+    time_left_ms: float,
+    stop_left_ms: float,
+    is_in_rotation: bool,
 ) -> bool:
     """Return whether a request that is sent now is answered before the host stops.
 
@@ -55,5 +60,10 @@
         Time until the deadline of the request.
     stop_left_ms : float
         Time until the last answer of the host must be ready.
+    is_in_rotation : bool
+        Whether the load balancer may still send callers to the host.
     """
-    return min(time_left_ms, upper_answer_time_ms(times)) <= stop_left_ms
+    longest_ms = time_left_ms
+    if is_in_rotation:
+        longest_ms = min(time_left_ms, upper_answer_time_ms(times))
+    return longest_ms <= stop_left_ms
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -80,6 +80,7 @@
     service and bucket of keys, in slot-milliseconds, since the last report to the
     control host. ``services_without_load`` are the services whose upstreams report no
     load. ``stop_end_ns`` is set in a planned stop: by then all answers must be ready.
+    Until ``rotation_end_ns`` the load balancer may not have noticed the stop.
     ``answer_times`` are the recent answer times by route. ``configured`` is set once a
     configuration is known. ``link_turns`` are the requests that wait for a turn on
     ``link`` or hold one. ``link_timer`` is set while the next request waits for the
@@ -114,6 +115,7 @@
     n_in_flight: int = 0
     configured: asyncio.Event = field(default_factory=asyncio.Event)
     stop_end_ns: int | None = None
+    rotation_end_ns: int = 0
     answer_times: dict[str, AnswerTimes] = field(default_factory=dict)
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
     link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -3,7 +3,7 @@
 To stop, the host first reports that it is not ready and keeps serving until the load
 balancer sends it no more callers. It then closes idle connections and waits for the
 requests in flight. A request that may not be answered before the host ends is refused
-before it is sent.
+before it is sent (`stop_admission`).
 """
 
 import asyncio
@@ -109,7 +109,9 @@
     requests of their callers go to other hosts.
     """
     left_s = host.settings.bounds.grace_s - STOP_RESERVE_S
-    stop_end_ns = host.stop_end_ns = now_ns() + int(left_s * 1e9)
+    began_ns = now_ns()
+    stop_end_ns = host.stop_end_ns = began_ns + int(left_s * 1e9)
+    host.rotation_end_ns = began_ns + int(BALANCER_REACTION_S * 1e9)
     log("stopping", n_in_flight=host.n_in_flight)
     await asyncio.sleep(BALANCER_REACTION_S)
     with contextlib.suppress(TimeoutError):
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -118,6 +118,7 @@
         answer_times_of(host, request.route),
         (request.deadline_ns - now) / 1e6,
         (host.stop_end_ns - now) / 1e6,
+        is_in_rotation=now < host.rotation_end_ns,
     )
     if not may_send:
         # The next host of the caller is not stopping.
