Don't pass on a refusal of a request that may have run

Callers of requests that may run only once could get an upstream's 503, 429 or 408 without its not-run header. These statuses promise that nothing has run, so they send it again (REFUSED; the users saw it once, without a trace).

Cause: every answer with the request's id and a length was passed on unchanged. Change: for such requests these answers become a 502, which promises nothing. Found by listing each way from a send to a promise; a test plays each of them.

That this is what the users saw is suspected, not shown.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from typing import TypeGuard
 
 import aiohttp
 
@@ -57,6 +58,8 @@
 N_SENDS_MAX = 6
 # With less time left, a failed answer is returned instead of a retry elsewhere.
 RETRY_MIN_MS = 100.0
+# Statuses by which a caller is told that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 async def serve_request(
@@ -70,6 +73,9 @@
         if isinstance(turn, Refused):
             return turn
         outcome = await _send_until_answered(host, http, request)
+        if _is_unproved_refusal(outcome, request):
+            detail = f"status {outcome.status}, and it may have run"
+            return Refused(ResultCode.UPSTREAM_FAILED, detail)
         if isinstance(outcome, SendOutcome):
             # A body that was streamed is already sent and not in `outcome.body`.
             turn.n_bytes = len(outcome.body)
@@ -335,6 +341,18 @@
     return is_failure and request.route.is_idempotent and time_left_ms > RETRY_MIN_MS
 
 
+def _is_unproved_refusal(
+    outcome: SendOutcome | Refused, request: DirectRequest
+) -> TypeGuard[SendOutcome]:
+    """Return whether an answer says "not run" of a request that may have run.
+
+    Only the not-run header proves that it has not, and an answer with that header is
+    not "answered".
+    """
+    is_refusal = isinstance(outcome, SendOutcome) and outcome.status in NOT_RUN_STATUSES
+    return is_refusal and not request.route.is_idempotent
+
+
 def _may_retry(request: DirectRequest) -> bool:
     if request.has_answer_begun:
         return False
--- /dev/null
+++ b/packages/bergamotferry_host/tests/test_not_run_promise.py
@@ -0,0 +1,161 @@
+"""Every way in which a request that was sent may still be answered as not run.
+
+A status of 408, 421, 429 or 503 promises a caller that its request has not run and
+never will. For a request that may run only once, each way from a send to such a status
+is listed here, next to those that must not lead there.
+"""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from direct_harness import (
+    HEADER_NAMES,
+    full,
+    not_held,
+    refusal,
+    reset,
+    route,
+    run_with_harness,
+    served,
+)
+
+from bergamotferry_host.clock import now_ns
+
+
+def answer_with(status, request_id=None, **headers):
+    """Return the behaviour of an upstream that ran a request and answers ``status``."""
+
+    async def behave(request):
+        own_id = request.headers[HEADER_NAMES.request_id]
+        named = {HEADER_NAMES.request_id: request_id or own_id, HEADER_NAMES.seal: "s"}
+        return web.Response(status=status, headers={**named, **headers})
+
+    return behave
+
+
+def raw_answer(*parts: bytes):
+    """Return the behaviour of an upstream that writes these bytes and closes."""
+
+    async def behave(request):
+        own_id = request.headers[HEADER_NAMES.request_id].encode()
+        for part in parts:
+            request.transport.write(part.replace(b"ID", own_id))
+            await asyncio.sleep(0.01)
+        request.transport.close()
+        return web.Response()
+
+    return behave
+
+
+NOT_RUN = {HEADER_NAMES.not_run: "1"}
+NOT_RUN_HEAD = (
+    f"HTTP/1.1 503 Full\r\n{HEADER_NAMES.request_id}: ID\r\n"
+    f"{HEADER_NAMES.not_run}: 1\r\n"
+).encode()
+
+
+async def refused_429(request):
+    return refusal(request, 429)
+
+
+async def answer_nothing(request):
+    await asyncio.sleep(2)
+    return web.Response()
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "status", "n_sends"),
+    [
+        # The upstream says that it has not run this request.
+        (full, full, 503, 2),
+        (refused_429, refused_429, 503, 2),
+        (not_held, not_held, 503, 2),
+        (full, served, 200, 2),
+        # It said so of one send, and the next send may have run.
+        (full, reset, 502, 2),
+        (full, answer_with(503), 502, 2),
+        (full, answer_nothing, 504, 2),
+        # A status alone is no such statement.
+        (answer_with(503), served, 502, 1),
+        (answer_with(429), served, 502, 1),
+        (answer_with(408), served, 502, 1),
+        # The statement is of another request, or of none.
+        (answer_with(503, "r0", **NOT_RUN), served, 502, 1),
+        (raw_answer(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"), served, 502, 1),
+        # The statement is cut short.
+        (raw_answer(NOT_RUN_HEAD), served, 502, 1),
+        (
+            raw_answer(NOT_RUN_HEAD + b"Content-Length: 9\r\n\r\n", b"ab"),
+            served,
+            502,
+            1,
+        ),
+        # A failure of the upstream is passed on as it is.
+        (answer_with(500), served, 500, 1),
+        (answer_with(504), served, 504, 1),
+        (reset, served, 502, 1),
+        (answer_nothing, served, 504, 1),
+    ],
+)
+def test_request_that_may_have_run_is_never_answered_as_not_run(
+    first, second, status, n_sends
+):
+    """Guards against a caller that repeats a request that has run."""
+
+    async def scenario(harness):
+        harness.configure(route("unsafe"))
+        await harness.add("u1", first)
+        await harness.add("u2", second)
+        answer, _ = await harness.send_request("/unsafe/1")
+        assert answer.status == status
+        if status in (502, 503):
+            assert HEADER_NAMES.seal not in answer.headers
+
+    assert len(run_with_harness(scenario).sends) == n_sends
+
+
+@pytest.mark.parametrize(
+    ("of_upstream", "status"),
+    # Status 421 says by itself that the request was not run. After a 503 the request
+    # would be sent elsewhere, and there is no other upstream.
+    [(408, 408), (429, 429), (421, 503), (503, 502)],
+)
+def test_refusal_of_a_request_that_may_be_repeated_is_passed_on(of_upstream, status):
+    async def scenario(harness):
+        harness.configure(route("safe"))
+        await harness.add("u1", answer_with(of_upstream))
+        answer, _ = await harness.send_request("/safe/1")
+        assert answer.status == status
+
+    run_with_harness(scenario)
+
+
+def test_stop_after_a_refused_send_says_truly_that_nothing_ran():
+    async def refuse_late(request):
+        await asyncio.sleep(0.2)
+        return refusal(request, 503)
+
+    async def scenario(harness):
+        harness.configure(route("unsafe", timeout_ms=2_000))
+        await harness.add("u1", refuse_late)
+        await harness.add("u2", served)
+        sending = asyncio.create_task(harness.send_request("/unsafe/1"))
+        await asyncio.sleep(0.1)
+        harness.host.stop_end_ns = now_ns() + 500_000_000
+        answer, text = await sending
+        assert answer.status == 503
+        assert text.startswith("1108 ")
+
+    assert [name for name, _ in run_with_harness(scenario).sends] == ["u1"]
+
+
+def test_refused_connection_after_a_broken_send_does_not_hide_that_it_may_have_run():
+    async def scenario(harness):
+        harness.configure(route("safe"))
+        await harness.add("u1", reset)
+        harness.add_at("u2", "127.0.0.1:1")
+        answer, _ = await harness.send_request("/safe/1")
+        assert answer.status == 502
+
+    run_with_harness(scenario)
