Show that a head that is cut short is never taken for an answer

Other operators saw a 200 with an empty or short body after an upstream stopped in the middle of its answer's head. No change of the product.

--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -210,6 +210,10 @@
     "short": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata",
     "no length": b"HTTP/1.1 200 OK\r\n\r\ndata",
     "half chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata",
+    "cut head": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+    "cut head of chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    "cut head without length": b"HTTP/1.1 200 OK\r\nETag: 1\r\n",
+    "cut shed": b"HTTP/1.1 503 Busy\r\nBergamotferry-Not-Started: true\r\n",
     "missing": b"HTTP/1.1 404 None\r\nContent-Length: 4\r\n\r\nnone",
     "shed": (
         b"HTTP/1.1 503 Busy\r\nBergamotferry-Not-Started: true\r\n"
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -151,6 +151,31 @@
     assert outcome.result == result
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("method", ["GET", "POST", "HEAD"])
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [],
+        [REQUEST_ID_HEADER],
+        [REQUEST_ID_HEADER, "Content-Length: 2"],
+        [REQUEST_ID_HEADER, "Content-Length: 0"],
+        [REQUEST_ID_HEADER, "Transfer-Encoding: chunked"],
+        [REQUEST_ID_HEADER, "Connection: close"],
+    ],
+)
+@pytest.mark.parametrize("end", [b"", b"\r", b"\r\n", b"\r\n\r"])
+def test_head_that_is_cut_short_is_no_answer(lines, end, method, is_reset):
+    """Guards against a head without its end that is taken for a whole answer.
+
+    Other operators saw a 200 with an empty or short body.
+    """
+    cut_head = "\r\n".join(["HTTP/1.1 200 OK", *lines]).encode() + end
+    outcome = asyncio.run(exchange(cut_head, is_reset=is_reset, method=method))[0]
+    assert outcome.result == "broken"
+    assert outcome.status == 0
+
+
 def test_missing_answer_times_out():
     outcome = outcome_of(b"", is_kept=True, time_left_ms=60.0)
     assert (outcome.result, outcome.is_timeout) == ("broken", True)
