Act on what upstreams say of themselves in their answers

A paused upstream gets no request, retry, hedge or probe; if all are paused, callers are refused at once with the time left and a spread. A control host that fetches answers remembers what it was told as well.

--- a/packages/bergamotferry/src/bergamotferry/fleet_metrics.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_metrics.py
@@ -51,7 +51,8 @@
     answer, and ``placing_ms`` the time until its first send, both by route kind.
     ``send_ms`` is the time of single sends by data centre. ``probes`` counts load
     probes, and ``payload_bytes`` the bytes of bodies sent to and received from
-    upstreams, by the upstream's distance.
+    upstreams, by the upstream's distance. ``n_leaving`` counts upstreams that said in
+    an answer that they leave, and ``n_pauses`` pauses that upstreams asked for.
     """
 
     answers: Counter[LabelValues] = field(default_factory=Counter)
@@ -60,6 +61,8 @@
     placing_ms: dict[str, Histogram] = field(default_factory=dict)
     send_ms: dict[str, Histogram] = field(default_factory=dict)
     n_hedges: int = 0
+    n_leaving: int = 0
+    n_pauses: int = 0
     probes: Counter[LabelValues] = field(default_factory=Counter)
     payload_bytes: Counter[LabelValues] = field(default_factory=Counter)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_fetching.py
@@ -11,8 +11,9 @@
 whose turn would come too late is not started, and the requesting host is notified.
 
 The requesting host has chosen the upstream and is responsible for that choice. The
-control host makes no decision, no retry and no record of the request. A host that is
-refused because too many answers are held sends the request itself.
+control host makes no decision, no retry and no record of the request. It only
+remembers which upstreams told it that they leave or want a pause, and fetches nothing
+from them. A host that is refused sends the request itself.
 """
 
 import asyncio
@@ -38,6 +39,7 @@
     FetchRefused,
 )
 from bergamotferry.remote_window import record_remote_answer
+from bergamotferry.upstream_notice import NO_NOTICE, UpstreamNotice
 
 from .clock import now_ns
 from .codec import encodable_text
@@ -55,6 +57,10 @@
 FULL_PAUSE_S = 1.0
 STOPPING_PAUSE_S = 10.0
 UNSUPPORTED_PAUSE_S = 600.0
+# A leaving upstream has ended by then. One that starts again under its name sooner is
+# reached by the requesting hosts themselves.
+LEAVING_RETENTION_S = 120.0
+N_UNAVAILABLE_MAX = 1_024
 _DISTANCES: tuple[str, ...] = get_args(Distance)
 
 
@@ -76,7 +82,8 @@
     """Fetches of a control host; ``idle`` is set when the last fetch ends.
 
     ``remote_turns`` holds the turns of cross-region fetches. ``counts`` counts the
-    requested fetches by result.
+    requested fetches by result. ``unavailable_until_ns`` is, by upstream, until when
+    nothing is fetched from it.
     """
 
     host_links: dict[str, HostLink] = field(default_factory=dict)
@@ -85,6 +92,7 @@
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     remote_turns: RemoteTurns = field(default_factory=RemoteTurns)
     counts: Counter[tuple[str, ...]] = field(default_factory=Counter)
+    unavailable_until_ns: dict[str, int] = field(default_factory=dict)
 
 
 class _FetchedAnswer(NamedTuple):
@@ -94,6 +102,7 @@
     body: bytes
     waited_ms: float
     took_ms: float
+    notice: UpstreamNotice
 
 
 async def fetch_for_host(
@@ -123,6 +132,8 @@
     fetched: _FetchedAnswer | None = None
     try:
         fetched = await _fetch_in_turn(fetching, http, settings.headers, message)
+        if fetched is not None:
+            _record_notice(fetching, message.upstream, fetched.notice)
         if fetched is None:
             late = FetchLate("the way between regions is busy")
             await stream.send_head(late, is_ended=True)
@@ -207,7 +218,27 @@
     )
     outcome = await send_direct(http, header_names, send)
     head = _to_head(outcome, began_ns)
-    return _FetchedAnswer(head, outcome.body, waited_ms, (now_ns() - began_ns) / 1e6)
+    took_ms = (now_ns() - began_ns) / 1e6
+    return _FetchedAnswer(head, outcome.body, waited_ms, took_ms, outcome.notice)
+
+
+def _record_notice(
+    fetching: AnswerFetching, upstream: str, notice: UpstreamNotice
+) -> None:
+    """Remember until when nothing is fetched from an upstream."""
+    if notice == NO_NOTICE:
+        return
+    now = now_ns()
+    until_ns = {
+        name: name_until_ns
+        for name, name_until_ns in fetching.unavailable_until_ns.items()
+        if name_until_ns > now
+    }
+    wanted_s = LEAVING_RETENTION_S if notice.is_leaving else notice.pause_s
+    until_ns[upstream] = max(until_ns.get(upstream, 0), now + int(wanted_s * 1e9))
+    if len(until_ns) > N_UNAVAILABLE_MAX:
+        del until_ns[next(iter(until_ns))]
+    fetching.unavailable_until_ns = until_ns
 
 
 def _refusal(
@@ -222,6 +253,8 @@
         return FetchRefused("the request is not understood", UNSUPPORTED_PAUSE_S)
     if fetching.n_held >= N_HELD_MAX:
         return FetchRefused("too many answers are held", FULL_PAUSE_S)
+    if now_ns() < fetching.unavailable_until_ns.get(message.upstream, 0):
+        return FetchRefused("the upstream leaves or wants a pause", 0.0)
     return None
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -13,7 +13,7 @@
 from typing import Literal, NamedTuple
 
 import aiohttp
-from multidict import CIMultiDict
+from multidict import CIMultiDict, MultiMapping
 from yarl import URL
 
 from bergamotferry.direct_placement import (
@@ -22,6 +22,7 @@
 from bergamotferry.upstream_load import (
     LoadReport,
 )
+from bergamotferry.upstream_notice import NO_NOTICE, UpstreamNotice, read_notice
 
 from .answer_framing import HOP_HEADERS, has_length
 from .answer_streaming import (
@@ -47,6 +48,7 @@
 COUNT_DIGITS_MAX = 7
 # No machine is faster or slower than usual by more than this factor.
 SLOWNESS_MIN, SLOWNESS_MAX = 0.001, 1_000.0
+RETRY_AFTER = "Retry-After"
 OTHER_ANSWER = "the answer belongs to another request"
 ANSWER_WITHOUT_ID = "the answer bears no id"
 ANSWER_TOO_LARGE = "the answer is too large to hold"
@@ -94,7 +96,8 @@
     ``n_bytes`` is the size of the body; ``body`` is empty if the body was streamed.
     ``head_ns`` is when the answer's head arrived: how long the body takes to arrive
     depends on this host's link and not on the upstream. ``through`` is the control host
-    that fetched the answer, if any.
+    that fetched the answer, if any. ``notice`` is what the head of an answer to this
+    request says of the upstream, whether or not the answer was usable.
     """
 
     result: SendResult
@@ -108,11 +111,13 @@
     is_timeout: bool = False
     head_ns: int = 0
     through: str = ""
+    notice: UpstreamNotice = NO_NOTICE
 
 
 @dataclass(slots=True)
 class _Progress:
     is_sent: bool = False
+    notice: UpstreamNotice = NO_NOTICE
 
 
 class SentTwiceError(aiohttp.ClientError):
@@ -158,7 +163,13 @@
             allow_redirects=False,
             trace_request_ctx=progress,
         ) as response:
-            return await _read_answer(response, header_names, send)
+            if response.headers.get(header_names.request_id) == send.request_id:
+                progress.notice = notice_in(
+                    response.status, response.headers, header_names
+                )
+            outcome = await _read_answer(response, header_names, send)
+            outcome.notice = progress.notice
+            return outcome
     except aiohttp.ClientConnectorError as error:
         is_refused = error.os_error.errno == errno.ECONNREFUSED
         return SendOutcome("no_process" if is_refused else "no_connection", str(error))
@@ -170,7 +181,19 @@
             detail = ANSWER_TOO_LARGE
         if not progress.is_sent:
             return SendOutcome("no_connection", detail)
-        return SendOutcome("broken", detail, is_timeout=isinstance(error, TimeoutError))
+        is_timeout = isinstance(error, TimeoutError)
+        return SendOutcome(
+            "broken", detail, is_timeout=is_timeout, notice=progress.notice
+        )
+
+
+def notice_in(
+    status: int, headers: MultiMapping[str], header_names: DirectHeaders
+) -> UpstreamNotice:
+    """Return what the head of an answer says of its upstream."""
+    return read_notice(
+        status, headers.get(header_names.leaving), headers.getall(RETRY_AFTER, [])
+    )
 
 
 def parse_load_report(text: str) -> LoadReport | None:
@@ -204,7 +227,8 @@
         await read_whole(response, SHORT_BODY_MAX_BYTES)
         detail = f"status {response.status}"
         result: SendResult = "other_upstream" if response.status == 421 else "not_run"
-        return SendOutcome(result, detail, response.status, report=report)
+        end_to_end = _end_to_end_headers(response)
+        return SendOutcome(result, detail, response.status, end_to_end, report=report)
     unusable_reason = _unusable_reason(response)
     if unusable_reason:
         response.close()
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -29,6 +29,7 @@
     UpstreamLoad,
     WorkTime,
 )
+from bergamotferry.upstream_notice import Availability
 from bergamotferry.upstream_sessions import SessionRow, is_newer_row
 from bergamotferry.window_budget import WindowBudget
 
@@ -64,6 +65,7 @@
     row: SessionRow
     load: UpstreamLoad
     cold: ColdRate = field(default_factory=ColdRate)
+    availability: Availability = field(default_factory=Availability)
     rank: int | None = None
     probe_task: "asyncio.Task[None] | None" = None
 
@@ -86,7 +88,8 @@
     ``link`` or hold one. ``link_timer`` is set while the next request waits for the
     start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
-    and ``end_watch`` the connection losses that may be such ends.
+    and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
+    reports to control that an upstream leaves.
     """
 
     settings: FleetSettings
@@ -125,6 +128,7 @@
     fetch_pauses_ns: dict[str, int] = field(default_factory=dict)
     crashes: CrashExchange = field(default_factory=CrashExchange)
     end_watch: EndWatch = field(init=False)
+    notice_tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.end_watch = EndWatch(
@@ -290,7 +294,7 @@
         if known is not None:
             record_proof(host.end_watch, row.name, "next incarnation")
         record_address_in_use(host.end_watch, row.address, row.name)
-        known = Upstream(row, load, cold, _rendezvous_rank(host, row))
+        known = Upstream(row, load, cold, rank=_rendezvous_rank(host, row))
         host.upstreams[row.name] = known
         log("upstream known", upstream=row.name, service=row.service, phase=row.phase)
     elif known.row.phase != row.phase:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -32,6 +32,18 @@
         single_value_family(
             "in_flight", "Requests under way here.", "gauge", host.n_in_flight
         ),
+        single_value_family(
+            "upstreams_leaving",
+            "Upstreams that said in an answer that they leave.",
+            "counter",
+            host.metrics.n_leaving,
+        ),
+        single_value_family(
+            "upstream_pauses",
+            "Pauses that upstreams asked for.",
+            "counter",
+            host.metrics.n_pauses,
+        ),
         single_value_family(
             "upstream_ends",
             "Upstreams that ended while they ran a request of this host.",
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import NamedTuple
@@ -45,6 +45,11 @@
     record_sent,
     work_time_of_last_attempt,
 )
+from bergamotferry.upstream_notice import (
+    Availability,
+    is_available,
+    is_last_resort,
+)
 from bergamotferry.window_budget import take_retry
 
 from .answer_streaming import CallerAnswer
@@ -59,6 +64,7 @@
     work_time_of,
 )
 from .load_probes import probe_loads
+from .upstream_notices import shortest_pause_ms
 
 # A request with less time left is refused rather than sent.
 SEND_MIN_MS = 20.0
@@ -67,6 +73,8 @@
 KEY_POLL_MS = 40.0
 KEY_POLL_MAX_MS = 800.0
 
+MayTake = Callable[[Availability, int], bool]
+
 
 @dataclass(slots=True)
 class DirectRequest:
@@ -147,6 +155,8 @@
             return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
         candidates = _candidates(host, request, now, unanswered)
         if not candidates:
+            if pause_left_ms(host, request) > 0:
+                return Refused(ResultCode.UPSTREAM_SHED, "all upstreams want a pause")
             may_poll = request.service.is_sharded and now < key_poll_end_ns
             if not may_poll or time_left_ms < 2 * KEY_POLL_MS:
                 return Refused(ResultCode.NO_OWNER, "no upstream may take it")
@@ -187,6 +197,21 @@
                 return Refused(ResultCode.QUEUE_FULL, detail)
 
 
+def pause_left_ms(host: DirectHost, request: DirectRequest) -> float:
+    """Return how long all upstreams for a request still want nothing, in ms.
+
+    It is 0 if one of them is not paused, or if there are none.
+    """
+    now = now_ns()
+    staying = (
+        upstream
+        for upstream in _upstreams_in_order(host, request, now)
+        if not upstream.availability.leaving_ns
+        and _is_allowed(host, request, upstream.row.data_centre)
+    )
+    return shortest_pause_ms(staying, now)
+
+
 async def reserve_hedge(
     host: DirectHost,
     http: aiohttp.ClientSession,
@@ -275,9 +300,32 @@
     If one of the upstreams that this host scans first has a free slot, only the
     upstreams scanned first are returned. Upstreams that may be cold without having
     reported it are included, so that they are probed. Upstreams in ``unanswered``,
-    which were probed but did not answer in time, count as cold.
+    which were probed but did not answer in time, count as cold. Upstreams that leave
+    are included only if there are no others, and as long as they serve.
     """
-    upstreams = iter(_upstreams_in_order(host, request, now))
+    candidates = _candidates_in(host, request, now, unanswered, is_available)
+    if candidates:
+        return candidates
+
+    def is_last(availability: Availability, now_ns: int) -> bool:
+        return is_last_resort(availability, now_ns, host.settings.bounds.drain_ms)
+
+    return _candidates_in(host, request, now, unanswered, is_last)
+
+
+def _candidates_in(
+    host: DirectHost,
+    request: DirectRequest,
+    now: int,
+    unanswered: Collection[str],
+    may_take: MayTake,
+) -> list[Candidate]:
+    """Return the candidates among the upstreams that ``may_take`` requests."""
+    upstreams = (
+        upstream
+        for upstream in _upstreams_in_order(host, request, now)
+        if may_take(upstream.availability, now)
+    )
     homes = request.route.home_regions
     is_remote = bool(homes) and host.settings.region not in homes
     n_first = N_SCANNED_FIRST_REMOTE if is_remote else N_SCANNED_FIRST
@@ -297,9 +345,7 @@
 ) -> Iterator[Candidate]:
     for upstream in upstreams:
         row = upstream.row
-        homes = request.route.home_regions
-        region = host.settings.regions.get(row.data_centre, "")
-        if row.data_centre in host.evacuated or (homes and region not in homes):
+        if not _is_allowed(host, request, row.data_centre):
             continue
         if row.name in request.excluded:
             continue
@@ -311,6 +357,13 @@
         yield Candidate(row.name, upstream.load, distance, is_preferred, needs_probe)
 
 
+def _is_allowed(host: DirectHost, request: DirectRequest, data_centre: str) -> bool:
+    """Return whether a request may go to the upstreams of a data centre."""
+    homes = request.route.home_regions
+    region = host.settings.regions.get(data_centre, "")
+    return data_centre not in host.evacuated and (not homes or region in homes)
+
+
 def _is_within_cold_rate(
     host: DirectHost, request: DirectRequest, upstream: Upstream, now: int
 ) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from bergamotferry.caller_retry_pause import caller_retry_pause_s
+from bergamotferry.caller_retry_pause import FULL_SPREAD_S, caller_retry_pause_s
 from bergamotferry.configuration import N_SHARD_KEYS, choose_service, find_route
 from bergamotferry.fleet_metrics import NO_ROUTE, count_answer
 from bergamotferry.outcomes import Refused
@@ -29,7 +29,7 @@
     retry_budget_of,
     work_time_of,
 )
-from .direct_placing import DirectRequest
+from .direct_placing import DirectRequest, pause_left_ms
 from .direct_sending import serve_request
 from .http_body import read_body
 from .link_turns import has_large_answer
@@ -219,6 +219,10 @@
             time_left_s = (accepted.deadline_ns - now_ns()) / 1e9
         has_capacity = accepted is not None and accepted.may_retry_immediately
         pause_s = caller_retry_pause_s(has_capacity, time_left_s, random.random())
+        wanted_ms = pause_left_ms(host, accepted) if accepted is not None else 0.0
+        if wanted_ms:
+            # The spread keeps the callers from coming in the same instant.
+            pause_s = wanted_ms / 1000 + FULL_SPREAD_S * random.random()
         if accepted is not None and refusal.code is ResultCode.REQUEST_QUARANTINED:
             pause_s = quarantine_pause_s(host, accepted)
         headers["Retry-After"] = f"{pause_s:.2f}"
--- a/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
@@ -23,7 +23,13 @@
 from .answer_streaming import may_stream, stream_answer
 from .clock import now_ns
 from .codec import encodable_text
-from .direct_call import ANSWER_SLACK_S, DirectSend, SendOutcome, SendResult
+from .direct_call import (
+    ANSWER_SLACK_S,
+    DirectSend,
+    SendOutcome,
+    SendResult,
+    notice_in,
+)
 from .direct_host import DirectHost
 from .fleet_follower import nearest_first
 from .logs import log_warning
@@ -93,6 +99,9 @@
                 _handle_refusal(host, control_host, head)
                 return None
             outcome = _to_outcome(head, began_ns, control_host)
+            outcome.notice = notice_in(
+                head.status, CIMultiDict(head.headers), host.settings.headers
+            )
             await _receive_body(stream, send, outcome)
             return outcome
     except TimeoutError:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -15,7 +15,8 @@
     ``expected_upstream`` names the only incarnation that may run the request. ``seal``
     proves that the upstream itself produced the answer. ``load`` carries the
     upstream's running requests, waiting requests, slots, and slowness in percent.
-    ``cold_left_ms`` is the time in ms until the upstream is warm.
+    ``cold_left_ms`` is the time in ms until the upstream is warm. ``leaving`` is "1" in
+    the answers of an upstream that leaves.
     """
 
     request_id: str = "Bergamotferry-Request-Id"
@@ -28,6 +29,7 @@
     cold_left_ms: str = "Bergamotferry-Cold-Ms"
     shard_key: str = "Bergamotferry-Shard-Key"
     handover: str = "Bergamotferry-Handover"
+    leaving: str = "Bergamotferry-Leaving"
 
 
 class FleetBounds(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
@@ -29,9 +29,10 @@
 from .background import report_failure
 from .bounded_answer import SHORT_BODY_MAX_BYTES, read_whole
 from .clock import now_ns
-from .direct_call import parse_cold_left_ms, parse_load_report
+from .direct_call import notice_in, parse_cold_left_ms, parse_load_report
 from .direct_host import DirectHost, Upstream, distance_of, mark_replaced
 from .upstream_ends import record_life, record_proof
+from .upstream_notices import record_upstream_notice
 
 # A longer wait would cost the request more time than the load report saves.
 PROBE_WAIT_S: dict[Distance, float] = {"here": 0.04, "near": 0.04, "far": 0.12}
@@ -92,6 +93,8 @@
                 # Another service may be running at the address by now.
                 mark_replaced(host, upstream)
                 return
+            notice = notice_in(response.status, response.headers, header_names)
+            record_upstream_notice(host, upstream, notice)
             report = parse_load_report(response.headers.get(header_names.load, ""))
             left_ms = parse_cold_left_ms(
                 response.headers.get(header_names.cold_left_ms, "")
--- a/packages/bergamotferry_host/src/bergamotferry_host/send_results.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/send_results.py
@@ -21,6 +21,7 @@
 )
 from .direct_placing import DirectRequest, Reservation
 from .upstream_ends import record_proof
+from .upstream_notices import record_upstream_notice
 
 
 def record_request_result(
@@ -68,6 +69,8 @@
     now = now_ns()
     upstream = reservation.upstream
     load = upstream.load
+    if outcome is not None:
+        record_upstream_notice(host, upstream, outcome.notice)
     if outcome is not None and outcome.cold_left_ms:
         record_cold(upstream.cold, outcome.cold_left_ms, now)
     match result:
--- a/packages/bergamotferry_host/tests/test_answer_fetching.py
+++ b/packages/bergamotferry_host/tests/test_answer_fetching.py
@@ -267,6 +267,27 @@
     run_with_control_host(scenario)
 
 
+def test_notice_in_a_fetched_answer_reaches_the_requesting_host(monkeypatch):
+    monkeypatch.setitem(load_probes.PROBE_WAIT_S, "here", PROBE_TIMEOUT_S)
+
+    async def leave_and_pause(request):
+        answer = await full(request)
+        answer.headers[HEADER_NAMES.leaving] = "1"
+        answer.headers["Retry-After"] = "5"
+        return answer
+
+    async def scenario(harness, control):
+        await harness.add("u1", leave_and_pause)
+        await harness.add("u2", large_answer())
+        async with send_request(harness) as answer:
+            assert (answer.status, await answer.read()) == (200, BODY)
+        availability = harness.host.upstreams["u1"].availability
+        assert availability.leaving_ns and availability.paused_until_ns
+        assert set(control.fetching.unavailable_until_ns) == {"u1"}
+
+    assert [name for name, _ in run_with_control_host(scenario).sends] == ["u1", "u2"]
+
+
 def test_ended_upstream_is_recorded_as_unreachable():
     async def scenario(harness, control):
         harness.add_at("gone", "127.0.0.1:1")
