Look up the incarnation of an upstream that leaves and isn't known here

Cause: a leave names no incarnation, and a control host that had just started and didn't know the upstream acknowledged it without a commit.

Change: such a host asks the others for their sessions and commits the leave of the newest incarnation known to any; where nobody can know, it answers 503.

--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -68,7 +68,7 @@
     slot-milliseconds, by service and bucket of keys, that was reported to this host and
     that it has not yet forwarded to the leader. ``key_loads`` is the load that this
     host recorded as the leader. ``crashes`` are the records of requests that end
-    upstreams.
+    upstreams. ``began_ns`` is when this process started.
     """
 
     settings: FleetSettings
@@ -89,6 +89,7 @@
     key_work: dict[tuple[str, int], float] = field(default_factory=dict)
     key_loads: KeyLoads = field(default_factory=KeyLoads)
     crashes: CrashExchange = field(default_factory=CrashExchange)
+    began_ns: int = field(default_factory=now_ns)
 
     @property
     def tables(self) -> FleetTables:
@@ -192,18 +193,15 @@
     return Accepted(0)
 
 
-async def retire_upstream(host: ControlHost, name: str) -> Accepted | Refused:
-    """Commit that the newest known incarnation of an upstream is gone."""
-    session = host.sessions.rows.get(name)
-    if session is None:
-        return Accepted(0)
-    known = find_retired(host.tables, name, session.row.born_ms)
+async def commit_retirement(
+    host: ControlHost, name: str, born_ms: int
+) -> Accepted | Refused:
+    """Commit that an incarnation of an upstream is gone, unless it is known already."""
+    known = find_retired(host.tables, name, born_ms)
     if known is not None and known.state == "gone":
         return Accepted(0)
-    outcome = await _commit_and_count(
-        host, RetireUpstream(name, session.row.born_ms, "gone")
-    )
-    log("upstream leaves", upstream=name, born_ms=session.row.born_ms)
+    outcome = await _commit_and_count(host, RetireUpstream(name, born_ms, "gone"))
+    log("upstream leaves", upstream=name, born_ms=born_ms, code=result_code(outcome))
     return outcome
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -135,22 +135,29 @@
         wake_followers(host)
 
 
-async def fetch_sessions(host: ControlHost, other: str) -> None:
-    """Fetch and apply all session rows of another control host."""
+async def fetch_sessions(host: ControlHost, other: str) -> bool:
+    """Fetch and apply all session rows of another control host.
+
+    Returns
+    -------
+    bool
+        Whether the other host answered.
+    """
     try:
         reply = await host.network.call(
             other, AskSessions(host.settings.name), FETCH_SESSIONS_TIMEOUT_S
         )
     except PeerUnreachable as error:
         log_warning("sessions not fetched", peer=other, why=str(error))
-        return
+        return False
     if not isinstance(reply, SessionsReply):
-        return
+        return False
     is_changed = False
     for row in reply.rows:
         is_changed |= record_row(host.sessions, host.tables, row, now_ns())
     if is_changed:
         wake_followers(host)
+    return True
 
 
 def answer_sessions(host: ControlHost) -> SessionsReply:
