--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -66,6 +66,7 @@
 from .range_balance import run_range_balance
 from .range_calls import RangeCallNames, open_range_session
 from .range_holds import RangeAssignments
+from .suspension import run_suspension_watch
 
 AddControlRoutes = Callable[[web.Application, ControlHost], None]
 
@@ -121,6 +122,7 @@
             run_session_news(host),
             run_crash_exchanges(host),
             run_crash_store(host.crashes, folder.path),
+            run_suspension_watch(host.suspension),
             run_range_assignment(host, http, call_names, assignments),
             run_range_balance(host, http, call_names, assignments),
             measure_loop_delays(delays),
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -48,6 +48,7 @@
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
+from .suspension import SuspensionWatch, has_just_resumed
 
 COMMIT_TIMEOUT_S = 0.8
 READ_TIMEOUT_S = 0.8
@@ -68,7 +69,8 @@
     slot-milliseconds, by service and bucket of keys, that was reported to this host and
     that it has not yet forwarded to the leader. ``key_loads`` is the load that this
     host recorded as the leader. ``crashes`` are the records of requests that end
-    upstreams. ``began_ns`` is when this process started.
+    upstreams. ``began_ns`` is when this process started, and ``suspension`` records
+    when it was last suspended.
     """
 
     settings: FleetSettings
@@ -90,6 +92,7 @@
     key_loads: KeyLoads = field(default_factory=KeyLoads)
     crashes: CrashExchange = field(default_factory=CrashExchange)
     began_ns: int = field(default_factory=now_ns)
+    suspension: SuspensionWatch = field(default_factory=SuspensionWatch)
 
     @property
     def tables(self) -> FleetTables:
@@ -289,9 +292,14 @@
 async def _commit_and_count(host: ControlHost, command: Command) -> Accepted | Refused:
     """Commit a command, wait until it is applied here, and count its result code.
 
-    The command may be acknowledged only after this returns.
+    The command may be acknowledged only after this returns. It is refused if it may
+    have waited while this host was suspended (see `suspension`).
     """
-    outcome = await _commit_and_apply(host, command)
+    if has_just_resumed(host.suspension, now_ns()):
+        detail = "this host was suspended and may have read an old order"
+        outcome: Accepted | Refused = Refused(ResultCode.HOST_NOT_READY, detail)
+    else:
+        outcome = await _commit_and_apply(host, command)
     host.command_counts[type(command).__name__, str(result_code(outcome))] += 1
     return outcome
 
