Take no heartbeat of an unnamed service for an upstream's new life

Cause: the later start counted as the end of the holder's process. Change: such a heartbeat is acknowledged and not recorded; "draining" is committed as before.

Also a test that one full disk and one loss after it leave a group its majority, which the users' own runs lacked.

--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -168,7 +168,11 @@
 async def record_upstream_heartbeat(
     host: ControlHost, heartbeat: Heartbeat
 ) -> Accepted | Refused:
-    """Record a heartbeat; commit the retirement first if the upstream drains."""
+    """Record a heartbeat; commit the retirement first if the upstream drains.
+
+    A heartbeat of a service that no configuration names is acknowledged and proves
+    nothing: it may come from another writer under the name of an upstream.
+    """
     host.n_heartbeats += 1
     known = find_retired(host.tables, heartbeat.name, heartbeat.born_ms)
     if heartbeat.phase == "draining" and known is None:
@@ -178,6 +182,8 @@
         if isinstance(outcome, Refused):
             return outcome
         log("upstream drains", upstream=heartbeat.name, born_ms=heartbeat.born_ms)
+    if not _names_a_service(host, heartbeat.service):
+        return Accepted(0)
     is_changed = record_heartbeat(host.sessions, host.tables, heartbeat, now_ns())
     session = host.sessions.rows.get(heartbeat.name)
     if session is not None and session.row.born_ms == heartbeat.born_ms:
@@ -196,6 +202,11 @@
     return Accepted(0)
 
 
+def _names_a_service(host: ControlHost, service: str) -> bool:
+    """Return whether a service is configured, or no configuration is known yet."""
+    return host.configuration.version == 0 or service in host.configuration.services
+
+
 async def commit_retirement(
     host: ControlHost, name: str, born_ms: int
 ) -> Accepted | Refused:
--- a/packages/bergamotferry_host/tests/test_group.py
+++ b/packages/bergamotferry_host/tests/test_group.py
@@ -139,6 +139,34 @@
     asyncio.run(run())
 
 
+def test_group_tolerates_the_loss_of_another_member_after_a_full_disk(
+    tmp_path, monkeypatch
+):
+    """Guards against a group without a majority after one full disk and one loss.
+
+    The users saw it with real processes: one full disk, then no leader any more.
+    """
+    full_hosts = set()
+    simulate_full_disks(monkeypatch, full_hosts)
+
+    async def run():
+        async with LocalGroup.from_config(tmp_path) as cluster:
+            leader = await cluster.leader()
+            own_name = leader.replica.own_member.host
+            full_name, lost_name = (name for name in NAMES if name != own_name)
+            full_hosts.add(full_name)
+            await commit(leader, numbered_command(1), WAIT_S)
+            await wait_until(lambda: cluster.groups[full_name].is_disk_full)
+            full_hosts.clear()
+            await wait_until(lambda: not cluster.groups[full_name].is_disk_full)
+            cluster.tasks[NAMES.index(lost_name)].cancel()
+            del cluster.groups[lost_name]
+            outcome = await commit(leader, numbered_command(2), WAIT_S)
+            assert isinstance(outcome, Accepted)
+
+    asyncio.run(run())
+
+
 def test_group_with_two_full_disks_commits_nothing_until_one_has_space(
     tmp_path, monkeypatch
 ):
