Don't pass on a caller's wait for a 100

Callers that send "Expect: 100-continue" waited until their deadline: the entry host had given them the 100 and read the body, passed the header on, and waited for the upstream's 100 itself. The header is dropped now. The new test failed before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -245,9 +245,12 @@
 
 
 def _end_to_end_headers(request: web.Request) -> CIMultiDict[str]:
-    """Return the caller's headers without the hop-by-hop ones."""
+    """Return the caller's headers without the hop-by-hop ones.
+
+    A caller that waits for a 100 got it from this host, which has read the body.
+    """
     named = request.headers.get("Connection", "").lower().split(",")
-    dropped = HOP_HEADERS | {name.strip() for name in named}
+    dropped = HOP_HEADERS | {"expect"} | {name.strip() for name in named}
     return CIMultiDict(
         (name, value)
         for name, value in request.headers.items()
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -81,6 +81,36 @@
     assert len(set(names)) == len(names)
 
 
+def test_caller_that_waits_for_a_100_is_answered_and_the_upstream_sees_no_wait():
+    """Guards against a wait for an upstream's 100 until the caller's deadline."""
+    seen = []
+
+    async def record_headers(request):
+        seen.append((request.headers.get("Expect"), await request.read()))
+        return await served(request)
+
+    async def scenario(harness):
+        harness.configure(route("unsafe"))
+        await harness.add("u1", record_headers)
+        ip, port = harness.url.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        lines = [
+            "POST /unsafe/1 HTTP/1.1",
+            "Host: a.example",
+            f"{HEADER_NAMES.request_id}: r1",
+            "Expect: 100-continue",
+            "Content-Length: 4",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100 ")
+        writer.write(b"body")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+
+    run_with_harness(scenario)
+    assert seen == [(None, b"body")]
+
+
 def test_unknown_route_is_404_only_once_a_configuration_is_known():
     async def scenario(harness):
         answer, _ = await harness.send_request("/safe/1")
