--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -39,6 +39,7 @@
 )
 from .clock import now_ns
 from .fleet_settings import DirectHeaders
+from .http_address import split_address
 
 # The link to another region is shared by all hosts and may be congested briefly.
 CONNECT_TIMEOUT_S: dict[Distance, float] = {"here": 0.4, "near": 0.4, "far": 1.0}
@@ -156,7 +157,7 @@
     try:
         async with http.request(
             send.method,
-            URL(f"http://{send.address}{send.target}", encoded=True),
+            _url_of(send),
             headers=headers,
             data=send.body or None,
             timeout=timeout,
@@ -212,6 +213,15 @@
     return LoadReport(n_running, n_waiting, n_slots, slowness)
 
 
+def _url_of(send: DirectSend) -> URL:
+    """Return the URL of a send.
+
+    The whole target is its path, since a query that is empty would lose its "?".
+    """
+    ip, port = split_address(send.address)
+    return URL.build(scheme="http", host=ip, port=port, path=send.target, encoded=True)
+
+
 async def _read_answer(
     response: aiohttp.ClientResponse, header_names: DirectHeaders, send: DirectSend
 ) -> SendOutcome:
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -95,6 +95,17 @@
     assert "Accept-Encoding" not in sent_headers
 
 
+@pytest.mark.parametrize(
+    "target",
+    ["/x?", "/?", "/x??", "/x?a=", "/x?a=?&b", "/x%2F%2e/../y//?q=%20+1", "//a/b?c"],
+)
+def test_path_and_query_reach_the_upstream_unchanged(target):
+    """Guards against a lone question mark that is dropped on the way."""
+    answer = head("200 OK", REQUEST_ID_HEADER, "Content-Length: 0")
+    _, received = asyncio.run(exchange(answer, target=target))
+    assert received.decode().split("\r\n")[0] == f"POST {target} HTTP/1.1"
+
+
 @pytest.mark.parametrize(
     ("answer", "result"),
     [
