Count an answer of another process as a call without effect

A renewal that another process answers extended the recorded hold since the last changes; the range moves at once all the same, as its holder has ended. Found by reading the diff; test_range_assignment stays green.

--- a/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_assignment.py
@@ -66,7 +66,7 @@
 # "holder": a holder leaves, is lost or joins; "load": the holder is overloaded.
 MoveReason = Literal["holder", "load"]
 _RESULTS_WITHOUT_EFFECT = frozenset(
-    {"newer_token", "no_listener", "refused", "not_sent"}
+    {"newer_token", "no_process", "no_listener", "refused", "not_sent"}
 )
 
 
