--- a/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/data_centre_tables.py
@@ -43,7 +43,7 @@
     record_outcome,
 )
 from .outcomes import Accepted, Refused
-from .quarantine import record_crash
+from .protection.quarantine import record_crash
 from .records import (
     HOME_EPOCH_SHIFT,
     Dispatcher,
--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
-from .crash_records import CrashRecord
 from .fleet_tables import KeyRange
 from .followers import Follower
 from .key_load import KeyWork
+from .protection.crash_records import CrashRecord
 from .upstream_load import LoadReport
 from .upstream_sessions import Alive, SessionRow
 
--- a/packages/bergamotferry/src/bergamotferry/quarantine.py
+++ b/packages/bergamotferry/src/bergamotferry/protection/quarantine.py
@@ -13,12 +13,12 @@
 import hashlib
 from typing import TYPE_CHECKING, Literal
 
-from .commands import RecordCrash
-from .outcomes import Accepted
-from .records import QuarantineRecord
+from ..commands import RecordCrash
+from ..outcomes import Accepted
+from ..records import QuarantineRecord
 
 if TYPE_CHECKING:
-    from .data_centre_tables import DataCentreTables
+    from ..data_centre_tables import DataCentreTables
 
 N_RECORDS_MAX = 10_000
 QUARANTINE_DURATION_S = 900
--- a/packages/bergamotferry/tests/test_crash_records.py
+++ b/packages/bergamotferry/tests/protection/test_crash_records.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotferry.crash_records import (
+from bergamotferry.protection.crash_records import (
     N_ENDS_MAX,
     N_RECORDS_MAX,
     NS_PER_S,
--- a/packages/bergamotferry/tests/test_quarantine.py
+++ b/packages/bergamotferry/tests/protection/test_quarantine.py
@@ -2,7 +2,7 @@
 
 from bergamotferry.commands import RecordCrash, ReleaseQuarantine
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
-from bergamotferry.quarantine import (
+from bergamotferry.protection.quarantine import (
     N_UPSTREAMS_CRASHED_MAX,
     QUARANTINE_DURATION_S,
     request_fingerprint,
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -12,7 +12,6 @@
 
 from bergamotferry import (
     commands,
-    crash_records,
     fleet_commands,
     fleet_messages,
     fleet_tables,
@@ -22,6 +21,7 @@
     upstream_load,
     upstream_sessions,
 )
+from bergamotferry.protection import crash_records
 
 from .field_types import has_field_types
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
@@ -17,7 +17,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from bergamotferry.crash_records import (
+from bergamotferry.fleet_messages import CrashChanges, ExchangeCrashes
+from bergamotferry.protection.crash_records import (
     CrashRecord,
     CrashTable,
     KnownEnds,
@@ -28,7 +29,6 @@
     record_success,
     rows_after,
 )
-from bergamotferry.fleet_messages import CrashChanges, ExchangeCrashes
 
 from .background import start_task
 from .clock import now_ns
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_store.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_store.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-from bergamotferry.crash_records import (
+from bergamotferry.protection.crash_records import (
     N_ENDS_MAX,
     CrashRecord,
     CrashTable,
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_watch.py
@@ -10,7 +10,7 @@
 
 from bergamotferry.admission import Ticket
 from bergamotferry.commands import RecordCrash, ReleaseQuarantine
-from bergamotferry.quarantine import Verdict, verdict_on
+from bergamotferry.protection.quarantine import Verdict, verdict_on
 from bergamotferry.slow_start import begin_ramp
 
 from .address_check import refuses_connections
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
@@ -8,7 +8,8 @@
 
 import asyncio
 
-from bergamotferry.crash_records import (
+from bergamotferry.outcomes import Refused
+from bergamotferry.protection.crash_records import (
     N_ENDS_RETRIED_MAX,
     KnownEnds,
     known_ends,
@@ -17,7 +18,6 @@
     request_fingerprint,
     verdict_on,
 )
-from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -1,12 +1,12 @@
 """The metrics of a host that accepts requests in direct mode."""
 
-from bergamotferry.crash_records import crash_verdicts
 from bergamotferry.fleet_metrics import (
     MetricFamily,
     count_family,
     request_families,
     single_value_family,
 )
+from bergamotferry.protection.crash_records import crash_verdicts
 from bergamotferry.window_budget import n_retries_left
 
 from .clock import now_ns
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -13,7 +13,6 @@
 import aiohttp
 
 from bergamotferry.answer_link import max_delay_ms
-from bergamotferry.crash_records import logged_fingerprint
 from bergamotferry.fleet_metrics import (
     record_payload,
     record_placement_time,
@@ -21,6 +20,7 @@
 )
 from bergamotferry.hedging import hedge_delay_ms, late_hedge_delay_ms
 from bergamotferry.outcomes import Refused
+from bergamotferry.protection.crash_records import logged_fingerprint
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.stop_admission import may_answer_before_stop
 from bergamotferry.upstream_load import record_ended, record_report
--- a/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/dispatch.py
@@ -28,7 +28,7 @@
 from bergamotferry.hot_keys import count_request
 from bergamotferry.messages import RequestHead
 from bergamotferry.outcomes import Refused
-from bergamotferry.quarantine import request_fingerprint
+from bergamotferry.protection.quarantine import request_fingerprint
 from bergamotferry.records import Route
 from bergamotferry.result_codes import ResultCode
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_ends.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
-from bergamotferry.crash_records import KnownEnds, logged_fingerprint
+from bergamotferry.protection.crash_records import KnownEnds, logged_fingerprint
 
 from .address_check import refuses_connections
 from .clock import now_ns
--- a/packages/bergamotferry_host/tests/test_crash_exchange.py
+++ b/packages/bergamotferry_host/tests/test_crash_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from bergamotferry.crash_records import KnownEnds, known_ends
+from bergamotferry.protection.crash_records import KnownEnds, known_ends
 from bergamotferry.records import HostAddress
 from bergamotferry_host.crash_exchange import (
     CrashExchange,
--- a/packages/bergamotferry_host/tests/test_crash_store.py
+++ b/packages/bergamotferry_host/tests/test_crash_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bergamotferry.crash_records import (
+from bergamotferry.protection.crash_records import (
     N_ENDS_MAX,
     PAUSE_FIRST_S,
     CrashTable,
--- a/packages/bergamotferry_host/tests/test_direct_crashes.py
+++ b/packages/bergamotferry_host/tests/test_direct_crashes.py
@@ -5,7 +5,7 @@
 import pytest
 from direct_harness import HEADER_NAMES, full, route, run_with_harness, served
 
-from bergamotferry.crash_records import (
+from bergamotferry.protection.crash_records import (
     N_ENDS_MAX,
     N_ENDS_RETRIED_MAX,
     KnownEnds,
--- a/packages/bergamotferry_host/tests/test_dispatch.py
+++ b/packages/bergamotferry_host/tests/test_dispatch.py
@@ -11,7 +11,7 @@
 from bergamotferry.data_centre_tables import apply_data_centre_command
 from bergamotferry.key_exceptions import exception_shard
 from bergamotferry.messages import Propose
-from bergamotferry.quarantine import request_fingerprint
+from bergamotferry.protection.quarantine import request_fingerprint
 from bergamotferry.result_codes import ResultCode as Code
 from bergamotferry.shards import hash_key
 from bergamotferry.slow_start import (
--- a/packages/bergamotferry_host/tests/test_upstream_ends.py
+++ b/packages/bergamotferry_host/tests/test_upstream_ends.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bergamotferry.crash_records import KnownEnds
+from bergamotferry.protection.crash_records import KnownEnds
 from bergamotferry_host import upstream_ends
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.upstream_ends import (
--- a/packages/bergamotferry_testkit/tests/test_requests_under_faults.py
+++ b/packages/bergamotferry_testkit/tests/test_requests_under_faults.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from bergamotferry.quarantine import N_UPSTREAMS_CRASHED_MAX
+from bergamotferry.protection.quarantine import N_UPSTREAMS_CRASHED_MAX
 from bergamotferry.slow_start import (
     BURST_STARTS,
     EARLY_END_MIN_S,
