--- a/packages/bergamotferry_host/tests/test_ready_connections.py
+++ b/packages/bergamotferry_host/tests/test_ready_connections.py
@@ -114,7 +114,9 @@
     assert asyncio.run(run()) <= ready_connections.N_READY_MAX
 
 
-def test_holder_that_has_ended_is_noticed_although_a_connection_was_ready():
+def test_refused_connection_is_noticed_although_a_connection_was_ready():
+    """Guards against a renewal on the ready connection of a holder that has ended."""
+
     async def run():
         holder = Holder(accept_delay_s=0.0)
         async with open_range_session() as http:
@@ -127,4 +129,4 @@
                 await asyncio.sleep(0.05)
             return await renew(http, holder)
 
-    assert asyncio.run(run()) == "no_process"
+    assert asyncio.run(run()) == "no_listener"
