--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -6,51 +6,39 @@
 """
 
 import asyncio
-import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import count
 
 from bergamotferry.answer_link import AnswerLink
-from bergamotferry.cold_rate import ColdRate, record_cold, record_uncertain
+from bergamotferry.cold_rate import ColdRate
 from bergamotferry.configuration import Configuration, DirectRoute
-from bergamotferry.configuration_text import decompress_text
 from bergamotferry.direct_placement import (
     Distance,
 )
-from bergamotferry.fleet_messages import FleetChanges
 from bergamotferry.fleet_metrics import RequestMetrics
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.key_load import bucket_of, work_at_holder_ms
 from bergamotferry.key_pause import KeyPause
-from bergamotferry.key_ranges import merge_ranges, range_of_key
+from bergamotferry.key_ranges import range_of_key
 from bergamotferry.stop_admission import AnswerTimes
 from bergamotferry.upstream_load import (
     UpstreamLoad,
     WorkTime,
 )
 from bergamotferry.upstream_notice import Availability
-from bergamotferry.upstream_sessions import SessionRow, is_newer_row
+from bergamotferry.upstream_sessions import SessionRow
 from bergamotferry.window_budget import WindowBudget
 
 from .clock import now_ns
 from .crash_exchange import CrashExchange, count_end
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
-from .logs import log, log_warning
 from .peer_network import PeerNetwork
-from .upstream_ends import EndWatch, record_address_in_use, record_proof
+from .upstream_ends import EndWatch
 
-# Upstreams that left or are lost stay known, so that a control host that lags cannot
-# bring them back. They are removed only while more upstreams than this are known.
-N_UPSTREAMS_MAX = 8192
-# A host still counts as present for this long after it was last reported, because a
-# control host that has just started knows few hosts. Within this time, every host finds
-# a control host to follow again.
-HOST_EXPIRY_NS = 5_000_000_000
 # A host does not know the other hosts of its data centre for this long after its start.
 HOST_DISCOVERY_NS = 2_000_000_000
-_DISTANCES: tuple[Distance, ...] = ("here", "near", "far")
 
 
 @dataclass(slots=True)
@@ -146,37 +134,6 @@
         return self.configuration.version > 0 and not self.is_stopping
 
 
-def add_control_hosts(host: DirectHost, names: tuple[str, ...]) -> None:
-    """Add the control hosts that are not yet known."""
-    host.control_hosts += [name for name in names if name not in host.control_hosts]
-
-
-def apply_changes(host: DirectHost, reply: FleetChanges) -> None:
-    """Apply the changes that the followed control host reported."""
-    is_same_source = reply.source == host.source
-    host.source, host.session_change = reply.source, reply.session_change
-    for row in reply.sessions:
-        _apply_session_row(host, row)
-    add_control_hosts(host, reply.control_hosts)
-    local_hosts = _current_local_hosts(host, reply.local_hosts, now_ns())
-    if local_hosts != host.local_hosts:
-        host.local_hosts = local_hosts
-        for upstream in host.upstreams.values():
-            upstream.rank = _rendezvous_rank(host, upstream.row)
-        _rebuild_upstream_index(host)
-    elif reply.sessions:
-        _rebuild_upstream_index(host)
-    host.n_hosts_all = max(1, reply.n_hosts_all)
-    if reply.revision < host.revision:
-        return
-    if reply.revision > host.revision or not is_same_source:
-        _apply_evacuations(host, frozenset(reply.evacuated))
-        _apply_ranges(host, reply.ranges)
-        host.revision = reply.revision
-    if reply.configuration_source:
-        _apply_configuration(host, reply)
-
-
 def retry_budget_of(host: DirectHost, service: str) -> WindowBudget:
     """Return this host's part of a service's retry budget."""
     budget = host.retry_budgets.get(service)
@@ -233,126 +190,3 @@
 def knows_local_hosts(host: DirectHost, now: int) -> bool:
     """Return whether this host has run long enough to know its data centre's hosts."""
     return now - host.began_ns >= HOST_DISCOVERY_NS
-
-
-def _current_local_hosts(
-    host: DirectHost, reported: tuple[str, ...], now: int
-) -> tuple[str, ...]:
-    """Return the hosts of this data centre that are, or were recently, reported."""
-    for name in (*reported, host.settings.name):
-        host.host_reported_ns[name] = now
-    for name, reported_ns in list(host.host_reported_ns.items()):
-        if now - reported_ns > HOST_EXPIRY_NS:
-            del host.host_reported_ns[name]
-    return tuple(sorted(host.host_reported_ns))
-
-
-def _apply_ranges(host: DirectHost, changed: tuple[KeyRange, ...]) -> None:
-    for service in {row.service for row in changed}:
-        rows = [row for row in changed if row.service == service]
-        host.ranges[service] = merge_ranges(host.ranges.get(service, []), rows)
-    tokens = {row.token for rows in host.ranges.values() for row in rows}
-    for token in host.key_pauses.keys() - tokens:
-        del host.key_pauses[token]
-
-
-def _apply_evacuations(host: DirectHost, evacuated: frozenset[str]) -> None:
-    """Set the evacuated data centres; those that return may have cold upstreams."""
-    now = now_ns()
-    for upstream in host.upstreams.values():
-        if upstream.row.data_centre in host.evacuated - evacuated:
-            record_uncertain(upstream.cold, now)
-    host.evacuated = evacuated
-
-
-def _apply_configuration(host: DirectHost, reply: FleetChanges) -> None:
-    if reply.configuration_version <= host.configuration.version:
-        return
-    try:
-        source = decompress_text(reply.configuration_source)
-    except ValueError as error:
-        log_warning("configuration not understood", errors=1, why=str(error))
-        return
-    decoded = host.decode_configuration(source)
-    if isinstance(decoded, list):
-        log_warning("configuration not understood", errors=len(decoded))
-        return
-    host.configuration = decoded
-    host.configured.set()
-    log("configuration in force", version=decoded.version, revision=reply.revision)
-
-
-def _apply_session_row(host: DirectHost, row: SessionRow) -> None:
-    known = host.upstreams.get(row.name)
-    if not is_newer_row(row, known.row if known else None):
-        return
-    if known is None or known.row.born_ms != row.born_ms:
-        load = UpstreamLoad(row.n_slots)
-        # Recent sends to the previous process may have reached the new one, so they
-        # count towards the new one's cold rate.
-        cold = ColdRate(sent_ns=known.cold.sent_ns) if known else ColdRate()
-        if known is not None:
-            record_proof(host.end_watch, row.name, "next incarnation")
-        record_address_in_use(host.end_watch, row.address, row.name)
-        known = Upstream(row, load, cold, rank=_rendezvous_rank(host, row))
-        host.upstreams[row.name] = known
-        log("upstream known", upstream=row.name, service=row.service, phase=row.phase)
-    elif known.row.phase != row.phase:
-        log("upstream changed", upstream=row.name, phase=row.phase)
-    known.row = row
-    if row.cold_left_ms:
-        record_cold(known.cold, row.cold_left_ms, now_ns())
-
-
-def _rebuild_upstream_index(host: DirectHost) -> None:
-    host.ready_by_service = {}
-    n_surplus = len(host.upstreams) - N_UPSTREAMS_MAX
-    for name, upstream in list(host.upstreams.items()):
-        if upstream.row.phase == "ready":
-            host.ready_by_service.setdefault(upstream.row.service, []).append(upstream)
-        elif n_surplus > 0 and upstream.load.n_in_flight == 0:
-            del host.upstreams[name]
-            n_surplus -= 1
-    for rows in host.ready_by_service.values():
-        rows.sort(key=lambda upstream: _preference_key(host, upstream))
-
-
-def _preference_key(host: DirectHost, upstream: Upstream) -> tuple[int, int, int]:
-    """Return the sort key of an upstream in the order in which this host scans them.
-
-    Nearer upstreams come first. Within this host's data centre, the order follows the
-    ranks, so that every upstream is preferred by the same number of hosts. In other
-    data centres, each host prefers its own pseudo-random subset of the upstreams.
-    """
-    distance = _DISTANCES.index(distance_of(host.settings, upstream.row.data_centre))
-    rank = upstream.rank if upstream.rank is not None else 0
-    return distance, rank, _rendezvous_weight(upstream.row.name, host.settings.name)
-
-
-def _rendezvous_rank(host: DirectHost, row: SessionRow) -> int | None:
-    """Return this host's rank for an upstream of its data centre.
-
-    Ranks are the order of the hosts by rendezvous hashing.
-    """
-    if row.data_centre != host.settings.data_centre:
-        return None
-
-    own = _rendezvous_weight(row.name, host.settings.name)
-    return sum(
-        1 for other in host.local_hosts if _rendezvous_weight(row.name, other) > own
-    )
-
-
-def _rendezvous_weight(upstream: str, host_name: str) -> int:
-    return zlib.crc32(f"{upstream} {host_name}".encode())
-
-
-def mark_replaced(host: DirectHost, upstream: Upstream) -> None:
-    """Mark an upstream as lost after another process answered at its address.
-
-    A later heartbeat restores the upstream if it is still running.
-    """
-    log("upstream not at its address", upstream=upstream.row.name)
-    record_proof(host.end_watch, upstream.row.name, "other process")
-    upstream.row = upstream.row._replace(phase="lost")
-    _rebuild_upstream_index(host)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -18,9 +18,10 @@
 from .clock import now_ns
 from .direct_call import open_direct_session
 from .direct_crashes import run_crash_exchange
-from .direct_host import DirectHost, add_control_hosts
+from .direct_host import DirectHost
 from .direct_metrics import direct_metric_families
 from .direct_request import answer_request
+from .fleet_changes import add_control_hosts
 from .fleet_follower import run_follower
 from .fleet_settings import FleetSettings
 from .fleet_start import (
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -19,7 +19,8 @@
 )
 
 from .clock import now_ns
-from .direct_host import DirectHost, apply_changes
+from .direct_host import DirectHost
+from .fleet_changes import apply_changes
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/load_probes.py
@@ -30,7 +30,8 @@
 from .bounded_answer import SHORT_BODY_MAX_BYTES, read_whole
 from .clock import now_ns
 from .direct_call import notice_in, parse_cold_left_ms, parse_load_report
-from .direct_host import DirectHost, Upstream, distance_of, mark_replaced
+from .direct_host import DirectHost, Upstream, distance_of
+from .fleet_changes import mark_replaced
 from .upstream_ends import record_life, record_proof
 from .upstream_notices import record_upstream_notice
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/send_results.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/send_results.py
@@ -16,10 +16,10 @@
     DirectHost,
     Upstream,
     distance_of,
-    mark_replaced,
     work_time_of,
 )
 from .direct_placing import DirectRequest, Reservation
+from .fleet_changes import mark_replaced
 from .upstream_ends import record_proof
 from .upstream_notices import record_upstream_notice
 
--- a/packages/bergamotferry_host/tests/test_direct_placing.py
+++ b/packages/bergamotferry_host/tests/test_direct_placing.py
@@ -14,19 +14,15 @@
 from bergamotferry.fleet_messages import FleetChanges
 from bergamotferry.upstream_load import record_failure
 from bergamotferry.upstream_sessions import SessionRow
-from bergamotferry_host import direct_host
+from bergamotferry_host import fleet_changes
 from bergamotferry_host.clock import now_ns
-from bergamotferry_host.direct_host import (
-    HOST_DISCOVERY_NS,
-    HOST_EXPIRY_NS,
-    DirectHost,
-    apply_changes,
-)
+from bergamotferry_host.direct_host import HOST_DISCOVERY_NS, DirectHost
 from bergamotferry_host.direct_placing import (
     DirectRequest,
     _candidates,
     reserve_upstream,
 )
+from bergamotferry_host.fleet_changes import HOST_EXPIRY_NS, apply_changes
 from bergamotferry_host.fleet_settings import FleetSettings
 from bergamotferry_host.peer_link import PeerHandlers
 from bergamotferry_host.peer_network import PeerNetwork
@@ -147,7 +143,7 @@
     names_before = candidate_names(host, request_of())
     assert any(host.upstreams[name].rank for name in names_before)
     later_ns = now_ns() + HOST_EXPIRY_NS + 1
-    monkeypatch.setattr(direct_host, "now_ns", lambda: later_ns)
+    monkeypatch.setattr(fleet_changes, "now_ns", lambda: later_ns)
     apply_changes(host, changes_of((HOSTS[0],)))
     assert all(host.upstreams[name].rank == 0 for name in names_before)
 
@@ -159,7 +155,7 @@
     yet. If a host dropped the others at once, it would send at the full cold rate.
     """
     now = now_ns()
-    monkeypatch.setattr(direct_host, "now_ns", lambda: now)
+    monkeypatch.setattr(fleet_changes, "now_ns", lambda: now)
     hosts = [host_of(name) for name in HOSTS]
     for host in hosts:
         host.began_ns = now - HOST_DISCOVERY_NS
--- a/packages/bergamotferry_host/tests/test_upstream_notices.py
+++ b/packages/bergamotferry_host/tests/test_upstream_notices.py
@@ -21,7 +21,7 @@
 from bergamotferry.upstream_notice import UpstreamNotice
 from bergamotferry_host import answer_fetching
 from bergamotferry_host.answer_fetching import AnswerFetching
-from bergamotferry_host.direct_host import _apply_session_row
+from bergamotferry_host.fleet_changes import _apply_session_row
 
 LEAVING = {HEADER_NAMES.leaving: "1"}
 
