Tell a new control process which upstreams in use it lacks

Callers' requests went to an upstream that had ended, each with a retry, until their entry host restarted, if all of control had restarted meanwhile.

Cause: control rebuilds its sessions from heartbeats only, and entry hosts keep what they were told. What sends no heartbeat any more was never found silent.

Change: an entry host that follows a new control process sends it the rows in use that it has not listed; the control host records and spreads them.

--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -15,7 +15,8 @@
 
     ``source`` is the process that sent the last `FleetChanges`. The positions
     ``session_change``, ``revision`` and ``configuration_version`` refer to that process
-    and mean nothing to another one.
+    and mean nothing to another one. ``unlisted`` are the rows of upstreams in use here
+    that the control host has not listed: it has started since it heard of them.
     """
 
     host: str
@@ -25,6 +26,7 @@
     revision: int
     configuration_version: int
     wait_ms: int
+    unlisted: tuple[SessionRow, ...] = ()
 
 
 class AskCurrent(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
@@ -67,6 +67,26 @@
         _apply_configuration(host, reply)
 
 
+def rows_not_listed(
+    host: DirectHost, listed_born_ms: dict[str, int]
+) -> tuple[SessionRow, ...]:
+    """Return the rows of upstreams in use that a control host has not listed.
+
+    Parameters
+    ----------
+    host : DirectHost
+        This host.
+    listed_born_ms : dict of str to int
+        Start time of each upstream that the control host has listed, by name.
+    """
+    return tuple(
+        upstream.row
+        for name, upstream in host.upstreams.items()
+        if upstream.row.phase == "ready"
+        and listed_born_ms.get(name, -1) < upstream.row.born_ms
+    )
+
+
 def mark_replaced(host: DirectHost, upstream: Upstream) -> None:
     """Mark an upstream as lost after another process answered at its address.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -28,6 +28,7 @@
 )
 from bergamotferry.upstream_sessions import (
     Alive,
+    SessionRow,
     expire_silent,
     record_alive,
     record_row,
@@ -44,7 +45,7 @@
 )
 from .fleet_control import ControlHost, is_current, wake_followers
 from .key_reports import forward_key_work
-from .logs import log_warning
+from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 
 SESSION_NEWS_INTERVAL_S = 0.2
@@ -61,6 +62,7 @@
     """
     follower = Follower(message.host, message.data_centre)
     record_follower(host.followers, follower, now_ns())
+    _record_unlisted(host, message.unlisted)
     is_same_source = message.source == host.process_id
     if is_same_source and not _has_changes(host, message):
         change_event = host.change_event
@@ -166,6 +168,24 @@
     return SessionsReply(tuple(row for row in rows if row.phase != "gone"))
 
 
+def _record_unlisted(host: ControlHost, rows: tuple[SessionRow, ...]) -> None:
+    """Record upstreams that a follower uses and this host doesn't know.
+
+    If they have ended, they become lost by their silence. Until then followers keep
+    what they had before.
+    """
+    addresses = {session.row.address for session in host.sessions.rows.values()}
+    for row in rows:
+        if row.address in addresses and row.name not in host.sessions.rows:
+            # Another upstream has this address now.
+            continue
+        if record_row(host.sessions, host.tables, row, now_ns()):
+            host.changed_rows[row.name] = host.sessions.rows[row.name].row
+            log("upstream known from a follower", upstream=row.name)
+    if rows:
+        wake_followers(host)
+
+
 def _has_changes(host: ControlHost, message: FollowFleet) -> bool:
     return (
         message.session_change < host.sessions.change
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -9,7 +9,7 @@
 import asyncio
 import secrets
 from collections.abc import Iterable
-from itertools import takewhile
+from itertools import count, takewhile
 
 from bergamotferry.fleet_messages import (
     AskCurrent,
@@ -17,10 +17,11 @@
     FleetChanges,
     FollowFleet,
 )
+from bergamotferry.upstream_sessions import SessionRow
 
 from .clock import now_ns
 from .direct_host import DirectHost
-from .fleet_changes import apply_changes
+from .fleet_changes import apply_changes, rows_not_listed
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 
@@ -30,6 +31,8 @@
 FOLLOW_TIMEOUT_S = 0.9
 PROBE_TIMEOUT_S = 0.9
 RETRY_PAUSE_S = 0.05
+# After so many replies a new control process has listed the upstreams that it knows.
+N_LISTING_REPLIES = 2
 # Delay of each probe after that of the next nearer control host, so that a remote
 # control host is followed only if no nearer one is current.
 PROBE_STAGGER_S = 0.03
@@ -122,26 +125,47 @@
 
 
 async def _follow(host: DirectHost, control_host: str) -> None:
-    """Poll one control host for changes while it is current and not lagging."""
-    is_first = True
-    while True:
-        message = FollowFleet(
-            host.settings.name,
-            host.settings.data_centre,
-            host.source,
-            host.session_change,
-            host.revision,
-            host.configuration.version,
-            0 if is_first else FOLLOW_WAIT_MS,
-        )
+    """Poll one control host for changes while it is current and not lagging.
+
+    A control process that is new to this host lists all upstreams that it knows. It
+    then hears of those in use here that it lacks. It may have just started, and no
+    other control host may know them either.
+    """
+    source = host.source
+    listed_born_ms: dict[str, int] = {}
+    unlisted: tuple[SessionRow, ...] = ()
+    wait_ms = 0
+    for number in count():
+        message = _follow_message(host, wait_ms, unlisted)
         reply = await host.network.call(control_host, message, FOLLOW_TIMEOUT_S)
         if not isinstance(reply, FleetChanges):
             return
         is_lagging = reply.revision < host.revision
-        if is_first and not is_lagging and reply.is_current:
+        if number == 0 and not is_lagging and reply.is_current:
             log("control host followed", peer=control_host, revision=reply.revision)
         apply_changes(host, reply)
         if not reply.is_current or is_lagging:
             return
         host.control_reported_ns = now_ns()
-        is_first = False
+        listed_born_ms |= {row.name: row.born_ms for row in reply.sessions}
+        is_listed = number == N_LISTING_REPLIES - 1 and reply.source != source
+        unlisted = rows_not_listed(host, listed_born_ms) if is_listed else ()
+        # The hosts report at different times, so most have heard of what the first of
+        # them reported.
+        is_listing = number < N_LISTING_REPLIES - 1
+        wait_ms = secrets.randbelow(FOLLOW_WAIT_MS) if is_listing else FOLLOW_WAIT_MS
+
+
+def _follow_message(
+    host: DirectHost, wait_ms: int, unlisted: tuple[SessionRow, ...]
+) -> FollowFleet:
+    return FollowFleet(
+        host.settings.name,
+        host.settings.data_centre,
+        host.source,
+        host.session_change,
+        host.revision,
+        host.configuration.version,
+        wait_ms,
+        unlisted,
+    )
--- a/packages/bergamotferry_host/tests/test_fleet_feed.py
+++ b/packages/bergamotferry_host/tests/test_fleet_feed.py
@@ -4,15 +4,20 @@
 from random import Random
 from types import SimpleNamespace
 
+from bergamotferry.fleet_commands import RetireUpstream
 from bergamotferry.fleet_messages import FollowFleet, SessionNews
-from bergamotferry.fleet_tables import FleetTables
+from bergamotferry.fleet_tables import FleetTables, apply_fleet_command
 from bergamotferry.followers import Follower
 from bergamotferry.messages import Member, Membership
 from bergamotferry.replication import Replica
+from bergamotferry.upstream_sessions import LOST_AFTER_NS, SessionRow, expire_silent
+from bergamotferry_host.clock import now_ns
 from bergamotferry_host.fleet_control import ControlHost
 from bergamotferry_host.fleet_feed import answer_follow, apply_session_news
 from bergamotferry_host.fleet_settings import FleetSettings
 
+ROW = SessionRow("u", 5, 7, "lamps", "1.1.2.1:1", "a", 2, "ready", 0)
+
 
 def control_host() -> ControlHost:
     settings = FleetSettings("1.1.1.1", "c", "a", "n", {"a": "n"}, 1, ("1.1.1.1",))
@@ -22,8 +27,8 @@
     return ControlHost(settings, None, group, lambda source: [], "p")
 
 
-def follow(host: ControlHost, name: str):
-    message = FollowFleet(name, "a", "", 0, -1, 0, 0)
+def follow(host: ControlHost, name: str, unlisted=()):
+    message = FollowFleet(name, "a", "", 0, -1, 0, 0, unlisted)
     return asyncio.run(answer_follow(host, message))
 
 
@@ -38,3 +43,25 @@
     # Notices between digests list no followers; the last digest stays valid.
     apply_session_news(host, SessionNews("1.1.1.2", (), (), (), ()), set())
     assert follow(host, "h1").local_hosts == ("h1", "h2")
+
+
+def test_upstream_that_only_followers_know_is_listed_and_lost_by_its_silence():
+    """Guards against rows that followers use and no control host ever ends."""
+    host = control_host()
+    assert follow(host, "h1", (ROW,)).sessions == (ROW,)
+    assert follow(host, "h2").sessions == (ROW,)
+    assert host.changed_rows == {"u": ROW}
+    expire_silent(host.sessions, now_ns() + LOST_AFTER_NS)
+    assert [row.phase for row in follow(host, "h2").sessions] == ["lost"]
+
+
+def test_row_of_a_follower_revives_nothing_that_left_or_lost_its_address():
+    host = control_host()
+    apply_fleet_command(host.tables, RetireUpstream("u", 5, "gone"))
+    next_user = ROW._replace(name="v", address="1.1.2.2:1")
+    follow(host, "h1", (next_user,))
+    former_user = next_user._replace(name="w", born_ms=9)
+    older = next_user._replace(born_ms=4, address="1.1.2.3:1")
+    reply = follow(host, "h2", (ROW, former_user, older))
+    phases = [(row.name, row.born_ms, row.phase) for row in reply.sessions]
+    assert phases == [("v", 5, "ready"), ("u", 5, "gone")]
--- a/packages/bergamotferry_host/tests/test_fleet_follower.py
+++ b/packages/bergamotferry_host/tests/test_fleet_follower.py
@@ -11,8 +11,10 @@
     FleetChanges,
     FollowFleet,
 )
+from bergamotferry.upstream_sessions import SessionRow
 from bergamotferry_host import fleet_follower
 from bergamotferry_host.direct_host import DirectHost
+from bergamotferry_host.fleet_changes import apply_changes
 from bergamotferry_host.fleet_follower import find_current_control_host, run_follower
 from bergamotferry_host.fleet_settings import FleetSettings
 from bergamotferry_host.peer_link import PeerUnreachable
@@ -98,3 +100,60 @@
     assert set(host.network.followed) == {NEAR, REMOTE_2}
     # The fake raises PeerUnreachable only after a second.
     assert failover_s < 1.0 + fleet_follower.FOLLOW_WAIT_MS / 1000 + 0.5
+
+
+class ScriptedControlHost:
+    """A control host that lists given rows in its first replies, and then is silent."""
+
+    def __init__(self, process, *replies):
+        self.process = process
+        self.replies = list(replies)
+        self.messages = []
+
+    async def call(self, name, message, timeout_s):
+        self.messages.append(message)
+        if not self.replies:
+            raise PeerUnreachable(name)
+        return changes_of(self.process, self.replies.pop(0))
+
+
+def changes_of(process, rows):
+    return FleetChanges(process, True, 1, rows, 7, 0, b"", (), (), (), (), 1)
+
+
+U, V = (SessionRow(n, 5, 1, "lamps", f"{n}:1", "a", 2, "ready", 0) for n in "uv")
+
+
+@pytest.mark.parametrize(
+    ("process", "replies", "reported"),
+    [
+        # All of control has restarted and knows nothing.
+        ("new", [(), (), ()], (U, V)),
+        # It hears of them while it lists what it knows.
+        ("new", [(U,), (V,), ()], ()),
+        # It knows the incarnation before.
+        ("new", [(U, V._replace(born_ms=4)), (), ()], (V,)),
+        ("new", [(U, V._replace(phase="lost")), (), ()], ()),
+        # The same process lists only what has changed.
+        ("known", [(), (), ()], ()),
+    ],
+)
+def test_new_control_process_hears_of_upstreams_that_it_lacks(
+    process, replies, reported
+):
+    """Guards against rows that followers use and no control host ever ends."""
+    host = host_of(**{NEAR: "current"})
+    apply_changes(host, changes_of("known", (U, V)))
+    host.network = ScriptedControlHost(process, *replies)
+
+    async def run():
+        with pytest.raises(PeerUnreachable):
+            await fleet_follower._follow(host, NEAR)
+
+    asyncio.run(run())
+    assert [message.unlisted for message in host.network.messages] == [
+        (),
+        (),
+        reported,
+        (),
+    ]
