Keep the number of hosts while a control host that has just started knows few

Callers' retries could go over the budget that all hosts share: after a restart of control each host took the retry reserve of the whole fleet for itself for about a second.

Cause: the number of hosts was set to what the followed control host reports, and one that has just started knows only the hosts that have polled it.

Evidence: the new case of test_fleet_changes is red without the change.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -64,7 +64,8 @@
 class DirectHost:
     """State of one host that sends requests directly to upstreams.
 
-    ``host_reported_ns`` is when each host of the data centre was last reported.
+    ``host_reported_ns`` is when each host of the data centre was last reported, and
+    ``n_hosts_reported_ns`` when ``n_hosts_all``, the number of all hosts, was.
     ``followed`` names the control host that this host follows; ``source`` and
     ``session_change`` are the position in the changes that it reports.
     ``control_reported_ns`` is when a control host last reported. ``ranges`` holds the
@@ -100,6 +101,7 @@
     local_hosts: tuple[str, ...] = ()
     host_reported_ns: dict[str, int] = field(default_factory=dict)
     n_hosts_all: int = 1
+    n_hosts_reported_ns: int = 0
     control_reported_ns: int = 0
     services_without_load: set[str] = field(default_factory=set)
     key_pauses: dict[int, KeyPause] = field(default_factory=dict)
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
@@ -56,7 +56,7 @@
         _rebuild_upstream_index(host)
     elif reply.sessions or is_any_retired:
         _rebuild_upstream_index(host)
-    host.n_hosts_all = max(1, reply.n_hosts_all)
+    _apply_n_hosts(host, max(1, reply.n_hosts_all), now_ns())
     if reply.revision < host.revision:
         return
     if reply.revision > host.revision or not is_same_source:
@@ -110,6 +110,14 @@
     return tuple(sorted(host.host_reported_ns))
 
 
+def _apply_n_hosts(host: DirectHost, n_hosts: int, now: int) -> None:
+    """Set the number of hosts; a lower one counts only once it has been so for long."""
+    is_outdated = now - host.n_hosts_reported_ns > HOST_EXPIRY_NS
+    if n_hosts >= host.n_hosts_all or is_outdated:
+        host.n_hosts_all = n_hosts
+        host.n_hosts_reported_ns = now
+
+
 def _apply_ranges(host: DirectHost, changed: tuple[KeyRange, ...]) -> None:
     for service in {row.service for row in changed}:
         rows = [row for row in changed if row.service == service]
--- a/packages/bergamotferry_host/tests/test_fleet_changes.py
+++ b/packages/bergamotferry_host/tests/test_fleet_changes.py
@@ -9,8 +9,10 @@
 from bergamotferry.fleet_tables import Retired
 from bergamotferry.messages import ProposeReply
 from bergamotferry.upstream_sessions import LEAVE_DELAY_MAX_NS, SessionRow
-from bergamotferry_host.direct_host import DirectHost
-from bergamotferry_host.fleet_changes import apply_changes
+from bergamotferry_host import fleet_changes
+from bergamotferry_host.clock import now_ns
+from bergamotferry_host.direct_host import DirectHost, retry_budget_of
+from bergamotferry_host.fleet_changes import HOST_EXPIRY_NS, apply_changes
 from bergamotferry_host.fleet_settings import FleetSettings
 
 SETTINGS = FleetSettings("1.1.1.9", "h", "a", "n", {"a": "n"}, 1, ("1.1.1.1",))
@@ -31,10 +33,22 @@
         self.proposed.append(message.command)
         return ProposeReply(0, "", 1, "")
 
-    def apply(self, revision, *rows, retired=()):
+    def apply(self, revision, *rows, retired=(), n_hosts=1):
         """Apply a reply of a control host that knows just the rows in it."""
         reply = FleetChanges(
-            "p", True, revision, rows, revision, 0, b"", (), (), (), (), 1, retired
+            "p",
+            True,
+            revision,
+            rows,
+            revision,
+            0,
+            b"",
+            (),
+            (),
+            (),
+            (),
+            n_hosts,
+            retired,
         )
 
         async def run():
@@ -111,3 +125,20 @@
     following.apply(2, retired=(Retired("u", UNKNOWN_BORN_MS, "gone"),))
     following.apply(3, ROW._replace(sequence=40))
     assert following.ready == [("u", 5)]
+
+
+def test_restarted_control_host_that_knows_few_hosts_gives_none_a_larger_retry_reserve(
+    monkeypatch,
+):
+    """Guards against hosts that each use the reserve of the whole fleet for a while."""
+    following = FollowingHost()
+    following.apply(2, n_hosts=8)
+    following.apply(2, n_hosts=1)
+    assert retry_budget_of(following.host, "lamps").n_hosts == 8
+    # That few are left, and the control host has had time to hear of the others.
+    later_ns = now_ns() + 2 * HOST_EXPIRY_NS
+    monkeypatch.setattr(fleet_changes, "now_ns", lambda: later_ns)
+    following.apply(2, n_hosts=1)
+    assert retry_budget_of(following.host, "lamps").n_hosts == 1
+    following.apply(2, n_hosts=3)
+    assert retry_budget_of(following.host, "lamps").n_hosts == 3
