Commit a leave without an incarnation too where this host knows only by others

Callers could be sent to an upstream that had left, if its heartbeats had reached only a control host that was lost before it told the others.

Cause: the sessions that a host fetches from others count as heard just now, so the incarnation before was taken for the one that leaves.

Change: what the host had heard by itself decides, before it asks the others.

--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_leave.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_leave.py
@@ -35,20 +35,21 @@
 async def retire_upstream(host: ControlHost, name: str) -> Accepted | Refused:
     """Commit that an upstream is gone.
 
-    The newest incarnation that control knows is retired. If control knows none, or has
-    not heard of it lately, a newer one may leave, and the leave is also committed
-    without an incarnation.
+    The newest incarnation that control knows is retired. If this host had not heard of
+    it lately by itself, a newer one may leave, and the leave is also committed without
+    an incarnation.
 
     Returns
     -------
     Accepted or Refused
         Refused if a commit failed; then the leave may or may not be recorded.
     """
+    is_recent = _is_recent(host, name)
     known = await _find_newest(host, name)
     incarnations = [known.born_ms]
     is_repeat = find_retired(host.tables, name, known.born_ms) is not None
     is_any_known = known.born_ms != UNKNOWN_BORN_MS
-    if is_any_known and not is_repeat and not _is_recent(host, name):
+    if is_any_known and not is_repeat and not is_recent:
         incarnations.append(UNKNOWN_BORN_MS)
     for born_ms in incarnations:
         outcome = await commit_and_count(host, RetireUpstream(name, born_ms, "gone"))
