--- a/packages/bergamotferry_host/tests/test_upstream_leave.py
+++ b/packages/bergamotferry_host/tests/test_upstream_leave.py
@@ -71,8 +71,8 @@
     [
         # It is known here.
         (5, 0, (UNREACHABLE,), (5,)),
-        # This host has just started or was cut off. Another one knows an upstream, which
-        # may be the incarnation before.
+        # This host has just started or was cut off. What another one knows may be the
+        # incarnation before.
         (0, 0, ((row(5),), SILENT), (5, UNKNOWN_BORN_MS)),
         (0, 0, (UNREACHABLE, (row(5),)), (5, UNKNOWN_BORN_MS)),
         (0, 0, ((row(5),),), (5, UNKNOWN_BORN_MS)),
