Bound the bodies that an entry host holds, and hold each once

Cause: a body was held twice while it was read and twice while it was sent, and nothing bounded all bodies together.

Change: a body is read into a buffer of its length and written in parts. All bodies may take half of the memory that the settings name; one that does not fit is refused as not run (1208) before it is read.

--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -42,6 +42,7 @@
     TOO_MANY_CONNECTIONS = 1205
     UPSTREAM_SHED = 1206
     LINK_BUDGET_SPENT = 1207
+    NO_ROOM_FOR_BODY = 1208
     REQUEST_QUARANTINED = 1301
     OUTCOME_STORE_FULL = 1302
     NOTE_CONFLICT = 1401
@@ -131,6 +132,9 @@
     ResultCode.LINK_BUDGET_SPENT: ResultCodeRow(
         503, True, "The budget of the link between regions is spent."
     ),
+    ResultCode.NO_ROOM_FOR_BODY: ResultCodeRow(
+        503, True, "The host holds as many bytes of bodies as it has memory for."
+    ),
     ResultCode.REQUEST_QUARANTINED: ResultCodeRow(
         422, True, "The request has ended upstreams and is quarantined."
     ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -7,7 +7,7 @@
 """
 
 import errno
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Literal, NamedTuple
@@ -47,6 +47,9 @@
 KEEPALIVE_S = 7.0
 ANSWER_SLACK_S = 0.05
 COUNT_DIGITS_MAX = 7
+# Longest body that is handed to the connection as a whole.
+WHOLE_WRITE_MAX_BYTES = 1024 * 1024
+PART_BYTES = 64 * 1024
 # No machine is faster or slower than usual by more than this factor.
 SLOWNESS_MIN, SLOWNESS_MAX = 0.001, 1_000.0
 RETRY_AFTER = "Retry-After"
@@ -150,6 +153,11 @@
     headers = CIMultiDict(send.headers)
     headers[header_names.deadline_ms] = str(max(1, int(send.time_left_ms)))
     headers[header_names.expected_upstream] = send.upstream
+    data: bytes | AsyncIterator[bytes] | None = send.body or None
+    if len(send.body) > WHOLE_WRITE_MAX_BYTES:
+        # The library would copy it into the buffer of the connection.
+        data = _parts_of(send.body)
+        headers["Content-Length"] = str(len(send.body))
     timeout = aiohttp.ClientTimeout(
         total=send.time_left_ms / 1000 + ANSWER_SLACK_S,
         sock_connect=CONNECT_TIMEOUT_S[send.distance],
@@ -159,7 +167,7 @@
             send.method,
             _url_of(send),
             headers=headers,
-            data=send.body or None,
+            data=data,
             timeout=timeout,
             allow_redirects=False,
             trace_request_ctx=progress,
@@ -213,6 +221,12 @@
     return LoadReport(n_running, n_waiting, n_slots, slowness)
 
 
+async def _parts_of(body: bytes) -> AsyncIterator[bytes]:
+    """Yield a body in parts, as the connection takes them."""
+    for first in range(0, len(body), PART_BYTES):
+        yield body[first : first + PART_BYTES]
+
+
 def _url_of(send: DirectSend) -> URL:
     """Return the URL of a send.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -30,6 +30,7 @@
 from bergamotferry.upstream_sessions import SessionRow
 from bergamotferry.window_budget import WindowBudget
 
+from .body_room import BodyRoom
 from .clock import now_ns
 from .crash_exchange import CrashExchange, count_end
 from .fleet_settings import FleetSettings
@@ -80,7 +81,8 @@
     start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
     and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
-    reports to control that an upstream leaves.
+    reports to control that an upstream leaves. ``body_room`` bounds the bodies of
+    callers that are held.
     """
 
     settings: FleetSettings
@@ -113,6 +115,7 @@
     rotation_end_ns: int = 0
     answer_times: dict[str, AnswerTimes] = field(default_factory=dict)
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
+    body_room: BodyRoom = field(init=False)
     link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
     link_turns: dict[int, "asyncio.Future[None]"] = field(default_factory=dict)
     link_timer: asyncio.TimerHandle | None = None
@@ -123,6 +126,7 @@
     notice_tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
+        self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
         self.end_watch = EndWatch(
             lambda run: count_end(self.crashes, run.fingerprint, run.known)
         )
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -20,6 +20,7 @@
 from .answer_framing import HOP_HEADERS
 from .answer_sending import send_answer
 from .answer_streaming import CallerAnswer, CallerLeftError, abort_answer
+from .body_room import HeldBody, give_back
 from .clock import now_ns
 from .direct_crashes import quarantine_pause_s
 from .direct_host import (
@@ -52,8 +53,9 @@
     """Handle one request of a caller and return the response."""
     began_ns = arrived_ns(request)
     host.n_in_flight += 1
+    held = HeldBody(host.body_room)
     try:
-        accepted = await _accept(host, request, began_ns)
+        accepted = await _accept(host, request, began_ns, held)
         if isinstance(accepted, Refused):
             return _refusal_response(host, request, accepted, began_ns, None)
         if not accepted.route.is_idempotent or has_large_answer(host, accepted):
@@ -68,6 +70,7 @@
         accepted.caller = caller
         return await _serve(host, http, accepted, caller)
     finally:
+        give_back(held)
         host.n_in_flight -= 1
 
 
@@ -121,7 +124,7 @@
 
 
 async def _accept(
-    host: DirectHost, request: web.Request, began_ns: int
+    host: DirectHost, request: web.Request, began_ns: int, held: HeldBody
 ) -> DirectRequest | Refused:
     """Find the route of a request and read its body."""
     if host.configuration.version == 0:
@@ -136,7 +139,7 @@
     limits = host.configuration.limits
     body = b""
     if request.body_exists:
-        read = await read_body(request, limits.body_max_bytes)
+        read = await read_body(request, limits.body_max_bytes, held=held)
         if isinstance(read, Refused):
             return read
         body = read
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -59,7 +59,8 @@
     ``name`` is the IP number at which other hosts reach the host; ``label`` is its name
     in logs. Addresses that the host's role does not serve are empty. ``regions`` maps
     each data centre to its region. A ``metrics_port`` of 0 serves no metrics.
-    ``link_mbps`` is the bandwidth of the host's link in Mbit/s; 0 is unlimited.
+    ``link_mbps`` is the bandwidth of the host's link in Mbit/s, and ``memory_mb`` the
+    memory of its process in MiB; 0 is unlimited.
     ``splits_busy_ranges`` enables splits of busy key ranges; it is off while hosts run
     a version without support for splits.
     """
@@ -79,6 +80,7 @@
     is_bootstrap: bool = False
     n_descriptors_max: int = 1_024
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
     splits_busy_ranges: bool = True
     token: str = "fleet"
     headers: DirectHeaders = DirectHeaders()
@@ -96,6 +98,8 @@
         errors.append(f"data centre {settings.data_centre!r} has no region")
     if not 0 < settings.peer_port < 65_536:
         errors.append(f"{settings.peer_port} is no port for peers")
+    if settings.memory_mb < 0:
+        errors.append(f"{settings.memory_mb} MiB is no limit of memory")
     if not 0 <= settings.metrics_port < 65_536:
         errors.append(f"{settings.metrics_port} is no port for metrics")
     if not settings.control_address and not settings.caller_address:
--- a/packages/bergamotferry_host/tests/test_direct_call.py
+++ b/packages/bergamotferry_host/tests/test_direct_call.py
@@ -292,3 +292,39 @@
     assert second.result == "broken"
     assert is_connection_loss(second.result, second.detail)
     assert n_requests == 2
+
+
+def test_long_body_that_is_answered_early_is_followed_by_no_other_bytes():
+    """The upstream keeps the connection and reads the rest of the body later."""
+    n_bytes = 8_000_000
+    body = b"b" * n_bytes
+    connections = []
+
+    async def on_connection(reader, writer):
+        received = bytearray()
+        connections.append(received)
+        request = await reader.readuntil(b"\r\n\r\n")
+        writer.write(head("200 OK", REQUEST_ID_HEADER, "Content-Length: 0"))
+        await asyncio.sleep(0.2)
+        assert f"Content-Length: {n_bytes}".encode() in request
+        while part := await reader.read(65_536):
+            received.extend(part)
+        writer.close()
+        await writer.wait_closed()
+
+    async def send_twice():
+        server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, open_direct_session() as http:
+            for _ in range(2):
+                send = send_of(f"127.0.0.1:{port}", body=body)
+                outcome = await send_direct(http, HEADER_NAMES, send)
+                assert outcome.result == "answered"
+        # Closing the session has ended the connections, and the upstream reads on.
+        await asyncio.sleep(0.5)
+
+    asyncio.run(send_twice())
+    # A connection may end before the body does, but nothing else stands in its place.
+    for received in connections:
+        assert received.replace(b"b", b"") == b""
+        assert len(received) <= n_bytes
--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -19,6 +19,8 @@
 METRICS_PORT = 19464
 # Logged by a program as soon as it can handle signals.
 STARTED_EVENT = b'"event": "started"'
+# As on the smallest hosts of the users; nothing here enforces it.
+MEMORY_MB = 300
 CONTROL_PORT, FRONT_PORT, READY_PORT = 18166, 18161, 18167
 
 
@@ -43,6 +45,7 @@
         "seed-nodes=" + ",".join(f"{core}:{CONTROL_PORT}" for core in cores),
         f"bootstrap={'true' if is_bootstrap else 'false'}",
         "limits.max-fds=1000",
+        f"limits.memory-mb={MEMORY_MB}",
         "bounds=hold-max-ms=4000,grace-s=6",
     ]
     if role == "edge":
