Take heads as large as the configuration allows

Cause: the limits of the HTTP parser are those of the other mode, whatever the configuration says, and its own limit on heads was decoded and never read.

Change: hosts in direct mode read heads of up to 256 KiB, and refuse what the configuration doesn't allow with 431. A head without an end is refused at that size too, so that it can't take more memory.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -43,6 +43,8 @@
 # Longest wait of a request for the first configuration, as a share of the caller's time
 # left. The rest is left for a caller retry at another host.
 CONFIGURATION_WAIT_SHARE = 0.4
+# Statuses of refusals that the caller can't mend by sending the same request again.
+CALLER_FAULTS = (400, 404, 413, 431)
 # Time that a caller is assumed to have left if its route is unknown.
 ASSUMED_TIME_LEFT_S = 1.0
 
@@ -137,6 +139,9 @@
     if route is None:
         return Refused(ResultCode.UNKNOWN_ROUTE, "no route matches")
     limits = host.configuration.limits
+    if _head_bytes(request) > limits.header_max_bytes:
+        detail = f"limit is {limits.header_max_bytes} bytes"
+        return Refused(ResultCode.HEADERS_TOO_LARGE, detail)
     body = b""
     if request.body_exists:
         read = await read_body(request, limits.body_max_bytes, held=held)
@@ -240,7 +245,15 @@
         return 504
     if not row.is_not_run:
         return 502
-    return row.http_status if row.http_status in (400, 404, 413) else 503
+    return row.http_status if row.http_status in CALLER_FAULTS else 503
+
+
+def _head_bytes(request: web.Request) -> int:
+    """Return the size of a head without what separates its parts."""
+    n_line_bytes = len(request.method) + len(request.raw_path)
+    return n_line_bytes + sum(
+        len(name) + len(value) for name, value in request.raw_headers
+    )
 
 
 def _elapsed_ms(began_ns: int) -> float:
--- a/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
@@ -42,6 +42,8 @@
     take_next,
 )
 
+HEAD_LINE_MAX_BYTES = 8190
+N_HEAD_LINES_MAX = 64
 HEADER_TIMEOUT_S = 5.0
 IDLE_TIMEOUT_S = 120.0
 REFUSED_LINGER_S = 0.5
@@ -51,11 +53,18 @@
 
 
 class EdgeLimits(NamedTuple):
-    """Limits of one HTTP edge, for connections and for their timeouts."""
+    """Limits of one HTTP edge: connections, their timeouts, and heads of requests.
+
+    ``head_max_bytes`` bounds a head that is still arriving, which the limits on a line
+    and on the number of lines leave larger.
+    """
 
     n_connections_max: int
     header_timeout_s: float = HEADER_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    head_line_max_bytes: int = HEAD_LINE_MAX_BYTES
+    n_head_lines_max: int = N_HEAD_LINES_MAX
+    head_max_bytes: int = HEAD_LINE_MAX_BYTES * N_HEAD_LINES_MAX
 
 
 class EdgeConnection(RequestHandler):
@@ -68,6 +77,7 @@
         "_is_lingering",
         "_last_data_ns",
         "_limits",
+        "_n_head_bytes",
         "_open_transport",
         "_pipeline",
     )
@@ -80,6 +90,7 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._pipeline = Pipeline()
         self._last_data_ns = 0
+        self._n_head_bytes = 0
         self._is_lingering = False
         self._closed = asyncio.Event()
 
@@ -115,9 +126,19 @@
         self._start_ahead()
         if self._request_count > n_requests:
             self._stop_header_timer()
-        elif self._header_timer is None and self._is_idle():
-            # The head has begun to arrive. An idle connection may wait longer, for
-            # ``idle_timeout_s``.
+            self._n_head_bytes = 0
+        elif self._is_idle():
+            self._await_head(len(data))
+
+    def _await_head(self, n_bytes: int) -> None:
+        """Bound a head that has begun to arrive, in time and in bytes.
+
+        An idle connection may wait longer, for ``idle_timeout_s``.
+        """
+        self._n_head_bytes += n_bytes
+        if self._n_head_bytes > self._limits.head_max_bytes:
+            self._refuse_head(ResultCode.HEADERS_TOO_LARGE, "the head is too large")
+        elif self._header_timer is None:
             self._header_timer = self._loop.call_later(
                 self._limits.header_timeout_s, self._on_header_timeout
             )
@@ -237,10 +258,12 @@
 
     def _on_header_timeout(self) -> None:
         self._header_timer = None
+        self._refuse_head(ResultCode.SENDER_TOO_SLOW, "the head came too slowly")
+
+    def _refuse_head(self, code: ResultCode, detail: str) -> None:
+        """Refuse a request whose head has not arrived, and close the connection."""
         if self.transport is not None and self._is_idle():
-            detail = "the head came too slowly"
-            refusal = Refused(ResultCode.SENDER_TOO_SLOW, detail)
-            self.transport.write(raw_refusal(refusal))
+            self.transport.write(raw_refusal(Refused(code, detail)))
             self.force_close()
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/edge_errors.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/edge_errors.py
@@ -12,9 +12,6 @@
 from .http_answers import outcome_headers, refusal_body, refusal_response
 from .logs import log_warning
 
-HEADER_LINE_MAX_BYTES = 8190
-N_HEADERS_MAX = 64
-
 
 def internal_error(error: BaseException) -> web.Response:
     """Return the response to an internal fault.
@@ -51,6 +48,6 @@
 def parser_refusal(error: BaseException | None) -> Refused:
     """Return the refusal of a request that the library could not parse."""
     if isinstance(error, LineTooLong) or "Too many" in str(error):
-        detail = f"limits: {HEADER_LINE_MAX_BYTES} bytes a line, {N_HEADERS_MAX} lines"
+        detail = "a line of the head is too long, or it has too many"
         return Refused(ResultCode.HEADERS_TOO_LARGE, detail)
     return Refused(ResultCode.BAD_REQUEST, "not HTTP/1.1")
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
@@ -24,6 +24,9 @@
 ReadSettings = Callable[[], FleetSettings | list[str]]
 
 LISTEN_BACKLOG = 1024
+# Largest head that a host in direct mode reads, whatever the configuration allows.
+HEAD_MAX_BYTES = 256 * 1024
+N_HEAD_LINES_MAX = 1024
 # The last connections are closed this long before the end of the grace period.
 STOP_RESERVE_S = 0.8
 # File descriptors reserved for peers, upstreams and files; the others are available
@@ -58,6 +61,19 @@
     return network
 
 
+def direct_limits(n_connections_max: int) -> EdgeLimits:
+    """Return the limits of an edge of a host in direct mode.
+
+    The configuration limits the heads of callers further, see `direct_request`.
+    """
+    return EdgeLimits(
+        n_connections_max,
+        head_line_max_bytes=HEAD_MAX_BYTES,
+        n_head_lines_max=N_HEAD_LINES_MAX,
+        head_max_bytes=HEAD_MAX_BYTES,
+    )
+
+
 async def listen(
     app: web.Application,
     address: str,
@@ -69,7 +85,7 @@
     ``is_stopping`` is that of `http_edge.edge_runner`.
     """
     n_connections_max = max(64, settings.n_descriptors_max - N_DESCRIPTORS_RESERVED)
-    limits = EdgeLimits(n_connections_max)
+    limits = direct_limits(n_connections_max)
     runner = edge_runner(app, limits, STOP_RESERVE_S, is_stopping)
     await runner.setup()
     ip, port = split_address(address)
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -14,7 +14,7 @@
 from bergamotferry.result_codes import ResultCode
 
 from .edge_connection import EdgeConnection, EdgeLimits, EdgeServer
-from .edge_errors import HEADER_LINE_MAX_BYTES, N_HEADERS_MAX, internal_error
+from .edge_errors import internal_error
 from .http_answers import refusal_response
 
 LINGERING_S = 2.0
@@ -60,9 +60,9 @@
         keepalive_timeout=limits.idle_timeout_s,
         lingering_time=LINGERING_S,
         auto_decompress=False,
-        max_line_size=HEADER_LINE_MAX_BYTES,
-        max_field_size=HEADER_LINE_MAX_BYTES,
-        max_headers=N_HEADERS_MAX,
+        max_line_size=limits.head_line_max_bytes,
+        max_field_size=limits.head_line_max_bytes,
+        max_headers=limits.n_head_lines_max,
     )
 
 
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -21,8 +21,12 @@
 from bergamotferry_host.direct_call import open_direct_session
 from bergamotferry_host.direct_host import DirectHost, Upstream
 from bergamotferry_host.direct_request import answer_request
-from bergamotferry_host.edge_connection import EdgeLimits
 from bergamotferry_host.fleet_settings import FleetSettings
+from bergamotferry_host.fleet_start import (
+    HEAD_MAX_BYTES,
+    N_HEAD_LINES_MAX,
+    direct_limits,
+)
 from bergamotferry_host.http_edge import edge_runner
 from bergamotferry_host.peer_link import PeerHandlers
 from bergamotferry_host.peer_network import PeerNetwork
@@ -129,7 +133,7 @@
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", on_request)
         self.runner = edge_runner(
-            app, EdgeLimits(50), 0.1, lambda: self.host.is_stopping
+            app, direct_limits(50), 0.1, lambda: self.host.is_stopping
         )
         self.url = await self.listen(self.runner)
         self.http = await self.stack.enter_async_context(aiohttp.ClientSession())
@@ -167,7 +171,14 @@
 
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", on_request)
-        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        # The upstream itself takes any head.
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+            max_field_size=HEAD_MAX_BYTES,
+            max_headers=N_HEAD_LINES_MAX,
+        )
         self.add_at(name, await self.listen(runner), data_centre)
 
     def add_at(self, name: str, address: str, data_centre="a") -> None:
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -445,3 +445,50 @@
 
     harness = run_with_harness(scenario)
     assert [request_id for _, request_id in harness.sends] == ["first", "later"]
+
+
+LONG_LINE = {"X-Long": "a" * 12_000}
+MANY_LINES = {f"X-{number}": "a" for number in range(200)}
+
+
+@pytest.mark.parametrize("headers", [LONG_LINE, MANY_LINES])
+def test_head_within_the_limit_of_the_configuration_is_passed_on_unchanged(headers):
+    """Guards against a 431 for a request that the configuration allows."""
+    received = {}
+
+    async def behaviour(request):
+        received.update(request.headers)
+        return await served(request)
+
+    async def scenario(harness):
+        harness.configure(route())
+        await harness.add("u1", behaviour)
+        answer, _ = await harness.send_request("/safe/1", **headers)
+        assert answer.status == 200
+
+    run_with_harness(scenario)
+    assert headers.items() <= received.items()
+
+
+def test_head_over_the_limit_of_the_configuration_is_refused():
+    async def scenario(harness):
+        harness.configure(route())
+        await harness.add("u1", served)
+        answer, text = await harness.send_request("/safe/1", **{"X-Long": "a" * 16_400})
+        assert answer.status == 431
+        assert "HEADERS_TOO_LARGE" in text
+
+    assert run_with_harness(scenario).sends == []
+
+
+def test_head_without_an_end_is_refused_before_it_takes_more_memory():
+    async def scenario(harness):
+        ip, port = harness.url.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        line = b"X-Long: " + b"a" * 16_000 + b"\r\n"
+        writer.write(b"GET / HTTP/1.1\r\n" + line * 20)
+        answer = await asyncio.wait_for(reader.read(), 2)
+        assert answer.startswith(b"HTTP/1.1 431 ")
+        writer.close()
+
+    run_with_harness(scenario)
