Know the other control hosts from the first moment on

Cause: a control host listed the others only 0.2 s after its start. A leave that came before found nobody to ask, and was committed without an incarnation though others knew it, so that the next one under the name had to wait.

Change: the list is made before the first round of news.

--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -79,9 +79,10 @@
     """Send session changes and digests to other control hosts, until cancelled."""
     n_rounds = 0
     while True:
+        # At once, so that a leave that comes first finds whom to ask.
+        _add_control_hosts(host)
         await asyncio.sleep(SESSION_NEWS_INTERVAL_S)
         n_rounds += 1
-        _add_control_hosts(host)
         forward_key_work(host)
         expire_silent(host.sessions, now_ns())
         is_digest = n_rounds % N_ROUNDS_PER_DIGEST == 0
