Share the stand-in of the new tests, and skip work for polls without rows

Cause: two new test modules started their upstream by the same lines, and each poll of a follower collected the addresses of all upstreams, though almost none brings rows.

Change: serving and served_answer in platform_fleet; an early return; two comments.

--- a/packages/bergamotferry/src/bergamotferry/fleet_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_tables.py
@@ -44,7 +44,10 @@
 
 
 class Retired(NamedTuple):
-    """An incarnation of an upstream that has announced that it leaves."""
+    """An incarnation of an upstream that has announced that it leaves.
+
+    With `UNKNOWN_BORN_MS` of `fleet_commands` it is one that control did not know.
+    """
 
     name: str
     born_ms: int
@@ -96,8 +99,7 @@
 
 def find_retired(tables: FleetTables, name: str, born_ms: int) -> Retired | None:
     """Return the record that an incarnation leaves, or None if there is none."""
-    retired = tables.retired.get(_incarnation_key(name, born_ms))
-    return retired
+    return tables.retired.get(_incarnation_key(name, born_ms))
 
 
 def retired_after(tables: FleetTables, revision: int) -> tuple[Retired, ...]:
--- a/packages/bergamotferry/src/bergamotferry/upstream_sessions.py
+++ b/packages/bergamotferry/src/bergamotferry/upstream_sessions.py
@@ -146,7 +146,7 @@
 
 
 def apply_retired(sessions: Sessions, tables: FleetTables, now_ns: int) -> None:
-    """Set the phase of all incarnations that leave according to the log."""
+    """Set the phase of all incarnations that leave, or may have left, by the log."""
     for record in retired_after(tables, sessions.revision):
         if record.born_ms == UNKNOWN_BORN_MS:
             sessions.unnamed_leave_ns[record.name] = now_ns
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -175,6 +175,8 @@
     If they have ended, they become lost by their silence. Until then followers keep
     what they had before.
     """
+    if not rows:
+        return
     addresses = {session.row.address for session in host.sessions.rows.values()}
     for row in rows:
         if row.address in addresses and row.name not in host.sessions.rows:
@@ -183,8 +185,7 @@
         if record_row(host.sessions, host.tables, row, now_ns()):
             host.changed_rows[row.name] = host.sessions.rows[row.name].row
             log("upstream known from a follower", upstream=row.name)
-    if rows:
-        wake_followers(host)
+    wake_followers(host)
 
 
 def _has_changes(host: ControlHost, message: FollowFleet) -> bool:
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_leaves.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_leaves.py
@@ -17,6 +17,8 @@
     not_run_answer,
     route,
     send_http_request,
+    served_answer,
+    serving,
 )
 
 CORES = [f"127.13.{number}.1" for number in (1, 2, 3)]
@@ -41,20 +43,10 @@
         if request.headers.get("X-Expected-Instance") != UPSTREAM:
             return not_run_answer(request)
         runs_s.append(asyncio.get_running_loop().time())
-        request_id = request.headers["X-Request-Id"]
-        headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
-        return web.Response(headers=headers)
-
-    app = web.Application()
-    app.router.add_route("*", "/{path:.*}", on_request)
-    runner = web.AppRunner(app, shutdown_timeout=0.1)
-    await runner.setup()
-    ip, port = UPSTREAM_ADDRESS.split(":")
-    await web.TCPSite(runner, ip, int(port), reuse_address=True).start()
-    try:
+        return served_answer(request)
+
+    async with serving(UPSTREAM_ADDRESS, on_request):
         yield runs_s
-    finally:
-        await runner.cleanup()
 
 
 async def resend_until_200(http, method, path, hosts, **options):
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_uploads.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_uploads.py
@@ -18,6 +18,8 @@
     not_run_answer,
     route,
     send_http_request,
+    served_answer,
+    serving,
 )
 
 CORE, EDGE = "127.14.1.1", "127.14.1.9"
@@ -45,20 +47,10 @@
             size += len(part)
         if size > SMALL_BYTES:
             sizes.append(size)
-        request_id = request.headers["X-Request-Id"]
-        headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
-        return web.Response(headers=headers)
-
-    app = web.Application(client_max_size=2 * UPLOAD_BYTES)
-    app.router.add_route("*", "/{path:.*}", on_request)
-    runner = web.AppRunner(app, shutdown_timeout=0.1)
-    await runner.setup()
-    ip, port = UPSTREAM_ADDRESS.split(":")
-    await web.TCPSite(runner, ip, int(port), reuse_address=True).start()
-    try:
+        return served_answer(request)
+
+    async with serving(UPSTREAM_ADDRESS, on_request):
         yield sizes
-    finally:
-        await runner.cleanup()
 
 
 def peak_memory_mb(process_id: int) -> float:
--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
 import sys
 from asyncio.subprocess import Process
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
@@ -218,6 +220,32 @@
     return int(json.loads(body)["version"], 16)
 
 
+@contextlib.asynccontextmanager
+async def serving(
+    address: str, on_request: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> AsyncIterator[None]:
+    """Serve an upstream whose requests are handled by a function; it takes any body."""
+    app = web.Application(client_max_size=0)
+    app.router.add_route("*", "/{path:.*}", on_request)
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    ip, port = address.split(":")
+    await web.TCPSite(runner, ip, int(port), reuse_address=True).start()
+    try:
+        yield
+    finally:
+        await runner.cleanup()
+
+
+def served_answer(request: web.Request) -> web.Response:
+    """Return the answer of an upstream that has run a request."""
+    headers = {
+        "X-Request-Id": request.headers["X-Request-Id"],
+        "X-Response-Seal": "s",
+    }
+    return web.Response(headers=headers)
+
+
 def not_run_answer(request: web.Request) -> web.Response:
     """Return the answer of an upstream that must not run a request."""
     request_id = request.headers.get("X-Request-Id", "")
