Take the rest of a refused body for no head

Clients could get two answers to one request: the 503 that refuses a large body, and a 431 for what still arrived of it.

Cause: an idle connection was taken to receive a head, though the body of a request that was refused before it was read may still be arriving.

Change: a connection awaits a head only once the last body has arrived to its end.

Evidence: the new test is red without it for a body of 20 MB.

--- a/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
@@ -19,7 +19,7 @@
 from itertools import islice
 from typing import Any, NamedTuple, cast
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage, StreamWriter
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_server import Server
@@ -71,6 +71,7 @@
     """One connection, which is refused at once if the limit is reached."""
 
     __slots__ = (
+        "_body",
         "_closed",
         "_edge",
         "_header_timer",
@@ -91,6 +92,7 @@
         self._pipeline = Pipeline()
         self._last_data_ns = 0
         self._n_head_bytes = 0
+        self._body: StreamReader | None = None
         self._is_lingering = False
         self._closed = asyncio.Event()
 
@@ -121,14 +123,15 @@
         if data:
             self._last_data_ns = now_ns()
         n_requests = self._request_count
+        n_head_bytes = len(data) if self._is_awaiting_head() else 0
         super().data_received(data)
         self._record_arrivals()
         self._start_ahead()
         if self._request_count > n_requests:
             self._stop_header_timer()
             self._n_head_bytes = 0
-        elif self._is_idle():
-            self._await_head(len(data))
+        elif self._is_awaiting_head():
+            self._await_head(n_head_bytes)
 
     def _await_head(self, n_bytes: int) -> None:
         """Bound a head that has begun to arrive, in time and in bytes.
@@ -147,6 +150,7 @@
         self, request: web.BaseRequest, start_time: float | None, request_handler: Any
     ) -> tuple[web.StreamResponse, bool]:
         self._record_arrivals()
+        self._body = request.content
         waiting = take_next(self._pipeline, request)
         task = waiting.task
         if task is None:
@@ -251,6 +255,13 @@
     def _is_idle(self) -> bool:
         return not self._messages and self._current_request is None
 
+    def _is_awaiting_head(self) -> bool:
+        """Return whether what arrives next belongs to a head.
+
+        The body of a request that was refused may still be arriving.
+        """
+        return self._is_idle() and (self._body is None or self._body.is_eof())
+
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
@@ -262,7 +273,7 @@
 
     def _refuse_head(self, code: ResultCode, detail: str) -> None:
         """Refuse a request whose head has not arrived, and close the connection."""
-        if self.transport is not None and self._is_idle():
+        if self.transport is not None and self._is_awaiting_head():
             self.transport.write(raw_refusal(Refused(code, detail)))
             self.force_close()
 
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -492,3 +492,36 @@
         writer.close()
 
     run_with_harness(scenario)
+
+
+@pytest.mark.parametrize("n_bytes", [300_000, 20_000_000])
+def test_refused_body_that_goes_on_arriving_gets_one_answer_only(n_bytes):
+    """The rest of such a body is not taken for the head of a next request."""
+
+    async def scenario(harness):
+        harness.configure(route())
+        harness.host.body_room.max_bytes = 1000
+        ip, port = harness.url.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = f"POST /safe/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: {n_bytes}"
+        writer.write(f"{head}\r\n\r\n".encode())
+        answer = bytearray()
+
+        async def read_all():
+            while part := await reader.read(65_536):
+                answer.extend(part)
+
+        reading = asyncio.create_task(read_all())
+        with contextlib.suppress(ConnectionError):
+            for _ in range(0, n_bytes, 50_000):
+                writer.write(b"b" * 50_000)
+                await writer.drain()
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(0.3)
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert answer.count(b"HTTP/1.1 ") == 1
+
+    run_with_harness(scenario)
