Write each answer in the turn of its request

Cause: on a connection with requests sent ahead, whether an answer may be written before its turn was decided by the usual size of the route's answers, and whether it is streamed by the size of this answer. A large answer of a route with small ones went out before its turn, or into the middle of an earlier answer. Other writers had no turn either: a held large answer, "100 Continue" for a request without a body, a hedge of a route whose answers had become large since the first send, and the break-off of an answer, whose reset discarded earlier answers that were on their way.

Change: begin_answer, the one place that writes a head, waits for the turn and refuses a second answer; an answer is not streamed before its turn, and 64 KiB of it at most are held until then. A request waits for its turn before it takes the link's turn. Whether a hedge is possible is decided once a placement. An answer that breaks off closes its connection after what was written before. The upstreams of the soak send answers of one route in two sizes, and two callers send ahead.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
@@ -4,14 +4,18 @@
 outbound direction one after the other. A streamed answer uses both at once.
 
 Once the head is sent, no other answer can follow. If the download breaks off after
-that, the request is not retried. The caller's connection is aborted, so that the caller
+that, the request is not retried. The caller's connection is closed, so that the caller
 does not take a truncated answer for a complete one. Therefore only answers of a known
 length that are large for the link are streamed. All others are held until they are
 complete, and can be replaced if the download breaks off.
+
+An answer is written only in the turn of its request (`pipelining`). Before its turn it
+is held, and no more of it is received than `HELD_AHEAD_MAX_BYTES`: what a request that
+waits for its turn may hold.
 """
 
 import asyncio
-from collections.abc import AsyncIterable, Callable
+from collections.abc import AsyncIterable, AsyncIterator, Callable
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -21,6 +25,15 @@
 
 from .bounded_answer import ANSWER_MAX_BYTES
 from .clock import now_ns
+from .pipelining import has_turn, wait_for_turn
+
+# Most requests are answered before their turn on 256 connections at once, which then
+# hold 16 MiB.
+HELD_AHEAD_MAX_BYTES = 64 * 1024
+
+
+class AnswerBegunError(RuntimeError):
+    """An answer was to be written to a connection after another one had begun."""
 
 
 class CallerLeftError(ConnectionError):
@@ -51,7 +64,8 @@
 def may_stream(answer: CallerAnswer, status: int, n_bytes: int | None) -> bool:
     """Return whether an answer is streamed before it is complete.
 
-    Answers that are large for the link are, and those that are too large to hold.
+    In the turn of their request, answers that are large for the link are, and those
+    that are too large to hold.
 
     Parameters
     ----------
@@ -63,11 +77,28 @@
         The length of the body in bytes, None if unknown.
     """
     is_success = 200 <= status < 300
-    if not is_success or n_bytes is None:
+    if not is_success or n_bytes is None or not has_turn(answer.request):
         return False
     return n_bytes > ANSWER_MAX_BYTES or is_large(answer.link, n_bytes)
 
 
+async def wait_to_receive(answer: CallerAnswer, n_bytes: int | None) -> None:
+    """Wait for the turn of an answer that is too large to be held until then."""
+    if (n_bytes or 0) > HELD_AHEAD_MAX_BYTES:
+        await wait_for_turn(answer.request)
+
+
+async def hold_parts(
+    answer: CallerAnswer, parts: AsyncIterable[bytes]
+) -> AsyncIterator[bytes]:
+    """Yield the parts of an answer that is held; wait for its turn if it is large."""
+    n_bytes = 0
+    async for part in parts:
+        yield part
+        n_bytes += len(part)
+        await wait_to_receive(answer, n_bytes)
+
+
 async def stream_answer(
     answer: CallerAnswer,
     status: int,
@@ -91,13 +122,20 @@
 async def begin_answer(
     answer: CallerAnswer, status: int, headers: CIMultiDict[str] | None, n_bytes: int
 ) -> None:
-    """Send the head of an answer whose body has ``n_bytes``.
+    """Send the head of an answer whose body has ``n_bytes``, in its request's turn.
+
+    Every answer that is not returned to the HTTP library begins here.
 
     Raises
     ------
     CallerLeftError
         If the caller left.
+    AnswerBegunError
+        If another answer to the request has begun.
     """
+    await wait_for_turn(answer.request)
+    if answer.has_begun:
+        raise AnswerBegunError
     response = web.StreamResponse(status=status, headers=headers)
     response.content_length = n_bytes
     if answer.is_stopping():
@@ -146,12 +184,16 @@
     return response
 
 
-def abort_answer(answer: CallerAnswer) -> web.StreamResponse:
-    """Abort the connection of an incomplete answer; return its response."""
+def break_off_answer(answer: CallerAnswer) -> web.StreamResponse:
+    """Close the connection of an incomplete answer; return its response.
+
+    What was written before is still sent: a reset would discard earlier answers that
+    are on their way. The length in its head shows that the answer is incomplete.
+    """
     response = _started_response(answer)
     response.force_close()
     if answer.request.transport is not None:
-        answer.request.transport.abort()
+        answer.request.transport.close()
     return response
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/bounded_answer.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/bounded_answer.py
@@ -5,6 +5,8 @@
 is exceeded, since what would follow on it belongs to no answer.
 """
 
+from collections.abc import AsyncIterable
+
 import aiohttp
 
 # Longest answer that is held in memory as a whole; a longer one must be streamed.
@@ -17,8 +19,12 @@
     """The body of an answer exceeds the limit, and its connection was closed."""
 
 
-async def read_whole(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Read the whole body of an answer.
+async def read_whole(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    parts: AsyncIterable[bytes] | None = None,
+) -> bytes:
+    """Read the whole body of an answer, or the ``parts`` of it.
 
     Raises
     ------
@@ -27,14 +33,14 @@
     """
     if response.method != "HEAD" and (response.content_length or 0) > max_bytes:
         raise _close_too_large(response, max_bytes)
-    parts: list[bytes] = []
+    received: list[bytes] = []
     n_bytes = 0
-    async for part in response.content.iter_any():
-        parts.append(part)
+    async for part in parts or response.content.iter_any():
+        received.append(part)
         n_bytes += len(part)
         if n_bytes > max_bytes:
             raise _close_too_large(response, max_bytes)
-    return b"".join(parts)
+    return b"".join(received)
 
 
 def _close_too_large(
--- a/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/caller_edge.py
@@ -243,9 +243,9 @@
         return refusal_response(outcome, request_id)
     response = sink.target.response  # type: ignore[attr-defined]
     if isinstance(outcome, Refused) and request.transport is not None:
-        # The head has been sent: only an aborted connection informs the caller that
-        # the answer is incomplete.
-        request.transport.abort()
+        # The head has been sent: only a closed connection informs the caller that the
+        # answer is incomplete. Earlier answers that are on their way arrive before.
+        request.transport.close()
     return response  # type: ignore[no-any-return]
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -7,10 +7,10 @@
 """
 
 import errno
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterable, AsyncIterator, Mapping
 from dataclasses import dataclass
 from types import SimpleNamespace
-from typing import Literal, NamedTuple
+from typing import Literal, NamedTuple, cast
 
 import aiohttp
 from multidict import CIMultiDict, MultiMapping
@@ -28,8 +28,10 @@
 from .answer_streaming import (
     CallerAnswer,
     CallerLeftError,
+    hold_parts,
     may_stream,
     stream_answer,
+    wait_to_receive,
 )
 from .bounded_answer import (
     ANSWER_MAX_BYTES,
@@ -78,8 +80,9 @@
 class DirectSend(NamedTuple):
     """A request as it is sent to one upstream.
 
-    A large answer is streamed to ``caller``; if ``caller`` is None, the answer is
-    buffered until it is complete. A buffered answer has ``answer_max_bytes`` at most.
+    A large answer is streamed to ``caller``. If ``caller`` is None, or a hedge makes a
+    second answer possible, the answer is buffered until it is complete. A buffered
+    answer has ``answer_max_bytes`` at most.
     """
 
     method: str
@@ -92,6 +95,7 @@
     time_left_ms: float
     distance: Distance = "here"
     caller: CallerAnswer | None = None
+    may_be_hedged: bool = False
     answer_max_bytes: int = ANSWER_MAX_BYTES
 
 
@@ -282,20 +286,30 @@
         cold_left_ms=parse_cold_left_ms(headers.get(header_names.cold_left_ms, "")),
         head_ns=now_ns(),
     )
-    caller = send.caller
     n_bytes = response.content_length if response.method != "HEAD" else 0
-    if caller is not None and may_stream(caller, response.status, n_bytes):
+    parts: AsyncIterable[bytes] = response.content.iter_any()
+    if await is_streamed(send, outcome.status, n_bytes):
+        caller = cast(CallerAnswer, send.caller)
         outcome.n_bytes = n_bytes or 0
-        parts = response.content.iter_any()
         await stream_answer(
             caller, outcome.status, outcome.headers, outcome.n_bytes, parts
         )
-    else:
-        outcome.body = await read_whole(response, send.answer_max_bytes)
-        outcome.n_bytes = len(outcome.body)
+        return outcome
+    if send.caller is not None:
+        parts = hold_parts(send.caller, parts)
+    outcome.body = await read_whole(response, send.answer_max_bytes, parts)
+    outcome.n_bytes = len(outcome.body)
     return outcome
 
 
+async def is_streamed(send: DirectSend, status: int, n_bytes: int | None) -> bool:
+    """Return whether an answer is streamed, once its size allows to receive it."""
+    if send.caller is None:
+        return False
+    await wait_to_receive(send.caller, n_bytes)
+    return not send.may_be_hedged and may_stream(send.caller, status, n_bytes)
+
+
 def _is_answer_to(
     send: DirectSend, headers: MultiMapping[str], header_names: DirectHeaders
 ) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -19,7 +19,7 @@
 
 from .answer_framing import HOP_HEADERS
 from .answer_sending import send_answer
-from .answer_streaming import CallerAnswer, CallerLeftError, abort_answer
+from .answer_streaming import CallerAnswer, CallerLeftError, break_off_answer
 from .body_room import HeldBody, give_back
 from .clock import now_ns
 from .direct_candidates import pause_left_ms
@@ -33,9 +33,8 @@
 )
 from .direct_sending import serve_request
 from .http_body import read_body
-from .link_turns import has_large_answer
 from .logs import log_routine
-from .pipelining import arrived_ns, has_begun_behind, wait_for_turn
+from .pipelining import arrived_ns, has_begun_behind, hold_until_turn
 from .request_state import DirectRequest
 
 # A host that has no configuration this long after its start counts as cut off from the
@@ -61,10 +60,9 @@
         accepted = await _accept(host, request, began_ns, held)
         if isinstance(accepted, Refused):
             return _refusal_response(host, request, accepted, began_ns, None)
-        if not accepted.route.is_idempotent or has_large_answer(host, accepted):
-            # It must not be sent if an earlier answer closes the connection, or it
-            # writes its answer to the connection as it arrives.
-            await wait_for_turn(request)
+        if not accepted.route.is_idempotent:
+            # It must not be sent if an earlier answer closes the connection.
+            await hold_until_turn(request)
         caller = CallerAnswer(
             host.link,
             request,
@@ -98,7 +96,7 @@
         return await send_answer(caller, outcome)
     except CallerLeftError as error:
         log_routine("caller left", request_id=accepted.request_id, why=str(error))
-        return abort_answer(caller)
+        return break_off_answer(caller)
 
 
 def _respond_refused(
@@ -107,7 +105,7 @@
     caller: CallerAnswer,
     outcome: Refused,
 ) -> web.StreamResponse:
-    """Return a refusal, or abort the connection if an answer's head was sent."""
+    """Return a refusal, or close the connection if an answer's head was sent."""
     if not caller.has_begun:
         return _refusal_response(
             host, caller.request, outcome, accepted.began_ns, accepted
@@ -123,7 +121,7 @@
         n_left=caller.n_left,
         took_ms=round(took_ms, 1),
     )
-    return abort_answer(caller)
+    return break_off_answer(caller)
 
 
 async def _accept(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -147,16 +147,18 @@
     reservation: Reservation,
 ) -> SendOutcome:
     """Send to an upstream, and to a second one if the first takes too long."""
-    first = _start_send(host, http, request, reservation)
+    # Decided once: an answer is only streamed if no other send may answer.
+    may_hedge = _may_hedge(host, request)
+    first = _start_send(host, http, request, reservation, may_hedge)
     sends = {first}
     try:
-        if not _may_hedge(host, request):
+        if not may_hedge:
             await asyncio.wait(sends)
             return first.result()
         second = await _wait_for_hedge(host, http, request, first, reservation)
         if second is not None:
             host.metrics.n_hedges += 1
-            sends.add(_start_send(host, http, request, second))
+            sends.add(_start_send(host, http, request, second, may_hedge))
         return await _first_success(request, sends)
     finally:
         for send in sends:
@@ -214,9 +216,10 @@
     http: aiohttp.ClientSession,
     request: DirectRequest,
     reservation: Reservation,
+    may_hedge: bool,
 ) -> "asyncio.Task[SendOutcome]":
     """Start a task that sends the request, and frees the reservation when it ends."""
-    task = asyncio.create_task(_send(host, http, request, reservation))
+    task = asyncio.create_task(_send(host, http, request, reservation, may_hedge))
     task.add_done_callback(
         lambda _: record_ended(reservation.upstream.load, reservation.due_ns)
     )
@@ -243,6 +246,7 @@
     http: aiohttp.ClientSession,
     request: DirectRequest,
     reservation: Reservation,
+    may_hedge: bool,
 ) -> SendOutcome:
     sent_ns = now_ns()
     upstream = reservation.upstream
@@ -256,7 +260,7 @@
     known = ends_known_of(host, request)
     outcome: SendOutcome | None = None
     try:
-        outcome = await _send_once(host, http, request, upstream)
+        outcome = await _send_once(host, http, request, upstream, may_hedge)
         if outcome.report is not None:
             # The upstream no longer runs the request whose answer carries the report.
             reported_ns = outcome.head_ns or now_ns()
@@ -305,6 +309,7 @@
     http: aiohttp.ClientSession,
     request: DirectRequest,
     upstream: Upstream,
+    may_hedge: bool,
 ) -> SendOutcome:
     """Send to an upstream, through a control host if the answer is large."""
     send = DirectSend(
@@ -317,8 +322,8 @@
         request.body,
         time_to_answer_ms(host, request),
         distance_of(host.settings, upstream.row.data_centre),
-        # With a hedge the first good answer wins, so both answers are buffered.
-        None if _may_hedge(host, request) else request.caller,
+        request.caller,
+        may_hedge,
     )
     control_host = fetching_host_for(host)
     if control_host and _may_fetch(host, request):
--- a/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
@@ -20,7 +20,7 @@
     FetchRefused,
 )
 
-from .answer_streaming import may_stream, stream_answer
+from .answer_streaming import CallerAnswer, hold_parts, stream_answer
 from .clock import now_ns
 from .codec import encodable_text
 from .direct_call import (
@@ -28,6 +28,7 @@
     DirectSend,
     SendOutcome,
     SendResult,
+    is_streamed,
     notice_in,
 )
 from .direct_host import DirectHost
@@ -166,13 +167,15 @@
     stream: PeerStream, send: DirectSend, outcome: SendOutcome
 ) -> None:
     """Stream the body to the caller, or keep it whole if it may not be streamed."""
-    caller, n_bytes = send.caller, outcome.n_bytes
     if outcome.result != "answered":
         return
-    if caller is not None and may_stream(caller, outcome.status, n_bytes):
+    n_bytes = outcome.n_bytes
+    if await is_streamed(send, outcome.status, n_bytes):
+        caller = cast(CallerAnswer, send.caller)
         await stream_answer(caller, outcome.status, outcome.headers, n_bytes, stream)
     else:
-        outcome.body = b"".join([part async for part in stream])
+        parts = stream if send.caller is None else hold_parts(send.caller, stream)
+        outcome.body = b"".join([part async for part in parts])
 
 
 def _handle_refusal(host: DirectHost, control_host: str, head: object) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/link_turns.py
@@ -3,6 +3,9 @@
 `bergamotferry.answer_link` decides the order and the time of the turns. A request that
 is not expected to get a turn in time is refused at once, since the links of other hosts
 may be free.
+
+A request first waits for its turn on its caller's connection. If it took the link's
+turn before, the request that its connection answers next could wait for the same turn.
 """
 
 import asyncio
@@ -29,6 +32,7 @@
 from .clock import now_ns
 from .direct_host import DirectHost, work_time_of
 from .fetch_call import fetching_host_for
+from .pipelining import hold_until_turn
 from .request_state import DirectRequest, elapsed_ms
 
 # A chosen upstream may leave or become cold while its request waits for the
@@ -59,6 +63,8 @@
     if not has_large_answer(host, request):
         yield LinkTurn()
         return
+    if request.caller is not None:
+        await hold_until_turn(request.caller.request)
     work = work_time_of(host, request.route)
     host.link.is_rate_limited = bool(fetching_host_for(host))
     objective_ms = float(request.route.latency_objective_ms)
--- a/packages/bergamotferry_host/src/bergamotferry_host/pipelining.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/pipelining.py
@@ -6,8 +6,9 @@
 order. Two limits bound the answers that are held until their turn: a number for each
 connection, so that no caller gets more than its share, and one for the whole edge.
 
-A handler that may not act before its turn, because its request must not be repeated or
-because it writes to the connection itself, awaits `wait_for_turn` first.
+Only the request whose turn has come may write to the connection: a handler that writes
+by itself awaits `wait_for_turn` first. A request that must not be sent before its turn,
+because it must not be repeated or would hold others up, awaits `hold_until_turn`.
 """
 
 import asyncio
@@ -32,7 +33,7 @@
 
     ``turn`` is set once all requests before it on the connection are answered. ``task``
     is the handler, if it was started before the turn, and ``is_held`` whether the
-    handler waits for the turn.
+    handler sends nothing before the turn.
     """
 
     pipeline: "Pipeline"
@@ -64,14 +65,32 @@
     return waiting.arrived_ns if waiting is not None else now_ns()
 
 
-async def wait_for_turn(request: web.Request) -> None:
+def has_turn(request: web.BaseRequest) -> bool:
+    """Return whether all requests before this one on its connection are answered."""
+    waiting = request.get(_WAITING)
+    return waiting is None or waiting.turn.is_set()
+
+
+async def wait_for_turn(request: web.BaseRequest) -> None:
     """Wait until all requests before this one on its connection are answered."""
     waiting = request.get(_WAITING)
+    if waiting is not None:
+        await waiting.turn.wait()
+
+
+async def hold_until_turn(request: web.BaseRequest) -> None:
+    """Wait for the turn of a request that has not been sent to any upstream.
+
+    Meanwhile the connection may be closed under it, since the caller may repeat it.
+    """
+    waiting = request.get(_WAITING)
     if waiting is None:
         return
     waiting.is_held = True
-    await waiting.turn.wait()
-    waiting.is_held = False
+    try:
+        await waiting.turn.wait()
+    finally:
+        waiting.is_held = False
 
 
 def has_begun_behind(request: web.BaseRequest) -> bool:
@@ -116,8 +135,13 @@
 
 
 def is_safe(request: web.BaseRequest) -> bool:
-    """Return whether a request has a safe method and no body."""
-    return request.method in SAFE_METHODS and not request.body_exists
+    """Return whether a request has a safe method, no body, and expects no 100.
+
+    The library writes the interim answer to the connection as soon as it starts the
+    handler.
+    """
+    has_body = request.body_exists or "Expect" in request.headers
+    return request.method in SAFE_METHODS and not has_body
 
 
 def cancel_waiting(pipeline: Pipeline) -> int:
--- a/packages/bergamotferry_host/tests/test_caller_edge.py
+++ b/packages/bergamotferry_host/tests/test_caller_edge.py
@@ -5,14 +5,20 @@
 import io
 import json
 import logging
+import socket
 
 import pytest
+from aiohttp import web
 from pythonjsonlogger.json import JsonFormatter
 
 from bergamotferry.messages import ResponseHead
+from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 from bergamotferry_host import caller_body, caller_edge
+from bergamotferry_host.answer_sinks import CountingSink
+from bergamotferry_host.decision_log import RequestDecision
 from bergamotferry_host.edge_connection import EdgeLimits
+from bergamotferry_host.http_edge import edge_runner
 
 TOKEN = "token-of-a-caller"
 
@@ -434,3 +440,51 @@
 
     asyncio.run(leave_after_the_answer())
     assert logged == [expected]
+
+
+def test_answer_that_breaks_off_is_incomplete_and_leaves_earlier_answers_whole():
+    """Guards against a reset that discards an earlier answer on its way.
+
+    The answer that breaks off has no length, so that only its last chunk would make it
+    look complete.
+    """
+    # More than the socket buffers hold, and less than the host writes without a wait.
+    earlier = b"e" * 50_000
+
+    async def answer(request):
+        if request.path == "/earlier":
+            return web.Response(body=earlier)
+        sink = CountingSink(caller_edge._CallerSink(request, RequestDecision("r")))
+        await sink.head(ResponseHead(0, "", 200, (), "h1", 1, False))
+        await sink.data(b"b" * 1_000)
+        refusal = Refused(ResultCode.UPSTREAM_FAILED, "")
+        return await caller_edge._finish_response(request, "r", sink, refusal)
+
+    async def scenario():
+        app = web.Application()
+        app.router.add_get("/{name}", answer)
+        runner = edge_runner(app, EdgeLimits(50), 0.1)
+        await runner.setup()
+        listener, caller = socket.socket(), socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.setblocking(False)
+        await web.SockSite(runner, listener).start()
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, listener.getsockname())
+        for name in ("earlier", "broken"):
+            request = f"GET /{name} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+            await loop.sock_sendall(caller, request)
+        await asyncio.sleep(0.3)
+        received = b""
+        while part := await loop.sock_recv(caller, 65_536):
+            received += part
+        caller.close()
+        await runner.cleanup()
+        return received
+
+    received = asyncio.run(asyncio.wait_for(scenario(), 20))
+    first_body, _, rest = received.partition(b"\r\n\r\n")[2].partition(b"HTTP/1.1")
+    assert first_body == earlier
+    assert b"0\r\n\r\n" not in rest
--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -11,6 +11,7 @@
 often by a process of another name at the same address.
 
 Some answers are large for the hosts' links, and upstreams break off some of these.
+Some callers send requests ahead on a connection, whose answers are small or large.
 Some requests are for keys that upstreams hold, and a few of the keys are hot. At the
 end, `check_soak` checks what callers, upstreams and the operator observed. To run one
 seed by hand:
@@ -33,6 +34,7 @@
     send_http_request,
 )
 from platform_soak_callers import (
+    send_ahead,
     send_ending_requests,
     send_hot_key_requests,
     send_requests,
@@ -65,6 +67,7 @@
 # These callers send requests for the hot keys without a pause, so that the hot keys
 # overload a single holder on a slow machine too.
 N_HOT_KEY_CALLERS = 3
+N_AHEAD_CALLERS = 2
 # Time from one incarnation of an upstream to the next; 0 means that it is not replaced.
 REPLACE_INTERVALS_S = (0.0, 1.0, 2.0)
 # The runs of requests are counted this long after the last caller has ended, which is
@@ -130,6 +133,10 @@
                 group.create_task(send_hot_key_requests(soak, N_CALLERS + number))
                 for number in range(N_HOT_KEY_CALLERS)
             ]
+            callers += [
+                group.create_task(send_ahead(soak, number))
+                for number in range(N_AHEAD_CALLERS)
+            ]
             for upstream in soak.upstreams:
                 group.create_task(replace_often(soak, upstream))
             callers.append(group.create_task(send_ending_requests(soak)))
--- a/packages/bergamotferry_testkit/tests/platform_soak_callers.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_callers.py
@@ -7,9 +7,18 @@
 from types import SimpleNamespace
 
 import aiohttp
+from ahead_caller import NoAnswerError, read_answer, request_head
 from platform_fleet import FRONT_PORT, send_http_request
 from platform_soak_keys import draw_hot_key, draw_key
-from platform_soak_state import EDGES, KEYED_KINDS, KINDS, ONCE_KINDS, Call, Soak
+from platform_soak_state import (
+    AHEAD_KIND,
+    EDGES,
+    KEYED_KINDS,
+    KINDS,
+    ONCE_KINDS,
+    Call,
+    Soak,
+)
 
 # Share of each kind of `KINDS` in the requests of the callers that send all kinds.
 KIND_WEIGHTS = (0.25, 0.35, 0.1, 0.1, 0.2)
@@ -18,6 +27,9 @@
 # Each content that ends upstreams is sent this often, some 7 s in all.
 N_ENDING_REPEATS = 40
 ENDING_KINDS = ("safe", "unsafe", "keyed", "keyed-once")
+# Requests that are sent ahead on one connection.
+N_AHEAD = 5
+AHEAD_TIMEOUT_S = 4.0
 # Pause of a caller of hot keys after a request that was not served.
 NOT_SERVED_PAUSE_S = 0.05
 
@@ -90,6 +102,51 @@
             await asyncio.sleep(rng.uniform(0.05, 0.3))
 
 
+async def send_ahead(soak: Soak, number: int) -> None:
+    """Send several requests at once on each of many connections."""
+    rng = random.Random(f"ahead {number} {soak.rng.random()}")
+    for count in itertools.count():
+        if soak.is_finished:
+            return
+        edge = rng.choice(EDGES)
+        calls = [
+            Call(f"ahead-{number}-{count}-{n}", AHEAD_KIND, edge, time.monotonic())
+            for n in range(N_AHEAD)
+        ]
+        try:
+            reader, writer = await asyncio.open_connection(edge, FRONT_PORT)
+        except OSError:
+            await asyncio.sleep(NOT_SERVED_PAUSE_S)
+            continue
+        for call in calls:
+            writer.write(request_head(call.request_id, call.path, deadline_ms=2_000))
+        await _read_and_record(soak, reader, calls)
+        writer.transport.abort()
+        await asyncio.sleep(rng.uniform(0.005, 0.05))
+
+
+async def _read_and_record(
+    soak: Soak, reader: asyncio.StreamReader, calls: list[Call]
+) -> None:
+    """Read the answers of a connection, up to the first one that does not come.
+
+    The requests behind that one count as unread, and would be sent again.
+    """
+    for call in calls:
+        soak.calls.append(call)
+        try:
+            async with asyncio.timeout(AHEAD_TIMEOUT_S):
+                answer = await read_answer(reader)
+            call.status, call.body = answer.status, answer.body
+        except NoAnswerError:
+            call.is_unreadable = True
+        except (EOFError, OSError):
+            pass
+        call.ended_s = time.monotonic()
+        if call.status == 0:
+            return
+
+
 def _draw_method(rng: random.Random, kind: str) -> str:
     """Draw the method of a request; all downloads are one content with one method.
 
--- a/packages/bergamotferry_testkit/tests/platform_soak_check.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_check.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, defaultdict
 
-from platform_soak_state import APPLY_S, CORES, ONCE_KINDS, Call, Soak
+from platform_soak_state import APPLY_S, CORES, LARGE_KINDS, ONCE_KINDS, Call, Soak
 from platform_soak_upstream import Run, answer_body, is_ending
 
 # The effects of a hard fault may last for this long after it.
@@ -29,6 +29,8 @@
         if call.status == 200 and call.body != answer_body(call.path, call.request_id):
             body_summary = f"{len(call.body)} bytes, {call.body[:40]!r}"
             broken.append(f"{call.request_id} got {body_summary}")
+        if call.is_unreadable:
+            broken.append(f"{call.request_id} got bytes that are no answer")
         if call.status in (400, 401, 403, 404, 500):
             broken.append(f"{call.request_id} got {call.status}")
     broken += _check_reads(soak)
@@ -89,7 +91,7 @@
         cut_ids = [
             call.request_id
             for call in soak.calls
-            if (call.edge == ip or (ip in CORES and call.kind == "download"))
+            if (call.edge == ip or (ip in CORES and call.kind in LARGE_KINDS))
             and call.began_s < to_s
             and call.ended_s > from_s
             and call.status == 0
@@ -157,7 +159,7 @@
     """Return whether a download may have been cut between upstream and host."""
     is_broken = any(call.began_s <= at_s <= call.ended_s for at_s in soak.breaks)
     is_broken |= call.request_id in soak.broken_off
-    return call.kind == "download" and is_broken
+    return call.kind in LARGE_KINDS and is_broken
 
 
 def _is_cut_by_control_host(soak: Soak, call: Call) -> bool:
@@ -170,4 +172,4 @@
     is_lost = any(
         ip in CORES and since_s < at_s < call.ended_s for ip, at_s in soak.hard_faults
     )
-    return call.kind == "download" and is_lost
+    return call.kind in LARGE_KINDS and is_lost
--- a/packages/bergamotferry_testkit/tests/platform_soak_operator.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_operator.py
@@ -12,6 +12,7 @@
 )
 from platform_soak_keys import SERVICE
 from platform_soak_state import (
+    AHEAD_KIND,
     APPLY_S,
     CORES,
     KEYED_KINDS,
@@ -51,6 +52,7 @@
 async def apply_configuration(soak: Soak, version: int, n_routes: int = 1) -> None:
     """Send a configuration to random control hosts until one acknowledges it."""
     routes = [route(f"/{kind}/", kind) for kind in KINDS if kind not in KEYED_KINDS]
+    routes.append(route(f"/{AHEAD_KIND}/", "safe"))
     routes.append(route("/keyed/", "safe", SERVICE))
     routes.append(route("/keyed-once/", "unsafe", SERVICE))
     routes += [route(f"/v{version}-{number}/") for number in range(n_routes)]
--- a/packages/bergamotferry_testkit/tests/platform_soak_state.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_state.py
@@ -22,10 +22,14 @@
 KEYED_UPSTREAMS = [f"holder {number}" for number in range(N_KEYED_UPSTREAMS)]
 KINDS = ("safe", "unsafe", "download", "keyed", "keyed-once")
 KEYED_KINDS = ("keyed", "keyed-once")
+# Requests that are sent ahead on one connection; they are safe.
+AHEAD_KIND = "ahead"
+# Answers of these kinds may be large, and are then sent in parts.
+LARGE_KINDS = ("download", AHEAD_KIND)
 # Requests of these kinds may run once at most.
 ONCE_KINDS = ("unsafe", "keyed-once")
-# Rate of each entry host's link. Downloads are large for it and other answers are not.
-LINK_MBPS = 20.0
+# Rate of each entry host's link. Answers of over 40,000 bytes are large for it.
+LINK_MBPS = 8.0
 # Time after the acknowledgement of a configuration until all control hosts return it.
 APPLY_S = 2.0
 RECOVERY_TIMEOUT_S = 30.0
@@ -33,7 +37,10 @@
 
 @dataclass
 class Call:
-    """One request of a caller; ``status`` is 0 if no whole answer came."""
+    """One request of a caller; ``status`` is 0 if no whole answer came.
+
+    ``is_unreadable`` is set if bytes came in place of an answer.
+    """
 
     request_id: str
     kind: str
@@ -44,6 +51,7 @@
     body: bytes = b""
     content: str = "1"
     method: str = "POST"
+    is_unreadable: bool = False
 
     @property
     def path(self) -> str:
--- a/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import time
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -23,8 +24,12 @@
 PROXY_IP = f"{NETWORK}.4.1"
 # Name in the proxy of the hosts' end of each link; an upstream's end is its number.
 HOSTS = "hosts"
-# A download is sent in `N_PARTS` parts and takes 60 ms on a host's link of the soak.
+# A download is sent in `N_PARTS` parts and takes 150 ms on a host's link of the soak.
 DOWNLOAD_BYTES = 150_000
+# One of this many answers to requests that are sent ahead is large. It is smaller than
+# what a host holds of an answer before its turn.
+N_PER_LARGE_AHEAD = 6
+LARGE_AHEAD_BYTES = 60_000
 N_PARTS = 5
 # Share of the downloads that their upstream breaks off.
 BROKEN_OFF_SHARE = 0.05
@@ -38,9 +43,12 @@
 def answer_body(path: str, request_id: str) -> bytes:
     """Return the body of the whole answer to a request."""
     text = f"answer to {request_id}".encode()
-    if not path.startswith("/download/"):
-        return text
-    return text * (DOWNLOAD_BYTES // len(text))
+    if path.startswith("/download/"):
+        return text * (DOWNLOAD_BYTES // len(text))
+    is_large = zlib.crc32(request_id.encode()) % N_PER_LARGE_AHEAD == 0
+    if path.startswith("/ahead/") and is_large:
+        return text * (LARGE_AHEAD_BYTES // len(text))
+    return text
 
 
 class Run(NamedTuple):
@@ -222,7 +230,7 @@
             return failure
         headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
         body = answer_body(request.path, request_id)
-        if len(body) < DOWNLOAD_BYTES // 2:
+        if len(body) < LARGE_AHEAD_BYTES // 2:
             return web.Response(body=body, headers=headers)
         return await self._send_parts(request, headers, body)
 
