Take an answer whose status is none for no answer

Cause: the HTTP library accepts any three digits as a status, and each reader of an upstream's head took what it did not know for an answer. A caller got 000 as its answer, and with the not-run header a status that is none proved that a request had not run.

Change: all sessions for upstreams read heads as UpstreamResponse, which raises an error unless the status is from 200 to 599; a request that was sent may then have run. Heads that another host fetched or relayed are checked by the same function.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_framing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_framing.py
@@ -1,7 +1,9 @@
-"""Rules of HTTP framing for relayed answers: hop-by-hop headers and body length."""
+"""Rules of HTTP framing for relayed answers: status, hop-by-hop headers and length."""
 
 import aiohttp
 
+# Statuses below are interim ones, and those outside the range are none.
+FINAL_STATUS_MIN, FINAL_STATUS_MAX = 200, 599
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Headers that apply to one connection only, or are set anew on the next connection.
 HOP_HEADERS = frozenset(
@@ -18,6 +20,11 @@
 )
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status may be that of an answer."""
+    return FINAL_STATUS_MIN <= status <= FINAL_STATUS_MAX
+
+
 def has_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a truncated answer can be distinguished from a complete one.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
@@ -20,6 +20,7 @@
     FetchRefused,
 )
 
+from .answer_framing import is_final_status
 from .answer_streaming import CallerAnswer, hold_parts, stream_answer
 from .clock import now_ns
 from .codec import encodable_text
@@ -45,6 +46,7 @@
 N_CANDIDATES = 2
 # A larger request body costs a narrow link as much outbound as the fetch saves inbound.
 FETCH_REQUEST_BODY_MAX_BYTES = 16_384
+NO_STATUS = "the status of the answer is none"
 _SEND_RESULTS: tuple[str, ...] = get_args(SendResult)
 
 
@@ -99,6 +101,8 @@
             if not isinstance(head, FetchedHead) or head.result not in _SEND_RESULTS:
                 _handle_refusal(host, control_host, head)
                 return None
+            if head.result == "answered" and not is_final_status(head.status):
+                return SendOutcome("broken", NO_STATUS, through=control_host)
             outcome = _to_outcome(head, began_ns, control_host)
             outcome.notice = notice_in(
                 head.status, CIMultiDict(head.headers), host.settings.headers
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_calls.py
@@ -21,6 +21,7 @@
 from .bounded_answer import SHORT_BODY_MAX_BYTES, read_whole
 from .fleet_settings import DirectHeaders
 from .ready_connections import ReadyConnector
+from .upstream_connections import UpstreamResponse
 
 GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 3.0
@@ -62,6 +63,7 @@
     """Return an HTTP session whose connections are reset when they are closed."""
     return aiohttp.ClientSession(
         connector=ReadyConnector(limit=0, socket_factory=_create_resetting_socket),
+        response_class=UpstreamResponse,
         trace_configs=[_trace_headers_sent()],
     )
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -19,6 +19,7 @@
 from bergamotferry.retry_budget import RetryBudget, backoff_ms, earn_retry, spend_retry
 from bergamotferry.routing import find_owner, home_of_shard
 
+from .answer_framing import is_final_status
 from .answer_sinks import CountingSink, PeerSink, ResumedAnswerSink
 from .background import report_failure
 from .clock import now_ns
@@ -321,6 +322,8 @@
                     state.network.record_unreachable(host)
                 detail = response.dispatcher or response.detail
                 return Refused(ResultCode(response.code), detail)
+            if not is_final_status(response.status):
+                raise StreamBroken("the status of the answer is none")
             return await _relay_answer(stream, response, sink)
     except TimeoutError:
         return Refused(ResultCode.DEADLINE_EXPIRED_RUNNING, f"no answer from {host}")
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_connections.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_connections.py
@@ -1,4 +1,7 @@
-"""A connector whose connections carry each request id only once.
+"""Answers with a proper status, over connections that carry each request id only once.
+
+An answer whose status is none is no answer: every session for upstreams reads heads as
+an `UpstreamResponse`, which raises an error instead.
 
 An upstream may write an answer once more, and only its id tells to which request it
 belongs. On a connection that has carried an id twice, the answer to the first send
@@ -15,6 +18,8 @@
 
 from bergamotferry.fleet_metrics import MetricFamily, single_value_family
 
+from .answer_framing import is_final_status
+
 # Bounds the memory for the ids of one connection.
 N_IDS_MAX = 256
 
@@ -23,15 +28,31 @@
     """Bytes had arrived, or the end, on a new connection that had carried nothing."""
 
 
+class NoStatusError(aiohttp.ClientError):
+    """The head of an answer has a status that is none; its request may have run."""
+
+
 class UpstreamResponse(aiohttp.ClientResponse):
-    """An answer that knows its connection also after its body has been read."""
+    """An answer with a final status.
+
+    It knows its connection also after its body has been read.
+    """
 
     carrier: ResponseHandler | None = None
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
-        """Read the head of the answer from a connection."""
+        """Read the head of the answer from a connection.
+
+        Raises
+        ------
+        NoStatusError
+            If its status is not one of an answer.
+        """
         self.carrier = connection.protocol
-        return await super().start(connection)
+        response = await super().start(connection)
+        if not is_final_status(response.status):
+            raise NoStatusError(f"status {response.status:03}")
+        return response
 
 
 def close_connection(response: aiohttp.ClientResponse) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/write_guard.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/write_guard.py
@@ -14,6 +14,8 @@
 
 from bergamotferry.outcomes import Refused
 
+from .upstream_connections import UpstreamResponse
+
 WriteGuard = Callable[[], Refused | None]
 
 
@@ -35,6 +37,7 @@
     trace.on_request_headers_sent.append(_check_guard)
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        response_class=UpstreamResponse,
         auto_decompress=False,
         trace_configs=[trace],
     )
