--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -6,6 +6,7 @@
 from .followers import Follower
 from .key_load import KeyWork
 from .protection.crash_records import CrashRecord
+from .service_load.rows import ServiceLoad
 from .upstream_load import LoadReport
 from .upstream_sessions import Alive, SessionRow
 
@@ -50,7 +51,8 @@
     the ranges that changed since the follower's revision; each replaces all ranges that
     it overlaps. ``local_hosts`` are the hosts of the follower's data centre that take
     requests. ``retired`` is what the log records since the follower's revision of
-    upstreams that leave; the sender may know no row of them.
+    upstreams that leave; the sender may know no row of them. ``service_loads`` are the
+    loads of all services that the sender knows of.
     """
 
     source: str
@@ -66,6 +68,7 @@
     local_hosts: tuple[str, ...]
     n_hosts_all: int
     retired: tuple[Retired, ...] = ()
+    service_loads: tuple[ServiceLoad, ...] = ()
 
 
 class SessionNews(NamedTuple):
--- /dev/null
+++ b/packages/bergamotferry/src/bergamotferry/service_load/__init__.py
@@ -0,0 +1,1 @@
+"""The load of services, as hosts of a deployment in direct mode know it of each other."""
