--- a/packages/bergamotferry/src/bergamotferry/service_load/__init__.py
+++ b/packages/bergamotferry/src/bergamotferry/service_load/__init__.py
@@ -1,1 +1,1 @@
-"""The load of services, as hosts of a deployment in direct mode know it of each other."""
+"""The load of services, as hosts of a deployment in direct mode share it."""
--- a/packages/bergamotferry/src/bergamotferry/service_load/rows.py
+++ b/packages/bergamotferry/src/bergamotferry/service_load/rows.py
@@ -7,9 +7,9 @@
     """Load of a service in one data centre over the last report interval.
 
     ``n_slots`` is how many slots of usual speed the upstreams of the data centre have
-    together. ``offered_slots`` pairs each priority, the most urgent first, with the work
-    that arrived there, in slots that it keeps busy. ``age_ms`` is the age of the oldest
-    report in it.
+    together. ``offered_slots`` pairs each priority, the most urgent first, with the
+    work that arrived there, in slots that it keeps busy. ``age_ms`` is the age of the
+    oldest report in it.
     """
 
     service: str
