Follow the nearest control host again, and repeat lists of hosts rarely

Cause: when control hosts start or fail together, hosts follow whichever is current first, and stay with it. Control hosts of the own region were not preferred to others either. Most of a reply without news, some 460 bytes several times a second, were the names of the hosts of the data centre.

Change: control hosts are ordered by data centre and region, as the addresses of upstreams tell them. Once a nearer one was found current twice, 4 to 6 s apart, it is followed. Lists of hosts are sent when they change, and every 2 s.

Measured: the tests of failback and of the lists were red before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
@@ -33,7 +33,7 @@
     notice_in,
 )
 from .direct_host import DirectHost
-from .fleet_follower import nearest_first
+from .following.nearness import nearest_first
 from .logs import log_warning
 from .peer_link import PeerStream, PeerUnreachable, StreamBroken
 
@@ -58,7 +58,7 @@
     if host.link.bytes_per_ms == 0:
         return ""
     now = now_ns()
-    nearest = nearest_first(host.settings.name, host.control_hosts)[:N_CANDIDATES]
+    nearest = nearest_first(host, host.control_hosts)[:N_CANDIDATES]
     for name in nearest:
         if now >= host.fetch_pauses_ns.get(name, 0):
             return name
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -42,6 +42,7 @@
 from .data_folder import BOOTSTRAP_INCARNATION, DataFolder
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
+from .following.host_lists import SentLists
 from .group import Group, has_applied_own_term, wait_applied
 from .group_commit import commit
 from .group_start import recover_group
@@ -70,7 +71,8 @@
     that it has not yet forwarded to the leader. ``key_loads`` is the load that this
     host recorded as the leader. ``crashes`` are the records of requests that end
     upstreams. ``began_ns`` is when this process started, and ``suspension`` records
-    when it was last suspended.
+    when it was last suspended. ``sent_lists`` are the lists of hosts that each
+    follower was sent last.
     """
 
     settings: FleetSettings
@@ -93,6 +95,7 @@
     crashes: CrashExchange = field(default_factory=CrashExchange)
     began_ns: int = field(default_factory=now_ns)
     suspension: SuspensionWatch = field(default_factory=SuspensionWatch)
+    sent_lists: dict[str, SentLists] = field(default_factory=dict)
 
     @property
     def tables(self) -> FleetTables:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -44,6 +44,7 @@
     wait_for_change,
 )
 from .fleet_control import ControlHost, is_current, wake_followers
+from .following.host_lists import HostLists, lists_to_send
 from .key_reports import forward_key_work
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
@@ -206,6 +207,13 @@
     local_hosts = [
         row.host for row in followers if row.data_centre == message.data_centre
     ]
+    lists = lists_to_send(
+        host.sent_lists,
+        message.host,
+        HostLists(tuple(sorted(host.control_hosts)), tuple(local_hosts)),
+        is_same_source,
+        now_ns(),
+    )
     return FleetChanges(
         host.process_id,
         is_current(host),
@@ -216,8 +224,8 @@
         tables.configuration_source if is_newer else b"",
         tuple(sorted(tables.evacuated)),
         ranges_after(tables, message.revision) if has_new_tables else (),
-        tuple(sorted(host.control_hosts)),
-        tuple(local_hosts),
+        lists.control_hosts,
+        lists.local_hosts,
         len(followers),
         # A host that has just started knows no upstream that could have left.
         retired_after(tables, message.revision) if message.revision >= 0 else (),
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -1,5 +1,7 @@
 """Follows one control host, and fails over to another when that one is lost.
 
+If a nearer one serves again, it is followed instead (`following.failback`).
+
 The follower leaves a control host that does not answer, has no contact with its leader,
 or lags behind the revision known here. It then probes all control hosts concurrently:
 after a fault, most of the unreachable ones accept no connection, and sequential probes
@@ -8,8 +10,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Iterable
-from itertools import count, takewhile
+from itertools import count
 
 from bergamotferry.fleet_messages import (
     AskCurrent,
@@ -22,6 +23,8 @@
 from .clock import now_ns
 from .direct_host import DirectHost
 from .fleet_changes import apply_changes, rows_not_listed
+from .following.failback import wait_for_nearer
+from .following.nearness import nearest_first
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 
@@ -55,7 +58,7 @@
 
 async def find_current_control_host(host: DirectHost) -> str:
     """Return the first control host that a probe finds current, or an empty string."""
-    names = nearest_first(host.settings.name, host.control_hosts)
+    names = nearest_first(host, host.control_hosts)
     probes = {
         asyncio.create_task(_probe(host, name, number * PROBE_STAGGER_S))
         for number, name in enumerate(names)
@@ -72,23 +75,6 @@
     return ""
 
 
-def nearest_first(own_name: str, names: Iterable[str]) -> list[str]:
-    """Return names sorted by the length of the IP prefix shared with this host.
-
-    Hosts of one data centre share the leading parts of their IP numbers, so the hosts
-    with the longest shared prefix are the nearest. Duplicates are removed.
-    """
-    own = own_name.split(".")
-
-    def sort_key(name: str) -> tuple[int, str]:
-        shared = takewhile(
-            lambda pair: pair[0] == pair[1], zip(own, name.split("."), strict=False)
-        )
-        return -len(list(shared)), name
-
-    return sorted(set(names), key=sort_key)
-
-
 async def _probe(host: DirectHost, control_host: str, delay_s: float) -> str:
     """Return the control host's name if it is current and not lagging, else empty."""
     await asyncio.sleep(delay_s)
@@ -114,7 +100,8 @@
 
 async def _follow_until_lost(host: DirectHost, control_host: str) -> None:
     try:
-        await _follow(host, control_host)
+        if await _follow_until_nearer(host, control_host):
+            return
         reason = "it is not current"
     except PeerUnreachable as error:
         reason = str(error)
@@ -124,6 +111,27 @@
     log_warning("control host lost", peer=control_host, why=reason)
 
 
+async def _follow_until_nearer(host: DirectHost, control_host: str) -> bool:
+    """Follow a control host; return whether a nearer one is current instead."""
+
+    async def probe(name: str) -> bool:
+        return bool(await _probe(host, name, 0.0))
+
+    following = asyncio.create_task(_follow(host, control_host))
+    nearer = asyncio.create_task(wait_for_nearer(host, control_host, probe))
+    try:
+        await asyncio.wait({following, nearer}, return_when=asyncio.FIRST_COMPLETED)
+        if following.done():
+            following.result()
+            return False
+        log("nearer control host", peer=nearer.result(), before=control_host)
+        return True
+    finally:
+        following.cancel()
+        nearer.cancel()
+        await asyncio.gather(following, nearer, return_exceptions=True)
+
+
 async def _follow(host: DirectHost, control_host: str) -> None:
     """Poll one control host for changes while it is current and not lagging.
 
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/following/__init__.py
@@ -0,0 +1,1 @@
+"""Which control host a host follows, and what a follower is told repeatedly."""
--- a/packages/bergamotferry_host/tests/test_fleet_feed.py
+++ b/packages/bergamotferry_host/tests/test_fleet_feed.py
@@ -65,3 +65,22 @@
     reply = follow(host, "h2", (ROW, former_user, older))
     phases = [(row.name, row.born_ms, row.phase) for row in reply.sessions]
     assert phases == [("v", 5, "ready"), ("u", 5, "gone")]
+
+
+def test_reply_without_news_repeats_no_lists_to_a_follower_that_has_them():
+    """Guards against replies that are mostly names of hosts, several times a second."""
+
+    async def run():
+        host = control_host()
+        unknown = FollowFleet("h1", "a", "", 0, -1, 0, 0)
+        first = await answer_follow(host, unknown)
+        assert first.local_hosts == ("h1",)
+        known = unknown._replace(source="p", revision=first.revision)
+        reply = await answer_follow(host, known)
+        assert (reply.control_hosts, reply.local_hosts) == ((), ())
+        assert reply.n_hosts_all == 1
+        # A host that is new is told at once.
+        await answer_follow(host, unknown._replace(host="h2"))
+        assert (await answer_follow(host, known)).local_hosts == ("h1", "h2")
+
+    asyncio.run(run())
--- a/packages/bergamotferry_host/tests/test_fleet_follower.py
+++ b/packages/bergamotferry_host/tests/test_fleet_follower.py
@@ -17,6 +17,7 @@
 from bergamotferry_host.fleet_changes import apply_changes
 from bergamotferry_host.fleet_follower import find_current_control_host, run_follower
 from bergamotferry_host.fleet_settings import FleetSettings
+from bergamotferry_host.following import failback
 from bergamotferry_host.peer_link import PeerUnreachable
 
 OWN_HOST = "10.1.0.9"
@@ -31,6 +32,7 @@
         self.links = {}
         self.followed = []
         self.is_remote_2_followed = asyncio.Event()
+        self.is_near_followed = asyncio.Event()
 
     async def call(self, name, message, timeout_s):
         behaviour = self.behaviours[name]
@@ -47,6 +49,8 @@
         self.followed.append(name)
         if name == REMOTE_2:
             self.is_remote_2_followed.set()
+        if name == NEAR:
+            self.is_near_followed.set()
         await asyncio.sleep(message.wait_ms / 1000)
         return FleetChanges(
             name, is_current, 0, (), revision, 0, b"", (), (), (), (), 1
@@ -102,6 +106,46 @@
     assert failover_s < 1.0 + fleet_follower.FOLLOW_WAIT_MS / 1000 + 0.5
 
 
+def test_nearer_control_host_is_followed_again_once_it_has_proved_current(monkeypatch):
+    """Guards against hosts that follow a control host of another region for good."""
+    monkeypatch.setattr(failback, "PROBE_INTERVAL_S", 0.05)
+    host = host_of(**{NEAR: "unreachable", REMOTE_1: "current"})
+    row = SessionRow("u", 1, 1, "lamps", "10.1.64.5:1", "a", 2, "ready", 0)
+    apply_changes(host, changes_of("p", (row,)))
+
+    async def run():
+        follower = asyncio.create_task(run_follower(host))
+        await asyncio.sleep(0.3)
+        assert set(host.network.followed) == {REMOTE_1}
+        host.network.behaviours[NEAR] = "current"
+        async with asyncio.timeout(5):
+            await host.network.is_near_followed.wait()
+        n_before = len(host.network.followed)
+        await asyncio.sleep(0.3)
+        assert set(host.network.followed[n_before:]) == {NEAR}
+        follower.cancel()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("behaviour", ["not current", "lagging", "timeout"])
+def test_nearer_control_host_that_is_not_current_is_not_followed(
+    behaviour, monkeypatch
+):
+    monkeypatch.setattr(failback, "PROBE_INTERVAL_S", 0.05)
+    host = host_of(**{NEAR: behaviour, REMOTE_1: "current"})
+    row = SessionRow("u", 1, 1, "lamps", "10.1.64.5:1", "a", 2, "ready", 0)
+    apply_changes(host, changes_of("p", (row,)))
+
+    async def run():
+        follower = asyncio.create_task(run_follower(host))
+        await asyncio.sleep(0.6)
+        follower.cancel()
+
+    asyncio.run(run())
+    assert set(host.network.followed) == {REMOTE_1}
+
+
 class ScriptedControlHost:
     """A control host that lists given rows in its first replies, and then is silent."""
 
