Spread busy neighbouring keys over several upstreams at once

Cause: load of keys was counted by 64 keys, and a plan moved at most one part of a range, filled to the mean load.

Change: load is counted by 8 keys; reports of hosts of the version before are still understood, and theirs skip the new ones. A plan may take several parts of one range, which one command splits. A move may fill its target up to 0.4 of its slots even if the mean is lower, and keys move from 0.5 on instead of 0.55. Up to 8 moves run at once.

Two loads of tests were stated by bucket and are stated by key.

--- a/packages/bergamotferry/src/bergamotferry/key_balance.py
+++ b/packages/bergamotferry/src/bergamotferry/key_balance.py
@@ -22,7 +22,10 @@
 from .upstream_sessions import SessionRow
 
 # A holder below this utilization sheds almost no requests.
-BUSY_UTILIZATION_MIN = 0.55
+BUSY_UTILIZATION_MIN = 0.5
+# A move may fill its target, and leave its source, up to this utilization or the mean.
+# At a low mean the load of a few keys would otherwise move in too many small parts.
+RELIEVED_UTILIZATION = 0.4
 # Keys move once the utilization of their holder exceeds this multiple of the mean.
 BUSY_FACTOR = 1.3
 # A move that relieves its holder by a smaller share of the mean load is not worth the
@@ -31,7 +34,7 @@
 # Cost of moving all keys, as a share of the load of the service. A move of fewer keys
 # costs proportionally less.
 FULL_MOVE_COST_SHARE = 0.1
-N_MOVES_MAX = 4
+N_MOVES_MAX = 8
 # Each range costs a renewal every other second and an entry on every host.
 N_RANGES_MAX = 128
 # Idle neighbouring ranges are joined once a service has more ranges than this.
@@ -41,7 +44,10 @@
 
 
 class LoadMove(NamedTuple):
-    """Move of all keys of ``current``, or of a part of them, to ``next_holder``."""
+    """Move of all keys of ``current``, or of a part of them, to ``next_holder``.
+
+    Several moves of one plan may take different parts of the same range.
+    """
 
     current: KeyRange
     first_key: int
@@ -64,13 +70,24 @@
     upper: KeyRange
 
 
+class _Part(NamedTuple):
+    """Keys of a range that no move of the plan has taken so far."""
+
+    current: KeyRange
+    first_key: int
+    last_key: int
+
+
 @dataclass(slots=True)
 class _Holder:
-    """An upstream, the ranges it holds, and the number of slots they keep busy."""
+    """An upstream, the ranges it holds, and the number of slots they keep busy.
+
+    ``parts`` are what remains of the ranges.
+    """
 
     session: SessionRow
     slots: float
-    ranges: list[KeyRange]
+    parts: list[_Part]
 
     @property
     def utilization(self) -> float:
@@ -78,7 +95,7 @@
 
 
 class _Candidate(NamedTuple):
-    current: KeyRange
+    part: _Part
     first_key: int
     last_key: int
     slots: float
@@ -112,7 +129,7 @@
     holders = _holders(all_ranges, busy_slots, upstreams)
     n_slots = sum(max(1, holder.session.n_slots) for holder in holders)
     mean_utilization = sum(holder.slots for holder in holders) / max(1, n_slots)
-    may_split = len(all_ranges) + 2 <= N_RANGES_MAX
+    n_ranges = len(all_ranges)
     moves: list[LoadMove] = []
     exhausted: set[str] = set()
     while len(moves) < N_MOVES_MAX:
@@ -126,10 +143,9 @@
         ):
             break
         movable = [
-            key_range
-            for key_range in source.ranges
-            if key_range.first_key not in moving
+            part for part in source.parts if part.current.first_key not in moving
         ]
+        may_split = n_ranges + 2 <= N_RANGES_MAX
         candidate = _best_candidate(
             movable, busy_slots, source, target, mean_utilization, may_split
         )
@@ -137,11 +153,11 @@
             exhausted.add(source.session.name)
             continue
         source.slots -= candidate.slots
-        source.ranges.remove(candidate.current)
         target.slots += candidate.slots
+        n_ranges += _take_part(source, candidate)
         moves.append(
             LoadMove(
-                candidate.current,
+                candidate.part.current,
                 candidate.first_key,
                 candidate.last_key,
                 target.session,
@@ -150,6 +166,22 @@
     return moves
 
 
+def _take_part(source: _Holder, candidate: _Candidate) -> int:
+    """Take the keys of a candidate from their holder; return how many splits it needs.
+
+    What is left on either side may move as well, in the same plan.
+    """
+    current, first_key, last_key = candidate.part
+    source.parts.remove(candidate.part)
+    left = [
+        _Part(current, first_key, candidate.first_key - 1),
+        _Part(current, candidate.last_key + 1, last_key),
+    ]
+    kept = [part for part in left if part.first_key <= part.last_key]
+    source.parts += kept
+    return len(kept)
+
+
 def plan_joins(
     ranges: Iterable[KeyRange], busy_slots: Mapping[int, float]
 ) -> list[RangePair]:
@@ -190,7 +222,8 @@
         holder = holders.get(key_range.upstream)
         if holder is not None and holder.session.born_ms == key_range.born_ms:
             holder.slots += busy_slots_of(key_range, busy_slots)
-            holder.ranges.append(key_range)
+            part = _Part(key_range, key_range.first_key, key_range.last_key)
+            holder.parts.append(part)
     return list(holders.values())
 
 
@@ -201,7 +234,7 @@
 
 
 def _best_candidate(
-    ranges: list[KeyRange],
+    parts: list[_Part],
     busy_slots: Mapping[int, float],
     source: _Holder,
     target: _Holder,
@@ -210,17 +243,18 @@
 ) -> _Candidate | None:
     """Return the candidate with the highest net gain, or None if no move is worth it.
 
-    A move leaves the target no busier than the mean, and the source no less busy than
-    the mean. A single bucket, or a range that may not be split, may exceed this limit
-    if the move relieves the busier of the two upstreams enough.
+    A move leaves the target no busier than a relieved upstream, and the source no less
+    busy. A single bucket, or a range that may not be split, may exceed this limit if
+    the move relieves the busier of the two upstreams enough.
     """
-    excess = source.slots - mean_utilization * source.session.n_slots
-    slots_max = min(excess, mean_utilization * target.session.n_slots - target.slots)
+    relieved = max(mean_utilization, RELIEVED_UTILIZATION)
+    excess = source.slots - relieved * source.session.n_slots
+    slots_max = min(excess, relieved * target.session.n_slots - target.slots)
     gain_min = MOVE_GAIN_MIN_SHARE * mean_utilization * source.session.n_slots
     total_busy_slots = sum(busy_slots.values())
     best: tuple[float, _Candidate] | None = None
-    for key_range in ranges:
-        for candidate in _candidates(key_range, busy_slots, slots_max, may_split):
+    for part in parts:
+        for candidate in _candidates(part, busy_slots, slots_max, may_split):
             n_keys = candidate.last_key - candidate.first_key + 1
             cost = FULL_MOVE_COST_SHARE * total_busy_slots * n_keys / N_SHARD_KEYS
             gain = min(candidate.slots, source.slots - target.slots - candidate.slots)
@@ -231,7 +265,7 @@
 
 
 def _candidates(
-    key_range: KeyRange,
+    part: _Part,
     busy_slots: Mapping[int, float],
     slots_max: float,
     may_split: bool,
@@ -239,28 +273,28 @@
     """Yield, from each busy bucket, the longest run of buckets within ``slots_max``.
 
     A bucket that alone exceeds ``slots_max`` is a candidate by itself. If the range may
-    not be split, the whole range is the only candidate.
+    not be split, the whole part is the only candidate.
     """
-    busy = _busy_buckets(key_range, busy_slots)
+    busy = _busy_buckets(part, busy_slots)
     sums = [0.0, *accumulate(slots for _, slots in busy)]
     if not may_split:
-        yield _Candidate(key_range, key_range.first_key, key_range.last_key, sums[-1])
+        yield _Candidate(part, part.first_key, part.last_key, sums[-1])
         return
     for start, (bucket, slots) in enumerate(busy):
         end = max(start + 1, bisect_right(sums, sums[start] + slots_max) - 1)
         last_bucket = busy[end - 1][0]
         yield _Candidate(
-            key_range,
-            max(key_range.first_key, bucket * KEYS_PER_BUCKET),
-            min(key_range.last_key, (last_bucket + 1) * KEYS_PER_BUCKET - 1),
+            part,
+            max(part.first_key, bucket * KEYS_PER_BUCKET),
+            min(part.last_key, (last_bucket + 1) * KEYS_PER_BUCKET - 1),
             sums[end] - sums[start] if end > start + 1 else slots,
         )
 
 
 def _busy_buckets(
-    key_range: KeyRange, busy_slots: Mapping[int, float]
+    keys: KeyRange | _Part, busy_slots: Mapping[int, float]
 ) -> list[tuple[int, float]]:
-    buckets = range(bucket_of(key_range.first_key), bucket_of(key_range.last_key) + 1)
+    buckets = range(bucket_of(keys.first_key), bucket_of(keys.last_key) + 1)
     return [(bucket, busy_slots[bucket]) for bucket in buckets if bucket in busy_slots]
 
 
--- a/packages/bergamotferry/src/bergamotferry/key_load.py
+++ b/packages/bergamotferry/src/bergamotferry/key_load.py
@@ -7,6 +7,13 @@
 
 Upstreams of one service differ in speed, so work counts as the time that it takes at
 the holder of its key. After a move it counts anew within some seconds.
+
+A few hundred neighbouring keys may get nearly half of all requests, and keep several
+upstreams busy. A bucket is small enough that such keys can be spread among upstreams.
+
+Hosts of an earlier version report buckets of `COARSE_KEYS_PER_BUCKET` keys. In a report
+the small buckets are therefore numbered from `FIRST_REPORTED_BUCKET` on, which a host
+of that version takes for invalid and skips.
 """
 
 import math
@@ -16,7 +23,10 @@
 
 from .configuration import N_SHARD_KEYS
 
-KEYS_PER_BUCKET = 64
+KEYS_PER_BUCKET = 8
+N_BUCKETS = N_SHARD_KEYS // KEYS_PER_BUCKET
+COARSE_KEYS_PER_BUCKET = 64
+FIRST_REPORTED_BUCKET = N_SHARD_KEYS // COARSE_KEYS_PER_BUCKET
 # Long enough that random variation moves no keys, short enough to follow a hot key.
 DECAY_TIME_MS = 3_000.0
 # A bucket below this holds only the remainder of old work and is removed.
@@ -27,7 +37,10 @@
 
 
 class KeyWork(NamedTuple):
-    """Work that callers requested for the keys of one bucket, in slot-milliseconds."""
+    """Work that callers requested for the keys of one bucket, in slot-milliseconds.
+
+    ``bucket`` is the number in reports; see `reported_bucket`.
+    """
 
     service: str
     bucket: int
@@ -47,6 +60,11 @@
     return key // KEYS_PER_BUCKET
 
 
+def reported_bucket(key: int) -> int:
+    """Return the number of a key's bucket in reports, or -1 if there is no key."""
+    return FIRST_REPORTED_BUCKET + bucket_of(key) if key >= 0 else -1
+
+
 def work_at_holder_ms(work_ms: float, relative_work_time: float) -> float:
     """Return how long a holder takes for work that takes ``work_ms`` in the mean."""
     bounded = max(
@@ -69,11 +87,13 @@
     """
     _decay(loads, now_ns)
     for work in rows:
-        if not 0 <= work.bucket < N_SHARD_KEYS // KEYS_PER_BUCKET or work.work_ms < 0:
+        buckets = _buckets_of_report(work.bucket)
+        if not buckets or work.work_ms < 0:
             continue
         slots = loads.slots.setdefault(work.service, {})
-        added = work.work_ms / DECAY_TIME_MS
-        slots[work.bucket] = slots.get(work.bucket, 0.0) + added
+        added = work.work_ms / DECAY_TIME_MS / len(buckets)
+        for bucket in buckets:
+            slots[bucket] = slots.get(bucket, 0.0) + added
 
 
 def busy_slots_by_bucket(
@@ -84,6 +104,17 @@
     return dict(loads.slots.get(service, {}))
 
 
+def _buckets_of_report(number: int) -> range:
+    """Return the buckets that a number in a report names; none if it is invalid."""
+    if FIRST_REPORTED_BUCKET <= number < FIRST_REPORTED_BUCKET + N_BUCKETS:
+        first = number - FIRST_REPORTED_BUCKET
+        return range(first, first + 1)
+    if 0 <= number < FIRST_REPORTED_BUCKET:
+        n_buckets = COARSE_KEYS_PER_BUCKET // KEYS_PER_BUCKET
+        return range(number * n_buckets, (number + 1) * n_buckets)
+    return range(0)
+
+
 def _decay(loads: KeyLoads, now_ns: int) -> None:
     """Decay all loads exponentially by the time since the last update."""
     elapsed_ms = max(0, now_ns - loads.updated_ns) / NS_PER_MS
--- a/packages/bergamotferry/tests/test_key_balance.py
+++ b/packages/bergamotferry/tests/test_key_balance.py
@@ -14,7 +14,9 @@
     plan_load_moves,
 )
 from bergamotferry.key_load import (
+    FIRST_REPORTED_BUCKET,
     KEYS_PER_BUCKET,
+    N_BUCKETS,
     KeyLoads,
     KeyWork,
     bucket_of,
@@ -55,25 +57,26 @@
 
 def after_moves(ranges: list[KeyRange], moves) -> list[KeyRange]:
     """Return the ranges after the moves, with ranges split where needed."""
-    ranges_by_key = {key_range.first_key: key_range for key_range in ranges}
+    result = list(ranges)
     for move in moves:
-        old_range = ranges_by_key.pop(move.current.first_key)
-        holder = move.next_holder.name
-        ranges_by_key[move.first_key] = make_range(
-            move.first_key, move.last_key, holder, 2
-        )
-        if old_range.first_key < move.first_key:
-            ranges_by_key[old_range.first_key] = old_range._replace(
-                last_key=move.first_key - 1
-            )
-        if move.last_key < old_range.last_key:
-            first_key = move.last_key + 1
-            ranges_by_key[first_key] = old_range._replace(first_key=first_key)
-    return [ranges_by_key[key] for key in sorted(ranges_by_key)]
-
-
-def utilizations(ranges, busy_slots) -> dict[str, float]:
-    utilization = dict.fromkeys(UPSTREAMS, 0.0)
+        old = next(row for row in result if row.last_key >= move.first_key)
+        assert old.upstream == move.current.upstream
+        assert old.first_key <= move.first_key <= move.last_key <= old.last_key
+        moved = make_range(move.first_key, move.last_key, move.next_holder.name, 2)
+        parts = [
+            old._replace(last_key=move.first_key - 1),
+            moved,
+            old._replace(first_key=move.last_key + 1),
+        ]
+        index = result.index(old)
+        result[index : index + 1] = [
+            part for part in parts if part.first_key <= part.last_key
+        ]
+    return result
+
+
+def utilizations(ranges, busy_slots, upstreams=UPSTREAMS) -> dict[str, float]:
+    utilization = dict.fromkeys(upstreams, 0.0)
     for key_range in ranges:
         utilization[key_range.upstream] += (
             busy_slots_of(key_range, busy_slots) / N_SLOTS
@@ -100,6 +103,10 @@
     return busy_slots
 
 
+def even_load_of_keys(slots_per_key: float) -> dict[int, float]:
+    return dict.fromkeys(range(N_BUCKETS), slots_per_key * KEYS_PER_BUCKET)
+
+
 def test_busy_key_cluster_is_distributed_until_no_upstream_is_overloaded():
     busy_slots = busy_slots_of_keys(
         clustered_keys(random.Random(1), 4_000), 0.5 * N_SLOTS * N_UPSTREAMS
@@ -127,14 +134,14 @@
         clustered_keys(rng, 4_000), 0.1 * N_SLOTS * N_UPSTREAMS
     )
     assert plan_load_moves(even_ranges(), low_load, UPSTREAMS) == []
-    even_load = dict.fromkeys(range(N_SHARD_KEYS // KEYS_PER_BUCKET), 0.02)
+    even_load = even_load_of_keys(0.02 / 64)
     assert plan_load_moves(even_ranges(), even_load, UPSTREAMS) == []
     assert plan_load_moves([], {}, {}) == []
 
 
 def test_keys_beside_a_key_that_overloads_any_upstream_move_away():
     hot_bucket = bucket_of(20_000)
-    busy_slots = dict.fromkeys(range(N_SHARD_KEYS // KEYS_PER_BUCKET), 0.01)
+    busy_slots = even_load_of_keys(0.01 / 64)
     busy_slots[hot_bucket] = 3.0
     ranges = even_ranges()
     for _ in range(8):
@@ -278,7 +285,7 @@
 
     def report(self, now_ms):
         key_work = [
-            KeyWork("s", bucket, round(work_ms))
+            KeyWork("s", FIRST_REPORTED_BUCKET + bucket, round(work_ms))
             for bucket, work_ms in self.pending_work_ms.items()
         ]
         record_key_work(self.loads, key_work, int(now_ms * 1e6))
@@ -315,3 +322,27 @@
             n_moved[learns_speed] += simulation.n_moved_keys
     assert n_late[True] < 0.7 * n_late[False]
     assert n_moved[True] < 6 * N_SHARD_KEYS
+
+
+def test_few_hundred_neighbouring_keys_keep_no_upstream_full():
+    """Guards against a range that no split relieves.
+
+    200 neighbouring keys get 0.42 of the requests of a service whose upstreams are a
+    sixth full in the mean, as at a nominations office.
+    """
+    upstreams = {f"u{n:02}": upstream(f"u{n:02}") for n in range(57)}
+    keys_per_range = N_SHARD_KEYS // len(upstreams) + 1
+    ranges = [
+        make_range(
+            n * keys_per_range, min(N_SHARD_KEYS, (n + 1) * keys_per_range) - 1, name
+        )
+        for n, name in enumerate(upstreams)
+    ]
+    rng = random.Random(3)
+    hot_keys = [30_000 + rng.randrange(200) for _ in range(4_200)]
+    other_keys = [rng.randrange(N_SHARD_KEYS) for _ in range(5_800)]
+    busy_slots = busy_slots_of_keys(hot_keys + other_keys, 18.6)
+    assert max(utilizations(ranges, busy_slots, upstreams).values()) > 3.0
+    for _ in range(4):
+        ranges = after_moves(ranges, plan_load_moves(ranges, busy_slots, upstreams))
+    assert max(utilizations(ranges, busy_slots, upstreams).values()) < 0.6
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -18,7 +18,7 @@
 )
 from bergamotferry.fleet_metrics import RequestMetrics
 from bergamotferry.fleet_tables import KeyRange
-from bergamotferry.key_load import bucket_of, work_at_holder_ms
+from bergamotferry.key_load import reported_bucket, work_at_holder_ms
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.key_ranges import range_of_key
 from bergamotferry.stop_admission import AnswerTimes
@@ -191,7 +191,7 @@
     holder = host.upstreams.get(key_range.upstream) if key_range else None
     if holder is not None:
         work_ms = work_at_holder_ms(work_ms, holder.load.relative_work_time)
-    bucket = service, bucket_of(key)
+    bucket = service, reported_bucket(key)
     host.key_work[bucket] = host.key_work.get(bucket, 0.0) + work_ms
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/range_balance.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/range_balance.py
@@ -1,10 +1,10 @@
 """Moves busy keys off overloaded upstreams while this host leads.
 
-`key_balance` decides the moves from the reported load of buckets of keys. To move part
+`key_balance` decides the moves from the reported load of buckets of keys. To move parts
 of a range, the leader first commits a split, which changes neither the holder nor the
-fencing token. The part then moves like any other range (`range_assignment`): its holder
-releases it and returns the handover state for the next holder. Idle neighbouring ranges
-of one holder are joined again.
+fencing token. Each part then moves like any other range (`range_assignment`): its
+holder releases it and returns the handover state for the next holder. Idle neighbouring
+ranges of one holder are joined again.
 """
 
 import asyncio
@@ -81,9 +81,9 @@
     }
     confirmed = [row for row in ranges if _confirmed_hold(assignments, row) is not None]
     moving = frozenset(row.first_key for row in set(ranges) - set(confirmed))
-    for move in plan_load_moves(ranges, busy_slots, receivers, moving):
+    for moves in _by_range(plan_load_moves(ranges, busy_slots, receivers, moving)):
         start_task(
-            _move_range(host, http, call_names, assignments, move), assignments.tasks
+            _move_parts(host, http, call_names, assignments, moves), assignments.tasks
         )
     for pair in plan_joins(confirmed, busy_slots):
         start_task(_join_ranges(host, assignments, pair), assignments.tasks)
@@ -99,46 +99,60 @@
     return hold if is_held else None
 
 
-async def _move_range(
+def _by_range(moves: list[LoadMove]) -> list[list[LoadMove]]:
+    """Return the moves, those of parts of one range together."""
+    grouped: dict[int, list[LoadMove]] = {}
+    for move in moves:
+        grouped.setdefault(move.current.first_key, []).append(move)
+    return list(grouped.values())
+
+
+async def _move_parts(
     host: ControlHost,
     http: aiohttp.ClientSession,
     call_names: RangeCallNames,
     assignments: RangeAssignments,
-    move: LoadMove,
+    moves: list[LoadMove],
 ) -> None:
-    service = move.current.service
+    """Move parts of one range, or the whole of it, to their next holders."""
+    service = moves[0].current.service
     assignments.n_load_moves[service] += 1
     try:
-        row = (
-            await _split_off(host, assignments, move)
-            if move.requires_split
-            else move.current
-        )
-        if row is None:
+        is_split = not moves[0].requires_split or await _split(host, assignments, moves)
+        if not is_split:
             return
-        wanted = WantedRange(
-            service, row.first_key, row.last_key, row, move.next_holder
-        )
-        move_task = start_move(assignments, host, http, call_names, wanted, "load")
-        if move_task is not None:
-            await move_task
+        tasks = []
+        for move in moves:
+            row = host.tables.ranges.get(range_key(service, move.first_key))
+            if row is None or row.last_key != move.last_key:
+                continue
+            wanted = WantedRange(
+                service, row.first_key, row.last_key, row, move.next_holder
+            )
+            task = start_move(assignments, host, http, call_names, wanted, "load")
+            if task is not None:
+                tasks.append(task)
+        if tasks:
+            await asyncio.wait(tasks)
     finally:
         assignments.n_load_moves[service] -= 1
 
 
-async def _split_off(
-    host: ControlHost, assignments: RangeAssignments, move: LoadMove
-) -> KeyRange | None:
-    """Commit the split of a range; return the part to move, None if not split."""
-    row = move.current
+async def _split(
+    host: ControlHost, assignments: RangeAssignments, moves: list[LoadMove]
+) -> bool:
+    """Commit the split of a range into the parts to move and what is left of it."""
+    row = moves[0].current
     hold = _confirmed_hold(assignments, row)
     if hold is None or hold.is_busy:
-        return None
+        return False
     # A renewal of the whole range during the commit would be missing from the holds
     # of the parts.
     hold.is_busy = True
-    starts = sorted({move.first_key, move.last_key + 1} - {row.first_key})
-    first_keys = tuple(start for start in starts if start <= row.last_key)
+    starts = {move.first_key for move in moves} | {move.last_key + 1 for move in moves}
+    first_keys = tuple(
+        start for start in sorted(starts) if row.first_key < start <= row.last_key
+    )
     command = SplitRange(
         row.service, row.first_key, row.last_key, row.token, first_keys
     )
@@ -151,15 +165,16 @@
         upstream=row.upstream,
         token=row.token,
         service=row.service,
-        first_key=move.first_key,
-        last_key=move.last_key,
+        first_key=row.first_key,
+        last_key=row.last_key,
+        n_parts=len(first_keys) + 1,
         code=result_code(outcome),
     )
     if not isinstance(outcome, Accepted):
-        return None
+        return False
     keys = [range_key(row.service, first_key) for first_key in first_keys]
     record_split(assignments, hold, (host.tables.ranges[key] for key in keys))
-    return host.tables.ranges.get(range_key(row.service, move.first_key))
+    return True
 
 
 async def _join_ranges(
--- a/packages/bergamotferry_host/tests/test_key_reports.py
+++ b/packages/bergamotferry_host/tests/test_key_reports.py
@@ -6,6 +6,7 @@
 from bergamotferry.fleet_messages import KeyWorkNews
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.key_load import (
+    FIRST_REPORTED_BUCKET,
     KEYS_PER_BUCKET,
     KeyLoads,
     KeyWork,
@@ -21,6 +22,8 @@
     take_key_work,
 )
 
+THIRD = FIRST_REPORTED_BUCKET + 3
+
 
 class FakeNetwork:
     def __init__(self):
@@ -64,18 +67,19 @@
         task.cancel()
 
     asyncio.run(run())
-    key_work = (KeyWork("s", 0, 301), KeyWork("s", 1, 100))
+    first = FIRST_REPORTED_BUCKET
+    key_work = (KeyWork("s", first, 301), KeyWork("s", first + 1, 100))
     assert host.network.sent == [("c1", KeyWorkNews(key_work))]
 
 
 def test_control_host_forwards_the_summed_work_to_the_leader():
     follower = control_host(False, "lead")
-    news = KeyWorkNews((KeyWork("s", 3, 300),))
+    news = KeyWorkNews((KeyWork("s", THIRD, 300),))
     record_key_work_news(follower, news)
     record_key_work_news(follower, news)
     forward_key_work(follower)
     forward_key_work(follower)
-    summed = KeyWorkNews((KeyWork("s", 3, 600),))
+    summed = KeyWorkNews((KeyWork("s", THIRD, 600),))
     assert follower.network.sent == [("lead", summed)]
     leader = control_host(True, "lead")
     record_key_work_news(leader, summed)
@@ -86,7 +90,7 @@
 
 def test_reported_work_does_not_accumulate_without_a_leader():
     leaderless_host = control_host(False, "")
-    record_key_work_news(leaderless_host, KeyWorkNews((KeyWork("s", 3, 300),)))
+    record_key_work_news(leaderless_host, KeyWorkNews((KeyWork("s", THIRD, 300),)))
     forward_key_work(leaderless_host)
     assert (
         take_key_work(leaderless_host.key_work) == ()
--- a/packages/bergamotferry_host/tests/test_range_balance.py
+++ b/packages/bergamotferry_host/tests/test_range_balance.py
@@ -9,7 +9,13 @@
 from bergamotferry import key_balance
 from bergamotferry.configuration import N_SHARD_KEYS
 from bergamotferry.fleet_tables import range_key
-from bergamotferry.key_load import KEYS_PER_BUCKET, KeyWork, bucket_of, record_key_work
+from bergamotferry.key_load import (
+    FIRST_REPORTED_BUCKET,
+    KEYS_PER_BUCKET,
+    KeyWork,
+    bucket_of,
+    record_key_work,
+)
 from bergamotferry.key_ranges import N_RANGES_PER_SERVICE
 from bergamotferry_host import range_balance
 from bergamotferry_host.clock import now_ns
@@ -68,7 +74,10 @@
         """Record load on 20 buckets, half of them within 8 neighbouring ones."""
         buckets = [bucket_of(busy_key) + rng.randrange(8) for _ in range(10)]
         buckets += [rng.randrange(N_BUCKETS) for _ in range(10)]
-        key_work = [KeyWork("s", bucket % N_BUCKETS, 60) for bucket in buckets]
+        key_work = [
+            KeyWork("s", FIRST_REPORTED_BUCKET + bucket % N_BUCKETS, 60)
+            for bucket in buckets
+        ]
         record_key_work(self.host.key_loads, key_work, now_ns())
 
     def count_unheld(self):
--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -42,7 +42,7 @@
 from platform_soak_check import check_soak
 from platform_soak_faults import run_plan
 from platform_soak_heartbeats import replace_often, send_heartbeats
-from platform_soak_keys import KeyedUpstream
+from platform_soak_keys import KEYS_PER_BUCKET, KeyedUpstream
 from platform_soak_oddities import OddAnswers, draw_shares
 from platform_soak_operator import (
     apply_configuration,
@@ -211,7 +211,8 @@
         f"seed {options.seed}: {dict(statuses)}, {dict(soak.n_faults_by_kind)}, "
         f"odd: {dict(soak.n_odd_by_kind)}, "
         f"{len(soak.acknowledged)} configurations, {len(soak.reads)} reads, "
-        f"{soak.held.n_released_buckets} buckets of 64 keys released, logs in {folder}"
+        f"{soak.held.n_released_buckets} buckets of {KEYS_PER_BUCKET} keys released, "
+        f"logs in {folder}"
     )
     broken = check_soak(soak)
     for line in broken:
--- a/packages/bergamotferry_testkit/tests/platform_soak_keys.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_keys.py
@@ -13,7 +13,8 @@
 from platform_fleet import not_run_answer
 from platform_soak_upstream import NETWORK, SoakUpstream
 
-KEYS_PER_BUCKET = 64
+# Ranges are split at multiples of this.
+KEYS_PER_BUCKET = 8
 SERVICE = "keys"
 # The share `HOT_SHARE` of the requests is for a few adjacent keys, which overload a
 # single holder.
