Exchange service load between hosts and control hosts

Cause: a host sees few requests of a service in a second, so it can't tell whether the service is short of capacity or which priorities compete for it.

Change: hosts report arrived and admitted work and refusals by service and priority to the control host that they follow, every half second. Control hosts cut claims over what one host can have, send each other their sums, and return one ServiceLoad row for each service and data centre. DirectHost holds the newest ones in service_loads, with service_loads_ns. The age of a row includes the time that it waited in control hosts and what the reply took beyond the wait. DirectRequest.priority is the one place from which the priority is read.

With sums of other control hosts ignored test_service_load of the processes fails.

--- a/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
@@ -6,6 +6,7 @@
 from .answer_fetching import AnswerFetching
 from .clock import now_ns
 from .fleet_control import ControlHost, is_current
+from .service_load.load_metrics import control_load_families
 
 NS_PER_S = 1_000_000_000
 
@@ -101,4 +102,5 @@
         single_value_family(
             "heartbeats", "Heartbeats taken.", "counter", host.n_heartbeats
         ),
+        *control_load_families(host),
     ]
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -21,6 +21,7 @@
 )
 from bergamotferry.fleet_metrics import Histogram
 from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
+from bergamotferry.service_load.rows import LoadSums, WorkReport
 
 from .answer_fetching import AnswerFetching, fetch_for_host, finish_fetching
 from .clock import now_ns
@@ -66,6 +67,7 @@
 from .range_balance import run_range_balance
 from .range_calls import RangeCallNames, open_range_session
 from .range_holds import RangeAssignments
+from .service_load.load_exchange import record_load_notice, run_load_exchange
 from .suspension import run_suspension_watch
 from .upstream_connections import connection_families
 
@@ -129,6 +131,7 @@
             run_table_updates(host),
             run_session_news(host),
             run_crash_exchanges(host),
+            run_load_exchange(host),
             run_crash_store(host.crashes, folder.path),
             run_suspension_watch(host.suspension),
             run_range_assignment(host, http, call_names, assignments),
@@ -179,6 +182,8 @@
             apply_session_news(host, message, tasks)
         elif isinstance(message, KeyWorkNews):
             record_key_work_news(host, message)
+        elif isinstance(message, WorkReport | LoadSums):
+            record_load_notice(host, message, peer)
         elif getattr(message, "group", "") == group.name:
             deliver_message(group, message)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -21,6 +21,8 @@
 from bergamotferry.key_load import bucket_of, work_at_holder_ms
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.key_ranges import range_of_key
+from bergamotferry.service_load.rows import ServiceLoad
+from bergamotferry.service_load.work_counts import WorkCounts
 from bergamotferry.stop_admission import AnswerTimes
 from bergamotferry.upstream_load import (
     UpstreamLoad,
@@ -82,7 +84,9 @@
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
     and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
     reports to control that an upstream leaves. ``body_room`` bounds the bodies of
-    callers that are held.
+    callers that are held. ``work_counts`` is the work that arrived since the last
+    report. ``service_loads`` are the newest rows by service and data centre, which came
+    at ``service_loads_ns``.
     """
 
     settings: FleetSettings
@@ -124,6 +128,9 @@
     crashes: CrashExchange = field(default_factory=CrashExchange)
     end_watch: EndWatch = field(init=False)
     notice_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    work_counts: WorkCounts = field(default_factory=lambda: WorkCounts(now_ns()))
+    service_loads: dict[tuple[str, str], ServiceLoad] = field(default_factory=dict)
+    service_loads_ns: int = 0
 
     def __post_init__(self) -> None:
         self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -36,6 +36,7 @@
 from .logs import log_routine
 from .pipelining import arrived_ns, has_begun_behind, hold_until_turn
 from .request_state import DirectRequest
+from .service_load.work_reports import count_arrival, count_refusal
 
 # A host that has no configuration this long after its start counts as cut off from the
 # control hosts, and refuses requests at once.
@@ -163,7 +164,7 @@
     shard_key = int(_parse_digits(request.headers.get(header_names.shard_key), -1.0))
     if service.is_sharded and 0 <= shard_key < N_SHARD_KEYS:
         record_key_request(host, service.name, shard_key, work.mean_ms)
-    return DirectRequest(
+    accepted = DirectRequest(
         request.headers.get(header_names.request_id, ""),
         route,
         service,
@@ -176,6 +177,8 @@
         began_ns + int(time_left_ms * 1e6),
         is_caller_retry=record_arrival(work, caller_time_left_ms),
     )
+    count_arrival(host, accepted)
+    return accepted
 
 
 async def _wait_for_configuration(host: DirectHost, request: web.Request) -> None:
@@ -221,6 +224,7 @@
     )
     headers = {header_names.request_id: request_id}
     if status == 503:
+        count_refusal(host, accepted)
         time_left_s = ASSUMED_TIME_LEFT_S
         if accepted is not None:
             time_left_s = (accepted.deadline_ns - now_ns()) / 1e9
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -58,6 +58,7 @@
     record_request_result,
     record_upstream_result,
 )
+from .service_load.work_reports import count_first_send
 
 N_SENDS_MAX = 6
 # With less time left, a failed answer is returned instead of a retry elsewhere.
@@ -251,6 +252,7 @@
     sent_ns = now_ns()
     upstream = reservation.upstream
     load = upstream.load
+    count_first_send(host, request)
     if request.n_sends == 0:
         record_placement_time(host.metrics, request.route.kind, elapsed_ms(request))
     request.n_sends += 1
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -29,6 +29,7 @@
 from bergamotferry.replication import Replica
 from bergamotferry.replication.membership import GLOBAL_GROUP
 from bergamotferry.result_codes import ResultCode
+from bergamotferry.service_load.sums import LoadTable
 from bergamotferry.upstream_sessions import (
     Heartbeat,
     SessionRow,
@@ -69,7 +70,8 @@
     slot-milliseconds, by service and bucket of keys, that was reported to this host and
     that it has not yet forwarded to the leader. ``key_loads`` is the load that this
     host recorded as the leader. ``crashes`` are the records of requests that end
-    upstreams. ``began_ns`` is when this process started, and ``suspension`` records
+    upstreams. ``load_table`` is the load of services that hosts report. ``began_ns`` is
+    when this process started, and ``suspension`` records
     when it was last suspended.
     """
 
@@ -91,6 +93,7 @@
     key_work: dict[tuple[str, int], float] = field(default_factory=dict)
     key_loads: KeyLoads = field(default_factory=KeyLoads)
     crashes: CrashExchange = field(default_factory=CrashExchange)
+    load_table: LoadTable = field(default_factory=LoadTable)
     began_ns: int = field(default_factory=now_ns)
     suspension: SuspensionWatch = field(default_factory=SuspensionWatch)
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -47,6 +47,7 @@
 from .key_reports import forward_key_work
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
+from .service_load.load_exchange import service_loads_for
 
 SESSION_NEWS_INTERVAL_S = 0.2
 N_ROUNDS_PER_DIGEST = 5
@@ -221,6 +222,7 @@
         len(followers),
         # A host that has just started knows no upstream that could have left.
         retired_after(tables, message.revision) if message.revision >= 0 else (),
+        service_loads_for(host, message.host),
     )
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -24,6 +24,7 @@
 from .fleet_changes import apply_changes, rows_not_listed
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
+from .service_load.work_reports import apply_service_loads
 
 FOLLOW_WAIT_MS = 250
 # Long enough for a reply over a busy link. This timeout and the probes that follow it
@@ -137,9 +138,11 @@
     wait_ms = 0
     for number in count():
         message = _follow_message(host, wait_ms, unlisted)
+        asked_ns = now_ns()
         reply = await host.network.call(control_host, message, FOLLOW_TIMEOUT_S)
         if not isinstance(reply, FleetChanges):
             return
+        apply_service_loads(host, reply, (now_ns() - asked_ns) / 1e6, wait_ms)
         is_lagging = reply.revision < host.revision
         if number == 0 and not is_lagging and reply.is_current:
             log("control host followed", peer=control_host, revision=reply.revision)
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 
 from bergamotferry.configuration import DirectRoute, DirectService
+from bergamotferry.service_load.work_counts import CountedWork
 
 from .answer_streaming import CallerAnswer
 from .clock import now_ns
@@ -30,7 +31,7 @@
     once it was needed. ``is_trial`` is set for the trial of a quarantined request.
     ``lost_upstream`` is the last upstream whose connection broke under the request.
     ``n_sends_by_address`` counts the sends, and ``refused_sends`` are those that their
-    upstreams said not to have run.
+    upstreams said not to have run. ``work`` is how its work was counted.
     """
 
     request_id: str
@@ -58,6 +59,12 @@
     lost_upstream: str = ""
     n_sends_by_address: Counter[str] = field(default_factory=Counter)
     refused_sends: list[RefusedSend] = field(default_factory=list)
+    work: CountedWork | None = None
+
+    @property
+    def priority(self) -> int:
+        """The priority of the request; 0 is the most urgent."""
+        return self.route.priority
 
     @property
     def has_answer_begun(self) -> bool:
