Refuse at once what an overloaded holder of a key would answer late

Cause: a key that gets several times what its holder can do fills the holder's queue. Each of 84 hosts sends it a request every few seconds and sees nothing of the others, so every answer is late, connections are reset, and requests that were never read end with 502.

Change: the leader names overloaded holders, control hosts pass the names on with each reply, and a host asks such a holder for its load before it sends. What would be answered after the latency objective, counted from the caller's first attempt, is refused unsent.

--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -52,7 +52,8 @@
     it overlaps. ``local_hosts`` are the hosts of the follower's data centre that take
     requests. ``retired`` is what the log records since the follower's revision of
     upstreams that leave; the sender may know no row of them. ``service_loads`` are the
-    loads of all services that the sender knows of.
+    loads of all services that the sender knows of. ``hot_holders`` are the upstreams
+    that are asked for more than they can do for the keys that they hold.
     """
 
     source: str
@@ -69,6 +70,7 @@
     n_hosts_all: int
     retired: tuple[Retired, ...] = ()
     service_loads: tuple[ServiceLoad, ...] = ()
+    hot_holders: tuple[str, ...] = ()
 
 
 class SessionNews(NamedTuple):
--- a/packages/bergamotferry/src/bergamotferry/upstream_load.py
+++ b/packages/bergamotferry/src/bergamotferry/upstream_load.py
@@ -151,6 +151,14 @@
     return time_left_ms < CALLER_RETRY_SHARE * work.longest_left_ms
 
 
+def elapsed_before_ms(work: WorkTime, time_left_ms: float) -> float:
+    """Estimate how long a caller had waited when its request arrived; 0 if unknown.
+
+    `record_arrival` has recorded the request.
+    """
+    return max(0.0, work.longest_left_ms - time_left_ms) if time_left_ms > 0 else 0.0
+
+
 def overdue_at_ns(now_ns: int, expected_ms: float) -> int:
     """Return the time from which a request that is sent now is overdue."""
     overdue_ms = max(OVERDUE_MIN_MS, OVERDUE_FACTOR * expected_ms)
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -25,6 +25,7 @@
     upstream_load,
     upstream_sessions,
 )
+from bergamotferry.hot_holders import overload
 from bergamotferry.protection import crash_records
 from bergamotferry.service_load import rows as service_load_rows
 
@@ -64,6 +65,7 @@
     **_named_tuples(fleet_messages),
     **_named_tuples(hot_key_messages),
     **_named_tuples(service_load_rows),
+    "HotHolders": overload.HotHolders,
     **_named_tuples(messages),
 }
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -20,6 +20,7 @@
     SessionNews,
 )
 from bergamotferry.fleet_metrics import Histogram
+from bergamotferry.hot_holders.overload import HotHolders
 from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
 from bergamotferry.service_load.rows import LoadSums, WorkReport
 
@@ -59,6 +60,7 @@
 from .group_commit import answer_propose
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
+from .hot_holders.naming import record_hot_holders, run_hot_holders
 from .key_reports import record_key_work_news
 from .logs import log
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
@@ -132,6 +134,7 @@
             run_session_news(host),
             run_crash_exchanges(host),
             run_load_exchange(host),
+            run_hot_holders(host),
             run_crash_store(host.crashes, folder.path),
             run_suspension_watch(host.suspension),
             run_range_assignment(host, http, call_names, assignments),
@@ -182,6 +185,8 @@
             apply_session_news(host, message, tasks)
         elif isinstance(message, KeyWorkNews):
             record_key_work_news(host, message)
+        elif isinstance(message, HotHolders):
+            record_hot_holders(host, message)
         elif isinstance(message, WorkReport | LoadSums):
             record_load_notice(host, message, peer)
         elif getattr(message, "group", "") == group.name:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -86,7 +86,7 @@
     reports to control that an upstream leaves. ``body_room`` bounds the bodies of
     callers that are held. ``work_counts`` is the work that arrived since the last
     report. ``service_loads`` are the newest rows by service and data centre, which came
-    at ``service_loads_ns``.
+    at ``service_loads_ns``. ``hot_holders`` are the overloaded holders of keys.
     """
 
     settings: FleetSettings
@@ -131,6 +131,7 @@
     work_counts: WorkCounts = field(default_factory=lambda: WorkCounts(now_ns()))
     service_loads: dict[tuple[str, str], ServiceLoad] = field(default_factory=dict)
     service_loads_ns: int = 0
+    hot_holders: frozenset[str] = frozenset()
 
     def __post_init__(self) -> None:
         self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -51,6 +51,7 @@
     retry_budget_of,
     work_time_of,
 )
+from .hot_holders.admission import refuse_at_hot_holder
 from .load_probes import probe_loads
 from .request_state import (
     DirectRequest,
@@ -90,6 +91,9 @@
                 return Refused(ResultCode.NO_OWNER, "no upstream may take it")
             await asyncio.sleep(KEY_POLL_MS / 1000)
             continue
+        overload = await refuse_at_hot_holder(host, http, request, candidates[0].name)
+        if overload is not None:
+            return overload
         chosen = shortlist(
             candidates, work, time_left_ms, now, n_compared, n_queued_max
         )
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -14,7 +14,7 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
 from bergamotferry.stop_admission import record_answer_time
-from bergamotferry.upstream_load import record_arrival
+from bergamotferry.upstream_load import elapsed_before_ms, record_arrival
 from bergamotferry.window_budget import record_request
 
 from .answer_framing import HOP_HEADERS
@@ -176,6 +176,7 @@
         began_ns,
         began_ns + int(time_left_ms * 1e6),
         is_caller_retry=record_arrival(work, caller_time_left_ms),
+        caller_elapsed_ms=elapsed_before_ms(work, caller_time_left_ms),
     )
     count_arrival(host, accepted)
     return accepted
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
@@ -58,6 +58,7 @@
     elif reply.sessions or is_any_retired:
         _rebuild_upstream_index(host)
     _apply_n_hosts(host, max(1, reply.n_hosts_all), now_ns())
+    host.hot_holders = frozenset(reply.hot_holders)
     if reply.revision < host.revision:
         return
     if reply.revision > host.revision or not is_same_source:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -23,6 +23,7 @@
 from bergamotferry.fleet_metrics import LabelValues
 from bergamotferry.fleet_tables import FleetTables, apply_fleet_command, find_retired
 from bergamotferry.followers import Followers
+from bergamotferry.hot_holders.overload import KnownHotHolders
 from bergamotferry.key_load import KeyLoads
 from bergamotferry.messages import Member, Membership
 from bergamotferry.outcomes import Accepted, Refused, result_code
@@ -73,7 +74,8 @@
     host recorded as the leader. ``crashes`` are the records of requests that end
     upstreams. ``load_table`` is the load of services that hosts report. ``began_ns`` is
     when this process started, and ``suspension`` records when it was last suspended.
-    ``sent_lists`` are the lists of hosts that each follower was sent last.
+    ``sent_lists`` are the lists of hosts that each follower was sent last, and
+    ``hot_holders`` the overloaded holders of keys.
     """
 
     settings: FleetSettings
@@ -98,6 +100,7 @@
     began_ns: int = field(default_factory=now_ns)
     suspension: SuspensionWatch = field(default_factory=SuspensionWatch)
     sent_lists: dict[str, SentLists] = field(default_factory=dict)
+    hot_holders: KnownHotHolders = field(default_factory=KnownHotHolders)
 
     @property
     def tables(self) -> FleetTables:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -45,6 +45,7 @@
 )
 from .fleet_control import ControlHost, is_current, wake_followers
 from .following.host_lists import HostLists, lists_to_send
+from .hot_holders.naming import hot_holders_for
 from .key_reports import forward_key_work
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
@@ -231,6 +232,7 @@
         # A host that has just started knows no upstream that could have left.
         retired_after(tables, message.revision) if message.revision >= 0 else (),
         service_loads_for(host, message.host),
+        hot_holders_for(host, message.host),
     )
 
 
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/hot_holders/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests whose key has an overloaded holder."""
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -21,7 +21,8 @@
 
     ``n_delivered`` sends reached an upstream; ``n_maybe_run`` of these may have run.
     ``deadline_ns`` is the caller's deadline. ``is_caller_retry`` is whether the caller
-    has probably sent the request before.
+    has probably sent the request before. ``caller_elapsed_ms`` is how long the caller
+    had probably waited, at other hosts too, when the request arrived.
     ``token`` is the fencing token of the key's range at the last placement.
     ``may_retry_immediately`` is set if the request was refused by an upstream with a
     free slot, or because of this host's own link; the caller may then retry
@@ -49,6 +50,7 @@
     n_maybe_run: int = 0
     is_timed_out: bool = False
     is_caller_retry: bool = False
+    caller_elapsed_ms: float = 0.0
     may_retry_immediately: bool = False
     token: int = 0
     excluded: set[str] = field(default_factory=set)
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -108,8 +108,9 @@
 class DirectHarness:
     """A host with scripted upstreams, and a record of the requests that they received.
 
-    ``sends`` lists the upstream and the request id of each send. ``cold_left_ms`` and
-    ``health_delay_s`` set, by upstream, what load probes report and how long they take.
+    ``sends`` lists the upstream and the request id of each send. ``cold_left_ms``,
+    ``loads`` and ``health_delay_s`` set, by upstream, what load probes report and how
+    long they take.
     ``cancelled`` lists the upstreams whose request was cancelled.
     """
 
@@ -119,6 +120,7 @@
         self.sends: list[tuple[str, str]] = []
         self.cold_left_ms: dict[str, int] = {}
         self.health_delay_s: dict[str, float] = {}
+        self.loads: dict[str, str] = {}
         self.cancelled: list[str] = []
         self.stack = contextlib.AsyncExitStack()
         self.url = ""
@@ -158,7 +160,8 @@
         async def on_request(request):
             if request.path == "/health":
                 await asyncio.sleep(self.health_delay_s.get(name, 0.0))
-                headers = {HEADER_NAMES.upstream: name, HEADER_NAMES.load: "0,0,2,100"}
+                load = self.loads.get(name, "0,0,2,100")
+                headers = {HEADER_NAMES.upstream: name, HEADER_NAMES.load: load}
                 if name in self.cold_left_ms:
                     headers[HEADER_NAMES.cold_left_ms] = str(self.cold_left_ms[name])
                 return web.Response(headers=headers)
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -23,6 +23,7 @@
 from bergamotferry.answer_link import AnswerLink, InFlightAnswer
 from bergamotferry.configuration import Configuration
 from bergamotferry.fleet_tables import KeyRange
+from bergamotferry.key_load import reported_bucket
 from bergamotferry.upstream_load import (
     WorkTime,
 )
@@ -447,7 +448,7 @@
             await harness.send_request("/safe/1", **{HEADER_NAMES.shard_key: shard_key})
 
     harness = run_with_harness(scenario)
-    assert list(harness.host.key_work) == [("lamps", 1_023)]
+    assert list(harness.host.key_work) == [("lamps", reported_bucket(65_535))]
 
 
 def test_less_urgent_requests_wait_for_a_free_slot_of_the_holder_of_their_key():
