Count rounds of the crash store in its tests, not time

Cause: the test gave the store 0.2 s for three writes, which are made in threads; when the process or its threads stood still, fewer came. The other tests of the file gave the same time to one write. A fault of the test.

Ruled out: the store itself; it tries again in each round, and all writes come once the rounds are counted.

Change: each change is followed by six rounds of the store, however long they take. What was checked is unchanged, also that nothing is written again: three rounds or more follow the third write.

--- a/packages/bergamotferry_host/tests/test_crash_store.py
+++ b/packages/bergamotferry_host/tests/test_crash_store.py
@@ -17,7 +17,12 @@
 from bergamotferry_host import crash_store
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.codec import encode
-from bergamotferry_host.crash_exchange import CrashExchange, count_end, count_success
+from bergamotferry_host.crash_exchange import (
+    CrashExchange,
+    count_end,
+    count_success,
+    wait_for_change,
+)
 from bergamotferry_host.crash_store import (
     FILE_NAME,
     load_crash_records,
@@ -25,17 +30,37 @@
 )
 from bergamotferry_host.disk_log import write_file
 
+# The store is given up after this time, which is no measure of its speed.
+STORE_TIMEOUT_S = 60.0
+# Enough rounds of the store for a change that is saved at its third attempt.
+N_ROUNDS_PER_CHANGE = 6
+
 
 def run_store(monkeypatch, folder, *changes):
-    """Apply changes to an exchange one by one while its records are saved."""
+    """Apply changes to an exchange one by one while its records are saved.
+
+    Each change is followed by the same number of rounds of the store, however long
+    they take.
+    """
     monkeypatch.setattr(crash_store, "SAVE_INTERVAL_S", 0.02)
+    round_began = asyncio.Event()
+
+    async def note_round(exchange, timeout_s):
+        round_began.set()
+        await wait_for_change(exchange, timeout_s)
+
+    monkeypatch.setattr(crash_store, "wait_for_change", note_round)
 
     async def run():
         exchange = CrashExchange()
         store = asyncio.create_task(run_crash_store(exchange, folder))
         for change in (lambda exchange: None, *changes):
             change(exchange)
-            await asyncio.sleep(0.2)
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                # A round that has begun may end without having seen the change.
+                for _ in range(1 + N_ROUNDS_PER_CHANGE):
+                    round_began.clear()
+                    await round_began.wait()
         store.cancel()
 
     asyncio.run(run())
