Give replaced connections all the time they need in their test

Cause: the upstream of the test runs in the test's process. A standstill of 2 s, the request's whole time, while the second request is under way gives "no second connection"; one of 0.2 s, its limit for progress, in the first request gives other results. A fault of the test.

Ruled out: two standstills of 0.25 s in any two turns of the event loop, the first in the first request, don't give what was seen.

Change: requests have 60 s, and so have connects and progress, except where the silence of the upstream is what is tested. The first request has to be served.

--- a/packages/bergamotferry_host/tests/test_upstream_call.py
+++ b/packages/bergamotferry_host/tests/test_upstream_call.py
@@ -16,6 +16,10 @@
 FILING = make_head("filing", "POST", idempotency_key="i1")
 REPLACE = make_head("replace", "PUT", idempotency_key="i1")
 
+# A time that no test waits for. The upstream runs in the process of the test, so a
+# delay of that process uses up the time of its requests.
+PATIENT_MS = 60_000
+
 # Script of the upstream, head, result code, and the number of heads it received.
 FAULTS = [
     (["whole"], LOOKUP, Code.SERVED, 1),
@@ -70,13 +74,21 @@
 def test_kept_connection_that_fails_is_replaced_by_a_fresh_one(
     second, head, n_heads, monkeypatch
 ):
-    monkeypatch.setitem(upstream_call.PROGRESS_TIMEOUT_S, "lookup", 0.2)
+    monkeypatch.setattr(upstream_call, "CONNECT_TIMEOUT_S", PATIENT_MS / 1000)
+
+    def set_progress_timeout(timeout_s):
+        monkeypatch.setitem(upstream_call.PROGRESS_TIMEOUT_S, "lookup", timeout_s)
 
     async def run():
         async with ScriptedUpstream("whole", second, "whole") as upstream:
-            await send(upstream, LOOKUP)
+            set_progress_timeout(PATIENT_MS / 1000)
+            first = LOOKUP._replace(deadline_ms=PATIENT_MS)
+            assert isinstance((await send(upstream, first))[0], Served)
+            if second == "silent":
+                set_progress_timeout(0.2)
             # No connection carries an id twice.
-            outcome, sink = await send(upstream, head._replace(request_id="r2"))
+            again = head._replace(request_id="r2", deadline_ms=PATIENT_MS)
+            outcome, sink = await send(upstream, again)
             assert len(upstream.writers) > 1
             return outcome, sink.body, len(upstream.requests)
 
