Wait for the check of an address in the tests of upstream ends

Cause: a request waits 0.1 s for the check of a lost upstream's address, and the check itself may take 0.25 s. The test waited no longer, so a standstill of the process between the loss and the refused connection gave no end. A fault of the test; the limits are those that requests need.

Change: the tests of what counts as an end wait until the check has ended. A new test guards the limit: a request waits no longer than CHECK_WAIT_S for a check that doesn't end; it is red without that limit. The closed address stays bound, so that no other process can listen there.

--- a/packages/bergamotferry_host/tests/test_upstream_ends.py
+++ b/packages/bergamotferry_host/tests/test_upstream_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -23,6 +24,16 @@
 RUN = InterruptedRun("r1", "f1", KnownEnds(), 0)
 
 
+@pytest.fixture(autouse=True)
+def patient_checks(monkeypatch):
+    """Wait for the check of an address until it ends.
+
+    A delay of this process would otherwise leave an address unchecked.
+    """
+    monkeypatch.setattr(upstream_ends, "CHECK_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(upstream_ends, "CHECK_WAIT_S", 60.0)
+
+
 @contextlib.asynccontextmanager
 async def listening_address():
     async def on_connection(reader, writer):
@@ -35,9 +46,12 @@
         server.close()
 
 
-async def closed_address():
-    async with listening_address() as address:
-        return address
+@contextlib.contextmanager
+def closed_address():
+    """Yield an address that refuses connections and that no other process can take."""
+    with socket.socket() as bound_socket:
+        bound_socket.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{bound_socket.getsockname()[1]}"
 
 
 def ended_runs(scenario):
@@ -53,14 +67,33 @@
 
 def test_refused_connection_after_a_loss_proves_the_end():
     async def scenario(watch):
-        record_connection_loss(watch, "u", await closed_address(), RUN)
-        record_connection_loss(watch, "u", "", RUN._replace(request_id="r2"))
-        await wait_for_check(watch, "u")
+        with closed_address() as address:
+            record_connection_loss(watch, "u", address, RUN)
+            record_connection_loss(watch, "u", "", RUN._replace(request_id="r2"))
+            await wait_for_check(watch, "u")
         assert watch.n_ends == 1
 
     assert [run.request_id for run in ended_runs(scenario)] == ["r1", "r2"]
 
 
+def test_request_does_not_wait_for_a_check_that_does_not_end(monkeypatch):
+    """Guards against requests that wait for an address which never answers."""
+
+    async def never_ends(address, timeout_s):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(upstream_ends, "refuses_connections", never_ends)
+    monkeypatch.setattr(upstream_ends, "CHECK_WAIT_S", 0.01)
+
+    async def scenario(watch):
+        record_connection_loss(watch, "u", "127.0.0.1:1", RUN)
+        async with asyncio.timeout(30):
+            await wait_for_check(watch, "u")
+        assert not watch.losses["u"].check.done()
+
+    assert ended_runs(scenario) == []
+
+
 def test_connection_reset_by_a_living_upstream_is_no_end():
     async def scenario(watch):
         async with listening_address() as address:
