Send requests to other data centres by shares, and only for what they gain

Cause: each request was sent wherever a fixed cost in ms was least, without knowledge of how busy other data centres are. In calm a quarter to two fifths of all requests left their data centre to save a few ms, and if all data centres were full, all hosts believed the other region to be idle.

Change: from the rows of service load each host solves for the flows between all data centres (bergamotferry.spill), moves its shares in small steps, and places each request in one data centre at a time: its own, a planned one, or another one if its own is full and the gain in value exceeds the price of the bytes. Old rows lead back to the host's own estimates. Without rows requests are placed as before.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
@@ -101,6 +101,7 @@
     )
     homes = request.route.home_regions
     is_remote = bool(homes) and host.settings.region not in homes
+    is_remote = is_remote or _are_far(host, request.data_centres)
     n_first = N_SCANNED_FIRST_REMOTE if is_remote else N_SCANNED_FIRST
     eligible = _eligible(host, request, upstreams, now, unanswered)
     first = list(islice(eligible, n_first))
@@ -122,6 +123,8 @@
             continue
         if row.name in request.excluded:
             continue
+        if request.data_centres and row.data_centre not in request.data_centres:
+            continue
         distance = distance_of(host.settings, row.data_centre)
         needs_probe = is_uncertain(upstream.cold, now) and row.name not in unanswered
         if not needs_probe and not is_within_cold_rate(host, request, upstream, now):
@@ -137,6 +140,13 @@
     return data_centre not in host.evacuated and (not homes or region in homes)
 
 
+def _are_far(host: DirectHost, data_centres: frozenset[str] | None) -> bool:
+    """Return whether the candidates are limited to data centres in other regions."""
+    return bool(data_centres) and all(
+        distance_of(host.settings, name) == "far" for name in data_centres or ()
+    )
+
+
 def is_within_cold_rate(
     host: DirectHost, request: DirectRequest, upstream: Upstream, now: int
 ) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -21,6 +21,7 @@
 from bergamotferry.key_load import bucket_of, work_at_holder_ms
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.key_ranges import range_of_key
+from bergamotferry.service_load.rows import ServiceLoad
 from bergamotferry.stop_admission import AnswerTimes
 from bergamotferry.upstream_load import (
     UpstreamLoad,
@@ -36,6 +37,7 @@
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
 from .peer_network import PeerNetwork
+from .spill.state import HostSpill
 from .upstream_ends import EndWatch
 
 # A host does not know the other hosts of its data centre for this long after its start.
@@ -82,7 +84,9 @@
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
     and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
     reports to control that an upstream leaves. ``body_room`` bounds the bodies of
-    callers that are held.
+    callers that are held. ``service_loads`` are the newest rows of service load, by
+    service and data centre, which arrived at ``service_loads_ns``. ``spill`` is what
+    this host decides by them.
     """
 
     settings: FleetSettings
@@ -124,6 +128,9 @@
     crashes: CrashExchange = field(default_factory=CrashExchange)
     end_watch: EndWatch = field(init=False)
     notice_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    service_loads: dict[tuple[str, str], ServiceLoad] = field(default_factory=dict)
+    service_loads_ns: int = 0
+    spill: HostSpill = field(default_factory=HostSpill)
 
     def __post_init__(self) -> None:
         self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -11,6 +11,7 @@
 
 from .clock import now_ns
 from .direct_host import DirectHost
+from .spill.metrics import spill_families
 
 NS_PER_S = 1_000_000_000
 
@@ -23,6 +24,7 @@
     return [
         *request_families(host.metrics),
         *_known_state(host),
+        *spill_families(host),
         single_value_family(
             "control_age_seconds", "Since the last news of control.", "gauge", age_s
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -58,6 +58,7 @@
     elapsed_ms,
     time_to_answer_ms,
 )
+from .spill.placing import begin_place, look_elsewhere, widen_for_hedge
 
 # A request with less time left is refused rather than sent.
 SEND_MIN_MS = 20.0
@@ -76,6 +77,7 @@
     work = _work_of_attempt(host, request)
     unanswered: set[str] = set()
     n_compared = N_COMPARED
+    begin_place(host, request)
     while True:
         now = now_ns()
         time_left_ms = time_to_answer_ms(host, request)
@@ -83,6 +85,8 @@
             return Refused(ResultCode.DEADLINE_EXPIRED_IN_QUEUE, "no time is left")
         candidates = candidates_for(host, request, now, unanswered)
         if not candidates:
+            if look_elsewhere(host, request, None):
+                continue
             if pause_left_ms(host, request) > 0:
                 return Refused(ResultCode.UPSTREAM_SHED, "all upstreams want a pause")
             may_poll = request.service.is_sharded and now < key_poll_end_ns
@@ -106,6 +110,10 @@
         placed = place_request(
             chosen.candidates or candidates, work, time_left_ms, now, n_queued_max
         )
+        has_unprobed = isinstance(placed, NoCapacity) and bool(chosen.to_probe)
+        if not has_unprobed and look_elsewhere(host, request, placed):
+            n_compared = N_COMPARED
+            continue
         match placed:
             case Placed(name, expected_ms):
                 upstream = host.upstreams[name]
@@ -115,6 +123,7 @@
                     return _reserve(host, work, upstream, expected_ms, now)
             case Wait(wait_ms):
                 await asyncio.sleep(wait_ms / 1000)
+                begin_place(host, request)
             case NoCapacity() if chosen.to_probe:
                 # The probed upstreams are down or full, and the others have not been
                 # probed yet. A whole data centre may be lost, so the number of probes
@@ -150,6 +159,7 @@
     now = now_ns()
     work = work_time_of_last_attempt(work_time_of(host, request.route))
     time_left_ms = time_to_answer_ms(host, request)
+    widen_for_hedge(host, request)
     # Another upstream has the request, so none that leaves is a last resort for it.
     candidates = available_candidates(host, request, now)
     chosen = shortlist(candidates, work, time_left_ms, now)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -39,6 +39,7 @@
 from .logs import log
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
 from .peer_link import PeerHandlers
+from .spill.updates import run_spill_updates
 from .upstream_connections import connection_families
 
 # The load balancer probes once a second and acts on the second failed probe.
@@ -94,6 +95,7 @@
         tasks: set[asyncio.Task[None]] = set()
         start_task(run_follower(host), tasks)
         start_task(run_crash_exchange(host), tasks)
+        start_task(run_spill_updates(host), tasks)
         if settings.splits_busy_ranges:
             start_task(run_key_reports(host), tasks)
         start_task(measure_loop_delays(delays), tasks)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -58,6 +58,7 @@
     record_request_result,
     record_upstream_result,
 )
+from .spill.placing import loads_age_ms, place_reason, record_place
 
 N_SENDS_MAX = 6
 # With less time left, a failed answer is returned instead of a retry elsewhere.
@@ -275,11 +276,13 @@
         record_run(host, request, upstream, outcome, known, sent_ns)
         record_upstream_result(host, request, reservation, result, outcome, sent_ns)
         record_send(host.metrics, upstream.row.data_centre, result, took_ms)
+        n_answer_bytes = outcome.n_bytes if outcome is not None else 0
+        record_place(host, request, upstream, n_answer_bytes)
         record_payload(
             host.metrics,
             distance_of(host.settings, upstream.row.data_centre),
             len(request.body),
-            outcome.n_bytes if outcome is not None else 0,
+            n_answer_bytes,
         )
         log_routine(
             "sent",
@@ -293,11 +296,13 @@
             result=result,
             detail=outcome.detail if outcome is not None else "",
             status=outcome.status if outcome is not None else 0,
-            size_bytes=outcome.n_bytes if outcome is not None else 0,
+            size_bytes=n_answer_bytes,
             waited_ms=round((sent_ns - request.began_ns) / 1e6, 1),
             took_ms=round(took_ms, 1),
             n_queued=round(reservation.n_queued, 1),
             report_age_ms=reservation.report_age_ms,
+            place=place_reason(request),
+            loads_age_ms=loads_age_ms(host, request.service.name),
             through=outcome.through if outcome is not None else "",
             revision=host.revision,
             fingerprint=logged_fingerprint(request.fingerprint),
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 
 from bergamotferry.configuration import DirectRoute, DirectService
+from bergamotferry.spill.search import PlaceSearch
 
 from .answer_streaming import CallerAnswer
 from .clock import now_ns
@@ -30,7 +31,8 @@
     once it was needed. ``is_trial`` is set for the trial of a quarantined request.
     ``lost_upstream`` is the last upstream whose connection broke under the request.
     ``n_sends_by_address`` counts the sends, and ``refused_sends`` are those that their
-    upstreams said not to have run.
+    upstreams said not to have run. ``search`` is the search for the request's data
+    centre, and ``data_centres`` those whose upstreams are candidates now; None is any.
     """
 
     request_id: str
@@ -58,6 +60,8 @@
     lost_upstream: str = ""
     n_sends_by_address: Counter[str] = field(default_factory=Counter)
     refused_sends: list[RefusedSend] = field(default_factory=list)
+    search: PlaceSearch | None = None
+    data_centres: frozenset[str] | None = None
 
     @property
     def has_answer_begun(self) -> bool:
