--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -38,6 +38,7 @@
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
 from .peer_network import PeerNetwork
+from .spill.state import HostSpill
 from .upstream_ends import EndWatch
 
 # A host does not know the other hosts of its data centre for this long after its start.
@@ -85,8 +86,9 @@
     and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
     reports to control that an upstream leaves. ``body_room`` bounds the bodies of
     callers that are held. ``work_counts`` is the work that arrived since the last
-    report. ``service_loads`` are the newest rows by service and data centre, which came
-    at ``service_loads_ns``. ``hot_holders`` are the overloaded holders of keys.
+    report. ``service_loads`` are the newest rows of service load, by service and data
+    centre, which arrived at ``service_loads_ns``. ``spill`` is what this host decides
+    by them. ``hot_holders`` are the overloaded holders of keys.
     """
 
     settings: FleetSettings
@@ -132,6 +134,7 @@
     service_loads: dict[tuple[str, str], ServiceLoad] = field(default_factory=dict)
     service_loads_ns: int = 0
     hot_holders: frozenset[str] = frozenset()
+    spill: HostSpill = field(default_factory=HostSpill)
 
     def __post_init__(self) -> None:
         self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -12,6 +12,7 @@
 from .clock import now_ns
 from .direct_host import DirectHost
 from .service_load.load_metrics import host_load_families
+from .spill.metrics import spill_families
 
 NS_PER_S = 1_000_000_000
 
@@ -25,6 +26,7 @@
         *request_families(host.metrics),
         *_known_state(host),
         *host_load_families(host),
+        *spill_families(host),
         single_value_family(
             "control_age_seconds", "Since the last news of control.", "gauge", age_s
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -8,6 +8,7 @@
 
 from bergamotferry.configuration import DirectRoute, DirectService
 from bergamotferry.service_load.work_counts import CountedWork
+from bergamotferry.spill.search import PlaceSearch
 
 from .answer_streaming import CallerAnswer
 from .clock import now_ns
@@ -32,7 +33,9 @@
     once it was needed. ``is_trial`` is set for the trial of a quarantined request.
     ``lost_upstream`` is the last upstream whose connection broke under the request.
     ``n_sends_by_address`` counts the sends, and ``refused_sends`` are those that their
-    upstreams said not to have run. ``work`` is how its work was counted.
+    upstreams said not to have run. ``work`` is how its work was counted. ``search`` is
+    the search for the request's data centre, and ``data_centres`` those whose upstreams
+    are candidates now; None is any.
     """
 
     request_id: str
@@ -62,6 +65,8 @@
     n_sends_by_address: Counter[str] = field(default_factory=Counter)
     refused_sends: list[RefusedSend] = field(default_factory=list)
     work: CountedWork | None = None
+    search: PlaceSearch | None = None
+    data_centres: frozenset[str] | None = None
 
     @property
     def priority(self) -> int:
