Identify the account of a request by its API key in direct mode

Cause: configurations may now list client accounts, and hosts ignored them: any caller was served, and its Authorization header reached the upstream.

Change: bergamotferry.accounts identifies the caller of a request from its key, before its body is read. 401 without a known key (1001, 1002), unless the route allows anonymous requests; 503 (new code 1110) while the configuration of the host may be older than config-apply-ms, for which the host keeps as of when a current control host confirmed it. The key is replaced by the account's name in the headers for the upstream, once, so sends, fetches and fingerprints never see it; in memory keys are digests. Priority and home regions of the account bind wherever those of the route did. Refusals name their cause in one field of their log line, with the age of the configuration. A configuration is rejected with one located error for each fault; before, an error of a type hid all faults of other entries. Without accounts in the configuration nothing changes.

--- a/packages/bergamotferry/src/bergamotferry/configuration.py
+++ b/packages/bergamotferry/src/bergamotferry/configuration.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
+from .accounts import Account, index_keys, request_priority
+
 RouteKind = Literal["safe", "unsafe", "download"]
 
 TIMEOUT_MAX_MS = 600_000
@@ -28,7 +30,8 @@
 
     An answer within ``latency_objective_ms`` has its full value to the caller.
     ``priority`` 0 is the most urgent. Without ``home_regions``, requests may be served
-    in any region.
+    in any region. ``allows_anonymous`` is whether requests without an account are
+    served although there are accounts.
     """
 
     name: str
@@ -41,6 +44,7 @@
     n_attempts_max: int
     services: tuple[WeightedService, ...]
     home_regions: tuple[str, ...]
+    allows_anonymous: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -75,7 +79,7 @@
 
 
 class ConfigurationError(NamedTuple):
-    """An error of a configuration, and the route that it concerns."""
+    """An error of a configuration, and the route or account that it concerns."""
 
     place: str
     detail: str
@@ -83,9 +87,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Routes, services and limits of one version, with an index of the routes.
+    """Routes, services, limits and accounts of one version, with indexes.
 
-    ``most_urgent`` is the priority of the most urgent route of each service.
+    ``most_urgent`` is the priority of the most urgent requests of each service.
+    ``account_by_key`` has the accounts by digest of their keys.
     """
 
     version: int
@@ -94,6 +99,8 @@
     limits: CallerLimits = CallerLimits()
     routes_by_prefix: dict[tuple[str, str], DirectRoute] = field(default_factory=dict)
     most_urgent: dict[str, int] = field(default_factory=dict)
+    accounts: tuple[Account, ...] = ()
+    account_by_key: dict[bytes, Account] = field(default_factory=dict)
 
     @classmethod
     def from_rows(
@@ -102,16 +109,20 @@
         routes: Iterable[DirectRoute],
         services: Iterable[DirectService],
         limits: CallerLimits,
+        accounts: Iterable[Account] = (),
     ) -> "Configuration":
-        """Return a configuration with its index of routes."""
+        """Return a configuration with its indexes."""
         listed_routes = tuple(routes)
+        listed_accounts = tuple(accounts)
         return cls(
             version,
             listed_routes,
             {service.name: service for service in services},
             limits,
             {(route.host_name, route.path_prefix): route for route in listed_routes},
-            _most_urgent(listed_routes),
+            _most_urgent(listed_routes, listed_accounts),
+            listed_accounts,
+            index_keys(listed_accounts),
         )
 
 
@@ -125,7 +136,7 @@
             errors.append(ConfigurationError(route.name, "host and prefix stand twice"))
         prefixes.add(prefix)
         errors += _check_route(route, configuration.services)
-    return errors
+    return errors + _check_accounts(configuration.accounts)
 
 
 def find_route(
@@ -143,10 +154,14 @@
 
 
 def is_most_urgent(
-    configuration: Configuration, route: DirectRoute, service: str
+    configuration: Configuration,
+    route: DirectRoute,
+    service: str,
+    account: Account | None = None,
 ) -> bool:
-    """Return whether no other route of a service is more urgent than this one."""
-    return route.priority <= configuration.most_urgent.get(service, route.priority)
+    """Return whether no other requests of a service are more urgent than these."""
+    priority = request_priority(route.priority, account)
+    return priority <= configuration.most_urgent.get(service, priority)
 
 
 def choose_service(route: DirectRoute, fraction: float) -> str:
@@ -167,16 +182,44 @@
     return next(p.service for p in reversed(route.services) if p.weight > 0)
 
 
-def _most_urgent(routes: Iterable[DirectRoute]) -> dict[str, int]:
+def _most_urgent(
+    routes: Iterable[DirectRoute], accounts: tuple[Account, ...]
+) -> dict[str, int]:
     most_urgent: dict[str, int] = {}
     for route in routes:
+        priority = _most_urgent_of_route(route, accounts)
         for part in route.services:
             if part.weight > 0:
-                known = most_urgent.get(part.service, route.priority)
-                most_urgent[part.service] = min(known, route.priority)
+                known = most_urgent.get(part.service, priority)
+                most_urgent[part.service] = min(known, priority)
     return most_urgent
 
 
+def _most_urgent_of_route(route: DirectRoute, accounts: tuple[Account, ...]) -> int:
+    """Return the priority of the most urgent requests that a route may get."""
+    priorities = {request_priority(route.priority, account) for account in accounts}
+    if route.allows_anonymous or not accounts:
+        priorities.add(route.priority)
+    return min(priorities)
+
+
+def _check_accounts(accounts: Iterable[Account]) -> list[ConfigurationError]:
+    """Return the errors of accounts; keys are named by their position, from 1."""
+    errors: list[ConfigurationError] = []
+    names: set[str] = set()
+    owners: dict[bytes, str] = {}
+    for account in accounts:
+        if account.name in names:
+            errors.append(ConfigurationError(account.name, "the account stands twice"))
+        names.add(account.name)
+        for number, digest in enumerate(account.key_digests, 1):
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                detail = f"key number {number} is also one of account {owner}"
+                errors.append(ConfigurationError(account.name, detail))
+    return errors
+
+
 def _check_route(
     route: DirectRoute, services: dict[str, DirectService]
 ) -> list[ConfigurationError]:
--- a/packages/bergamotferry/src/bergamotferry/fleet_metrics.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_metrics.py
@@ -1,8 +1,8 @@
 """Counters and latency histograms of a host, and the metric families that export them.
 
 Label values come from bounded sets: route kinds, numbered result codes, results of
-sends, and the data centres and services of the configuration. No label holds a path, a
-key or data of a caller.
+sends, and the data centres, services and accounts of the configuration. No label holds
+a path, a key or data of a caller.
 """
 
 from bisect import bisect_left
@@ -54,7 +54,8 @@
     upstreams, by the upstream's distance. ``n_leaving`` counts upstreams that said in
     an answer that they leave, and ``n_pauses`` pauses that upstreams asked for.
     ``refused_sends`` counts the sends that an upstream said not to have run, by result
-    and by whether their connection was new or kept.
+    and by whether their connection was new or kept. ``account_requests`` counts the
+    requests with a known key by account.
     """
 
     answers: Counter[LabelValues] = field(default_factory=Counter)
@@ -68,6 +69,7 @@
     n_pauses: int = 0
     probes: Counter[LabelValues] = field(default_factory=Counter)
     payload_bytes: Counter[LabelValues] = field(default_factory=Counter)
+    account_requests: Counter[LabelValues] = field(default_factory=Counter)
 
 
 def observe(histogram: Histogram, duration_ms: float) -> None:
--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -35,6 +35,7 @@
     NO_LEADER = 1107
     HOST_STOPPING = 1108
     HOST_NOT_READY = 1109
+    STATE_TOO_OLD = 1110
     QUEUE_FULL = 1201
     DEADLINE_TOO_SHORT = 1202
     DEADLINE_EXPIRED_IN_QUEUE = 1203
@@ -113,6 +114,9 @@
     ResultCode.HOST_NOT_READY: ResultCodeRow(
         503, True, "The host has not caught up with the configuration."
     ),
+    ResultCode.STATE_TOO_OLD: ResultCodeRow(
+        503, True, "The host's state may be too old to decide on the account."
+    ),
     ResultCode.QUEUE_FULL: ResultCodeRow(503, True, "The upstream's queue is full."),
     ResultCode.DEADLINE_TOO_SHORT: ResultCodeRow(
         503, True, "The expected wait exceeds the deadline."
@@ -187,3 +191,15 @@
         400, False, "The body broke a limit after part of it was sent on."
     ),
 }
+
+# Causes of refusals that several codes share, or that operators know by another name.
+_CAUSES: dict[ResultCode, str] = {
+    ResultCode.MISSING_TOKEN: "key",
+    ResultCode.UNKNOWN_TOKEN: "key",
+    ResultCode.STATE_TOO_OLD: "stale",
+}
+
+
+def refusal_cause(code: ResultCode) -> str:
+    """Return the cause of a refusal as one word, for logs."""
+    return _CAUSES.get(code, code.name.lower())
--- a/packages/bergamotferry/tests/test_configuration.py
+++ b/packages/bergamotferry/tests/test_configuration.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bergamotferry.accounts import Account
 from bergamotferry.configuration import (
     CallerLimits,
     Configuration,
@@ -106,3 +107,46 @@
     assert urgent == {("first", "lamps"), ("third", "proofs")}
     # A route that the configuration in force no longer has may still be in progress.
     assert is_most_urgent(Configuration(0), ROUTE, "lamps")
+
+
+ANN = Account("ann", (b"1", b"2"), 1, (), 0.0, 0.0)
+
+
+def test_accounts_that_share_a_key_or_a_name_are_refused():
+    """Guards against a request that belongs to one account here and another there."""
+    accounts = [
+        ANN,
+        ANN._replace(name="bob", key_digests=(b"3", b"2")),
+        ANN._replace(key_digests=(b"4",)),
+        ANN._replace(name="cat", key_digests=(b"5", b"5")),
+        ANN._replace(name="dan", key_digests=()),
+    ]
+    indexed = Configuration.from_rows(1, [ROUTE], [SERVICE], CallerLimits(), accounts)
+    assert check_configuration(indexed) == [
+        ("bob", "key number 2 is also one of account ann"),
+        ("ann", "the account stands twice"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("allows_anonymous", "priorities", "most_urgent"),
+    [
+        (False, (), 3),
+        (False, (5, 4), 4),
+        (False, (5, None), 3),
+        (True, (5, 4), 3),
+        (True, (2,), 2),
+    ],
+)
+def test_most_urgent_priority_is_that_of_requests_which_a_service_can_get(
+    allows_anonymous, priorities, most_urgent
+):
+    """Guards against holders whose queue is kept free for requests that never come."""
+    route = ROUTE._replace(priority=3, allows_anonymous=allows_anonymous)
+    accounts = [ANN._replace(name=str(p), priority=p) for p in priorities]
+    indexed = Configuration.from_rows(1, [route], [SERVICE], CallerLimits(), accounts)
+    assert indexed.most_urgent == {"lamps": most_urgent}
+    for account in accounts:
+        effective = 3 if account.priority is None else account.priority
+        is_urgent = is_most_urgent(indexed, route, "lamps", account)
+        assert is_urgent == (effective == most_urgent)
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts at a host in direct mode: callers' headers and the state's age."""
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
@@ -99,8 +99,7 @@
         for upstream in _upstreams_in_order(host, request, now)
         if may_take(upstream.availability, now)
     )
-    homes = request.route.home_regions
-    is_remote = bool(homes) and host.settings.region not in homes
+    is_remote = not request.allows_region(host.settings.region)
     n_first = N_SCANNED_FIRST_REMOTE if is_remote else N_SCANNED_FIRST
     eligible = _eligible(host, request, upstreams, now, unanswered)
     first = list(islice(eligible, n_first))
@@ -132,9 +131,8 @@
 
 def _is_allowed(host: DirectHost, request: DirectRequest, data_centre: str) -> bool:
     """Return whether a request may go to the upstreams of a data centre."""
-    homes = request.route.home_regions
     region = host.settings.regions.get(data_centre, "")
-    return data_centre not in host.evacuated and (not homes or region in homes)
+    return data_centre not in host.evacuated and request.allows_region(region)
 
 
 def is_within_cold_rate(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
@@ -110,13 +110,18 @@
 
 
 def fingerprint_of(request: DirectRequest) -> str:
-    """Return the fingerprint of a request's content."""
+    """Return the fingerprint of a request's content.
+
+    The name of its account is a part of the content; a key is none.
+    """
     if not request.fingerprint:
+        account = request.account
+        credentials = request.headers.get("Authorization", "")
         request.fingerprint = request_fingerprint(
             request.method,
             request.route.host_name,
             request.target,
-            request.headers.get("Authorization", ""),
+            account.name if account is not None else credentials,
             request.body,
         )
     return request.fingerprint
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -69,7 +69,9 @@
     ``n_hosts_reported_ns`` when ``n_hosts_all``, the number of all hosts, was.
     ``followed`` names the control host that this host follows; ``source`` and
     ``session_change`` are the position in the changes that it reports.
-    ``control_reported_ns`` is when a control host last reported. ``ranges`` holds the
+    ``control_reported_ns`` is when a control host last reported, and ``confirmed_ns``
+    as of when the configuration held every acknowledged change (0 if that is not
+    known). ``ranges`` holds the
     key ranges of each service, in order of keys. ``key_work`` is the requested work by
     service and bucket of keys, in slot-milliseconds, since the last report to the
     control host. ``services_without_load`` are the services whose upstreams report no
@@ -105,6 +107,7 @@
     n_hosts_all: int = 1
     n_hosts_reported_ns: int = 0
     control_reported_ns: int = 0
+    confirmed_ns: int = 0
     services_without_load: set[str] = field(default_factory=set)
     key_pauses: dict[int, KeyPause] = field(default_factory=dict)
     key_work: dict[tuple[str, int], float] = field(default_factory=dict)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -9,6 +9,7 @@
 from bergamotferry.protection.crash_records import crash_verdicts
 from bergamotferry.window_budget import n_retries_left
 
+from .accounts.account_metrics import account_families
 from .clock import now_ns
 from .direct_host import DirectHost
 
@@ -23,6 +24,7 @@
     return [
         *request_families(host.metrics),
         *_known_state(host),
+        *account_families(host),
         single_value_family(
             "control_age_seconds", "Since the last news of control.", "gauge", age_s
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -173,7 +173,9 @@
 def _n_queued_max(host: DirectHost, request: DirectRequest) -> int:
     """Return how many requests may be queued where a request is sent."""
     service = request.service
-    is_urgent = is_most_urgent(host.configuration, request.route, service.name)
+    is_urgent = is_most_urgent(
+        host.configuration, request.route, service.name, request.account
+    )
     if service.is_sharded and not is_urgent:
         return N_QUEUED_LESS_URGENT_MAX
     return N_QUEUED_MAX
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -12,11 +12,17 @@
 from bergamotferry.configuration import N_SHARD_KEYS, choose_service, find_route
 from bergamotferry.fleet_metrics import NO_ROUTE, count_answer
 from bergamotferry.outcomes import Refused
-from bergamotferry.result_codes import RESULT_CODE_TABLE, ResultCode
+from bergamotferry.result_codes import (
+    RESULT_CODE_TABLE,
+    ResultCode,
+    refusal_cause,
+)
 from bergamotferry.stop_admission import record_answer_time
 from bergamotferry.upstream_load import record_arrival
 from bergamotferry.window_budget import record_request
 
+from .accounts.caller_identity import identify_request, replace_key
+from .accounts.state_age import state_age_ms
 from .answer_framing import HOP_HEADERS
 from .answer_sending import send_answer
 from .answer_streaming import CallerAnswer, CallerLeftError, break_off_answer
@@ -44,7 +50,7 @@
 # left. The rest is left for a caller retry at another host.
 CONFIGURATION_WAIT_SHARE = 0.4
 # Statuses of refusals that the caller can't mend by sending the same request again.
-CALLER_FAULTS = (400, 404, 413, 431)
+CALLER_FAULTS = (400, 401, 404, 413, 431)
 # Time that a caller is assumed to have left if its route is unknown.
 ASSUMED_TIME_LEFT_S = 1.0
 
@@ -141,6 +147,10 @@
     if _head_bytes(request) > limits.header_max_bytes:
         detail = f"limit is {limits.header_max_bytes} bytes"
         return Refused(ResultCode.HEADERS_TOO_LARGE, detail)
+    account = identify_request(host, request, route)
+    if isinstance(account, Refused):
+        return account
+    headers = replace_key(host, _end_to_end_headers(request), account)
     body = b""
     if request.body_exists:
         read = await read_body(request, limits.body_max_bytes, held=held)
@@ -169,12 +179,13 @@
         service,
         request.method,
         target,
-        _end_to_end_headers(request),
+        headers,
         body,
         shard_key if service.is_sharded else None,
         began_ns,
         began_ns + int(time_left_ms * 1e6),
         is_caller_retry=record_arrival(work, caller_time_left_ms),
+        account=account,
     )
 
 
@@ -214,17 +225,24 @@
         request_id=request_id,
         route=accepted.route.name if accepted else "",
         code=int(refusal.code),
+        cause=refusal_cause(refusal.code),
         detail=refusal.detail,
         status=status,
+        state_age_ms=state_age_ms(host, now_ns()),
         took_ms=round(_elapsed_ms(began_ns), 1),
         version=host.configuration.version,
     )
     headers = {header_names.request_id: request_id}
+    if status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
     if status == 503:
         time_left_s = ASSUMED_TIME_LEFT_S
         if accepted is not None:
             time_left_s = (accepted.deadline_ns - now_ns()) / 1e9
-        has_capacity = accepted is not None and accepted.may_retry_immediately
+        # The next host of the caller may have a newer state than this one.
+        has_capacity = refusal.code is ResultCode.STATE_TOO_OLD or (
+            accepted is not None and accepted.may_retry_immediately
+        )
         pause_s = caller_retry_pause_s(has_capacity, time_left_s, random.random())
         wanted_ms = pause_left_ms(host, accepted) if accepted is not None else 0.0
         if wanted_ms:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -300,6 +300,7 @@
             report_age_ms=reservation.report_age_ms,
             through=outcome.through if outcome is not None else "",
             revision=host.revision,
+            account=request.account.name if request.account is not None else "",
             fingerprint=logged_fingerprint(request.fingerprint),
         )
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
@@ -162,7 +162,12 @@
         return
     host.configuration = decoded
     host.configured.set()
-    log("configuration in force", version=decoded.version, revision=reply.revision)
+    log(
+        "configuration in force",
+        version=decoded.version,
+        revision=reply.revision,
+        n_accounts=len(decoded.accounts),
+    )
 
 
 def _apply_retirements(
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -221,6 +221,7 @@
         "configuration ordered",
         version=decoded.version,
         n_routes=len(decoded.routes),
+        n_accounts=len(decoded.accounts),
         code=result_code(outcome),
     )
     return outcome
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -19,6 +19,7 @@
 )
 from bergamotferry.upstream_sessions import SessionRow
 
+from .accounts.state_age import record_confirmation
 from .clock import now_ns
 from .direct_host import DirectHost
 from .fleet_changes import apply_changes, rows_not_listed
@@ -137,6 +138,7 @@
     wait_ms = 0
     for number in count():
         message = _follow_message(host, wait_ms, unlisted)
+        asked_ns = now_ns()
         reply = await host.network.call(control_host, message, FOLLOW_TIMEOUT_S)
         if not isinstance(reply, FleetChanges):
             return
@@ -144,6 +146,7 @@
         if number == 0 and not is_lagging and reply.is_current:
             log("control host followed", peer=control_host, revision=reply.revision)
         apply_changes(host, reply)
+        record_confirmation(host, reply, asked_ns)
         if not reply.is_current or is_lagging:
             return
         host.control_reported_ns = now_ns()
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -16,7 +16,8 @@
     proves that the upstream itself produced the answer. ``load`` carries the
     upstream's running requests, waiting requests, slots, and slowness in percent.
     ``cold_left_ms`` is the time in ms until the upstream is warm. ``leaving`` is "1" in
-    the answers of an upstream that leaves.
+    the answers of an upstream that leaves. ``account`` names the account of a request
+    to the upstream.
     """
 
     request_id: str = "Bergamotferry-Request-Id"
@@ -30,6 +31,7 @@
     shard_key: str = "Bergamotferry-Shard-Key"
     handover: str = "Bergamotferry-Handover"
     leaving: str = "Bergamotferry-Leaving"
+    account: str = "Bergamotferry-Account"
 
 
 class FleetBounds(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDict
 
+from bergamotferry.accounts import Account, allows_region
 from bergamotferry.configuration import DirectRoute, DirectService
 
 from .answer_streaming import CallerAnswer
@@ -30,7 +31,7 @@
     once it was needed. ``is_trial`` is set for the trial of a quarantined request.
     ``lost_upstream`` is the last upstream whose connection broke under the request.
     ``n_sends_by_address`` counts the sends, and ``refused_sends`` are those that their
-    upstreams said not to have run.
+    upstreams said not to have run. ``account`` is the account of the caller, if known.
     """
 
     request_id: str
@@ -58,6 +59,11 @@
     lost_upstream: str = ""
     n_sends_by_address: Counter[str] = field(default_factory=Counter)
     refused_sends: list[RefusedSend] = field(default_factory=list)
+    account: Account | None = None
+
+    def allows_region(self, region: str) -> bool:
+        """Return whether the request may be served in a region."""
+        return allows_region(self.route.home_regions, self.account, region)
 
     @property
     def has_answer_begun(self) -> bool:
