Refuse API keys while the configuration may lack their removal

Cause: a host that is cut off or frozen goes on to serve keys that operators have removed, without a bound.

Change: with the setting fail-closed, a host serves API keys only while its configuration is confirmed to be younger than revoke-ms less 2%. A control host reads its clock, asks the leader for its read index and waits until it is applied; its followers get the age of that with each reply and subtract it from when they sent the poll. Freezes and delays at any step make the state look older. Older state refuses keys with 503 (1110) and serves anonymous routes without an account; a host that could serve nobody is not ready. The age also bounds how long an unknown key is answered with 503. New log lines and gauges on both roles; the explain command shows when a host began to refuse keys.

Not run: the whole suite, a mixed deployment.

--- a/packages/bergamotferry/src/bergamotferry/configuration.py
+++ b/packages/bergamotferry/src/bergamotferry/configuration.py
@@ -102,6 +102,12 @@
     accounts: tuple[Account, ...] = ()
     account_by_key: dict[bytes, Account] = field(default_factory=dict)
 
+    @property
+    def needs_keys(self) -> bool:
+        """Whether every route needs an API key."""
+        is_any_open = any(route.allows_anonymous for route in self.routes)
+        return bool(self.accounts) and not is_any_open
+
     @classmethod
     def from_rows(
         cls,
--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .accounts import NOT_CONFIRMED_MS
 from .fleet_tables import KeyRange, Retired
 from .followers import Follower
 from .key_load import KeyWork
@@ -52,7 +53,9 @@
     it overlaps. ``local_hosts`` are the hosts of the follower's data centre that take
     requests. ``retired`` is what the log records since the follower's revision of
     upstreams that leave; the sender may know no row of them. ``service_loads`` are the
-    loads of all services that the sender knows of.
+    loads of all services that the sender knows of. ``confirmed_age_ms`` is for how long
+    at most the sender's tables may have lacked an acknowledged change, when it read
+    them for this reply.
     """
 
     source: str
@@ -69,6 +72,7 @@
     n_hosts_all: int
     retired: tuple[Retired, ...] = ()
     service_loads: tuple[ServiceLoad, ...] = ()
+    confirmed_age_ms: int = NOT_CONFIRMED_MS
 
 
 class SessionNews(NamedTuple):
--- a/packages/bergamotferry_ctl/src/bergamotferry_ctl/request_context.py
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/request_context.py
@@ -25,8 +25,14 @@
 HOST_EVENTS = frozenset(
     ("started", "stopping", "drained", "stopped", "configuration in force")
 )
+KEY_EVENTS = frozenset(("keys refused", "keys served again"))
 CONTEXT_EVENTS = (
-    UPSTREAM_EVENTS | LEAVING_EVENTS | RANGE_EVENTS | CONTROL_EVENTS | HOST_EVENTS
+    UPSTREAM_EVENTS
+    | LEAVING_EVENTS
+    | RANGE_EVENTS
+    | CONTROL_EVENTS
+    | HOST_EVENTS
+    | KEY_EVENTS
 )
 # Time window around a decision for events of any host. It is longer than the bounds of
 # drains, holds and configuration changes. The window's start does not limit the
@@ -38,6 +44,7 @@
 # found among the unreleased ranges; only the last of these are shown.
 N_UNRELEASED_RANGES_MAX = 3
 CODE_NO_OWNER = 1104
+CODE_STATE_TOO_OLD = 1110
 
 
 class RelatedEvent(NamedTuple):
@@ -100,6 +107,8 @@
         for event in own_events
         if _concerns(event, HOST_EVENTS) and _is_in_window(event)
     )
+    if decision.get("code") == CODE_STATE_TOO_OLD:
+        found += _nearest(event for event in own_events if _concerns(event, KEY_EVENTS))
     in_window = [event for event in timed if _is_in_window(event)]
     if upstream:
         found += _nearest(
--- a/packages/bergamotferry_ctl/tests/test_request_context.py
+++ b/packages/bergamotferry_ctl/tests/test_request_context.py
@@ -162,3 +162,21 @@
         [json.loads(sent(30.5, report_age_ms=-1, result="no_process"))]
     )
     assert "without a report): not run: no process is there (200)" in sentence
+
+
+def test_refusal_for_old_state_names_when_the_host_began_to_refuse_keys():
+    """Guards against a refusal whose cause is found only by searching by host."""
+    refused = {"request_id": "0b", "code": 1110, "cause": "stale", "took_ms": 0.0}
+    lines = [
+        line(9.0, "edge-1", "keys refused", state_age_ms=4_900),
+        line(28.0, "edge-2", "keys refused", state_age_ms=4_900),
+        line(31.0, "edge-1", "keys served again", for_ms=22_000),
+    ]
+    decision = json.loads(line(30.0, "edge-1", "refused", **refused))
+    found = related_events(decision, context_events(lines))
+    assert [(event.row["event"], event.after_s) for event in found] == [
+        ("keys refused", -21.0),
+        ("keys served again", 1.0),
+    ]
+    other = json.loads(line(30.0, "edge-1", "refused", **{**refused, "code": 1201}))
+    assert related_events(other, context_events(lines)) == []
--- a/packages/bergamotferry_host/src/bergamotferry_host/accounts/caller_identity.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/accounts/caller_identity.py
@@ -7,7 +7,12 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from bergamotferry.accounts import Account, has_common_region, identify_caller
+from bergamotferry.accounts import (
+    Account,
+    carries_key,
+    has_common_region,
+    identify_caller,
+)
 from bergamotferry.configuration import DirectRoute
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
@@ -24,12 +29,15 @@
 ) -> Account | Refused | None:
     """Return the account of a request, None if it has none, or its refusal."""
     configuration = host.configuration
+    authorizations = request.headers.getall(KEY_HEADER, [])
+    if not host.trusts_keys and carries_key(authorizations):
+        # Without accounts here too: those that were added may have been missed.
+        untrusted = Refused(ResultCode.STATE_TOO_OLD, "the key may have been removed")
+        return None if route.allows_anonymous else untrusted
     if not configuration.accounts:
         return None
     found = identify_caller(
-        configuration.account_by_key,
-        route.allows_anonymous,
-        request.headers.getall(KEY_HEADER, []),
+        configuration.account_by_key, route.allows_anonymous, authorizations
     )
     if isinstance(found, Refused):
         return _may_be_newer(host, found) or found
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
@@ -3,6 +3,7 @@
 from bergamotferry.fleet_metrics import MetricFamily, count_family, single_value_family
 from bergamotferry.followers import own_followers
 
+from .accounts.confirmation import needs_confirmation, reported_age_ms
 from .answer_fetching import AnswerFetching
 from .clock import now_ns
 from .fleet_control import ControlHost, is_current
@@ -30,6 +31,7 @@
         single_value_family(
             "leader_age_seconds", "Since the leader was heard.", "gauge", leader_age_s
         ),
+        *_confirmation(host),
         single_value_family(
             "is_disk_full",
             "Whether writes wait for space on the disk.",
@@ -102,3 +104,17 @@
             "heartbeats", "Heartbeats taken.", "counter", host.n_heartbeats
         ),
     ]
+
+
+def _confirmation(host: ControlHost) -> list[MetricFamily]:
+    """Return the age of the last confirmation of the state, where there are any."""
+    if not needs_confirmation(host):
+        return []
+    return [
+        single_value_family(
+            "confirmed_age_seconds",
+            "Since the tables surely held every acknowledged change; negative: never.",
+            "gauge",
+            reported_age_ms(host) / 1000,
+        )
+    ]
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -22,6 +22,7 @@
 from bergamotferry.fleet_metrics import Histogram
 from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
 
+from .accounts.confirmation import run_confirmations
 from .answer_fetching import AnswerFetching, fetch_for_host, finish_fetching
 from .clock import now_ns
 from .control_metrics import control_families
@@ -128,6 +129,7 @@
             run_group(group),
             run_table_updates(host),
             run_session_news(host),
+            run_confirmations(host),
             run_crash_exchanges(host),
             run_crash_store(host.crashes, folder.path),
             run_suspension_watch(host.suspension),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
+from bergamotferry.accounts import trusts_keys
 from bergamotferry.answer_link import AnswerLink
 from bergamotferry.cold_rate import ColdRate
 from bergamotferry.configuration import Configuration, DirectRoute
@@ -141,8 +142,20 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the load balancer should send callers to this host."""
-        return self.configuration.version > 0 and not self.is_stopping
+        """Whether the load balancer should send callers to this host.
+
+        A host that would refuse them all is not ready: the next host may serve them.
+        """
+        serves_any = self.trusts_keys or not self.configuration.needs_keys
+        return self.configuration.version > 0 and not self.is_stopping and serves_any
+
+    @property
+    def trusts_keys(self) -> bool:
+        """Whether the configuration is recent enough to serve API keys."""
+        bounds = self.settings.bounds
+        if not bounds.is_fail_closed:
+            return True
+        return trusts_keys(self.confirmed_ns, bounds.revoke_ms, now_ns())
 
 
 def retry_budget_of(host: DirectHost, service: str) -> WindowBudget:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -14,6 +14,7 @@
 from bergamotferry.answer_link import AnswerLink
 from bergamotferry.fleet_metrics import Histogram
 
+from .accounts.key_watch import run_key_watch
 from .background import start_task
 from .clock import now_ns
 from .direct_call import open_direct_session
@@ -94,6 +95,8 @@
         tasks: set[asyncio.Task[None]] = set()
         start_task(run_follower(host), tasks)
         start_task(run_crash_exchange(host), tasks)
+        if settings.bounds.is_fail_closed:
+            start_task(run_key_watch(host), tasks)
         if settings.splits_busy_ranges:
             start_task(run_key_reports(host), tasks)
         start_task(measure_loop_delays(delays), tasks)
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -70,7 +70,9 @@
     that it has not yet forwarded to the leader. ``key_loads`` is the load that this
     host recorded as the leader. ``crashes`` are the records of requests that end
     upstreams. ``began_ns`` is when this process started, and ``suspension`` records
-    when it was last suspended.
+    when it was last suspended. ``confirmed_ns`` is a time as of which the tables held
+    every acknowledged command, 0 if none is known, and ``is_unconfirmed_logged`` is set
+    while that is logged as too long ago.
     """
 
     settings: FleetSettings
@@ -93,6 +95,8 @@
     crashes: CrashExchange = field(default_factory=CrashExchange)
     began_ns: int = field(default_factory=now_ns)
     suspension: SuspensionWatch = field(default_factory=SuspensionWatch)
+    confirmed_ns: int = 0
+    is_unconfirmed_logged: bool = False
 
     @property
     def tables(self) -> FleetTables:
@@ -247,7 +251,11 @@
     Refuses the read if no leader confirms its read index, if this host does not apply
     that index in time, or if there is no configuration yet.
     """
-    index = await _read_index(host)
+    try:
+        index = await read_index(host, READ_TIMEOUT_S)
+    except PeerUnreachable as error:
+        log_warning("leader not reached for a read", why=str(error))
+        index = -1
     if index < 0:
         return Refused(ResultCode.NO_LEADER, "no leader vouches for the newest state")
     if await wait_applied(host.group, index, READ_TIMEOUT_S) < index:
@@ -275,17 +283,18 @@
     return host.group.is_leader and has_applied_own_term(host.group)
 
 
-async def _read_index(host: ControlHost) -> int:
+async def read_index(host: ControlHost, timeout_s: float) -> int:
+    """Return a log index that covers every acknowledged command, or -1.
+
+    Raises
+    ------
+    PeerUnreachable
+        If the leader does not answer in time.
+    """
     own = answer_read_index(host)
     if own.log_index >= 0 or not own.leader:
         return own.log_index
-    try:
-        reply = await host.network.call(
-            own.leader, ReadIndex(GLOBAL_GROUP), READ_TIMEOUT_S
-        )
-    except PeerUnreachable as error:
-        log_warning("leader not reached for a read", why=str(error))
-        return -1
+    reply = await host.network.call(own.leader, ReadIndex(GLOBAL_GROUP), timeout_s)
     return reply.log_index if isinstance(reply, ReadIndexReply) else -1
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -35,6 +35,7 @@
     rows_after,
 )
 
+from .accounts.confirmation import reported_age_ms
 from .background import start_task
 from .clock import now_ns
 from .crash_exchange import (
@@ -221,6 +222,7 @@
         len(followers),
         # A host that has just started knows no upstream that could have left.
         retired_after(tables, message.revision) if message.revision >= 0 else (),
+        confirmed_age_ms=reported_age_ms(host),
     )
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -40,7 +40,8 @@
     The retry budget of a service, for all hosts together and any period of
     ``retry_window_s``, is ``retry_budget_ratio`` times its requests plus
     ``retry_budget_reserve`` sends. The group has enough voters to survive the loss of
-    ``n_lost_disks_max`` disks at once.
+    ``n_lost_disks_max`` disks at once. With ``is_fail_closed``, no request runs that
+    was sent later than ``revoke_ms`` after the acknowledged removal of its API key.
     """
 
     drain_ms: int = 2_000
@@ -53,6 +54,8 @@
     retry_window_s: float = 10.0
     n_lost_disks_max: int = 1
     heartbeat_ms: int = 1_000
+    is_fail_closed: bool = False
+    revoke_ms: int = 5_000
 
 
 class FleetSettings(NamedTuple):
@@ -100,6 +103,8 @@
         errors.append(f"data centre {settings.data_centre!r} has no region")
     if not 0 < settings.peer_port < 65_536:
         errors.append(f"{settings.peer_port} is no port for peers")
+    if settings.bounds.revoke_ms <= 0:
+        errors.append(f"{settings.bounds.revoke_ms} ms is no bound on revoked keys")
     if settings.memory_mb < 0:
         errors.append(f"{settings.memory_mb} MiB is no limit of memory")
     if not 0 <= settings.metrics_port < 65_536:
--- a/packages/bergamotferry_host/tests/accounts/test_caller_identity.py
+++ b/packages/bergamotferry_host/tests/accounts/test_caller_identity.py
@@ -19,6 +19,10 @@
 from bergamotferry.configuration import CallerLimits, Configuration, DirectService
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.upstream_load import WorkTime
+from bergamotferry_host.accounts.key_watch import (
+    KEY_WATCH_INTERVAL_S,
+    run_key_watch,
+)
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.direct_crashes import fingerprint_of
 from bergamotferry_host.direct_metrics import direct_metric_families
@@ -46,6 +50,13 @@
     return {"Authorization": f"Bearer {key}"}
 
 
+def fail_closed(harness, revoke_ms=5_000):
+    bounds = harness.host.settings.bounds._replace(
+        is_fail_closed=True, revoke_ms=revoke_ms
+    )
+    harness.host.settings = harness.host.settings._replace(bounds=bounds)
+
+
 class HeaderRecorder:
     """An upstream that records the headers of the requests that it serves."""
 
@@ -312,3 +323,108 @@
     assert "account_requests" not in before
     assert after["account_requests"] == {("ann",): 2, ("bob",): 0}
     assert 3.0 <= after["configuration_age_seconds"][()] < 6.0
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "age_s", "status", "code", "account"),
+    [
+        ("/unsafe/1", bearer(KEY), 4.0, 200, "", "ann"),
+        ("/unsafe/1", bearer(KEY), 5.0, 503, "1110", None),
+        ("/unsafe/1", bearer("other"), 5.0, 503, "1110", None),
+        ("/unsafe/1", {}, 5.0, 401, "1001", None),
+        ("/safe/1", {}, 5.0, 200, "", None),
+        # No recent state says that the key still belongs to the account.
+        ("/safe/1", bearer(KEY), 4.0, 200, "", "ann"),
+        ("/safe/1", bearer(KEY), 5.0, 200, "", None),
+        ("/safe/1", {**bearer(KEY), ACCOUNT_HEADER: "ann"}, 5.0, 200, "", None),
+    ],
+)
+def test_old_state_vouches_for_no_key(path, headers, age_s, status, code, account):
+    """Guards against a removed key at a host that has not heard of the removal."""
+    upstream = HeaderRecorder()
+
+    async def scenario(harness):
+        fail_closed(harness)
+        configure(harness, age_s=age_s)
+        await harness.add("u1", upstream)
+        answer, text = await harness.send_request(path, **headers)
+        assert (answer.status, text[:4]) == (status, code or "whol")
+        assert ("Retry-After" in answer.headers) is (status == 503)
+        # A fresh reply of a control host ends this at once.
+        harness.host.confirmed_ns = now_ns()
+        answer, _ = await harness.send_request(path, **bearer(KEY))
+        assert answer.status == 200
+
+    run_with_harness(scenario)
+    *first, last = upstream.headers
+    assert [sent.get(ACCOUNT_HEADER) for sent in first] == [account] * (status == 200)
+    assert last[ACCOUNT_HEADER] == "ann"
+
+
+@pytest.mark.parametrize(
+    ("headers", "age_s", "status"),
+    [
+        ({}, 9.0, 200),
+        (bearer(KEY), 4.0, 200),
+        (bearer(KEY), 9.0, 503),
+        ({"Authorization": "Basic x"}, 9.0, 200),
+    ],
+)
+def test_old_state_without_accounts_vouches_for_no_key_either(headers, age_s, status):
+    """Accounts, and the removal of this key, may have been missed altogether."""
+
+    async def scenario(harness):
+        fail_closed(harness)
+        configure(harness, accounts=(), age_s=age_s)
+        await harness.add("u1", served)
+        answer, _ = await harness.send_request("/unsafe/1", **headers)
+        assert answer.status == status
+
+    run_with_harness(scenario)
+
+
+@pytest.mark.parametrize(
+    ("routes", "accounts", "is_fail_closed", "age_s", "is_ready"),
+    [
+        ((CLOSED,), (ANN,), True, 0.0, True),
+        ((CLOSED,), (ANN,), True, 9.0, False),
+        ((CLOSED,), (ANN,), False, 9.0, True),
+        ((CLOSED, OPEN), (ANN,), True, 9.0, True),
+        ((CLOSED,), (), True, 9.0, True),
+    ],
+)
+def test_host_that_can_serve_nobody_is_not_ready(
+    routes, accounts, is_fail_closed, age_s, is_ready
+):
+    """Guards against callers that use up their retry at a host that is cut off."""
+
+    async def scenario(harness):
+        if is_fail_closed:
+            fail_closed(harness)
+        configure(harness, *routes, accounts=accounts, age_s=age_s)
+        assert harness.host.is_ready is is_ready
+
+    run_with_harness(scenario)
+
+
+def test_loss_and_return_of_trust_in_keys_are_logged_and_shown(caplog):
+    caplog.set_level(logging.INFO, "bergamotferry")
+    refuses = []
+
+    async def scenario(harness):
+        fail_closed(harness, revoke_ms=1_000)
+        configure(harness)
+        watch = asyncio.create_task(run_key_watch(harness.host))
+        for age_s in (0.1, 2.0, 2.0, 0.0):
+            harness.host.confirmed_ns = now_ns() - int(age_s * 1e9)
+            await asyncio.sleep(3 * KEY_WATCH_INTERVAL_S)
+            families = direct_metric_families(harness.host)
+            refuses.extend(f.rows[()] for f in families if f.name == "refuses_keys")
+        watch.cancel()
+
+    run_with_harness(scenario)
+    assert refuses == [0, 1, 1, 0]
+    lines = [r for r in caplog.records if r.message.startswith("keys ")]
+    assert [line.message for line in lines] == ["keys refused", "keys served again"]
+    assert lines[0].state_age_ms >= 2_000
+    assert 0 < lines[1].for_ms < 60_000
--- a/packages/bergamotferry_host/tests/test_codec.py
+++ b/packages/bergamotferry_host/tests/test_codec.py
@@ -53,6 +53,9 @@
     assert decode(before) == changes
     retired = changes._replace(retired=(Retired("u", 1, "gone"),))
     assert decode(encode(retired)) == retired
+    confirmed = changes._replace(confirmed_age_ms=0)
+    assert decode(encode(confirmed)) == confirmed
+    assert decode(before).confirmed_age_ms == -1
 
 
 def test_decoded_maps_are_mutable():
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
@@ -40,6 +40,20 @@
     assert settings.bounds.n_lost_disks_max == 2
     # A field that the file does not set has its default.
     assert settings.bounds.retry_budget_ratio == 0.2
+    assert not settings.bounds.is_fail_closed
+    assert settings.bounds.revoke_ms == 5_000
+
+
+def test_revocation_of_keys_is_read_from_the_bounds():
+    text = EDGE_SETTINGS.replace("grace-s=6", "fail-closed=true,revoke-ms=3000")
+    bounds = decode_settings(text).bounds
+    assert bounds.is_fail_closed
+    assert bounds.revoke_ms == 3_000
+    text = EDGE_SETTINGS.replace("grace-s=6", "fail-closed=false")
+    assert not decode_settings(text).bounds.is_fail_closed
+    text = EDGE_SETTINGS.replace("grace-s=6", "fail-closed=yes")
+    with pytest.raises(SettingsError, match="bounds.fail-closed: 'yes'"):
+        decode_settings(text)
 
 
 def test_all_errors_are_reported_at_once():
--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -24,6 +24,7 @@
 # As on the smallest hosts of the users; nothing here enforces it.
 MEMORY_MB = 300
 CONTROL_PORT, FRONT_PORT, READY_PORT = 18166, 18161, 18167
+PEER_PORT = 17720
 START_TIMEOUT_S = 20.0
 
 
@@ -35,6 +36,8 @@
     tmp_path: Path,
     is_bootstrap: bool,
     link_mbps: float,
+    more_bounds: str = "",
+    peer_port: int = PEER_PORT,
 ) -> str:
     lines = [
         f"node-name=host-{ip}",
@@ -44,12 +47,12 @@
         "zones.a=north",
         "zones.b=north",
         "zones.c=north",
-        "internal-port-range=17720,17735",
+        f"internal-port-range={peer_port},{peer_port + 15}",
         "seed-nodes=" + ",".join(f"{core}:{CONTROL_PORT}" for core in cores),
         f"bootstrap={'true' if is_bootstrap else 'false'}",
         "limits.max-fds=1000",
         f"limits.memory-mb={MEMORY_MB}",
-        "bounds=hold-max-ms=4000,grace-s=6",
+        f"bounds=hold-max-ms=4000,grace-s=6,{more_bounds}",
     ]
     if role == "edge":
         lines.append(f"listen-addrs.front={ip}:{FRONT_PORT}")
@@ -62,7 +65,11 @@
 
 
 class Fleet:
-    """The processes of one test: control hosts (cores) and entry hosts (edges)."""
+    """The processes of one test: control hosts (cores) and entry hosts (edges).
+
+    ``more_bounds`` are added to those in the settings of all hosts. ``peer_ports`` are
+    by edge: at another port than `PEER_PORT` a test may put a proxy before the cores.
+    """
 
     def __init__(
         self,
@@ -70,9 +77,13 @@
         cores: list[str],
         edges: list[str],
         link_mbps: float = 1_000.0,
+        more_bounds: str = "",
+        peer_ports: dict[str, int] | None = None,
     ) -> None:
         self.tmp_path = tmp_path
         self.link_mbps = link_mbps
+        self.more_bounds = more_bounds
+        self.peer_ports = peer_ports or {}
         self.cores = cores
         self.edges = edges
         self.processes: dict[str, Process] = {}
@@ -92,7 +103,15 @@
         path = self.tmp_path / f"{ip}.conf"
         zone, is_bootstrap = self.zone_of(ip), not self.is_bootstrapped
         text = settings_text(
-            ip, role, zone, self.cores, self.tmp_path, is_bootstrap, self.link_mbps
+            ip,
+            role,
+            zone,
+            self.cores,
+            self.tmp_path,
+            is_bootstrap,
+            self.link_mbps,
+            self.more_bounds,
+            self.peer_ports.get(ip, PEER_PORT),
         )
         path.write_text(text)
         with self.log_path(ip).open("ab") as output:
