--- a/packages/bergamotferry/tests/revocation_world.py
+++ b/packages/bergamotferry/tests/revocation_world.py
@@ -1,13 +1,9 @@
 """A deployment in simulated time: hosts that freeze, links that delay and lose.
 
-Version N of the configuration removes key N. Each process has a clock of its own, with
-its own zero and rate, that counts freezes. What a process receives while it is frozen
-it handles when it resumes, in order.
+Version N of the configuration removes key N.
 """
 
-import heapq
-from itertools import count
-from random import Random
+from event_world import EventWorld, Process
 
 from bergamotferry.accounts import (
     confirmed_age_ms,
@@ -15,47 +11,36 @@
     trusts_keys,
 )
 
-NS_PER_S = 1_000_000_000
 REVOKE_MS = 5_000
 LEASE_S = 0.3
 ELECTION_MIN_S = 0.35
 CONFIRM_INTERVAL_S = 0.2
 POLL_WAIT_MAX_S = 0.25
-# The rates of two clocks differ by a hundredth at most.
-RATE_ERROR = 0.005
 
 
-class Process:
-    """A process with its own clock, which may be frozen or cut off until some time.
+class LaggingProcess(Process):
+    """A process that knows a version of the configuration and of what is confirmed.
 
     A control host that is cut off gets no entries of the log. Its questions to the
     leader it thinks of, and the replies, still pass now and then.
     """
 
     def __init__(self, rng):
-        self.zero_s = rng.uniform(0, 1e6)
-        self.rate = 1 + rng.uniform(-RATE_ERROR, RATE_ERROR)
-        self.frozen_until_s = 0.0
+        super().__init__(rng)
         self.cut_until_s = 0.0
         self.followed = None
         self.version = 0
         self.confirmed_ns = 0
 
-    def clock_ns(self, at_s):
-        return int((self.zero_s + at_s * self.rate) * NS_PER_S)
 
-
-class World:
+class World(EventWorld):
     """Three control hosts of which one leads, and the hosts that poll them."""
 
     def __init__(self, seed, n_hosts, is_calm=False):
-        self.rng = Random(seed)
+        super().__init__(seed)
         self.is_calm = is_calm
-        self.events = []
-        self.numbers = count()
-        self.now_s = 0.0
-        self.control = [Process(self.rng) for _ in range(3)]
-        self.hosts = [Process(self.rng) for _ in range(n_hosts)]
+        self.control = [LaggingProcess(self.rng) for _ in range(3)]
+        self.hosts = [LaggingProcess(self.rng) for _ in range(n_hosts)]
         self.leader = self.control[0]
         for process in self.control:
             process.followed = self.leader
@@ -69,11 +54,6 @@
         self.requests = []
         self.ages_ms = []
 
-    def at(self, delay_s, process, act):
-        """Let a process act after a delay, or as soon as it is no longer frozen."""
-        entry = (self.now_s + delay_s, next(self.numbers), process, act)
-        heapq.heappush(self.events, entry)
-
     def run(self, until_s):
         for process in self.control:
             self.at(0, process, lambda p=process: self.confirm(p))
@@ -85,14 +65,7 @@
         self.at(1.0, None, self.commit)
         if not self.is_calm:
             self.at(0, None, self.disturb)
-        while self.events[0][0] < until_s:
-            at_s, number, process, act = heapq.heappop(self.events)
-            self.now_s = at_s
-            if process is not None and process.frozen_until_s > at_s:
-                entry = (process.frozen_until_s, number, process, act)
-                heapq.heappush(self.events, entry)
-                continue
-            act()
+        self.run_until(until_s)
 
     def delay_s(self):
         """Return the delay of a message: usually small, now and then seconds."""
