Log no refusal of keys at a start, and test the regions of fetches

Cause: each start of a host with fail-closed logged that it refuses keys, before its first reply. The wait for a share counted from the arrival of a request although its body may have taken time. That a fetch keeps to the home regions of an account had no test.

Change: the watch of keys waits 2 s for the first reply; the wait is a part of the time that is left.

--- a/packages/bergamotferry_host/src/bergamotferry_host/accounts/key_watch.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/accounts/key_watch.py
@@ -8,6 +8,8 @@
 from .state_age import state_age_ms
 
 KEY_WATCH_INTERVAL_S = 0.1
+# A host that has just started has heard nothing yet, and is not ready either.
+STARTUP_NS = 2_000_000_000
 
 
 async def run_key_watch(host: DirectHost) -> None:
@@ -15,7 +17,8 @@
     refused_ns = 0
     while True:
         now = now_ns()
-        if not host.trusts_keys and not refused_ns:
+        is_starting = not host.confirmed_ns and now - host.began_ns < STARTUP_NS
+        if not host.trusts_keys and not refused_ns and not is_starting:
             refused_ns = now
             log_warning(
                 "keys refused",
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -172,7 +172,8 @@
         ),
     )
     request_id = request.headers.get(header_names.request_id, "")
-    refusal = await allow_by_cap(host, permit, account, time_left_ms, request_id)
+    wait_ms = time_left_ms - _elapsed_ms(began_ns)
+    refusal = await allow_by_cap(host, permit, account, wait_ms, request_id)
     if refusal is not None:
         return refusal
     service = host.configuration.services[choose_service(route, random.random())]
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/spending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/spending.py
@@ -58,7 +58,7 @@
     if generation is None and now < share.refused_until_ns:
         return _over_cap(state, account.name, share)
     if generation is None:
-        wait_s = min(WAIT_MAX_S, WAIT_SHARE_MAX * time_left_ms / 1000)
+        wait_s = max(0.0, min(WAIT_MAX_S, WAIT_SHARE_MAX * time_left_ms / 1000))
         outcome = await _wait_for_permit(state, account.name, wait_s)
         if isinstance(outcome, Refused):
             return outcome
--- a/packages/bergamotferry_host/tests/accounts/test_caller_identity.py
+++ b/packages/bergamotferry_host/tests/accounts/test_caller_identity.py
@@ -17,6 +17,7 @@
 from bergamotferry.accounts import Account, key_digest
 from bergamotferry.answer_link import AnswerLink
 from bergamotferry.configuration import CallerLimits, Configuration, DirectService
+from bergamotferry.fleet_messages import FetchAnswer
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.upstream_load import WorkTime
 from bergamotferry_host.accounts.key_watch import (
@@ -265,12 +266,20 @@
         work.answer_bytes = 100_000.0
         for number in range(12):
             key, path = KEYS[number % 4], ("/safe/1", "/unsafe/1")[number // 6]
+            host.fetch_pauses_ns.clear()
             await harness.send_request(path, f"r{number}", **bearer(key))
         await harness.send_request("/unsafe/1", **{"Authorization": "k-bare"})
         messages.extend(host.crashes.table.entries)
 
     run_with_harness(scenario)
     assert any("ann" in repr(message) for message in messages)
+    # What a control host is asked to fetch keeps to the home regions of the account.
+    fetches = [m for m in messages if isinstance(m, FetchAnswer)]
+    accounts = {dict(m.headers).get(ACCOUNT_HEADER): set() for m in fetches}
+    for message in fetches:
+        accounts[dict(message.headers).get(ACCOUNT_HEADER)].add(message.upstream)
+    assert accounts["bob"] == {"u-south"}
+    assert "u1" in accounts["ann"]
     texts = [repr(record.__dict__) for record in caplog.records]
     assert any("refused" in text for text in texts)
     for text in [*texts, *map(repr, messages)]:
@@ -414,7 +423,10 @@
     async def scenario(harness):
         fail_closed(harness, revoke_ms=1_000)
         configure(harness)
+        # Before the first reply nothing is known, and nothing is logged.
+        harness.host.confirmed_ns, harness.host.began_ns = 0, now_ns()
         watch = asyncio.create_task(run_key_watch(harness.host))
+        await asyncio.sleep(3 * KEY_WATCH_INTERVAL_S)
         for age_s in (0.1, 2.0, 2.0, 0.0):
             harness.host.confirmed_ns = now_ns() - int(age_s * 1e9)
             await asyncio.sleep(3 * KEY_WATCH_INTERVAL_S)
