--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .accounts import NOT_CONFIRMED_MS
 from .fleet_tables import KeyRange, Retired
 from .followers import Follower
 from .key_load import KeyWork
@@ -54,6 +55,8 @@
     upstreams that leave; the sender may know no row of them. ``service_loads`` are the
     loads of all services that the sender knows of. ``hot_holders`` are the upstreams
     that are asked for more than they can do for the keys that they hold.
+    ``confirmed_age_ms`` is for how long at most the sender's tables may have lacked an
+    acknowledged change, when it read them for this reply.
     """
 
     source: str
@@ -71,6 +74,7 @@
     retired: tuple[Retired, ...] = ()
     service_loads: tuple[ServiceLoad, ...] = ()
     hot_holders: tuple[str, ...] = ()
+    confirmed_age_ms: int = NOT_CONFIRMED_MS
 
 
 class SessionNews(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
@@ -3,16 +3,21 @@
 from bergamotferry.fleet_metrics import MetricFamily, count_family, single_value_family
 from bergamotferry.followers import own_followers
 
+from .accounts.confirmation import needs_confirmation, reported_age_ms
 from .answer_fetching import AnswerFetching
 from .clock import now_ns
 from .fleet_control import ControlHost, is_current
+from .quota.ledger_metrics import ledger_families
+from .quota.share_ledger import LeaderQuota
 from .service_load.load_metrics import control_load_families
 
 NS_PER_S = 1_000_000_000
 
 
-def control_families(host: ControlHost, fetching: AnswerFetching) -> list[MetricFamily]:
-    """Return the metric families of a control host and its answer fetches."""
+def control_families(
+    host: ControlHost, fetching: AnswerFetching, quota: LeaderQuota
+) -> list[MetricFamily]:
+    """Return the metric families of a control host, its fetches and its ledger."""
     n_followers = len(own_followers(host.followers, now_ns()))
     replica = host.group.replica
     tables = host.tables
@@ -31,6 +36,8 @@
         single_value_family(
             "leader_age_seconds", "Since the leader was heard.", "gauge", leader_age_s
         ),
+        *_confirmation(host),
+        *ledger_families(host, quota),
         single_value_family(
             "is_disk_full",
             "Whether writes wait for space on the disk.",
@@ -104,3 +111,17 @@
         ),
         *control_load_families(host),
     ]
+
+
+def _confirmation(host: ControlHost) -> list[MetricFamily]:
+    """Return the age of the last confirmation of the state, where there are any."""
+    if not needs_confirmation(host):
+        return []
+    return [
+        single_value_family(
+            "confirmed_age_seconds",
+            "Since the tables surely held every acknowledged change; negative: never.",
+            "gauge",
+            reported_age_ms(host) / 1000,
+        )
+    ]
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
+from bergamotferry.accounts import trusts_keys
 from bergamotferry.answer_link import AnswerLink
 from bergamotferry.cold_rate import ColdRate
 from bergamotferry.configuration import Configuration, DirectRoute
@@ -38,6 +39,7 @@
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
 from .peer_network import PeerNetwork
+from .quota.state import QuotaState
 from .spill.state import HostSpill
 from .upstream_ends import EndWatch
 
@@ -72,7 +74,9 @@
     ``n_hosts_reported_ns`` when ``n_hosts_all``, the number of all hosts, was.
     ``followed`` names the control host that this host follows; ``source`` and
     ``session_change`` are the position in the changes that it reports.
-    ``control_reported_ns`` is when a control host last reported. ``ranges`` holds the
+    ``control_reported_ns`` is when a control host last reported, and ``confirmed_ns``
+    as of when the configuration held every acknowledged change (0 if that is not
+    known). ``ranges`` holds the
     key ranges of each service, in order of keys. ``key_work`` is the requested work by
     service and bucket of keys, in slot-milliseconds, since the last report to the
     control host. ``services_without_load`` are the services whose upstreams report no
@@ -88,7 +92,8 @@
     callers that are held. ``work_counts`` is the work that arrived since the last
     report. ``service_loads`` are the newest rows of service load, by service and data
     centre, which arrived at ``service_loads_ns``. ``spill`` is what this host decides
-    by them. ``hot_holders`` are the overloaded holders of keys.
+    by them. ``hot_holders`` are the overloaded holders of keys. ``quota`` is what this
+    host may send for accounts with a cap.
     """
 
     settings: FleetSettings
@@ -111,6 +116,7 @@
     n_hosts_all: int = 1
     n_hosts_reported_ns: int = 0
     control_reported_ns: int = 0
+    confirmed_ns: int = 0
     services_without_load: set[str] = field(default_factory=set)
     key_pauses: dict[int, KeyPause] = field(default_factory=dict)
     key_work: dict[tuple[str, int], float] = field(default_factory=dict)
@@ -122,6 +128,7 @@
     answer_times: dict[str, AnswerTimes] = field(default_factory=dict)
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
     body_room: BodyRoom = field(init=False)
+    quota: QuotaState = field(init=False)
     link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
     link_turns: dict[int, "asyncio.Future[None]"] = field(default_factory=dict)
     link_timer: asyncio.TimerHandle | None = None
@@ -138,6 +145,7 @@
 
     def __post_init__(self) -> None:
         self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
+        self.quota = QuotaState.from_settings(self.settings)
         self.end_watch = EndWatch(
             lambda run: count_end(self.crashes, run.fingerprint, run.known)
         )
@@ -149,8 +157,20 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the load balancer should send callers to this host."""
-        return self.configuration.version > 0 and not self.is_stopping
+        """Whether the load balancer should send callers to this host.
+
+        A host that would refuse them all is not ready: the next host may serve them.
+        """
+        serves_any = self.trusts_keys or not self.configuration.needs_keys
+        return self.configuration.version > 0 and not self.is_stopping and serves_any
+
+    @property
+    def trusts_keys(self) -> bool:
+        """Whether the configuration is recent enough to serve API keys."""
+        bounds = self.settings.bounds
+        if not bounds.is_fail_closed:
+            return True
+        return trusts_keys(self.confirmed_ns, bounds.revoke_ms, now_ns())
 
 
 def retry_budget_of(host: DirectHost, service: str) -> WindowBudget:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -9,8 +9,10 @@
 from bergamotferry.protection.crash_records import crash_verdicts
 from bergamotferry.window_budget import n_retries_left
 
+from .accounts.account_metrics import account_families
 from .clock import now_ns
 from .direct_host import DirectHost
+from .quota.share_metrics import share_families
 from .service_load.load_metrics import host_load_families
 from .spill.metrics import spill_families
 
@@ -27,6 +29,8 @@
         *_known_state(host),
         *host_load_families(host),
         *spill_families(host),
+        *account_families(host),
+        *share_families(host),
         single_value_family(
             "control_age_seconds", "Since the last news of control.", "gauge", age_s
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -14,6 +14,7 @@
 from bergamotferry.answer_link import AnswerLink
 from bergamotferry.fleet_metrics import Histogram
 
+from .accounts.key_watch import run_key_watch
 from .background import start_task
 from .clock import now_ns
 from .direct_call import open_direct_session
@@ -39,6 +40,7 @@
 from .logs import log
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
 from .peer_link import PeerHandlers
+from .quota.share_renewal import run_share_renewal
 from .service_load.work_reports import run_work_reports
 from .spill.updates import run_spill_updates
 from .upstream_connections import connection_families
@@ -98,6 +100,9 @@
         start_task(run_crash_exchange(host), tasks)
         start_task(run_work_reports(host), tasks)
         start_task(run_spill_updates(host), tasks)
+        start_task(run_share_renewal(host), tasks)
+        if settings.bounds.is_fail_closed:
+            start_task(run_key_watch(host), tasks)
         if settings.splits_busy_ranges:
             start_task(run_key_reports(host), tasks)
         start_task(measure_loop_delays(delays), tasks)
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_feed.py
@@ -35,6 +35,7 @@
     rows_after,
 )
 
+from .accounts.confirmation import reported_age_ms
 from .background import start_task
 from .clock import now_ns
 from .crash_exchange import (
@@ -233,6 +234,7 @@
         retired_after(tables, message.revision) if message.revision >= 0 else (),
         service_loads_for(host, message.host),
         hot_holders_for(host, message.host),
+        confirmed_age_ms=reported_age_ms(host),
     )
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_follower.py
@@ -20,6 +20,7 @@
 )
 from bergamotferry.upstream_sessions import SessionRow
 
+from .accounts.state_age import record_confirmation
 from .clock import now_ns
 from .direct_host import DirectHost
 from .fleet_changes import apply_changes, rows_not_listed
@@ -155,6 +156,7 @@
         if number == 0 and not is_lagging and reply.is_current:
             log("control host followed", peer=control_host, revision=reply.revision)
         apply_changes(host, reply)
+        record_confirmation(host, reply, asked_ns)
         if not reply.is_current or is_lagging:
             return
         host.control_reported_ns = now_ns()
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_settings.py
@@ -16,7 +16,8 @@
     proves that the upstream itself produced the answer. ``load`` carries the
     upstream's running requests, waiting requests, slots, and slowness in percent.
     ``cold_left_ms`` is the time in ms until the upstream is warm. ``leaving`` is "1" in
-    the answers of an upstream that leaves.
+    the answers of an upstream that leaves. ``account`` names the account of a request
+    to the upstream.
     """
 
     request_id: str = "Bergamotferry-Request-Id"
@@ -30,6 +31,7 @@
     shard_key: str = "Bergamotferry-Shard-Key"
     handover: str = "Bergamotferry-Handover"
     leaving: str = "Bergamotferry-Leaving"
+    account: str = "Bergamotferry-Account"
 
 
 class FleetBounds(NamedTuple):
@@ -38,7 +40,10 @@
     The retry budget of a service, for all hosts together and any period of
     ``retry_window_s``, is ``retry_budget_ratio`` times its requests plus
     ``retry_budget_reserve`` sends. The group has enough voters to survive the loss of
-    ``n_lost_disks_max`` disks at once.
+    ``n_lost_disks_max`` disks at once. With ``is_fail_closed``, no request runs that
+    was sent later than ``revoke_ms`` after the acknowledged removal of its API key. In
+    any period of ``quota_window_s``, an account with a rate may run (rate x window +
+    burst) x (1 + ``quota_overshoot``) + ``quota_slack`` requests.
     """
 
     drain_ms: int = 2_000
@@ -51,6 +56,11 @@
     retry_window_s: float = 10.0
     n_lost_disks_max: int = 1
     heartbeat_ms: int = 1_000
+    is_fail_closed: bool = False
+    revoke_ms: int = 5_000
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
 
 
 class FleetSettings(NamedTuple):
@@ -98,6 +108,12 @@
         errors.append(f"data centre {settings.data_centre!r} has no region")
     if not 0 < settings.peer_port < 65_536:
         errors.append(f"{settings.peer_port} is no port for peers")
+    if settings.bounds.revoke_ms <= 0:
+        errors.append(f"{settings.bounds.revoke_ms} ms is no bound on revoked keys")
+    if settings.bounds.quota_window_s <= 0:
+        errors.append(f"{settings.bounds.quota_window_s} s is no window for caps")
+    if min(settings.bounds.quota_overshoot, settings.bounds.quota_slack) < 0:
+        errors.append("the tolerance of caps is negative")
     if settings.memory_mb < 0:
         errors.append(f"{settings.memory_mb} MiB is no limit of memory")
     if not 0 <= settings.metrics_port < 65_536:
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -6,6 +6,12 @@
 
 from multidict import CIMultiDict
 
+from bergamotferry.accounts import (
+    Account,
+    allows_region,
+    common_regions,
+    request_priority,
+)
 from bergamotferry.configuration import DirectRoute, DirectService
 from bergamotferry.service_load.work_counts import CountedWork
 from bergamotferry.spill.search import PlaceSearch
@@ -13,6 +19,7 @@
 from .answer_streaming import CallerAnswer
 from .clock import now_ns
 from .direct_host import DirectHost, Upstream
+from .quota.state import Permit
 from .refused_sends import RefusedSend
 
 
@@ -35,7 +42,8 @@
     ``n_sends_by_address`` counts the sends, and ``refused_sends`` are those that their
     upstreams said not to have run. ``work`` is how its work was counted. ``search`` is
     the search for the request's data centre, and ``data_centres`` those whose upstreams
-    are candidates now; None is any.
+    are candidates now; None is any. ``account`` is the account of the caller, if known,
+    and ``permit`` the right to send the request if the account has a cap.
     """
 
     request_id: str
@@ -67,11 +75,22 @@
     work: CountedWork | None = None
     search: PlaceSearch | None = None
     data_centres: frozenset[str] | None = None
+    account: Account | None = None
+    permit: Permit = field(default_factory=Permit)
 
     @property
     def priority(self) -> int:
         """The priority of the request; 0 is the most urgent."""
-        return self.route.priority
+        return request_priority(self.route.priority, self.account)
+
+    @property
+    def home_regions(self) -> tuple[str, ...]:
+        """Regions in which the request may be served; any if there are none."""
+        return common_regions(self.route.home_regions, self.account)
+
+    def allows_region(self, region: str) -> bool:
+        """Return whether the request may be served in a region."""
+        return allows_region(self.route.home_regions, self.account, region)
 
     @property
     def has_answer_begun(self) -> bool:
--- a/packages/bergamotferry_host/src/bergamotferry_host/service_load/work_reports.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/service_load/work_reports.py
@@ -45,7 +45,7 @@
     data_centre = data_centre_of_work(
         host.work_counts,
         host.settings.data_centre,
-        request.route.home_regions,
+        request.home_regions,
         host.settings.regions,
         host.evacuated,
     )
--- a/packages/bergamotferry_host/src/bergamotferry_host/spill/placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/spill/placing.py
@@ -67,9 +67,8 @@
         return False
     value = 0.0
     if isinstance(placed, Placed | NoCapacity):
-        objective_left_ms = request.route.latency_objective_ms - _caller_elapsed_ms(
-            host, request
-        )
+        elapsed = request.caller_elapsed_ms + elapsed_ms(request)
+        objective_left_ms = request.route.latency_objective_ms - elapsed
         time_left_ms = time_to_answer_ms(host, request)
         value = response_value(placed.expected_ms, objective_left_ms, time_left_ms)
     if search.place == search.own and not _is_reachable(placed):
@@ -111,7 +110,7 @@
     Besides those of `reason_of` these are "bound", if the request has no choice, and
     "estimate", if this host compared all upstreams without shares.
     """
-    if request.service.is_sharded or request.route.home_regions:
+    if request.service.is_sharded or request.home_regions:
         return "bound"
     return reason_of(request.search) if request.search is not None else "estimate"
 
@@ -126,7 +125,7 @@
 
 def _spill_of(host: DirectHost, request: DirectRequest) -> ServiceSpill | None:
     """Return the shares that apply to a request; None if there are none."""
-    if request.service.is_sharded or request.route.home_regions:
+    if request.service.is_sharded or request.home_regions:
         return None
     return host.spill.services.get(request.service.name)
 
@@ -155,13 +154,3 @@
     if placed is None:
         return False
     return not isinstance(placed, NoCapacity) or not math.isinf(placed.expected_ms)
-
-
-def _caller_elapsed_ms(host: DirectHost, request: DirectRequest) -> float:
-    """Return the time since the caller's first attempt, as far as it is known."""
-    before_ms = 0.0
-    if request.is_caller_retry:
-        longest_ms = work_time_of(host, request.route).longest_left_ms
-        left_ms = (request.deadline_ns - request.began_ns) / 1e6
-        before_ms = max(0.0, min(longest_ms, request.route.timeout_ms) - left_ms)
-    return before_ms + elapsed_ms(request)
--- a/packages/bergamotferry_host/tests/service_load/test_load_exchange.py
+++ b/packages/bergamotferry_host/tests/service_load/test_load_exchange.py
@@ -1,7 +1,6 @@
 """Service load on its way from a host that counts it to all other hosts."""
 
 import asyncio
-from types import SimpleNamespace
 
 import pytest
 from test_fleet_feed import control_host, follow
@@ -20,6 +19,7 @@
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.codec import decode, encode
 from bergamotferry_host.direct_host import DirectHost
+from bergamotferry_host.fleet_settings import FleetSettings
 from bergamotferry_host.service_load import work_reports
 from bergamotferry_host.service_load.load_exchange import (
     begin_round,
@@ -46,6 +46,10 @@
             record_load_notice(self.hosts[name], decode(encode(message)), self.sender)
 
 
+def entry_settings():
+    return FleetSettings("h", "h", "a", "n", {"a": "n"}, 1, ("c1",))
+
+
 def control_hosts(*names):
     """Return control hosts that know each other and one upstream of a service."""
     network = Network()
@@ -119,9 +123,7 @@
 
 def test_host_reports_while_it_has_requests_and_once_after(monkeypatch):
     monkeypatch.setattr(work_reports, "REPORT_INTERVAL_S", 0.01)
-    host = DirectHost(
-        SimpleNamespace(memory_mb=0, data_centre="a"), Network(), lambda source: []
-    )
+    host = DirectHost(entry_settings(), Network(), lambda source: [])
 
     async def run():
         task = asyncio.create_task(run_work_reports(host))
@@ -147,7 +149,7 @@
 
 
 def test_rows_of_a_slow_reply_are_older_and_missing_ones_change_nothing():
-    host = DirectHost(SimpleNamespace(memory_mb=0), Network(), lambda source: [])
+    host = DirectHost(entry_settings(), Network(), lambda source: [])
     row = ServiceLoad("lamps", "a", 4.0, ((0, 2.0),), 300)
     began_ns = now_ns()
     apply_service_loads(host, changes_with(row), took_ms=900.0, wait_ms=250)
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_settings.py
@@ -40,6 +40,36 @@
     assert settings.bounds.n_lost_disks_max == 2
     # A field that the file does not set has its default.
     assert settings.bounds.retry_budget_ratio == 0.2
+    assert not settings.bounds.is_fail_closed
+    assert settings.bounds.revoke_ms == 5_000
+
+
+def test_revocation_of_keys_is_read_from_the_bounds():
+    text = EDGE_SETTINGS.replace("grace-s=6", "fail-closed=true,revoke-ms=3000")
+    bounds = decode_settings(text).bounds
+    assert bounds.is_fail_closed
+    assert bounds.revoke_ms == 3_000
+    text = EDGE_SETTINGS.replace("grace-s=6", "fail-closed=false")
+    assert not decode_settings(text).bounds.is_fail_closed
+    text = EDGE_SETTINGS.replace("grace-s=6", "fail-closed=yes")
+    with pytest.raises(SettingsError, match="bounds.fail-closed: 'yes'"):
+        decode_settings(text)
+
+
+def test_rules_for_caps_are_read_from_the_bounds():
+    text = EDGE_SETTINGS.replace(
+        "grace-s=6", "quota-window-s=4,quota-overshoot=0.2,quota-slack=7"
+    )
+    bounds = decode_settings(text).bounds
+    assert bounds.quota_window_s == 4.0
+    assert bounds.quota_overshoot == 0.2
+    assert bounds.quota_slack == 7.0
+    bounds = decode_settings(EDGE_SETTINGS).bounds
+    assert (bounds.quota_window_s, bounds.quota_overshoot) == (5.0, 0.1)
+    assert bounds.quota_slack == 20.0
+    for wrong in ("quota-window-s=0", "quota-slack=-1"):
+        with pytest.raises(SettingsError):
+            decode_settings(EDGE_SETTINGS.replace("grace-s=6", wrong))
 
 
 def test_all_errors_are_reported_at_once():
