Let late requests take free slots of an overloaded holder

Cause: a request that would be answered after its objective was refused even if the holder had a free slot.

Change: a late request is sent if a slot is free, and refused if it would have to wait.

--- a/packages/bergamotferry/src/bergamotferry/hot_holders/overload.py
+++ b/packages/bergamotferry/src/bergamotferry/hot_holders/overload.py
@@ -7,9 +7,10 @@
 word on whether they ran.
 
 The leader knows the load of keys from the reports of all hosts, and names the holders
-that are overloaded. For these a host asks for the queue just before it sends, and
-refuses at once what would be answered after the latency objective. So the queue stays
-as short as callers can use it, and the others may come back before they are late.
+that are overloaded. For these a host asks for the queue just before it sends. What
+would be answered after the latency objective takes a free slot at most, and is refused
+at once if there is none. So the queue stays as short as callers can use it, and the
+others may come back before they are late.
 """
 
 from collections.abc import Iterable, Mapping
@@ -89,12 +90,26 @@
     return HolderQueue(expected_ms(load, work_ms, now_ns) + link_ms, n_queued)
 
 
-def is_answer_useful(
-    queue: HolderQueue, objective_left_ms: float, n_queued_max: int
+def may_queue(
+    queue: HolderQueue,
+    objective_left_ms: float,
+    deadline_left_ms: float,
+    n_queued_max: int,
 ) -> bool:
-    """Return whether an answer from an overloaded holder comes within the objective.
+    """Return whether a request may be sent to an overloaded holder.
 
-    The objective counts from the caller's first attempt. A caller whose objective has
-    passed would take the place of one that can still be served in time.
+    Parameters
+    ----------
+    queue : HolderQueue
+        What the request would meet there.
+    objective_left_ms : float
+        Time until the latency objective, which counts from the caller's first attempt.
+    deadline_left_ms : float
+        Time until the caller's deadline.
+    n_queued_max : int
+        Largest number of requests that may wait there, if the answer is in time. A late
+        one must not wait: it would take the place of one that can still be in time.
     """
-    return queue.expected_ms <= objective_left_ms and queue.n_queued <= n_queued_max
+    if queue.expected_ms <= objective_left_ms:
+        return queue.n_queued <= n_queued_max
+    return queue.n_queued == 0 and queue.expected_ms <= deadline_left_ms
--- a/packages/bergamotferry_host/src/bergamotferry_host/hot_holders/admission.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/hot_holders/admission.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from bergamotferry.direct_placement import LINK_LATENCY_MS, N_QUEUED_MAX
-from bergamotferry.hot_holders.overload import is_answer_useful, queue_at
+from bergamotferry.hot_holders.overload import may_queue, queue_at
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_load import is_report_fresh
@@ -17,7 +17,7 @@
 from ..direct_host import DirectHost, distance_of, work_time_of
 from ..load_probes import probe_loads
 from ..logs import log_routine
-from ..request_state import DirectRequest, elapsed_ms
+from ..request_state import DirectRequest, elapsed_ms, time_to_answer_ms
 
 
 async def refuse_at_hot_holder(
@@ -38,7 +38,7 @@
     queue = queue_at(upstream.load, work_ms, link_ms, now)
     objective_ms = float(request.route.latency_objective_ms)
     left_ms = objective_ms - request.caller_elapsed_ms - elapsed_ms(request)
-    if is_answer_useful(queue, left_ms, N_QUEUED_MAX):
+    if may_queue(queue, left_ms, time_to_answer_ms(host, request), N_QUEUED_MAX):
         return None
     _log_refused(request, holder, "too late", queue.expected_ms)
     detail = f"the holder is overloaded, its answer would take {queue.expected_ms:.0f}"
