Let the soak of the fleet play client accounts and usage caps

Cause: the soak sent requests without accounts, so it could not tell whether an API key reached an upstream, a caller's own account name was kept, or an account ran over its cap on all hosts together.

Change: callers of the soak send API keys, some of them unknown; stand-in upstreams record the account headers they get; the check reports keys that were passed on, account names of callers, and accounts above their cap.

The guard of revocation is not found by the soak: none of its faults cuts an entry host off from control for over 3 s; platform_adapter/test_accounts covers it.

--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -12,6 +12,7 @@
 
 Some answers are large for the hosts' links, and upstreams break off some of these.
 Some callers send requests ahead on a connection, whose answers are small or large.
+Some have API keys, which come and go, and one account wants more than its cap.
 Some requests are for keys that upstreams hold, and a few of the keys are hot. At the
 end, `check_soak` checks what callers, upstreams and the operator observed. To run one
 seed by hand:
@@ -28,11 +29,21 @@
 from pathlib import Path
 
 import aiohttp
+from aiohttp import web
 from platform_fleet import (
     FRONT_PORT,
     Fleet,
     send_http_request,
 )
+from platform_soak_accounts import (
+    BOUNDS,
+    N_ACCOUNT_CALLERS,
+    N_CAPPED_CALLERS,
+    is_with_account,
+    record_account_run,
+    send_above_cap,
+    send_with_keys,
+)
 from platform_soak_callers import (
     send_ahead,
     send_ending_requests,
@@ -83,7 +94,7 @@
 
     The seed decides all other random choices.
     """
-    fleet = Fleet(tmp_path, CORES, EDGES, LINK_MBPS)
+    fleet = Fleet(tmp_path, CORES, EDGES, LINK_MBPS, BOUNDS)
     rng = random.Random(seed)
     async with aiohttp.ClientSession() as http, asyncio.TaskGroup() as group:
         soak = Soak(fleet, rng, http)
@@ -92,6 +103,10 @@
             soak.breaks.append(time.monotonic())
             soak.ends.append(End(time.monotonic(), path, request_id))
 
+        def record_account(request: web.Request) -> None:
+            if is_with_account(request.path):
+                record_account_run(soak.account_runs, request)
+
         soak.upstreams = [
             SoakUpstream(
                 number,
@@ -99,6 +114,7 @@
                 random.Random(f"{seed} {number}"),
                 soak.broken_off,
                 record_end,
+                record_account,
                 proxy=soak.proxy,
                 odd=_draw_oddities(soak, f"{seed} {number}"),
                 replace_interval_s=rng.choice(REPLACE_INTERVALS_S),
@@ -137,6 +153,14 @@
                 group.create_task(send_ahead(soak, number))
                 for number in range(N_AHEAD_CALLERS)
             ]
+            callers += [
+                group.create_task(send_with_keys(soak, number))
+                for number in range(N_ACCOUNT_CALLERS)
+            ]
+            callers += [
+                group.create_task(send_above_cap(soak, number))
+                for number in range(N_CAPPED_CALLERS)
+            ]
             for upstream in soak.upstreams:
                 group.create_task(replace_often(soak, upstream))
             callers.append(group.create_task(send_ending_requests(soak)))
@@ -207,9 +231,10 @@
     plan = draw_plan(options.seed, options.seconds)
     soak = asyncio.run(run_soak(options.seed, plan, folder))
     statuses = Counter(call.status for call in soak.calls)
+    with_keys = Counter(call.status for call in soak.account_calls)
     print(
         f"seed {options.seed}: {dict(statuses)}, {dict(soak.n_faults_by_kind)}, "
-        f"odd: {dict(soak.n_odd_by_kind)}, "
+        f"with keys: {dict(with_keys)}, odd: {dict(soak.n_odd_by_kind)}, "
         f"{len(soak.acknowledged)} configurations, {len(soak.reads)} reads, "
         f"{soak.held.n_released_buckets} buckets of {KEYS_PER_BUCKET} keys released, "
         f"logs in {folder}"
--- a/packages/bergamotferry_testkit/tests/platform_soak_check.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_check.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 
+from platform_soak_accounts import check_accounts
 from platform_soak_state import APPLY_S, CORES, LARGE_KINDS, ONCE_KINDS, Call, Soak
 from platform_soak_upstream import Run, answer_body, is_ending
 
@@ -33,6 +34,7 @@
             broken.append(f"{call.request_id} got bytes that are no answer")
         if call.status in (400, 401, 403, 404, 500):
             broken.append(f"{call.request_id} got {call.status}")
+    broken += check_accounts(soak)
     broken += _check_reads(soak)
     broken += [
         f"{ip} ended with {status} after SIGTERM"
--- a/packages/bergamotferry_testkit/tests/platform_soak_operator.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_operator.py
@@ -10,6 +10,7 @@
     route,
     send_http_request,
 )
+from platform_soak_accounts import CAPPED_PREFIX, PATH_PREFIX, tenants
 from platform_soak_keys import SERVICE
 from platform_soak_state import (
     AHEAD_KIND,
@@ -56,10 +57,14 @@
     routes.append(route("/keyed/", "safe", SERVICE))
     routes.append(route("/keyed-once/", "unsafe", SERVICE))
     routes += [route(f"/v{version}-{number}/") for number in range(n_routes)]
+    # Only the requests with keys need one.
+    routes = [{**spec, "allow-anonymous": True} for spec in routes]
+    routes += [route(prefix, "safe") for prefix in (PATH_PREFIX, CAPPED_PREFIX)]
     async with asyncio.timeout(RECOVERY_TIMEOUT_S):
         while True:
             url = f"http://{soak.rng.choice(CORES)}:{CONTROL_PORT}/api/config"
             body = manifest(version, *routes, sharded=(SERVICE,))
+            body["resources"] += tenants(version)
             status, _ = await send_http_request(soak.http, "PUT", url, json=body)
             if status == 200:
                 soak.acknowledged.append((time.monotonic(), version))
--- a/packages/bergamotferry_testkit/tests/platform_soak_state.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_state.py
@@ -5,7 +5,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import aiohttp
 from platform_fleet import Fleet
@@ -81,7 +81,8 @@
     ``ends`` are the ends of upstreams under requests. ``down`` are the hosts that are
     killed or frozen, and ``returns`` when a host ran again (host, time). ``blackouts``
     are the spans (start, end) in which no control host ran. ``n_odd_by_kind`` counts
-    the odd answers of the upstreams.
+    the odd answers of the upstreams. ``account_calls`` and ``account_runs`` are the
+    requests with API keys, as callers sent and upstreams ran them.
     """
 
     fleet: Fleet
@@ -108,6 +109,8 @@
     returns: list[tuple[str, float]] = field(default_factory=list)
     blackouts: list[tuple[float, float]] = field(default_factory=list)
     blackout_began_s: float = 0.0
+    account_calls: list[Any] = field(default_factory=list)
+    account_runs: list[Any] = field(default_factory=list)
 
     def record_down(self, ip: str) -> None:
         """Record that a host was killed, stopped or frozen."""
--- a/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
@@ -65,9 +65,10 @@
 
     ``runs`` are the requests that all incarnations began to run, and ``broken_off`` the
     ids of those whose answer the upstream broke off. ``on_end`` is called with the path
-    and the id of a request that ends the upstream. Hosts connect through ``proxy``, if
-    there is one. ``odd`` decides which answers are odd. The upstream is replaced by its
-    next incarnation every ``replace_interval_s``, or not at all if that is 0.
+    and the id of a request that ends the upstream, ``on_run`` with each request that it
+    runs. Hosts connect through ``proxy``, if there is one. ``odd`` decides which
+    answers are odd. The upstream is replaced by its next incarnation every
+    ``replace_interval_s``, or not at all if that is 0.
     ``n_running`` is the number of requests that run.
     """
 
@@ -76,6 +77,7 @@
     rng: random.Random
     broken_off: list[str]
     on_end: Callable[[str, str], None]
+    on_run: Callable[[web.Request], None] = lambda _: None
     incarnation: int = 1
     sequence: int = 0
     runner: web.AppRunner | None = None
@@ -199,6 +201,7 @@
 
     def record_run(self, request: web.Request) -> None:
         """Record that a request begins to run."""
+        self.on_run(request)
         request_id = request.headers["X-Request-Id"]
         self.runs.append(Run(request_id, self.name, time.monotonic()))
 
