--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -23,6 +23,7 @@
 STARTED_EVENT = b'"event": "started"'
 # As on the smallest hosts of the users; nothing here enforces it.
 MEMORY_MB = 300
+N_DESCRIPTORS_MAX = 1_000
 CONTROL_PORT, FRONT_PORT, READY_PORT = 18166, 18161, 18167
 PEER_PORT = 17720
 START_TIMEOUT_S = 20.0
@@ -38,6 +39,8 @@
     link_mbps: float,
     more_bounds: str = "",
     peer_port: int = PEER_PORT,
+    memory_mb: int = MEMORY_MB,
+    n_descriptors_max: int = N_DESCRIPTORS_MAX,
 ) -> str:
     lines = [
         f"node-name=host-{ip}",
@@ -50,8 +53,8 @@
         f"internal-port-range={peer_port},{peer_port + 15}",
         "seed-nodes=" + ",".join(f"{core}:{CONTROL_PORT}" for core in cores),
         f"bootstrap={'true' if is_bootstrap else 'false'}",
-        "limits.max-fds=1000",
-        f"limits.memory-mb={MEMORY_MB}",
+        f"limits.max-fds={n_descriptors_max}",
+        f"limits.memory-mb={memory_mb}",
         f"bounds=hold-max-ms=4000,grace-s=6,{more_bounds}",
     ]
     if role == "edge":
@@ -69,6 +72,7 @@
 
     ``more_bounds`` are added to those in the settings of all hosts. ``peer_ports`` are
     by edge: at another port than `PEER_PORT` a test may put a proxy before the cores.
+    ``memory_mb`` and ``n_descriptors_max`` are limits of all hosts.
     """
 
     def __init__(
@@ -79,11 +83,15 @@
         link_mbps: float = 1_000.0,
         more_bounds: str = "",
         peer_ports: dict[str, int] | None = None,
+        memory_mb: int = MEMORY_MB,
+        n_descriptors_max: int = N_DESCRIPTORS_MAX,
     ) -> None:
         self.tmp_path = tmp_path
         self.link_mbps = link_mbps
         self.more_bounds = more_bounds
         self.peer_ports = peer_ports or {}
+        self.memory_mb = memory_mb
+        self.n_descriptors_max = n_descriptors_max
         self.cores = cores
         self.edges = edges
         self.processes: dict[str, Process] = {}
@@ -112,6 +120,8 @@
             self.link_mbps,
             self.more_bounds,
             self.peer_ports.get(ip, PEER_PORT),
+            self.memory_mb,
+            self.n_descriptors_max,
         )
         path.write_text(text)
         with self.log_path(ip).open("ab") as output:
@@ -191,8 +201,12 @@
     *routes: dict[str, object],
     service: str = "log",
     sharded: tuple[str, ...] = (),
+    limits: dict[str, int] | None = None,
 ) -> dict:
-    """Return a manifest of routes, one service without shards and sharded services."""
+    """Return a manifest of routes, one service without shards and sharded services.
+
+    ``limits`` are those of callers' requests; without them the defaults hold.
+    """
     resources = [
         {"resource-kind": "routes", "metadata": {"name": f"r{n}"}, "spec": route_spec}
         for n, route_spec in enumerate(routes)
@@ -209,6 +223,11 @@
         }
         for name in sharded
     ]
+    if limits is not None:
+        metadata = {"name": "limits"}
+        resources.append(
+            {"resource-kind": "limits", "metadata": metadata, "spec": limits}
+        )
     return {"version": f"{version:08x}", "resources": resources}
 
 
