--- a/packages/bergamotferry_testkit/tests/body_crowds.py
+++ b/packages/bergamotferry_testkit/tests/body_crowds.py
@@ -1,4 +1,4 @@
-"""Crowds of clients that send bodies to one entry host, and most of them not to the end.
+"""Crowds of clients that send bodies to one entry host, most of them not to the end.
 
 Each client has its own connection. It sends a head, then parts of a body until the
 plan of the crowd ends or the host closes the connection, and stays open until the crowd
