Count what a host holds in one ledger, and end what stalls when it is full

Cause: only what was read of bodies counted, against half of the memory. The HTTP library held up to 768 KiB for each connection beside that, also for requests that waited for their turn, and some 80 bytes for each chunk; freed bodies left gaps in the heap; a sender that stalled kept its room for 5 s, and an answer that was not read was kept for ever.

Change: one ledger counts bodies, waiting requests, held answers and unread answers, and refuses bodies in one place. When a body does not fit, bodies that made no progress for a second are refused, the longest silent first. Small bodies have a part of their own. The library reads 16 KiB at a time. A connection of which nothing is read for 10 s is ended. Large bodies to one upstream follow each other. The size from which memory is returned is fixed. body_room and its test are replaced by the ledger and memory/test_body_holding, which has the same cases; the room is 0.6 of what is left beyond 48 MiB (at 300 MB 151 MiB instead of 150, at 200 MB 91 instead of 100), and what the library holds counts in it, so the figures of the cases differ.

Found on the way: with smaller reads, a head that is too large was answered while more of it was unread, and the closing reset lost the answer; the connection stays for 0.5 s now.

--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -137,7 +137,10 @@
         503, True, "The budget of the link between regions is spent."
     ),
     ResultCode.NO_ROOM_FOR_BODY: ResultCodeRow(
-        503, True, "The host holds as many bytes of bodies as it has memory for."
+        503,
+        True,
+        "The host holds as many bytes as it has memory for, or the body stalled while "
+        "memory was short.",
     ),
     ResultCode.REQUEST_QUARANTINED: ResultCodeRow(
         422, True, "The request has ended upstreams and is quarantined."
--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
@@ -16,14 +16,15 @@
 
 import asyncio
 from collections.abc import AsyncIterable, AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from bergamotferry.answer_link import PART_BYTES, AnswerLink, is_large, take_part
+from bergamotferry.memory.ledger import Holding, MemoryLedger, hold
 
-from .bounded_answer import ANSWER_MAX_BYTES
+from .bounded_answer import ANSWER_MAX_BYTES, AnswerTooLargeError
 from .clock import now_ns
 from .pipelining import has_turn, wait_for_turn
 
@@ -46,12 +47,13 @@
 
     ``is_stopping`` returns whether the connection is closed after the answer.
     ``response`` is set when the head is sent; ``n_left`` bytes of the body are then
-    left to send.
+    left to send. ``holding`` counts the bytes of answers that are held.
     """
 
     link: AnswerLink
     request: web.Request
     is_stopping: Callable[[], bool]
+    holding: Holding = field(default_factory=lambda: Holding(MemoryLedger(), "answer"))
     response: web.StreamResponse | None = None
     n_left: int = 0
 
@@ -91,9 +93,17 @@
 async def hold_parts(
     answer: CallerAnswer, parts: AsyncIterable[bytes]
 ) -> AsyncIterator[bytes]:
-    """Yield the parts of an answer that is held; wait for its turn if it is large."""
+    """Yield the parts of an answer that is held; wait for its turn if it is large.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        If the host has no memory to hold it.
+    """
     n_bytes = 0
     async for part in parts:
+        if not hold(answer.holding, answer.holding.n_bytes + len(part), now_ns()):
+            raise AnswerTooLargeError("no memory is left to hold the answer")
         yield part
         n_bytes += len(part)
         await wait_to_receive(answer, n_bytes)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
@@ -14,6 +14,7 @@
     Candidate,
     has_idle,
 )
+from bergamotferry.memory.upstream_bodies import may_take_body
 from bergamotferry.upstream_notice import (
     Availability,
     is_available,
@@ -122,6 +123,8 @@
             continue
         if row.name in request.excluded:
             continue
+        if not may_take_body(upstream.n_body_bytes, len(request.body)):
+            continue
         if request.data_centres and row.data_centre not in request.data_centres:
             continue
         distance = distance_of(host.settings, row.data_centre)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -22,6 +22,7 @@
 from bergamotferry.key_load import reported_bucket, work_at_holder_ms
 from bergamotferry.key_pause import KeyPause
 from bergamotferry.key_ranges import range_of_key
+from bergamotferry.memory.ledger import MemoryLedger
 from bergamotferry.service_load.rows import ServiceLoad
 from bergamotferry.service_load.work_counts import WorkCounts
 from bergamotferry.stop_admission import AnswerTimes
@@ -33,7 +34,6 @@
 from bergamotferry.upstream_sessions import SessionRow
 from bergamotferry.window_budget import WindowBudget
 
-from .body_room import BodyRoom
 from .clock import now_ns
 from .crash_exchange import CrashExchange, count_end
 from .fleet_settings import FleetSettings
@@ -54,7 +54,8 @@
     ``probe_task`` is the load probe in flight, if any. ``rank`` is the rank of this
     host among the hosts of the upstream's data centre; it is None if this host is in
     another data centre. The host of rank 0 prefers the upstream. ``known_ns`` is when
-    this host first heard of the incarnation.
+    this host first heard of the incarnation. ``n_body_bytes`` counts the bytes of large
+    bodies that are under way to it.
     """
 
     row: SessionRow
@@ -64,6 +65,7 @@
     rank: int | None = None
     probe_task: "asyncio.Task[None] | None" = None
     known_ns: int = field(default_factory=now_ns)
+    n_body_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -88,8 +90,8 @@
     start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
     and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
-    reports to control that an upstream leaves. ``body_room`` bounds the bodies of
-    callers that are held. ``work_counts`` is the work that arrived since the last
+    reports to control that an upstream leaves. ``memory`` counts and bounds the bytes
+    that are held. ``work_counts`` is the work that arrived since the last
     report. ``service_loads`` are the newest rows of service load, by service and data
     centre, which arrived at ``service_loads_ns``. ``spill`` is what this host decides
     by them. ``hot_holders`` are the overloaded holders of keys. ``quota`` is what this
@@ -127,7 +129,7 @@
     rotation_end_ns: int = 0
     answer_times: dict[str, AnswerTimes] = field(default_factory=dict)
     metrics: RequestMetrics = field(default_factory=RequestMetrics)
-    body_room: BodyRoom = field(init=False)
+    memory: MemoryLedger = field(init=False)
     quota: QuotaState = field(init=False)
     link: AnswerLink = field(default_factory=lambda: AnswerLink(0.0))
     link_turns: dict[int, "asyncio.Future[None]"] = field(default_factory=dict)
@@ -144,7 +146,7 @@
     spill: HostSpill = field(default_factory=HostSpill)
 
     def __post_init__(self) -> None:
-        self.body_room = BodyRoom.from_memory(self.settings.memory_mb)
+        self.memory = MemoryLedger.from_memory(self.settings.memory_mb)
         self.quota = QuotaState.from_settings(self.settings)
         self.end_watch = EndWatch(
             lambda run: count_end(self.crashes, run.fingerprint, run.known)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_metrics.py
@@ -12,6 +12,7 @@
 from .accounts.account_metrics import account_families
 from .clock import now_ns
 from .direct_host import DirectHost
+from .memory.memory_metrics import memory_families
 from .quota.share_metrics import share_families
 from .service_load.load_metrics import host_load_families
 from .spill.metrics import spill_families
@@ -31,6 +32,7 @@
         *spill_families(host),
         *account_families(host),
         *share_families(host),
+        *memory_families(host.memory),
         single_value_family(
             "control_age_seconds", "Since the last news of control.", "gauge", age_s
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -27,6 +27,7 @@
     shortlist,
 )
 from bergamotferry.hedging import is_worth_hedging
+from bergamotferry.memory.upstream_bodies import counted_bytes
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_load import (
@@ -90,7 +91,9 @@
                 continue
             if pause_left_ms(host, request) > 0:
                 return Refused(ResultCode.UPSTREAM_SHED, "all upstreams want a pause")
-            may_poll = request.service.is_sharded and now < key_poll_end_ns
+            # A large body may wait for others that are under way.
+            waits = request.service.is_sharded or counted_bytes(len(request.body)) > 0
+            may_poll = waits and now < key_poll_end_ns
             if not may_poll or time_left_ms < 2 * KEY_POLL_MS:
                 return Refused(ResultCode.NO_OWNER, "no upstream may take it")
             await asyncio.sleep(KEY_POLL_MS / 1000)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_request.py
@@ -10,6 +10,7 @@
 from bergamotferry.caller_retry_pause import FULL_SPREAD_S, caller_retry_pause_s
 from bergamotferry.configuration import N_SHARD_KEYS, choose_service, find_route
 from bergamotferry.fleet_metrics import NO_ROUTE, count_answer
+from bergamotferry.memory.ledger import Holding, give_back
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import (
     RESULT_CODE_TABLE,
@@ -24,7 +25,6 @@
 from .accounts.state_age import state_age_ms
 from .answer_sending import send_answer
 from .answer_streaming import CallerAnswer, CallerLeftError, break_off_answer
-from .body_room import HeldBody, give_back
 from .clock import now_ns
 from .direct_candidates import pause_left_ms
 from .direct_crashes import quarantine_pause_s
@@ -64,9 +64,10 @@
     """Handle one request of a caller and return the response."""
     began_ns = arrived_ns(request)
     host.n_in_flight += 1
-    held, permit = HeldBody(host.body_room), Permit()
+    body, answers = Holding(host.memory, "body"), Holding(host.memory, "answer")
+    permit = Permit()
     try:
-        accepted = await _accept(host, request, began_ns, held, permit)
+        accepted = await _accept(host, request, began_ns, body, permit)
         if isinstance(accepted, Refused):
             return _refusal_response(host, request, accepted, began_ns, None)
         if not accepted.route.is_idempotent:
@@ -76,11 +77,13 @@
             host.link,
             request,
             lambda: host.is_stopping and not has_begun_behind(request),
+            answers,
         )
         accepted.caller = caller
         return await _serve(host, http, accepted, caller)
     finally:
-        give_back(held)
+        give_back(body)
+        give_back(answers)
         release_permit(host.quota, permit)
         host.n_in_flight -= 1
 
@@ -138,7 +141,7 @@
     host: DirectHost,
     request: web.Request,
     began_ns: int,
-    held: HeldBody,
+    holding: Holding,
     permit: Permit,
 ) -> DirectRequest | Refused:
     """Find the route of a request and read its body."""
@@ -161,7 +164,7 @@
     headers = upstream_headers(host, request, account)
     body = b""
     if request.body_exists:
-        read = await read_body(request, limits.body_max_bytes, held=held)
+        read = await read_body(request, limits.body_max_bytes, holding=holding)
         if isinstance(read, Refused):
             return read
         body = read
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -38,6 +38,8 @@
 from .http_edge import close_when_idle, wait_for_flush
 from .key_reports import run_key_reports
 from .logs import log
+from .memory.allocator import return_large_objects
+from .memory.unread_watch import run_unread_watch
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
 from .peer_link import PeerHandlers
 from .quota.share_renewal import run_share_renewal
@@ -60,6 +62,7 @@
     On SIGHUP the host reads its seeds again.
     """
     stopping = stop_event()
+    return_large_objects()
     network = fleet_network(
         settings, PeerHandlers(reject_call, reject_call, reject_call)
     )
@@ -79,7 +82,11 @@
         ready = web.Application()
         ready.router.add_get(ready_path, on_ready)
         caller_runner = await listen(
-            caller_app, settings.caller_address, settings, lambda: host.is_stopping
+            caller_app,
+            settings.caller_address,
+            settings,
+            lambda: host.is_stopping,
+            host.memory,
         )
         ready_runner = await listen(ready, settings.ready_address, settings)
         runners = [ready_runner, caller_runner]
@@ -97,6 +104,7 @@
         log("started", label=settings.label)
         tasks: set[asyncio.Task[None]] = set()
         start_task(run_follower(host), tasks)
+        start_task(run_unread_watch(caller_runner, host.memory), tasks)
         start_task(run_crash_exchange(host), tasks)
         start_task(run_work_reports(host), tasks)
         start_task(run_spill_updates(host), tasks)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -19,6 +19,7 @@
     record_send,
 )
 from bergamotferry.hedging import hedge_delay_ms, late_hedge_delay_ms
+from bergamotferry.memory.upstream_bodies import counted_bytes
 from bergamotferry.outcomes import Refused
 from bergamotferry.protection.crash_records import logged_fingerprint
 from bergamotferry.result_codes import ResultCode
@@ -225,10 +226,15 @@
     may_hedge: bool,
 ) -> "asyncio.Task[SendOutcome]":
     """Start a task that sends the request, and frees the reservation when it ends."""
+    upstream, n_bytes = reservation.upstream, counted_bytes(len(request.body))
+    upstream.n_body_bytes += n_bytes
     task = asyncio.create_task(_send(host, http, request, reservation, may_hedge))
-    task.add_done_callback(
-        lambda _: record_ended(reservation.upstream.load, reservation.due_ns)
-    )
+
+    def on_end(_: "asyncio.Task[SendOutcome]") -> None:
+        record_ended(upstream.load, reservation.due_ns)
+        upstream.n_body_bytes -= n_bytes
+
+    task.add_done_callback(on_end)
     return task
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
@@ -24,12 +24,15 @@
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_server import Server
 
+from bergamotferry.memory.ledger import Holding, MemoryLedger, give_back, hold
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns
 from .edge_errors import internal_error, parser_refusal, raw_refusal
 from .http_answers import refusal_response
+from .logs import log_routine
+from .memory.waiting_bodies import READ_BUFFER_BYTES, count_waiting
 from .pipelining import (
     N_AHEAD_MAX,
     N_SIDE_BY_SIDE_MAX,
@@ -81,6 +84,7 @@
         "_n_head_bytes",
         "_open_transport",
         "_pipeline",
+        "_waiting",
     )
 
     def __init__(self, manager: "EdgeServer", **settings: Any) -> None:
@@ -95,12 +99,14 @@
         self._body: StreamReader | None = None
         self._is_lingering = False
         self._closed = asyncio.Event()
+        self._waiting = Holding(manager.memory, "waiting")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a connection, or refuse it if the edge has too many."""
         server = self._edge
         self._open_transport = cast(asyncio.Transport, transport)
         server.transports.add(self._open_transport)
+        _limit_reads(transport)
         if server.n_connections < self._limits.n_connections_max:
             super().connection_made(transport)
             return
@@ -111,6 +117,7 @@
         """Cancel all requests of the connection."""
         self._stop_header_timer()
         self._closed.set()
+        give_back(self._waiting)
         self._edge.n_ahead -= cancel_waiting(self._pipeline)
         if self._open_transport is not None:
             self._edge.transports.discard(self._open_transport)
@@ -127,12 +134,23 @@
         super().data_received(data)
         self._record_arrivals()
         self._start_ahead()
+        self._count_waiting()
         if self._request_count > n_requests:
             self._stop_header_timer()
             self._n_head_bytes = 0
         elif self._is_awaiting_head():
             self._await_head(n_head_bytes)
 
+    def _count_waiting(self) -> None:
+        """Count the bodies that wait behind a request; close if there is no room."""
+        # The first request of an idle connection is about to be handled.
+        n_next = 1 if self._current_request is None else 0
+        n_bytes = count_waiting(islice(self._messages, n_next, None))
+        fits = hold(self._waiting, n_bytes, now_ns())
+        if not fits and self._open_transport is not None:
+            log_routine("waiting bodies ended", n_bytes=n_bytes)
+            self._open_transport.abort()
+
     def _await_head(self, n_bytes: int) -> None:
         """Bound a head that has begun to arrive, in time and in bytes.
 
@@ -150,6 +168,7 @@
         self, request: web.BaseRequest, start_time: float | None, request_handler: Any
     ) -> tuple[web.StreamResponse, bool]:
         self._record_arrivals()
+        self._count_waiting()
         self._body = request.content
         waiting = take_next(self._pipeline, request)
         task = waiting.task
@@ -275,7 +294,17 @@
         """Refuse a request whose head has not arrived, and close the connection."""
         if self.transport is not None and self._is_awaiting_head():
             self.transport.write(raw_refusal(Refused(code, detail)))
-            self.force_close()
+            self._is_lingering = True
+            self._stop_header_timer()
+            # Closing at once, while more of the head is unread, would reset the
+            # connection before the client has read the answer.
+            self._loop.call_later(REFUSED_LINGER_S, self.force_close)
+
+
+def _limit_reads(transport: asyncio.BaseTransport) -> None:
+    """Bound what is read at one time, all of which the library parses at once."""
+    if hasattr(transport, "max_size"):
+        transport.max_size = READ_BUFFER_BYTES
 
 
 class EdgeServer(Server):
@@ -286,6 +315,7 @@
         base: Server,
         limits: EdgeLimits,
         is_stopping: Callable[[], bool] | None,
+        memory: MemoryLedger,
     ) -> None:
         super().__init__(
             base.request_handler,
@@ -296,6 +326,7 @@
         )
         self.limits = limits
         self._is_stopping = is_stopping
+        self.memory = memory
         # Requests that are handled, or whose answer is held, before their turn.
         self.n_ahead = 0
         self.n_refused_lingering = 0
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_start.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from bergamotferry.configuration import Configuration, ConfigurationError
+from bergamotferry.memory.ledger import MemoryLedger
 from bergamotferry.records import HostAddress
 
 from .background import log_loop_failures
@@ -79,14 +80,15 @@
     address: str,
     settings: FleetSettings,
     is_stopping: Callable[[], bool] | None = None,
+    memory: MemoryLedger | None = None,
 ) -> web.AppRunner:
     """Serve an application at an address, within the host's file descriptor limit.
 
-    ``is_stopping`` is that of `http_edge.edge_runner`.
+    ``is_stopping`` and ``memory`` are those of `http_edge.edge_runner`.
     """
     n_connections_max = max(64, settings.n_descriptors_max - N_DESCRIPTORS_RESERVED)
     limits = direct_limits(n_connections_max)
-    runner = edge_runner(app, limits, STOP_RESERVE_S, is_stopping)
+    runner = edge_runner(app, limits, STOP_RESERVE_S, is_stopping, memory)
     await runner.setup()
     ip, port = split_address(address)
     site = web.TCPSite(runner, ip, port, reuse_address=True, backlog=LISTEN_BACKLOG)
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_edge.py
@@ -10,12 +10,14 @@
 from aiohttp import web
 from aiohttp.web_server import Server
 
+from bergamotferry.memory.ledger import MemoryLedger
 from bergamotferry.outcomes import Refused
 from bergamotferry.result_codes import ResultCode
 
 from .edge_connection import EdgeConnection, EdgeLimits, EdgeServer
 from .edge_errors import internal_error
 from .http_answers import refusal_response
+from .memory.waiting_bodies import READ_BUFFER_BYTES
 
 LINGERING_S = 2.0
 # How often a stopping host polls whether its connections are idle, and whether its
@@ -34,6 +36,7 @@
     limits: EdgeLimits,
     shutdown_timeout_s: float,
     is_stopping: Callable[[], bool] | None = None,
+    memory: MemoryLedger | None = None,
 ) -> web.AppRunner:
     """Return a runner that serves an application within limits.
 
@@ -48,12 +51,15 @@
     is_stopping : callable, optional
         Returns whether a planned stop has begun, in which answers close connections.
         If it is given, requests that a caller sends ahead are handled side by side.
+    memory : MemoryLedger, optional
+        Counts what has arrived of requests that wait; without it there is no bound.
     """
     app.middlewares.append(_result_code_middleware)
     return _EdgeRunner(
         app,
         limits=limits,
         is_stopping=is_stopping,
+        memory=memory or MemoryLedger(),
         access_log=None,
         handler_cancellation=True,
         shutdown_timeout=shutdown_timeout_s,
@@ -63,6 +69,7 @@
         max_line_size=limits.head_line_max_bytes,
         max_field_size=limits.head_line_max_bytes,
         max_headers=limits.n_head_lines_max,
+        read_bufsize=READ_BUFFER_BYTES,
     )
 
 
@@ -121,19 +128,21 @@
 
 
 class _EdgeRunner(web.AppRunner):
-    __slots__ = ("_is_stopping", "_limits")
+    __slots__ = ("_is_stopping", "_limits", "_memory")
 
     def __init__(
         self,
         app: web.Application,
         limits: EdgeLimits,
         is_stopping: Callable[[], bool] | None,
+        memory: MemoryLedger,
         **settings: Any,
     ) -> None:
         super().__init__(app, **settings)
         self._limits = limits
+        self._memory = memory
         self._is_stopping = is_stopping
 
     async def _make_server(self) -> Server:
         server = await super()._make_server()
-        return EdgeServer(server, self._limits, self._is_stopping)
+        return EdgeServer(server, self._limits, self._is_stopping, self._memory)
--- a/packages/bergamotferry_host/tests/accounts/test_caller_identity.py
+++ b/packages/bergamotferry_host/tests/accounts/test_caller_identity.py
@@ -143,7 +143,7 @@
         writer.write("\r\n".join([*lines, "", ""]).encode())
         async with asyncio.timeout(2):
             assert (await reader.readline()).startswith(b"HTTP/1.1 401 ")
-        assert harness.host.body_room.held_bytes == 0
+        assert harness.host.memory.held_bytes["body"] == 0
         writer.close()
 
     run_with_harness(scenario)
--- a/packages/bergamotferry_host/tests/direct_harness.py
+++ b/packages/bergamotferry_host/tests/direct_harness.py
@@ -138,7 +138,11 @@
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", on_request)
         self.runner = edge_runner(
-            app, direct_limits(50), 0.1, lambda: self.host.is_stopping
+            app,
+            direct_limits(50),
+            0.1,
+            lambda: self.host.is_stopping,
+            self.host.memory,
         )
         self.url = await self.listen(self.runner)
         self.http = await self.stack.enter_async_context(aiohttp.ClientSession())
--- a/packages/bergamotferry_host/tests/test_direct_request.py
+++ b/packages/bergamotferry_host/tests/test_direct_request.py
@@ -529,7 +529,7 @@
 
     async def scenario(harness):
         harness.configure(route())
-        harness.host.body_room.max_bytes = 1000
+        harness.host.memory.max_bytes = 1000
         ip, port = harness.url.split(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
         head = f"POST /safe/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: {n_bytes}"
