Let the soak read answers slowly and answer with a status that is none

Cause: the soak played neither callers that read slowly nor upstreams whose answers have no status, both of which the parts of this work handle.

Change: two callers download with a small receive buffer and pause before they read; upstreams answer some requests, after they ran, with 000, 099, 600 or 999. The check reports an answer whose status is none.

--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -12,6 +12,7 @@
 
 Some answers are large for the hosts' links, and upstreams break off some of these.
 Some callers send requests ahead on a connection, whose answers are small or large.
+Some read their answers slowly.
 Some have API keys, which come and go, and one account wants more than its cap.
 Some requests are for keys that upstreams hold, and a few of the keys are hot. At the
 end, `check_soak` checks what callers, upstreams and the operator observed. To run one
@@ -45,6 +46,7 @@
     send_with_keys,
 )
 from platform_soak_callers import (
+    read_slowly,
     send_ahead,
     send_ending_requests,
     send_hot_key_requests,
@@ -79,6 +81,7 @@
 # overload a single holder on a slow machine too.
 N_HOT_KEY_CALLERS = 3
 N_AHEAD_CALLERS = 2
+N_SLOW_CALLERS = 2
 # Time from one incarnation of an upstream to the next; 0 means that it is not replaced.
 REPLACE_INTERVALS_S = (0.0, 1.0, 2.0)
 # The runs of requests are counted this long after the last caller has ended, which is
@@ -153,6 +156,10 @@
                 group.create_task(send_ahead(soak, number))
                 for number in range(N_AHEAD_CALLERS)
             ]
+            callers += [
+                group.create_task(read_slowly(soak, number))
+                for number in range(N_SLOW_CALLERS)
+            ]
             callers += [
                 group.create_task(send_with_keys(soak, number))
                 for number in range(N_ACCOUNT_CALLERS)
--- a/packages/bergamotferry_testkit/tests/platform_soak_callers.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import socket
 import time
 from types import SimpleNamespace
 
@@ -30,6 +31,9 @@
 # Requests that are sent ahead on one connection.
 N_AHEAD = 5
 AHEAD_TIMEOUT_S = 4.0
+# A slow caller takes this much of an answer at once, and pauses before it reads.
+SLOW_BUFFER_BYTES = 4_096
+SLOW_PAUSES_S = (0.1, 1.5)
 # Pause of a caller of hot keys after a request that was not served.
 NOT_SERVED_PAUSE_S = 0.05
 
@@ -125,6 +129,34 @@
         await asyncio.sleep(rng.uniform(0.005, 0.05))
 
 
+async def read_slowly(soak: Soak, number: int) -> None:
+    """Download on a connection each, and let the answers wait unread."""
+    rng = random.Random(f"slow {number} {soak.rng.random()}")
+    loop = asyncio.get_running_loop()
+    for count in itertools.count():
+        if soak.is_finished:
+            return
+        edge = rng.choice(EDGES)
+        call = Call(f"slow-{number}-{count}", "download", edge, time.monotonic())
+        with socket.socket() as slow_socket:
+            slow_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES
+            )
+            slow_socket.setblocking(False)
+            try:
+                await loop.sock_connect(slow_socket, (edge, FRONT_PORT))
+            except OSError:
+                await asyncio.sleep(NOT_SERVED_PAUSE_S)
+                continue
+            reader, writer = await asyncio.open_connection(
+                sock=slow_socket, limit=SLOW_BUFFER_BYTES
+            )
+            writer.write(request_head(call.request_id, call.path, deadline_ms=2_000))
+            await asyncio.sleep(rng.uniform(*SLOW_PAUSES_S))
+            await _read_and_record(soak, reader, [call])
+            writer.transport.abort()
+
+
 async def _read_and_record(
     soak: Soak, reader: asyncio.StreamReader, calls: list[Call]
 ) -> None:
--- a/packages/bergamotferry_testkit/tests/platform_soak_check.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_check.py
@@ -32,7 +32,8 @@
             broken.append(f"{call.request_id} got {body_summary}")
         if call.is_unreadable:
             broken.append(f"{call.request_id} got bytes that are no answer")
-        if call.status in (400, 401, 403, 404, 500):
+        is_unexpected = call.status in (400, 401, 403, 404, 500)
+        if is_unexpected or (call.status and not 200 <= call.status <= 599):
             broken.append(f"{call.request_id} got {call.status}")
     broken += check_accounts(soak)
     broken += _check_reads(soak)
--- a/packages/bergamotferry_testkit/tests/platform_soak_oddities.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_oddities.py
@@ -3,6 +3,7 @@
 - A full upstream refuses a request, or resets the connection instead.
 - An upstream runs a request, and its answer says 503, 429 or 408 without the not-run
   header.
+- An upstream runs a request, and the status of its answer is none.
 - An upstream writes an answer that nobody asked for: an earlier one of the connection
   once more, the same without its id, or one to another request that is over. It writes
   it when the next request arrives, just before that request's answer, or while the
@@ -29,6 +30,7 @@
 FREE_SLOT_SHARE = 0.5
 FULL_STATUSES = (503, 429)
 UNMARKED_STATUSES = (503, 429, 408)
+NO_STATUSES = ("000", "099", "600", "999")
 # What an upstream writes without being asked: its last answer on the connection, that
 # answer without its id, or one of its answers to other requests.
 EXTRA_KINDS = ("same", "without id", "other request")
@@ -50,6 +52,7 @@
     full: float = 0.0
     full_by_reset: float = 0.0
     unmarked: float = 0.0
+    no_status: float = 0.0
     extra: float = 0.0
     extra_after_refusal: float = 0.0
     extra_when_idle: float = 0.0
@@ -61,6 +64,7 @@
         full=rng.choice(SHARES),
         full_by_reset=rng.choice(SHARES),
         unmarked=rng.choice(SHARES),
+        no_status=rng.choice(SHARES),
         extra=rng.choice(SHARES),
         extra_after_refusal=rng.choice(REFUSAL_EXTRA_SHARES),
         extra_when_idle=rng.choice(SHARES),
@@ -161,6 +165,23 @@
         headers = {ID_HEADER: request.headers[ID_HEADER]}
         return web.Response(status=self.rng.choice(UNMARKED_STATUSES), headers=headers)
 
+    def writes_no_status(self, request: web.Request) -> bool:
+        """Write an answer whose status is none, in some cases; return whether it did.
+
+        The connection is closed after it.
+        """
+        transport = request.transport
+        if transport is None or self.rng.random() >= self.shares.no_status:
+            return False
+        self.n_by_kind["no status"] += 1
+        status = self.rng.choice(NO_STATUSES)
+        request_id = request.headers[ID_HEADER]
+        lines = [f"HTTP/1.1 {status} Odd", f"{ID_HEADER}: {request_id}"]
+        lines += ["X-Response-Seal: s", "Content-Length: 0", "", ""]
+        transport.write("\r\n".join(lines).encode())
+        transport.close()
+        return True
+
     def _extra_share(self, last: WrittenAnswer | None) -> float:
         if last is not None and last.is_refusal:
             return self.shares.extra_after_refusal
--- a/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
@@ -228,6 +228,8 @@
         # None if a reset of the link closed the connection meanwhile.
         if self.rng.random() < 0.01 and request.transport is not None:
             request.transport.abort()
+        if self.odd.writes_no_status(request):
+            return web.Response()
         failure = self.odd.draw_unmarked(request)
         if failure is not None:
             return failure
