Know the processes of hosts apart in the ledger of usage caps

Cause: the ledger kept the last question of each host, not of each process. A first report of an earlier process that came after the one of its successor (passed on by a control host that had been frozen) was accepted a second time, and what it proves of the previous ledger counted twice. The unknown rest was too small then, so a new leader could grant more than the cap allows. Two living processes under one name made each other report in full for ever, and each round took the same sends for known once more.

Change: entries are by process. A question that is not newer than the last one of its process is outdated, whatever other processes ask.

Measured: both tests fail on the code before and are green now.

--- a/packages/bergamotferry/src/bergamotferry/quota/ledger.py
+++ b/packages/bergamotferry/src/bergamotferry/quota/ledger.py
@@ -47,14 +47,13 @@
 # sends that become free to nobody, and shorter ones cost questions in vain.
 # The pauses of hosts are spread by half of the mean, so that not all ask at once.
 RETRY_MEAN_MIN_MS, RETRY_MEAN_MAX_MS = 100, 270
-N_HOSTS_MAX = 4_096
+N_PROCESSES_MAX = 4_096
 
 
 @dataclass(slots=True)
-class HostEntry:
+class ProcessEntry:
     """The last question of a host's process."""
 
-    process: str
     number: int
     asked_ns: int
 
@@ -65,7 +64,8 @@
 
     ``began_ns`` is when no previous leader could grant any more. ``capped_before`` are
     the accounts that had a cap then. ``is_reserve_free`` is whether the previous leader
-    surely used no more than the limit of normal times.
+    surely used no more than the limit of normal times. ``processes`` are those whose
+    first report was accepted; two may have the name of one host, after a restart.
     """
 
     ledger_id: str
@@ -74,7 +74,7 @@
     rules: QuotaRules
     capped_before: frozenset[str]
     is_reserve_free: bool
-    hosts: dict[str, HostEntry] = field(default_factory=dict)
+    processes: dict[str, ProcessEntry] = field(default_factory=dict)
     books: dict[str, AccountBook] = field(default_factory=dict)
 
 
@@ -104,8 +104,8 @@
     now_ns : int
         Current time, at which the leader's lease was valid.
     """
-    entry = ledger.hosts.get(message.host)
-    if entry is not None and entry.process == message.process:
+    entry = ledger.processes.get(message.process)
+    if entry is not None:
         if message.number <= entry.number:
             return None
         if message.ledger != ledger.ledger_id:
@@ -114,8 +114,8 @@
         return SharesReply(ledger.ledger_id, now_ns, False, ())
     else:
         _record_known_before(ledger, message, now_ns)
-    ledger.hosts[message.host] = HostEntry(message.process, message.number, now_ns)
-    _forget_old_hosts(ledger, now_ns)
+    ledger.processes[message.process] = ProcessEntry(message.number, now_ns)
+    _forget_old_processes(ledger, now_ns)
     rows = []
     for row in message.rows:
         cap = caps.get(row.account)
@@ -234,9 +234,9 @@
     return int(mean_ms * (0.5 + zlib.crc32(seed.encode()) / 2**32))
 
 
-def _forget_old_hosts(ledger: Ledger, now_ns: int) -> None:
-    if len(ledger.hosts) <= N_HOSTS_MAX:
+def _forget_old_processes(ledger: Ledger, now_ns: int) -> None:
+    if len(ledger.processes) <= N_PROCESSES_MAX:
         return
-    for name, entry in list(ledger.hosts.items()):
+    for name, entry in list(ledger.processes.items()):
         if now_ns - entry.asked_ns > HOST_RETENTION_NS:
-            del ledger.hosts[name]
+            del ledger.processes[name]
--- a/packages/bergamotferry/tests/quota/test_ledger.py
+++ b/packages/bergamotferry/tests/quota/test_ledger.py
@@ -167,6 +167,28 @@
     assert harness.counted(BEGAN_NS + 500 * MS) == 40
 
 
+def test_late_first_report_of_an_earlier_process_proves_nothing_a_second_time():
+    """Guards against sends of the previous ledger that are taken for known twice.
+
+    A control host that was frozen passes on what a process reported before its end.
+    """
+    harness = LedgerHarness(is_old=True)
+    now_ns = BEGAN_NS + 300 * MS
+    harness.ask(now_ns, number=2, n_sent=5, recent=((5, 0, 100),), n_held=5)
+    harness.ask(now_ns, process="h.2", number=1, n_waiting=1)
+    harness.ask(now_ns, number=1, n_sent=5, recent=((5, 0, 100),), n_held=5)
+    assert n_unknown(harness.ledger, harness.book, CAP, now_ns) == CAP.n_full - 10
+
+
+def test_two_processes_under_one_name_are_both_known():
+    """Guards against processes that make each other report in full for ever."""
+    harness = LedgerHarness()
+    for number in range(1, 4):
+        for process in ("h.1", "h.2"):
+            is_first = {"is_full": number == 1, "process": process, "number": number}
+            assert harness.ask(BEGAN_NS, n_waiting=1, **is_first) is not False
+
+
 @pytest.mark.parametrize(
     ("changes", "is_accepted"),
     [
