Drop the sends of an idle account in one step

Cause: sends that leave the window were dropped interval by interval, 50 for each second since the account's last send.

Change: only intervals that hold sends are looked at.

The test counts steps; it fails on the code before.

--- a/packages/bergamotferry/src/bergamotferry/quota/send_counts.py
+++ b/packages/bergamotferry/src/bergamotferry/quota/send_counts.py
@@ -34,6 +34,10 @@
 
 def drop_before(counts: SendCounts, began_ns: int) -> None:
     """Drop the sends of intervals that ended before a time."""
-    while counts.by_interval and counts.first_interval * INTERVAL_NS < began_ns:
-        counts.n_total -= counts.by_interval.pop(counts.first_interval, 0)
-        counts.first_interval += 1
+    if not counts.by_interval or counts.first_interval * INTERVAL_NS >= began_ns:
+        return
+    # Not interval by interval: an account may have been idle for days.
+    for interval in list(counts.by_interval):
+        if interval * INTERVAL_NS < began_ns:
+            counts.n_total -= counts.by_interval.pop(interval)
+    counts.first_interval = min(counts.by_interval, default=0)
--- a/packages/bergamotferry/tests/quota/test_ledger.py
+++ b/packages/bergamotferry/tests/quota/test_ledger.py
@@ -319,3 +319,22 @@
     assert reply.rows == ()
     forget_accounts(harness.ledger, ())
     assert harness.ledger.books == {}
+
+
+def test_account_that_was_idle_for_days_costs_the_leader_no_pause():
+    """Guards against a step for each 20 ms that nobody sent anything."""
+
+    class CountedDict(dict):
+        n_steps = 0
+
+        def pop(self, *args):
+            CountedDict.n_steps += 1
+            return super().pop(*args)
+
+    harness = LedgerHarness()
+    harness.ask(BEGAN_NS, n_sent=1, recent=((1, 0, 0),))
+    harness.book.sent.by_interval = CountedDict(harness.book.sent.by_interval)
+    later_ns = BEGAN_NS + 3_600 * NS_PER_S
+    harness.ask(later_ns, n_sent=2, recent=((1, 0, 0),))
+    assert harness.counted(later_ns) == 1
+    assert CountedDict.n_steps < 10
