Count a term as seen whose commit a new leader learned late

Cause: a control host recorded the term of the last entry that it had applied. If the leader before was cut off from it, or was lost at once, entries of two terms were applied together at the host's own election, and the earlier term was never recorded.

Change: all terms among the applied entries are recorded.

--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/share_ledger.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/share_ledger.py
@@ -88,11 +88,17 @@
     A leader grants only after an entry of its term was applied, so its first grant is
     not later than what another control host records, unless that one grants nothing.
     """
-    term = term_at(host.group.replica, host.group.applied_index)
-    is_known = bool(quota.terms_seen) and quota.terms_seen[-1][0] == term
-    if term is None or term == 0 or is_known:
+    replica, applied_index = host.group.replica, host.group.applied_index
+    term = term_at(replica, applied_index)
+    last_term = quota.terms_seen[-1][0] if quota.terms_seen else 0
+    if term is None or term <= last_term:
         return
-    quota.terms_seen.append((term, now_ns()))
+    # Entries of several terms may have been applied since: a new leader often learns
+    # only by its election that those of the previous one are committed.
+    terms = {e.term for e in replica.log if e.log_index <= applied_index}
+    terms.add(replica.snapshot_term)
+    seen_ns = now_ns()
+    quota.terms_seen += [(new, seen_ns) for new in sorted(terms) if new > last_term]
     del quota.terms_seen[:-N_TERMS_KEPT]
 
 
--- a/packages/bergamotferry_host/tests/quota/test_share_ledger.py
+++ b/packages/bergamotferry_host/tests/quota/test_share_ledger.py
@@ -172,6 +172,22 @@
     assert not started.ledger().is_reserve_free
 
 
+def test_term_whose_commit_was_learned_late_counts_as_just_seen(monkeypatch):
+    """Guards against the reserve beside a previous leader that was new itself.
+
+    This host has the entry of the previous leader, and learns only with the one of its
+    own term that it is committed.
+    """
+    world = ControlWorld(monkeypatch, ANN)
+    world.see(1)
+    world.see(2)
+    world.now_ns += settled_after_ns(RULES)
+    index = len(world.group.replica.log) + 1
+    world.group.replica.log.append(LogEntry(index, 3, None))
+    world.lead(4)
+    assert not world.ledger().is_reserve_free
+
+
 @pytest.mark.parametrize(
     ("terms_before", "snapshot_index", "capped_before"),
     [((), 0, set()), ((2,), 0, {"ann"}), ((), 9, {"ann"})],
