End the reports on accounts that have no cap any more

Cause: sends count as unreported until a grant comes, and an account whose cap was removed gets none. A host that had sent for it shortly before asked twice a second for the rest of its life, with one more row for each such account.

Change: sends that have left the window need no report; they count nowhere.

Measured: the test fails on the code before and is green now.

--- a/packages/bergamotferry/src/bergamotferry/quota/questions.py
+++ b/packages/bergamotferry/src/bergamotferry/quota/questions.py
@@ -16,6 +16,7 @@
     has_unreported,
     is_renewal_due,
     report_share,
+    skip_old_sends,
 )
 
 
@@ -63,6 +64,8 @@
         expire(share, now_ns)
         if is_full:
             begin_full_report(share, state.window_ns, now_ns)
+        else:
+            skip_old_sends(share, state.window_ns, now_ns)
         n_asking = n_waiting.get(account, 0)
         is_due = has_unreported(share) or is_renewal_due(share, now_ns)
         if n_asking or is_due or (is_full and share.n_held):
--- a/packages/bergamotferry/src/bergamotferry/quota/shares.py
+++ b/packages/bergamotferry/src/bergamotferry/quota/shares.py
@@ -144,7 +144,16 @@
 def begin_full_report(share: AccountShare, window_ns: int, now_ns: int) -> None:
     """Report all sends of the last window next, to a ledger that knows none."""
     _drop_old_sends(share, now_ns - window_ns)
-    share.n_accepted = share.n_sent - sum(n_sends for _, n_sends in share.sends)
+    share.n_accepted = share.n_sent - _n_recent(share)
+
+
+def skip_old_sends(share: AccountShare, window_ns: int, now_ns: int) -> None:
+    """Leave sends that are out of the window unreported; they count nowhere.
+
+    An account that has no cap any more gets no grant, so no report on it is accepted.
+    """
+    _drop_old_sends(share, now_ns - window_ns)
+    share.n_accepted = max(share.n_accepted, share.n_sent - _n_recent(share))
 
 
 def report_share(
@@ -208,6 +217,10 @@
         share.sends.append((now_ns, n_sends))
 
 
+def _n_recent(share: AccountShare) -> int:
+    return sum(n_sends for _, n_sends in share.sends)
+
+
 def _drop_old_sends(share: AccountShare, before_ns: int) -> None:
     while share.sends and share.sends[0][0] + SEND_INTERVAL_NS < before_ns:
         share.sends.popleft()
--- a/packages/bergamotferry/tests/quota/test_shares.py
+++ b/packages/bergamotferry/tests/quota/test_shares.py
@@ -212,6 +212,20 @@
     assert hosts_question(state) is None
 
 
+def test_sends_of_an_account_without_a_cap_are_reported_for_a_window_only(state):
+    """Guards against questions without end on accounts that no longer have a cap."""
+    state.is_full_due = False
+    share = share_of(state, "a")
+    share.n_left, share.expires_ns = 1, NOW_NS + LEASE_NS
+    use_permit(share, take_permit(share, NOW_NS), NOW_NS)
+    question = hosts_question(state, NOW_NS + MS)
+    assert [row.recent[0][0] for row in question.rows] == [1]
+    reply = SharesReply("l", 77, True, ())
+    assert apply_reply(state, question, reply, NOW_NS + MS, NOW_NS + MS)
+    assert hosts_question(state, NOW_NS + WINDOW_NS // 2) is not None
+    assert hosts_question(state, NOW_NS + WINDOW_NS + 100 * MS) is None
+
+
 def test_first_question_is_full_and_later_ones_name_the_ledger(state):
     share_of(state, "a")
     question = hosts_question(state, a=1)
