--- a/packages/bergamotferry_host/tests/hot_holders/test_admission.py
+++ b/packages/bergamotferry_host/tests/hot_holders/test_admission.py
@@ -3,15 +3,20 @@
 import pytest
 from direct_harness import HEADER_NAMES, route, run_with_harness, served
 
+from bergamotferry.cold_rate import record_cold
 from bergamotferry.fleet_tables import KeyRange
 from bergamotferry.upstream_load import WorkTime
 from bergamotferry_host import load_probes
+from bergamotferry_host.clock import now_ns
 
 OBJECTIVE_MS, WORK_MS = 800, 300.0
 
 
-def play(load, is_named=True, probe_delay_s=0.0, caller_elapsed_ms=0):
-    """Send one request for a key; return its status and how many were sent."""
+def play(load, is_named=True, probe_delay_s=0.0, caller_elapsed_ms=0, prepare=None):
+    """Send one request for a key; return its status and how many were sent.
+
+    ``prepare`` changes the host before.
+    """
 
     async def scenario(harness):
         harness.configure(
@@ -27,6 +32,8 @@
         work = WorkTime(mean_ms=WORK_MS, n_answers=1, longest_left_ms=4_000.0)
         harness.host.work_times["safe"] = work
         harness.host.hot_holders = frozenset({"u1"} if is_named else ())
+        if prepare is not None:
+            prepare(harness.host)
         headers = {
             HEADER_NAMES.shard_key: "5",
             HEADER_NAMES.deadline_ms: str(4_000 - caller_elapsed_ms),
@@ -70,3 +77,21 @@
 
 def test_requests_for_other_holders_are_sent_as_before():
     assert play("2,6,2,100", is_named=False) == (200, 1)
+
+
+def test_holder_of_a_service_that_reports_no_load_gets_requests_as_before():
+    """Guards against a hot key of which nothing is served as long as it is hot."""
+    assert play("no report") == (200, 1)
+
+
+def test_cold_holder_gets_requests_at_its_cold_rate():
+    """Guards against a hot key of which nothing is served while its holder is cold."""
+
+    def make_cold(host):
+        upstream = host.upstreams["u1"]
+        upstream.rank, host.local_hosts = 0, (host.settings.name,)
+        host.host_reported_ns[host.settings.name] = now_ns()
+        host.began_ns = now_ns() - 60_000_000_000
+        record_cold(upstream.cold, 10_000, now_ns())
+
+    assert play("0,0,2,100", prepare=make_cold) == (200, 1)
