Ignore rows of service load of data centres that the settings lack

Cause: settings are changed host by host. While a data centre is added, a host may get rows of one that its own settings don't know. Its room was divided among requests, which then looked for a price that does not exist: a KeyError, and 500 for the caller.

Change: such rows are left out before the shares are updated.

Measured: the test fails on the code before (internal error) and is green now.

--- a/packages/bergamotferry_host/src/bergamotferry_host/spill/updates.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/spill/updates.py
@@ -36,7 +36,9 @@
     """Take the newest rows, and move the shares of all services by one step."""
     rows_by_service: dict[str, list[ServiceLoad]] = {}
     for row in host.service_loads.values():
-        rows_by_service.setdefault(row.service, []).append(row)
+        # Settings are changed host by host, so others may know more data centres.
+        if row.data_centre in host.settings.regions:
+            rows_by_service.setdefault(row.service, []).append(row)
     spill = host.spill
     if not rows_by_service and not spill.services:
         return
--- a/packages/bergamotferry_host/tests/spill/test_placing.py
+++ b/packages/bergamotferry_host/tests/spill/test_placing.py
@@ -87,6 +87,20 @@
     assert harness.host.spill.sends == {("lamps", "here", "home"): N_REQUESTS}
 
 
+def test_row_of_a_data_centre_that_the_settings_lack_breaks_no_request():
+    """Guards against requests that fail while a data centre is added, host by host."""
+
+    async def scenario(harness):
+        configure(harness)
+        await add_upstreams(harness, {"a": served})
+        await harness.add("d0", served, "d")
+        take_rows(harness, a=4.0, d=0.0)
+        assert await send_each(harness) == {200: N_REQUESTS}
+        assert "d" not in harness.host.spill.services["lamps"].shares.overflow
+
+    run_with_harness(scenario)
+
+
 def test_requests_follow_a_share_until_its_data_centre_is_lost():
     """Guards against a share that sends requests to a data centre that has just ended.
 
