Take the priorities of accounts into account for bound work

Cause: rows of service load count work by the priority of the request, which is that of its account, if that has one. Which priorities are bound to home regions was decided from the routes alone. If all accounts had the priority that only a bound route has by itself, all work counted as bound, and no share ever left a data centre that lacked slots.

Change: a priority is bound if all requests that may have it, by route and account, are bound to the same home regions.

Measured: the test fails on the code before and is green now. Which shares this gives at the customers' sizes was not measured.

--- a/packages/bergamotferry/src/bergamotferry/spill/loads.py
+++ b/packages/bergamotferry/src/bergamotferry/spill/loads.py
@@ -10,10 +10,16 @@
 slots.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ..accounts import (
+    Account,
+    common_regions,
+    has_common_region,
+    request_priority,
+)
 from ..configuration import DirectRoute
 from ..service_load.rows import ServiceLoad
 
@@ -137,18 +143,19 @@
 
 
 def bound_priorities(
-    routes: Iterable[DirectRoute],
+    routes: Iterable[DirectRoute], accounts: Collection[Account] = ()
 ) -> dict[str, dict[int, tuple[str, ...]]]:
     """Return the bound priorities of each service.
 
-    A priority counts as bound only if all routes of the service that have it name the
-    same home regions.
+    A priority counts as bound only if all requests of the service that may have it, by
+    their route and account, are bound to the same home regions.
     """
     homes: dict[tuple[str, int], set[tuple[str, ...]]] = {}
     for route in routes:
+        kinds = set(_kinds_of_requests(route, accounts))
         for part in route.services:
-            key = part.service, route.priority
-            homes.setdefault(key, set()).add(tuple(sorted(route.home_regions)))
+            for priority, regions in kinds:
+                homes.setdefault((part.service, priority), set()).add(regions)
     bound: dict[str, dict[int, tuple[str, ...]]] = {}
     for (service, priority), found in homes.items():
         if len(found) == 1 and any(found):
@@ -156,6 +163,19 @@
     return bound
 
 
+def _kinds_of_requests(
+    route: DirectRoute, accounts: Collection[Account]
+) -> Iterator[tuple[int, tuple[str, ...]]]:
+    """Yield priority and home regions of the requests that a route may get."""
+    callers: list[Account | None] = list(accounts)
+    if route.allows_anonymous or not accounts:
+        callers.append(None)
+    for account in callers:
+        if has_common_region(route.home_regions, account):
+            regions = tuple(sorted(common_regions(route.home_regions, account)))
+            yield request_priority(route.priority, account), regions
+
+
 def _smoothed(before: float, now: float) -> float:
     return before + ROW_SMOOTHING * (max(0.0, now) - before)
 
--- a/packages/bergamotferry/tests/spill/test_loads.py
+++ b/packages/bergamotferry/tests/spill/test_loads.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bergamotferry.accounts import Account
 from bergamotferry.configuration import DirectRoute, WeightedService
 from bergamotferry.service_load.rows import ServiceLoad
 from bergamotferry.spill.loads import (
@@ -96,3 +97,26 @@
     ]
     assert bound_priorities(routes) == {"s": {1: ("north", "south")}}
     assert bound_priorities(routes[:1]) == {}
+
+
+def test_priority_of_accounts_counts_in_place_of_that_of_the_routes():
+    """Guards against free work that counts as bound, so that nothing may leave.
+
+    All accounts have the priority that only the bound route has by itself.
+    """
+    routes = [route("r", 0), route("s", 1, ("south",))]
+    ann = Account("ann", (), 1, (), 0.0, 0.0)
+    assert bound_priorities(routes) == {"s": {1: ("south",)}}
+    assert bound_priorities(routes, [ann]) == {}
+    # Accounts bind requests too.
+    south = ann._replace(name="bob", home_regions=("south", "north"), priority=2)
+    assert bound_priorities(routes[1:], [south]) == {"s": {2: ("south",)}}
+    assert bound_priorities(routes[:1], [south]) == {"s": {2: ("north", "south")}}
+    # One without a region in common is refused, so it is no load.
+    assert bound_priorities(routes[1:], [ann._replace(home_regions=("north",))]) == {}
+    # Anonymous requests have the priority of their route.
+    is_open = [row._replace(allows_anonymous=True) for row in routes]
+    assert bound_priorities(is_open, [ann]) == {}
+    assert bound_priorities(is_open[1:], [south]) == {
+        "s": {1: ("south",), 2: ("south",)}
+    }
--- a/packages/bergamotferry_host/src/bergamotferry_host/spill/state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/spill/state.py
@@ -20,7 +20,8 @@
     @classmethod
     def from_config(cls, configuration: Configuration) -> "RouteIndex":
         """Return the index of a configuration."""
-        index = cls(configuration.version, bound=bound_priorities(configuration.routes))
+        bound = bound_priorities(configuration.routes, configuration.accounts)
+        index = cls(configuration.version, bound=bound)
         for route in configuration.routes:
             for part in route.services:
                 if part.weight > 0 and not route.home_regions:
