Let late repeats of a request take another permit

Cause: a permit counts when its request is written first, and repeats needed no further one. A request that full upstreams refuse may be repeated until its deadline, up to 3.7 s later, and a host that was frozen in between sent it on its resume. All that wait for capacity then run in a window in which they do not count. A request whose fetch a control host refused counted as sent as well, and was then written here without a check.

Change: a repeat later than 0.25 s takes another permit, or is refused as any request over the cap; if it may have run, as unknown. A repeat or hedge that is written 2 s after the counted send is not sent. A refused fetch gives its permit back, so that the send from here is checked and counted when written.

Measured: the five new tests fail on the code before and are green now. No deployment at its cap with full upstreams was played, so what the second permit costs an account in refusals below its cap was not measured.

--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -46,7 +46,12 @@
 from .fetch_call import FETCH_REQUEST_BODY_MAX_BYTES, fetch_answer, fetching_host_for
 from .link_turns import has_large_answer, hold_link_turn, remote_wait_left_ms
 from .logs import log_routine
-from .quota.spending import may_write, use_for_fetch, void_permit_refusal
+from .quota.spending import (
+    allow_repeat,
+    may_write,
+    use_for_fetch,
+    void_permit_refusal,
+)
 from .refused_sends import log_refused_sends
 from .request_state import (
     DirectRequest,
@@ -100,7 +105,7 @@
 ) -> SendOutcome | Refused:
     while True:
         refusal = quarantine_refusal(host, request)
-        refusal = refusal or void_permit_refusal(request.permit)
+        refusal = refusal or await _permit_refusal(host, request)
         if refusal is not None:
             return _refusal_or_unknown(request, refusal)
         if not _may_still_send(host, request):
@@ -129,6 +134,18 @@
             return _refusal_or_unknown(request, refusal)
 
 
+async def _permit_refusal(host: DirectHost, request: DirectRequest) -> Refused | None:
+    """Return the refusal of a request that may not be sent for its account's cap."""
+    refusal = await allow_repeat(
+        host,
+        request.permit,
+        request.account,
+        time_to_answer_ms(host, request),
+        request.request_id,
+    )
+    return refusal or void_permit_refusal(request.permit)
+
+
 def _may_still_send(host: DirectHost, request: DirectRequest) -> bool:
     """Return whether a request that is sent now is answered before this host stops."""
     if host.stop_end_ns is None:
@@ -356,7 +373,8 @@
         if not use.is_allowed:
             return SendOutcome("too_late", NOT_WRITTEN)
         outcome = await fetch_answer(host, control_host, send, wait_ms)
-        use.was_sent = outcome is None or outcome.result not in UNSENT_RESULTS
+        # Without an outcome this host sends the request, which counts then.
+        use.was_sent = outcome is not None and outcome.result not in UNSENT_RESULTS
         return outcome
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/spending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/spending.py
@@ -14,6 +14,7 @@
 from bergamotferry.accounts import Account
 from bergamotferry.outcomes import Refused
 from bergamotferry.quota.caps import has_cap
+from bergamotferry.quota.leases import LEASE_NS
 from bergamotferry.quota.questions import share_of
 from bergamotferry.quota.shares import (
     AccountShare,
@@ -38,6 +39,14 @@
 # that its caller has left. The rest is left for the request, or for a caller retry.
 WAIT_MAX_S = 0.4
 WAIT_SHARE_MAX = 0.4
+# A request that is repeated later than this takes another permit. It counted when it
+# was written first, so all that are refused by full upstreams and run later together
+# would exceed the cap in the window of the repeats. Of an account with 167 requests a
+# second and a tolerance of 120, 42 move by this time, and 60 are left free.
+REPEAT_NS = 250 * NS_PER_MS
+# The same for a repeat or a hedge when it is written: only a host that was frozen takes
+# this long to write it.
+REPEAT_WRITE_NS = LEASE_NS
 
 
 async def allow_by_cap(
@@ -74,6 +83,19 @@
     return None
 
 
+async def allow_repeat(
+    host: DirectHost,
+    permit: Permit,
+    account: Account | None,
+    time_left_ms: float,
+    request_id: str,
+) -> Refused | None:
+    """Take another permit if that of a request was used long ago, or refuse it."""
+    if permit.status != "used" or now_ns() - permit.used_ns <= REPEAT_NS:
+        return None
+    return await allow_by_cap(host, permit, account, time_left_ms, request_id)
+
+
 def void_permit_refusal(permit: Permit) -> Refused | None:
     """Return the refusal of a request whose permit is void, or None if it is not."""
     if permit.share is None or permit.status != "taken":
@@ -87,11 +109,16 @@
 def may_write(permit: Permit) -> bool:
     """Use the permit of a request that is written now; return whether it may be."""
     share, now = permit.share, now_ns()
-    if share is None or permit.status in ("used", "under way"):
+    if share is None:
+        return True
+    if permit.status == "under way":
+        permit.used_ns = now
         return True
+    if permit.status == "used":
+        return now - permit.used_ns <= REPEAT_WRITE_NS
     if permit.status != "taken" or not use_permit(share, permit.generation, now):
         return False
-    permit.status = "used"
+    permit.status, permit.used_ns = "used", now
     return True
 
 
@@ -112,9 +139,10 @@
     """
     share = permit.share
     if share is None or permit.status != "taken":
-        yield FetchUse(is_allowed=True)
+        yield FetchUse(is_allowed=may_write(permit))
         return
-    use = FetchUse(begin_use(share, permit.generation, now_ns()))
+    began_ns = now_ns()
+    use = FetchUse(begin_use(share, permit.generation, began_ns))
     if not use.is_allowed:
         yield use
         return
@@ -122,9 +150,9 @@
     try:
         yield use
     finally:
-        if use.was_sent:
+        if use.was_sent or permit.used_ns >= began_ns:
             end_use(share, permit.generation, now_ns())
-            permit.status = "used"
+            permit.status, permit.used_ns = "used", now_ns()
         else:
             cancel_use(share, permit.generation, now_ns())
             permit.status = "taken"
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/state.py
@@ -49,13 +49,15 @@
     """The right of one request to be sent, if its account has a cap.
 
     Without a ``share`` there is none. A permit is "taken" until the request is written
-    to an upstream, and "under way" while another host sends it.
+    to an upstream, and "under way" while another host sends it. ``used_ns`` is when it
+    was used.
     """
 
     share: AccountShare | None = None
     account: str = ""
     generation: int = 0
     status: str = "none"
+    used_ns: int = 0
 
 
 def quota_rules(bounds: FleetBounds) -> QuotaRules:
--- a/packages/bergamotferry_host/tests/quota/test_spending.py
+++ b/packages/bergamotferry_host/tests/quota/test_spending.py
@@ -218,6 +218,73 @@
     assert harness.host.upstreams["u1"].load.n_in_flight == 0
 
 
+@pytest.mark.parametrize(
+    ("first", "rate_per_s", "expected"),
+    [
+        (full, 0.8, (200, "whol", 2)),
+        (full, 0.2, (429, "1204", 1)),
+        # It may have run, so it must not be said that it has not.
+        (reset, 0.2, (502, "3001", 1)),
+    ],
+)
+def test_late_repeat_needs_another_permit(monkeypatch, first, rate_per_s, expected):
+    """Guards against requests that wait for full upstreams and run all at once.
+
+    Each counts when it was sent first, up to its time limit before it runs.
+    """
+    monkeypatch.setattr(spending, "REPEAT_NS", -1)
+
+    async def scenario(harness):
+        await harness.add("u1", first)
+        await harness.add("u2", served)
+        async with asking(harness, ANN._replace(rate_per_s=rate_per_s)):
+            answer, text = await send(harness, 0)
+            n_sent = share(harness).n_sent
+            assert (answer.status, text[:4], n_sent) == expected
+            assert share(harness).n_taken == 0
+
+    harness = run_with_harness(scenario)
+    assert len(harness.sends) == expected[2]
+
+
+def test_repeat_of_a_host_that_was_frozen_is_not_sent(monkeypatch):
+    """Guards against a repeat that runs long after its request was counted."""
+    monkeypatch.setattr(spending, "REPEAT_WRITE_NS", -1)
+
+    async def scenario(harness):
+        await harness.add("u1", full)
+        await harness.add("u2", served)
+        async with asking(harness):
+            answer, _ = await send(harness, 0)
+            assert answer.status == 503
+
+    harness = run_with_harness(scenario)
+    assert [name for name, _ in harness.sends] == ["u1"]
+
+
+def test_request_is_not_sent_here_if_its_share_expired_while_it_was_not_fetched(
+    monkeypatch,
+):
+    """Guards against a host that was frozen after a control host had refused."""
+
+    async def scenario(harness):
+        async def fetch_answer(*args):
+            share(harness).expires_ns = now_ns()
+            return None
+
+        monkeypatch.setattr(direct_sending, "fetch_answer", fetch_answer)
+        monkeypatch.setattr(direct_sending, "fetching_host_for", lambda host: "c")
+        monkeypatch.setattr(direct_sending, "_may_fetch", lambda *args: True)
+        monkeypatch.setattr(direct_sending, "remote_wait_left_ms", lambda *args: 0.0)
+        monkeypatch.setattr(direct_sending, "_may_hedge", lambda *args: False)
+        await harness.add("u1", served)
+        async with asking(harness):
+            answer, text = await send(harness, 0)
+            assert (answer.status, text[:4]) == (503, "1110")
+
+    assert run_with_harness(scenario).sends == []
+
+
 @pytest.mark.parametrize(
     ("outcome", "status", "n_sent"),
     [
