Limit the cap of an account with an immense rate

Cause: the product of a finite rate and the window may be infinite, and its conversion to a whole number raised OverflowError on the leader, in a task whose failure ends the process. A configuration with such a rate is accepted and committed, so it would have ended each control host that led after it.

Change: a cap has at most 10**12 requests in a window.

Measured: the test fails on the code before (OverflowError) and is green now.

--- a/packages/bergamotferry/src/bergamotferry/quota/caps.py
+++ b/packages/bergamotferry/src/bergamotferry/quota/caps.py
@@ -14,6 +14,9 @@
 # delays on the way to upstreams.
 NORMAL_TOLERANCE_SHARE = 0.5
 FULL_TOLERANCE_SHARE = 0.9
+# No deployment sends as much. Rates are any finite numbers, and their product with the
+# window may be infinite.
+N_CAP_MAX = 10**12
 
 
 class QuotaRules(NamedTuple):
@@ -45,8 +48,8 @@
     n_nominal = account.rate_per_s * rules.window_s + account.burst
     tolerance = n_nominal * rules.overshoot + rules.slack
     return Cap(
-        int(n_nominal + NORMAL_TOLERANCE_SHARE * tolerance),
-        int(n_nominal + FULL_TOLERANCE_SHARE * tolerance),
+        int(min(N_CAP_MAX, n_nominal + NORMAL_TOLERANCE_SHARE * tolerance)),
+        int(min(N_CAP_MAX, n_nominal + FULL_TOLERANCE_SHARE * tolerance)),
     )
 
 
--- a/packages/bergamotferry/tests/quota/test_ledger.py
+++ b/packages/bergamotferry/tests/quota/test_ledger.py
@@ -88,6 +88,15 @@
     assert strict == Cap(54, 54)
 
 
+@pytest.mark.parametrize(("rate_per_s", "burst"), [(1.7e308, 0.0), (1.0, 1.7e308)])
+def test_cap_of_any_rate_is_a_number(rate_per_s, burst):
+    """Guards against a configuration that ends each control host that leads."""
+    cap = cap_of(Account("a", (), None, (), rate_per_s, burst), RULES)
+    assert 10**9 < cap.n_normal <= cap.n_full
+    harness = LedgerHarness(cap=cap)
+    assert harness.ask(BEGAN_NS, n_waiting=3, n_stock=2).n_more == 5
+
+
 def test_hosts_get_what_they_wait_for_until_nothing_is_left():
     """Guards against more sends in a window than the limit."""
     harness = LedgerHarness()
