Reject account names that a header can't hold unchanged

Cause: the name of an account is sent to upstreams in a header. A name with a space at its end arrived without it, as that of another account.

Change: a configuration with a name that is empty, has characters that can't be printed, or has spaces at an end, is rejected with its place.

Measured: the test fails on the code before and is green now, with the other 2,160 unit tests.

--- a/packages/bergamotferry/src/bergamotferry/configuration.py
+++ b/packages/bergamotferry/src/bergamotferry/configuration.py
@@ -218,6 +218,9 @@
         if account.name in names:
             errors.append(ConfigurationError(account.name, "the account stands twice"))
         names.add(account.name)
+        if not _is_header_value(account.name):
+            detail = "the name can't stand in a header"
+            errors.append(ConfigurationError(account.name, detail))
         for number, digest in enumerate(account.key_digests, 1):
             owner = owners.setdefault(digest, account.name)
             if owner != account.name:
@@ -226,6 +229,11 @@
     return errors
 
 
+def _is_header_value(name: str) -> bool:
+    """Return whether a name reaches an upstream unchanged in a header."""
+    return bool(name) and name.isprintable() and name == name.strip()
+
+
 def _check_route(
     route: DirectRoute, services: dict[str, DirectService]
 ) -> list[ConfigurationError]:
--- a/packages/bergamotferry/tests/test_configuration.py
+++ b/packages/bergamotferry/tests/test_configuration.py
@@ -128,6 +128,17 @@
     ]
 
 
+@pytest.mark.parametrize("name", ["", "a\nb", "ann ", "\tann", "a\x00"])
+def test_account_whose_name_no_header_can_hold_is_refused(name):
+    """Guards against sends that fail, and against one account taken for another."""
+    accounts = [ANN, ANN._replace(name=name, key_digests=(b"3",))]
+    indexed = Configuration.from_rows(1, [ROUTE], [SERVICE], CallerLimits(), accounts)
+    assert check_configuration(indexed) == [(name, "the name can't stand in a header")]
+    accounts[1] = ANN._replace(name="Café No. 1", key_digests=(b"3",))
+    indexed = Configuration.from_rows(1, [ROUTE], [SERVICE], CallerLimits(), accounts)
+    assert check_configuration(indexed) == []
+
+
 @pytest.mark.parametrize(
     ("allows_anonymous", "priorities", "most_urgent"),
     [
