--- a/packages/bergamotferry/tests/quota/test_ledger.py
+++ b/packages/bergamotferry/tests/quota/test_ledger.py
@@ -88,6 +88,15 @@
     assert strict == Cap(54, 54)
 
 
+@pytest.mark.parametrize(("rate_per_s", "burst"), [(1.7e308, 0.0), (1.0, 1.7e308)])
+def test_cap_of_any_rate_is_a_number(rate_per_s, burst):
+    """Guards against a configuration that ends each control host that leads."""
+    cap = cap_of(Account("a", (), None, (), rate_per_s, burst), RULES)
+    assert 10**9 < cap.n_normal <= cap.n_full
+    harness = LedgerHarness(cap=cap)
+    assert harness.ask(BEGAN_NS, n_waiting=3, n_stock=2).n_more == 5
+
+
 def test_hosts_get_what_they_wait_for_until_nothing_is_left():
     """Guards against more sends in a window than the limit."""
     harness = LedgerHarness()
@@ -167,6 +176,28 @@
     assert harness.counted(BEGAN_NS + 500 * MS) == 40
 
 
+def test_late_first_report_of_an_earlier_process_proves_nothing_a_second_time():
+    """Guards against sends of the previous ledger that are taken for known twice.
+
+    A control host that was frozen passes on what a process reported before its end.
+    """
+    harness = LedgerHarness(is_old=True)
+    now_ns = BEGAN_NS + 300 * MS
+    harness.ask(now_ns, number=2, n_sent=5, recent=((5, 0, 100),), n_held=5)
+    harness.ask(now_ns, process="h.2", number=1, n_waiting=1)
+    harness.ask(now_ns, number=1, n_sent=5, recent=((5, 0, 100),), n_held=5)
+    assert n_unknown(harness.ledger, harness.book, CAP, now_ns) == CAP.n_full - 10
+
+
+def test_two_processes_under_one_name_are_both_known():
+    """Guards against processes that make each other report in full for ever."""
+    harness = LedgerHarness()
+    for number in range(1, 4):
+        for process in ("h.1", "h.2"):
+            is_first = {"is_full": number == 1, "process": process, "number": number}
+            assert harness.ask(BEGAN_NS, n_waiting=1, **is_first) is not False
+
+
 @pytest.mark.parametrize(
     ("changes", "is_accepted"),
     [
@@ -297,3 +328,22 @@
     assert reply.rows == ()
     forget_accounts(harness.ledger, ())
     assert harness.ledger.books == {}
+
+
+def test_account_that_was_idle_for_days_costs_the_leader_no_pause():
+    """Guards against a step for each 20 ms that nobody sent anything."""
+
+    class CountedDict(dict):
+        n_steps = 0
+
+        def pop(self, *args):
+            CountedDict.n_steps += 1
+            return super().pop(*args)
+
+    harness = LedgerHarness()
+    harness.ask(BEGAN_NS, n_sent=1, recent=((1, 0, 0),))
+    harness.book.sent.by_interval = CountedDict(harness.book.sent.by_interval)
+    later_ns = BEGAN_NS + 3_600 * NS_PER_S
+    harness.ask(later_ns, n_sent=2, recent=((1, 0, 0),))
+    assert harness.counted(later_ns) == 1
+    assert CountedDict.n_steps < 10
