Tell callers of a filing whose link broke to send it again

Cause: while a dispatcher's host is frozen, the entry host's links to it are closed after about 1 s. If the retry within the host is then refused as not run (1202 or 1203 while the backlog is worked off), the filing was answered with 2001, "it may have run and will not be run again". Nothing records that: the resend of such a filing runs it, or gets its outcome. Callers stop at 2001. In a play at load 4, all 21 answers of 2001 came within 0.9 s after the end of the freeze, "the stream to a-2 broke", and none of these filings had reached an upstream. Such a filing is answered with 2002 now, and 2002 says that the filing may still run and is to be sent again. A filing that the tables hold as unknown still gets 2001.

Ruled out: intents of the killed host. They leave 0 to 2 filings of a play unknown, as documented.

Tests: the rows of broken links in test_request_path.py were red before (2 failed). They and test_attempt_that_was_not_run_says_nothing_of_an_earlier_one expected 2001, which the table of codes contradicts; they expect 2002 as exactly now, and rows were added for a recorded "unknown" and for an upstream that failed.

--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -171,7 +171,7 @@
         502, False, "It may have run; it will not be run again."
     ),
     ResultCode.OUTCOME_PENDING: ResultCodeRow(
-        409, False, "A request with this idempotency key is still running."
+        409, False, "It may still run; send it again under its key to learn."
     ),
     ResultCode.OUTCOME_NOT_KEPT: ResultCodeRow(
         410, False, "It ran once; its answer is not kept."
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_path.py
@@ -148,7 +148,14 @@
     # have been run, so the refusal of the earlier attempt is reported.
     if outcome.is_not_run and possibly_run is not None:
         outcome = possibly_run
-    if outcome.code in _BROKEN and not is_idempotent:
+    if is_idempotent:
+        return outcome
+    if outcome.code is ResultCode.ANSWER_BROKEN:
+        # Nothing records that the filing must not run again: the dispatcher may still
+        # work on it or may never have received it. A resend under its idempotency key
+        # gets the outcome, or runs the filing.
+        return Refused(ResultCode.OUTCOME_PENDING, outcome.detail)
+    if outcome.code is ResultCode.UPSTREAM_FAILED:
         return Refused(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
     return outcome
 
