Explain where a request would go now, without sending it

Cause: operators could ask why a request went where it did, from logs, but not where one would go now. They asked for a command.

Change: entry hosts serve /placement beside their metrics. It places a request by the functions that real requests use, without load probes and reservations, and says what the decision rests on and why each other upstream is excluded. bergamotferryctl where prints it. The conditions of a candidate are one function now, which names the first one that fails.

--- a/packages/bergamotferry_ctl/src/bergamotferry_ctl/main.py
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/main.py
@@ -6,7 +6,7 @@
 from argparse import Namespace
 from collections.abc import Awaitable, Callable, Sequence
 
-from . import note_commands, query_commands
+from . import note_commands, placement_command, query_commands
 from .exits import Exit
 from .parser import CtlSettings, environment_variable, parse
 from .reports import Report
@@ -23,6 +23,7 @@
     "owner": query_commands.owner,
     "hot-keys": query_commands.hot_keys,
     "data-centre": note_commands.data_centre,
+    "where": placement_command.where,
     "quarantine": query_commands.quarantine,
 }
 
--- a/packages/bergamotferry_ctl/src/bergamotferry_ctl/parser.py
+++ b/packages/bergamotferry_ctl/src/bergamotferry_ctl/parser.py
@@ -21,6 +21,7 @@
   bergamotferryctl data-centre out milano     what taking it out would do
   bergamotferryctl data-centre out milano --yes
   bergamotferryctl explain 5d0c1f --log a.log --log b.log
+  bergamotferryctl where 10.0.0.9:9464 planner.example /trips/7
 
 exit statuses:
 """
@@ -115,7 +116,7 @@
         ip, _, port = address.rpartition(":")
         if not ip or not port.isdecimal() or not 0 < int(port) < 65536:
             errors.append(SettingError("addresses", f"{address!r} is not IP:PORT"))
-    is_online = parsed.command not in ("check", "explain")
+    is_online = parsed.command not in ("check", "explain", "where")
     if is_online and not values["token"]:
         errors.append(SettingError("token", "is required"))
     if not values["token"].isascii() or not values["token"].isprintable():
@@ -198,6 +199,17 @@
         default=[],
         help="a host's log, JSON lines; repeatable; default standard input",
     )
+    text = "where an entry host in direct mode would send a request now, and why"
+    command = commands.add_parser(
+        "where", help=text, description=text, parents=[shared]
+    )
+    command.add_argument("entry_host", help="its metrics address, IP:PORT")
+    command.add_argument("host_name", help="host name that the request names")
+    command.add_argument("target", help="path of the request, with its query")
+    command.add_argument("--method", default="GET")
+    command.add_argument("--shard-key", type=int, help="key's number, if it has one")
+    command.add_argument("--account", default="", help="name of the caller's account")
+    command.add_argument("--time-left-ms", type=int, help="default: the route's limit")
     text = "requests that crashed upstreams: list them, or let one run again"
     command = commands.add_parser(
         "quarantine", help=text, description=text, parents=[shared]
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_candidates.py
@@ -43,7 +43,7 @@
     now = now_ns()
     staying = (
         upstream
-        for upstream in _upstreams_in_order(host, request, now)
+        for upstream in upstreams_in_order(host, request, now)
         if not upstream.availability.leaving_ns
         and _is_allowed(host, request, upstream.row.data_centre)
     )
@@ -97,7 +97,7 @@
     """Return the candidates among the upstreams that ``may_take`` requests."""
     upstreams = (
         upstream
-        for upstream in _upstreams_in_order(host, request, now)
+        for upstream in upstreams_in_order(host, request, now)
         if may_take(upstream.availability, now)
     )
     is_remote = not request.allows_region(host.settings.region)
@@ -118,23 +118,42 @@
     unanswered: Collection[str],
 ) -> Iterator[Candidate]:
     for upstream in upstreams:
-        row = upstream.row
-        if not _is_allowed(host, request, row.data_centre):
-            continue
-        if row.name in request.excluded:
-            continue
-        if not may_take_body(upstream.n_body_bytes, len(request.body)):
-            continue
-        if request.data_centres and row.data_centre not in request.data_centres:
+        if why_excluded(host, request, upstream, now, unanswered):
             continue
+        row = upstream.row
         distance = distance_of(host.settings, row.data_centre)
         needs_probe = is_uncertain(upstream.cold, now) and row.name not in unanswered
-        if not needs_probe and not is_within_cold_rate(host, request, upstream, now):
-            continue
         is_preferred = upstream.rank == 0
         yield Candidate(row.name, upstream.load, distance, is_preferred, needs_probe)
 
 
+def why_excluded(
+    host: DirectHost,
+    request: DirectRequest,
+    upstream: Upstream,
+    now: int,
+    unanswered: Collection[str] = (),
+) -> str:
+    """Return why an upstream may not take a request; empty if it may.
+
+    Whether it leaves or wants a pause is not considered.
+    """
+    row = upstream.row
+    if not _is_allowed(host, request, row.data_centre):
+        is_out = row.data_centre in host.evacuated
+        return "its data centre is evacuated" if is_out else "outside the home regions"
+    if row.name in request.excluded:
+        return "it had the request before"
+    if not may_take_body(upstream.n_body_bytes, len(request.body)):
+        return "large bodies are under way to it"
+    if request.data_centres and row.data_centre not in request.data_centres:
+        return "in another data centre than the chosen one"
+    needs_probe = is_uncertain(upstream.cold, now) and row.name not in unanswered
+    if not needs_probe and not is_within_cold_rate(host, request, upstream, now):
+        return "it is cold, and this host's part of its rate is used up"
+    return ""
+
+
 def _is_allowed(host: DirectHost, request: DirectRequest, data_centre: str) -> bool:
     """Return whether a request may go to the upstreams of a data centre."""
     region = host.settings.regions.get(data_centre, "")
@@ -163,9 +182,10 @@
     return may_send_cold(upstream.cold, per_s, n_hosts, rank, now)
 
 
-def _upstreams_in_order(
+def upstreams_in_order(
     host: DirectHost, request: DirectRequest, now: int
 ) -> list[Upstream]:
+    """Return the ready upstreams of a request's service, or the holder of its key."""
     if not request.service.is_sharded:
         return host.ready_by_service.get(request.service.name, [])
     key_range = assigned_range(host, request.service.name, request.shard_key or 0)
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_placing.py
@@ -74,7 +74,7 @@
     host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
 ) -> Reservation | Refused:
     """Wait until an upstream can accept the request, or refuse the request."""
-    n_queued_max = _n_queued_max(host, request)
+    n_queued = n_queued_max(host, request)
     key_poll_end_ns = now_ns() + int(KEY_POLL_MAX_MS * 1e6)
     work = _work_of_attempt(host, request)
     unanswered: set[str] = set()
@@ -101,9 +101,7 @@
         overload = await refuse_at_hot_holder(host, http, request, candidates[0].name)
         if overload is not None:
             return overload
-        chosen = shortlist(
-            candidates, work, time_left_ms, now, n_compared, n_queued_max
-        )
+        chosen = shortlist(candidates, work, time_left_ms, now, n_compared, n_queued)
         if chosen.to_probe:
             probed = [host.upstreams[candidate.name] for candidate in chosen.to_probe]
             await probe_loads(host, http, request.service, probed)
@@ -115,7 +113,7 @@
             }
             time_left_ms = time_to_answer_ms(host, request)
         placed = place_request(
-            chosen.candidates or candidates, work, time_left_ms, now, n_queued_max
+            chosen.candidates or candidates, work, time_left_ms, now, n_queued
         )
         has_unprobed = isinstance(placed, NoCapacity) and bool(chosen.to_probe)
         if not has_unprobed and look_elsewhere(host, request, placed):
@@ -187,7 +185,7 @@
     return _reserve(host, work, upstream, placed.expected_ms, now)
 
 
-def _n_queued_max(host: DirectHost, request: DirectRequest) -> int:
+def n_queued_max(host: DirectHost, request: DirectRequest) -> int:
     """Return how many requests may be queued where a request is sent."""
     service = request.service
     is_urgent = is_most_urgent(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_run.py
@@ -22,6 +22,7 @@
 from .direct_host import DirectHost
 from .direct_metrics import direct_metric_families
 from .direct_request import answer_request
+from .explanation.page import add_placement_page
 from .fleet_changes import add_control_hosts
 from .fleet_follower import run_follower
 from .fleet_settings import FleetSettings
@@ -98,6 +99,7 @@
                 + connection_families(http)
                 + process_metric_families(delays)
             ),
+            lambda app: add_placement_page(app, host),
         )
         if metrics is not None:
             runners.append(metrics)
--- a/packages/bergamotferry_host/src/bergamotferry_host/metrics_page.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/metrics_page.py
@@ -36,11 +36,14 @@
 
 
 async def serve_metrics(
-    settings: FleetSettings, families: MetricFamilies
+    settings: FleetSettings,
+    families: MetricFamilies,
+    add_pages: Callable[[web.Application], None] | None = None,
 ) -> web.AppRunner | None:
-    """Serve metrics if the settings name a port for them.
+    """Serve metrics, and the pages that ``add_pages`` adds, at the port for them.
 
-    If the address can't be bound, the process runs on without serving metrics.
+    If the settings name none, nothing is served. If the address can't be bound, the
+    process runs on without serving metrics.
     """
     if not settings.metrics_port:
         return None
@@ -52,6 +55,8 @@
 
     app = web.Application()
     app.router.add_get(METRICS_PATH, on_metrics)
+    if add_pages is not None:
+        add_pages(app)
     address = f"{settings.name}:{settings.metrics_port}"
     try:
         return await listen(app, address, settings)
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_processes.py
@@ -133,6 +133,13 @@
         assert served[-1] == ("a", b"body")
         assert (await send_request("b", "/none/1"))[0] == 404
 
+        # An operator asks where a request would go; nothing is sent.
+        url = f"http://{EDGE}:{METRICS_PORT}/placement?host=one.example&target=/x/1"
+        status, body = await send_http_request(http, "GET", url)
+        decision = json.loads(body)["decision"]
+        assert (status, decision["kind"], decision["upstream"]) == (200, "send", "i-1")
+        assert served[-1] == ("a", b"body")
+
         # An older and an equal version are acknowledged and change nothing.
         await wait_for_status(
             200, lambda: put_configuration(CORES[1], manifest(4, prefix="/old/"))
