Let all data centres price existing flows alike

Cause: a flow that exists continues at half of its price, and each data centre counted only its own shares as existing. Two that were short of slots then each planned to take the room of a third one, and together overloaded it. Until then flows were the same for all, so this began with the first shares, some seconds into the load.

Change: the flows of the last plan that are large enough for a share count as existing, whichever data centre they are of.

--- a/packages/bergamotferry/src/bergamotferry/spill/service.py
+++ b/packages/bergamotferry/src/bergamotferry/spill/service.py
@@ -12,8 +12,8 @@
 
 from ..service_load.rows import ServiceLoad
 from .loads import BoundPriorities, PlaceLoad, SmoothedLoads, place_loads, smooth_rows
-from .plan import ServiceTraffic, SpillPlan, plan_flows
-from .shares import ServiceShares, update_shares
+from .plan import Pair, ServiceTraffic, SpillPlan, plan_flows
+from .shares import START_SHARE, ServiceShares, update_shares
 
 
 @dataclass(slots=True)
@@ -65,18 +65,32 @@
     far_slots_max : float
         Largest flow to other regions that their link has room for, in slots.
     """
+    in_use = _flows_in_use(spill)
     smooth_rows(spill.loads, rows, since_arrival_ms)
     spill.places = place_loads(spill.loads, n_known_slots, bound, regions)
     own_load = [row for row in spill.places if row.data_centre == own]
     spill.plan = None
     if own_load:
-        in_use = [(own, name) for name in spill.shares.planned]
         spill.plan = plan_flows(spill.places, regions, traffic, far_slots_max, in_use)
     offered_slots = own_load[0].free_slots if own_load else 0.0
     n_slots = own_load[0].n_slots if own_load else 0.0
     update_shares(spill.shares, spill.plan, own, offered_slots, n_slots)
 
 
+def _flows_in_use(spill: ServiceSpill) -> list[Pair]:
+    """Return the flows of the last plan that are large enough to begin a share.
+
+    These are the flows of all data centres and not the shares of this one: if each
+    counted its own as existing, each would plan to take the room that others use.
+    """
+    if spill.plan is None:
+        return []
+    least = {row.data_centre: START_SHARE * row.free_slots for row in spill.places}
+    return [
+        pair for pair, flow in spill.plan.flows.items() if flow >= least.get(pair[0], 0)
+    ]
+
+
 def far_flow(spill: ServiceSpill, own: str, regions: Mapping[str, str]) -> float:
     """Return the flow of the plan out of the region of a data centre, in slots."""
     flows = spill.plan.flows.items() if spill.plan is not None else ()
