Take answers of routes without an objective as in time until their timeout

Cause: a route's latency objective is 0 if its configuration names none. The decisions on spill and on overloaded holders took it as 0 ms, so that every answer was late. Each request probed other data centres although its own had free slots, and overloaded holders got no request that would wait.

Change: for these decisions the timeout takes the place of an objective that is missing. Hedges and turns on links are as before.

--- a/packages/bergamotferry/src/bergamotferry/configuration.py
+++ b/packages/bergamotferry/src/bergamotferry/configuration.py
@@ -51,6 +51,14 @@
         """Whether requests of the route may run more than once."""
         return self.kind != "unsafe"
 
+    @property
+    def full_value_ms(self) -> int:
+        """Time within which an answer has its full value.
+
+        Without a latency objective, which is 0 then, it is the timeout.
+        """
+        return self.latency_objective_ms or self.timeout_ms
+
 
 class DirectService(NamedTuple):
     """How to probe the upstreams of a service, and how much load they can take.
--- a/packages/bergamotferry_host/src/bergamotferry_host/hot_holders/admission.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/hot_holders/admission.py
@@ -40,8 +40,8 @@
     link_ms = LINK_LATENCY_MS[distance_of(host.settings, upstream.row.data_centre)]
     work_ms = work_time_of(host, request.route).mean_ms
     queue = queue_at(upstream.load, work_ms, link_ms, now)
-    objective_ms = float(request.route.latency_objective_ms)
-    left_ms = objective_ms - request.caller_elapsed_ms - elapsed_ms(request)
+    full_value_ms = float(request.route.full_value_ms)
+    left_ms = full_value_ms - request.caller_elapsed_ms - elapsed_ms(request)
     if may_queue(queue, left_ms, time_to_answer_ms(host, request), N_QUEUED_MAX):
         return None
     _log_refused(request, holder, "too late", queue.expected_ms)
--- a/packages/bergamotferry_host/src/bergamotferry_host/spill/placing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/spill/placing.py
@@ -68,7 +68,7 @@
     value = 0.0
     if isinstance(placed, Placed | NoCapacity):
         elapsed = request.caller_elapsed_ms + elapsed_ms(request)
-        objective_left_ms = request.route.latency_objective_ms - elapsed
+        objective_left_ms = request.route.full_value_ms - elapsed
         time_left_ms = time_to_answer_ms(host, request)
         value = response_value(placed.expected_ms, objective_left_ms, time_left_ms)
     if search.place == search.own and not _is_reachable(placed):
--- a/packages/bergamotferry_host/src/bergamotferry_host/spill/updates.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/spill/updates.py
@@ -63,7 +63,7 @@
 def service_traffic(host: DirectHost, service: str) -> ServiceTraffic:
     """Return what the requests of a service are like that may leave."""
     works = [
-        (work_time_of(host, route), route.latency_objective_ms)
+        (work_time_of(host, route), route.full_value_ms)
         for route in host.spill.routes.free_routes.get(service, [])
     ]
     n_all = sum(work.n_answers + 1 for work, _ in works)
--- a/packages/bergamotferry_host/tests/hot_holders/test_admission.py
+++ b/packages/bergamotferry_host/tests/hot_holders/test_admission.py
@@ -12,7 +12,14 @@
 OBJECTIVE_MS, WORK_MS = 800, 300.0
 
 
-def play(load, is_named=True, probe_delay_s=0.0, caller_elapsed_ms=0, prepare=None):
+def play(
+    load,
+    is_named=True,
+    probe_delay_s=0.0,
+    caller_elapsed_ms=0,
+    prepare=None,
+    objective_ms=OBJECTIVE_MS,
+):
     """Send one request for a key; return its status and how many were sent.
 
     ``prepare`` changes the host before.
@@ -20,7 +27,7 @@
 
     async def scenario(harness):
         harness.configure(
-            route(timeout_ms=4_000, latency_objective_ms=OBJECTIVE_MS), is_sharded=True
+            route(timeout_ms=4_000, latency_objective_ms=objective_ms), is_sharded=True
         )
         await harness.add("u1", served)
         harness.health_delay_s["u1"] = probe_delay_s
@@ -79,6 +86,11 @@
     assert play("2,6,2,100", is_named=False) == (200, 1)
 
 
+def test_requests_of_a_route_without_a_latency_objective_may_wait():
+    """Guards against routes whose every answer counts as late."""
+    assert play("2,0,2,100", objective_ms=0) == (200, 1)
+
+
 def test_holder_of_a_service_that_reports_no_load_gets_requests_as_before():
     """Guards against a hot key of which nothing is served as long as it is hot."""
     assert play("no report") == (200, 1)
--- a/packages/bergamotferry_host/tests/spill/test_placing.py
+++ b/packages/bergamotferry_host/tests/spill/test_placing.py
@@ -101,6 +101,19 @@
     run_with_harness(scenario)
 
 
+def test_route_without_a_latency_objective_looks_at_no_other_data_centre():
+    """Guards against load probes elsewhere for answers that are in time at home."""
+
+    async def scenario(harness):
+        configure(harness, route(timeout_ms=2_000, latency_objective_ms=0))
+        await add_upstreams(harness)
+        take_rows(harness, a=1.0, b=0.2, c=0.2)
+        assert await send_each(harness) == {200: N_REQUESTS}
+        assert harness.host.metrics.probes["near",] == 0
+
+    assert n_by_data_centre(run_with_harness(scenario)) == {"a": N_REQUESTS}
+
+
 def test_requests_follow_a_share_until_its_data_centre_is_lost():
     """Guards against a share that sends requests to a data centre that has just ended.
 
