Name retries as the glossary does, and state what a recorded term proves

Names and comments of the permits of retries spoke of repeats. The comment on recorded terms gave a reason that does not hold: another control host may apply the first entry of a term before its leader does; a ledger counts from the election, which is earlier. Hosts also compute what is unreported only for accounts that have sent since the last accepted report.

--- a/packages/bergamotferry/src/bergamotferry/quota/shares.py
+++ b/packages/bergamotferry/src/bergamotferry/quota/shares.py
@@ -152,8 +152,9 @@
 
     An account that has no cap any more gets no grant, so no report on it is accepted.
     """
-    _drop_old_sends(share, now_ns - window_ns)
-    share.n_accepted = max(share.n_accepted, share.n_sent - _n_recent(share))
+    if has_unreported(share):
+        _drop_old_sends(share, now_ns - window_ns)
+        share.n_accepted = max(share.n_accepted, share.n_sent - _n_recent(share))
 
 
 def report_share(
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -47,7 +47,7 @@
 from .link_turns import has_large_answer, hold_link_turn, remote_wait_left_ms
 from .logs import log_routine
 from .quota.spending import (
-    allow_repeat,
+    allow_retry,
     may_write,
     use_for_fetch,
     void_permit_refusal,
@@ -136,7 +136,7 @@
 
 async def _permit_refusal(host: DirectHost, request: DirectRequest) -> Refused | None:
     """Return the refusal of a request that may not be sent for its account's cap."""
-    refusal = await allow_repeat(
+    refusal = await allow_retry(
         host,
         request.permit,
         request.account,
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/share_ledger.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/share_ledger.py
@@ -83,10 +83,10 @@
 
 
 def record_term(host: ControlHost, quota: LeaderQuota) -> None:
-    """Record when an entry of a term was first seen to be applied here.
+    """Record when entries of a term were first seen to be applied here.
 
-    A leader grants only after an entry of its term was applied, so its first grant is
-    not later than what another control host records, unless that one grants nothing.
+    A ledger counts from the election of its leader, which is before any entry of its
+    term. So it is at least as old as what is recorded here.
     """
     replica, applied_index = host.group.replica, host.group.applied_index
     term = term_at(replica, applied_index)
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/spending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/spending.py
@@ -39,14 +39,14 @@
 # that its caller has left. The rest is left for the request, or for a caller retry.
 WAIT_MAX_S = 0.4
 WAIT_SHARE_MAX = 0.4
-# A request that is repeated later than this takes another permit. It counted when it
-# was written first, so all that are refused by full upstreams and run later together
-# would exceed the cap in the window of the repeats. Of an account with 167 requests a
-# second and a tolerance of 120, 42 move by this time, and 60 are left free.
-REPEAT_NS = 250 * NS_PER_MS
-# The same for a repeat or a hedge when it is written: only a host that was frozen takes
+# A retry later than this takes another permit. Its request counted when it was written
+# first, so all that are refused by full upstreams and run later together would exceed
+# the cap in the window of the retries. Of an account with 167 requests a second and a
+# tolerance of 120, 42 move by this time, and 60 are left free.
+RETRY_NS = 250 * NS_PER_MS
+# The same for a retry or a hedge when it is written: only a host that was frozen takes
 # this long to write it.
-REPEAT_WRITE_NS = LEASE_NS
+RETRY_WRITE_NS = LEASE_NS
 
 
 async def allow_by_cap(
@@ -83,7 +83,7 @@
     return None
 
 
-async def allow_repeat(
+async def allow_retry(
     host: DirectHost,
     permit: Permit,
     account: Account | None,
@@ -91,7 +91,7 @@
     request_id: str,
 ) -> Refused | None:
     """Take another permit if that of a request was used long ago, or refuse it."""
-    if permit.status != "used" or now_ns() - permit.used_ns <= REPEAT_NS:
+    if permit.status != "used" or now_ns() - permit.used_ns <= RETRY_NS:
         return None
     return await allow_by_cap(host, permit, account, time_left_ms, request_id)
 
@@ -115,7 +115,7 @@
         permit.used_ns = now
         return True
     if permit.status == "used":
-        return now - permit.used_ns <= REPEAT_WRITE_NS
+        return now - permit.used_ns <= RETRY_WRITE_NS
     if permit.status != "taken" or not use_permit(share, permit.generation, now):
         return False
     permit.status, permit.used_ns = "used", now
--- a/packages/bergamotferry_host/tests/quota/test_spending.py
+++ b/packages/bergamotferry_host/tests/quota/test_spending.py
@@ -227,12 +227,12 @@
         (reset, 0.2, (502, "3001", 1)),
     ],
 )
-def test_late_repeat_needs_another_permit(monkeypatch, first, rate_per_s, expected):
+def test_late_retry_needs_another_permit(monkeypatch, first, rate_per_s, expected):
     """Guards against requests that wait for full upstreams and run all at once.
 
     Each counts when it was sent first, up to its time limit before it runs.
     """
-    monkeypatch.setattr(spending, "REPEAT_NS", -1)
+    monkeypatch.setattr(spending, "RETRY_NS", -1)
 
     async def scenario(harness):
         await harness.add("u1", first)
@@ -247,9 +247,9 @@
     assert len(harness.sends) == expected[2]
 
 
-def test_repeat_of_a_host_that_was_frozen_is_not_sent(monkeypatch):
-    """Guards against a repeat that runs long after its request was counted."""
-    monkeypatch.setattr(spending, "REPEAT_WRITE_NS", -1)
+def test_retry_of_a_host_that_was_frozen_is_not_sent(monkeypatch):
+    """Guards against a retry that runs long after its request was counted."""
+    monkeypatch.setattr(spending, "RETRY_WRITE_NS", -1)
 
     async def scenario(harness):
         await harness.add("u1", full)
