--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-from typing import TypeGuard
 
 import aiohttp
 
@@ -23,7 +22,6 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.protection.crash_records import logged_fingerprint
 from bergamotferry.result_codes import ResultCode
-from bergamotferry.stop_admission import may_answer_before_stop
 from bergamotferry.upstream_load import record_ended, record_report
 from bergamotferry.window_budget import take_retry
 
@@ -31,7 +29,6 @@
 from .direct_call import NOT_WRITTEN, DirectSend, SendOutcome, send_direct
 from .direct_crashes import (
     ends_known_of,
-    may_run_again,
     quarantine_refusal,
     record_run,
     wait_for_end_check,
@@ -39,7 +36,6 @@
 from .direct_host import (
     DirectHost,
     Upstream,
-    answer_times_of,
     distance_of,
     retry_budget_of,
 )
@@ -60,6 +56,14 @@
     elapsed_ms,
     time_to_answer_ms,
 )
+from .retry_rules import (
+    has_ended_upstreams,
+    is_unproved_refusal,
+    may_retry,
+    may_still_send,
+    refusal_or_unknown,
+    should_retry_answer,
+)
 from .send_results import (
     record_refused_send,
     record_request_result,
@@ -68,13 +72,8 @@
 from .service_load.work_reports import count_first_send
 from .spill.placing import loads_age_ms, place_reason, record_place
 
-N_SENDS_MAX = 6
 # Results that prove that nothing was sent.
 UNSENT_RESULTS = ("no_connection", "no_process", "too_late")
-# With less time left, a failed answer is returned instead of a retry elsewhere.
-RETRY_MIN_MS = 100.0
-# Statuses by which a caller is told that its request has not run and never will.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 async def serve_request(
@@ -92,7 +91,7 @@
         finally:
             if not request.route.is_idempotent:
                 log_refused_sends(request.request_id, request.refused_sends)
-        if _is_unproved_refusal(outcome, request):
+        if is_unproved_refusal(outcome, request):
             detail = f"status {outcome.status}, and it may have run"
             return Refused(ResultCode.UPSTREAM_FAILED, detail)
         if isinstance(outcome, SendOutcome):
@@ -108,31 +107,31 @@
         refusal = quarantine_refusal(host, request)
         refusal = refusal or await _permit_refusal(host, request)
         if refusal is not None:
-            return _refusal_or_unknown(request, refusal)
-        if not _may_still_send(host, request):
+            return refusal_or_unknown(request, refusal)
+        if not may_still_send(host, request):
             stopping = Refused(ResultCode.HOST_STOPPING, "the answer may come too late")
-            return _refusal_or_unknown(request, stopping)
+            return refusal_or_unknown(request, stopping)
         if request.n_delivered and not take_retry(
             retry_budget_of(host, request.service.name),
             now_ns(),
             request.is_caller_retry,
         ):
             shed = Refused(ResultCode.UPSTREAM_SHED, "no repeat is left")
-            return _refusal_or_unknown(request, shed)
+            return refusal_or_unknown(request, shed)
         reservation = await reserve_upstream(host, http, request)
         if isinstance(reservation, Refused):
-            return _refusal_or_unknown(request, reservation)
+            return refusal_or_unknown(request, reservation)
         outcome = await _send_hedged(host, http, request, reservation)
         await wait_for_end_check(host, request)
-        if outcome.result == "answered" and not _should_retry_answer(request, outcome):
+        if outcome.result == "answered" and not should_retry_answer(request, outcome):
             return outcome
-        if not _may_retry(request) or _has_ended_upstreams(host, request, outcome):
+        if not may_retry(request) or has_ended_upstreams(host, request, outcome):
             if outcome.result == "answered":
                 return outcome
             is_late = outcome.result == "too_late"
             code = ResultCode.QUEUE_FULL if is_late else ResultCode.UPSTREAM_SHED
             refusal = Refused(code, request.last_detail)
-            return _refusal_or_unknown(request, refusal)
+            return refusal_or_unknown(request, refusal)
 
 
 async def _permit_refusal(host: DirectHost, request: DirectRequest) -> Refused | None:
@@ -147,23 +146,6 @@
     return refusal or void_permit_refusal(request.permit)
 
 
-def _may_still_send(host: DirectHost, request: DirectRequest) -> bool:
-    """Return whether a request that is sent now is answered before this host stops."""
-    if host.stop_end_ns is None:
-        return True
-    now = now_ns()
-    may_send = may_answer_before_stop(
-        answer_times_of(host, request.route),
-        (request.deadline_ns - now) / 1e6,
-        (host.stop_end_ns - now) / 1e6,
-        is_in_rotation=now < host.rotation_end_ns,
-    )
-    if not may_send:
-        # The next host of the caller is not stopping.
-        request.may_retry_immediately = True
-    return may_send
-
-
 async def _send_hedged(
     host: DirectHost,
     http: aiohttp.ClientSession,
@@ -395,50 +377,3 @@
     )
     is_idempotent = request.route.is_idempotent
     return is_plain and is_idempotent and has_large_answer(host, request)
-
-
-def _should_retry_answer(request: DirectRequest, outcome: SendOutcome) -> bool:
-    """Return whether a failed answer should be retried at another upstream."""
-    time_left_ms = (request.deadline_ns - now_ns()) / 1e6
-    is_failure = outcome.status in (500, 502, 503)
-    return is_failure and request.route.is_idempotent and time_left_ms > RETRY_MIN_MS
-
-
-def _is_unproved_refusal(
-    outcome: SendOutcome | Refused, request: DirectRequest
-) -> TypeGuard[SendOutcome]:
-    """Return whether an answer says "not run" of a request that may have run.
-
-    Only the not-run header proves that it has not, and an answer with that header is
-    not "answered".
-    """
-    is_refusal = isinstance(outcome, SendOutcome) and outcome.status in NOT_RUN_STATUSES
-    return is_refusal and not request.route.is_idempotent
-
-
-def _may_retry(request: DirectRequest) -> bool:
-    if request.has_answer_begun:
-        return False
-    if request.n_maybe_run and not request.route.is_idempotent:
-        return False
-    if request.n_maybe_run >= request.route.n_attempts_max:
-        return False
-    if request.service.is_sharded and request.excluded:
-        return False
-    return request.n_sends < N_SENDS_MAX and now_ns() < request.deadline_ns
-
-
-def _has_ended_upstreams(
-    host: DirectHost, request: DirectRequest, outcome: SendOutcome
-) -> bool:
-    """Return whether a further send might only end one more upstream."""
-    return outcome.result == "broken" and not may_run_again(host, request)
-
-
-def _refusal_or_unknown(request: DirectRequest, refusal: Refused) -> Refused:
-    """Return the refusal; if the request may have run, return one that says so."""
-    if request.n_maybe_run == 0:
-        return refusal
-    if request.is_timed_out:
-        return Refused(ResultCode.DEADLINE_EXPIRED_RUNNING, request.last_detail)
-    return Refused(ResultCode.UPSTREAM_FAILED, request.last_detail)
