--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_body_crowds.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_body_crowds.py
@@ -22,6 +22,7 @@
     heartbeat,
     manifest,
     not_run_answer,
+    peak_memory_mb,
     resend_until_200,
     route,
     served_answer,
@@ -63,13 +64,6 @@
     return served_answer(request)
 
 
-def peak_memory_mb(process_id: int) -> float:
-    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise ValueError("no peak")
-
-
 async def sample_descriptors(process_id: int, counts: list[int]) -> None:
     while True:
         with contextlib.suppress(FileNotFoundError):
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_uploads.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_uploads.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import time
-from pathlib import Path
 
 import aiohttp
 from aiohttp import web
@@ -17,6 +16,7 @@
     heartbeat,
     manifest,
     not_run_answer,
+    peak_memory_mb,
     route,
     send_http_request,
     served_answer,
@@ -55,13 +55,6 @@
         yield sizes
 
 
-def peak_memory_mb(process_id: int) -> float:
-    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise ValueError("no peak")
-
-
 async def wait_for_200(http, method, url, **options):
     for _ in range(N_TRIES):
         if (await send_http_request(http, method, url, **options))[0] == 200:
--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -172,6 +172,14 @@
             await self.end(ip)
 
 
+def peak_memory_mb(process_id: int) -> float:
+    """Return the largest resident memory that a process has had, in MiB."""
+    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise ValueError("no peak")
+
+
 async def send_http_request(
     http: aiohttp.ClientSession, method: str, url: str, **options: object
 ) -> tuple[int, bytes]:
