--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import random
 import shlex
@@ -159,10 +158,6 @@
                 *words, cwd=ROOT, env=environment, stdout=output, stderr=output
             )
 
-    def send_signal(self, number: int) -> None:
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
     async def end(self, number: int = signal.SIGKILL) -> None:
         process, self.process = self.process, None
         if process is not None and process.returncode is None:
@@ -176,13 +171,6 @@
     def is_running(self) -> bool:
         return self.process is not None and self.process.returncode is None
 
-    def log_lines(self) -> list[dict]:
-        rows = []
-        for line in (self.fleet.folder / f"{self.name}.log").read_text().splitlines():
-            with contextlib.suppress(ValueError):
-                rows.append(json.loads(line))
-        return rows
-
 
 class Fleet:
     """The hosts of one run: control hosts and entry hosts, in the zones of the site."""
@@ -213,17 +201,6 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
-    async def leader(self, http: aiohttp.ClientSession) -> Host | None:
-        """Return the control host that leads, by what the hosts report in metrics."""
-        best, best_term = None, -1
-        for core in self.cores:
-            for row in reversed(core.log_lines()):
-                if row.get("event") == "role changed":
-                    if row["role"] == "leader" and row["term"] > best_term:
-                        best, best_term = core, row["term"]
-                    break
-        return best
-
 
 async def call(http, method, url, seconds=1.0, **options):
     """Return the status, the headers and the body of an answer; status 0 if none."""
--- a/review/lib2/keys.py
+++ b/review/lib2/keys.py
@@ -4,7 +4,7 @@
 import time
 from typing import NamedTuple
 
-from targets import Head, Run, Target
+from targets import Head, Target
 
 N_KEYS = 65_536
 
