Log which host proposed an order, what it had read, and how old the order was

Two hypotheses fit what was logged: the order that a control host had given up on was proposed late, or the order was taken once more (by a host, or by a resend of the operator). The line of an order had neither its proposer nor what that host had read, and the leader logged no order at all.

Each order now has an id, which goes with the proposal (Propose.origin). The leader logs 'order proposed' with id, proposer, read revision and age, and all hosts log a change of the evacuations with its revision. Hosts of the version before know no origin and would close the link: the accepting side states its protocol version in the handshake, and gets the old form unless that is 2.

--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -138,11 +138,29 @@
 )
 
 
+class OrderOrigin(NamedTuple):
+    """Which host took an order, when, and what it had read of the log by then.
+
+    ``read_revision`` is the revision of its tables. ``taken_at_ms`` is a time of day by
+    that host's clock, which serves logs only.
+    """
+
+    order_id: str
+    host: str
+    read_revision: int
+    taken_at_ms: int
+
+
 class Propose(NamedTuple):
-    """A request to the leader of a group to commit a command."""
+    """A request to the leader of a group to commit a command.
+
+    ``origin`` is that of an operator's order, and None for other commands. Hosts of
+    protocol version 1 know no origins.
+    """
 
     group: str
     command: Command
+    origin: OrderOrigin | None = None
 
 
 class ProposeReply(NamedTuple):
--- a/packages/bergamotferry_host/src/bergamotferry_host/codec.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/codec.py
@@ -36,7 +36,9 @@
 # Values of these types, which most values in a message are, need no conversion.
 _SCALARS = frozenset((str, int, bytes, bool, float, type(None)))
 # Messages whose last fields are not written while they have their defaults.
-_SHORTENED = frozenset((fleet_messages.FollowFleet, fleet_messages.FleetChanges))
+_SHORTENED = frozenset(
+    (fleet_messages.FollowFleet, fleet_messages.FleetChanges, messages.Propose)
+)
 
 
 class EncodeError(ValueError):
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_changes.py
@@ -62,7 +62,7 @@
     if reply.revision < host.revision:
         return
     if reply.revision > host.revision or not is_same_source:
-        _apply_evacuations(host, frozenset(reply.evacuated))
+        _apply_evacuations(host, frozenset(reply.evacuated), reply.revision)
         _apply_ranges(host, reply.ranges)
         host.revision = reply.revision
     if reply.configuration_source:
@@ -140,8 +140,12 @@
         del host.key_pauses[token]
 
 
-def _apply_evacuations(host: DirectHost, evacuated: frozenset[str]) -> None:
+def _apply_evacuations(
+    host: DirectHost, evacuated: frozenset[str], revision: int
+) -> None:
     """Set the evacuated data centres; those that return may have cold upstreams."""
+    if evacuated != host.evacuated:
+        log("evacuations in force", data_centres=sorted(evacuated), revision=revision)
     now = now_ns()
     for upstream in host.upstreams.values():
         if upstream.row.data_centre in host.evacuated - evacuated:
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import itertools
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -17,7 +18,6 @@
 from bergamotferry.fleet_commands import (
     RetireUpstream,
     SetConfiguration,
-    SetEvacuation,
 )
 from bergamotferry.fleet_messages import ReadIndex, ReadIndexReply
 from bergamotferry.fleet_metrics import LabelValues
@@ -25,7 +25,7 @@
 from bergamotferry.followers import Followers
 from bergamotferry.hot_holders.overload import KnownHotHolders
 from bergamotferry.key_load import KeyLoads
-from bergamotferry.messages import Member, Membership
+from bergamotferry.messages import Member, Membership, OrderOrigin
 from bergamotferry.outcomes import Accepted, Refused, result_code
 from bergamotferry.replication import Replica
 from bergamotferry.replication.membership import GLOBAL_GROUP
@@ -78,6 +78,7 @@
     ``hot_holders`` the overloaded holders of keys. ``confirmed_ns`` is a time as of
     which the tables held every acknowledged command, 0 if none is known, and
     ``is_unconfirmed_logged`` is set while that is logged as too long ago.
+    ``order_numbers`` yields the numbers of the orders that this host takes.
     """
 
     settings: FleetSettings
@@ -105,6 +106,7 @@
     hot_holders: KnownHotHolders = field(default_factory=KnownHotHolders)
     confirmed_ns: int = 0
     is_unconfirmed_logged: bool = False
+    order_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
 
     @property
     def tables(self) -> FleetTables:
@@ -166,11 +168,15 @@
     """Apply each new revision to sessions and configuration, until cancelled."""
     group = host.group
     revision = -1
+    evacuated: set[str] = set()
     while True:
         if host.tables.revision != revision:
             revision = host.tables.revision
             apply_retired(host.sessions, host.tables, now_ns())
             _apply_configuration(host)
+            if host.tables.evacuated != evacuated:
+                evacuated = set(host.tables.evacuated)
+                _log_evacuated(evacuated, revision)
             wake_followers(host)
         async with group.applied:
             while host.tables.revision == revision:
@@ -239,20 +245,6 @@
     return outcome
 
 
-async def set_evacuation(
-    host: ControlHost, data_centre: str, is_evacuated: bool
-) -> Accepted | Refused:
-    """Commit the start or the end of the evacuation of a data centre."""
-    outcome = await commit_and_count(host, SetEvacuation(data_centre, is_evacuated))
-    log(
-        "evacuation ordered",
-        data_centre=data_centre,
-        is_evacuated=is_evacuated,
-        code=result_code(outcome),
-    )
-    return outcome
-
-
 async def read_configuration(host: ControlHost) -> bytes | Refused:
     """Return the newest committed configuration by a linearizable read.
 
@@ -306,23 +298,28 @@
     return reply.log_index if isinstance(reply, ReadIndexReply) else -1
 
 
-async def commit_and_count(host: ControlHost, command: Command) -> Accepted | Refused:
+async def commit_and_count(
+    host: ControlHost, command: Command, origin: OrderOrigin | None = None
+) -> Accepted | Refused:
     """Commit a command, wait until it is applied here, and count its result code.
 
-    The command may be acknowledged only after this returns. It is refused if it may
-    have waited while this host was suspended (see `suspension`).
+    ``origin`` is that of an operator's order. The command may be acknowledged only
+    after this returns. It is refused if it may have waited while this host was
+    suspended (see `suspension`).
     """
     if has_just_resumed(host.suspension, now_ns()):
         detail = "this host was suspended and may have read an old order"
         outcome: Accepted | Refused = Refused(ResultCode.HOST_NOT_READY, detail)
     else:
-        outcome = await _commit_and_apply(host, command)
+        outcome = await _commit_and_apply(host, command, origin)
     host.command_counts[type(command).__name__, str(result_code(outcome))] += 1
     return outcome
 
 
-async def _commit_and_apply(host: ControlHost, command: Command) -> Accepted | Refused:
-    outcome = await commit(host.group, command, COMMIT_TIMEOUT_S)
+async def _commit_and_apply(
+    host: ControlHost, command: Command, origin: OrderOrigin | None
+) -> Accepted | Refused:
+    outcome = await commit(host.group, command, COMMIT_TIMEOUT_S, origin)
     if isinstance(outcome, Accepted):
         async with host.group.applied:
             try:
@@ -337,6 +334,10 @@
     return outcome
 
 
+def _log_evacuated(evacuated: set[str], revision: int) -> None:
+    log("evacuations in force", data_centres=sorted(evacuated), revision=revision)
+
+
 def _apply_configuration(host: ControlHost) -> None:
     tables = host.tables
     if tables.configuration_version == host.configuration.version:
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
@@ -7,13 +7,14 @@
 import asyncio
 
 from bergamotferry.commands import Command
-from bergamotferry.messages import Propose, ProposeReply
-from bergamotferry.outcomes import Accepted, Refused
-from bergamotferry.replication import propose
+from bergamotferry.messages import OrderOrigin, Propose, ProposeReply
+from bergamotferry.outcomes import Accepted, Refused, result_code
+from bergamotferry.replication import last_index, propose
 from bergamotferry.result_codes import ResultCode
 
-from .clock import now_ns
+from .clock import now_ns, time_of_day_ms
 from .group import Group
+from .logs import log
 from .peer_link import PeerUnreachable
 
 PROPOSE_TIMEOUT_S = 2.0
@@ -21,18 +22,24 @@
 
 
 async def commit(
-    group: Group, command: Command, timeout_s: float = PROPOSE_TIMEOUT_S
+    group: Group,
+    command: Command,
+    timeout_s: float = PROPOSE_TIMEOUT_S,
+    origin: OrderOrigin | None = None,
 ) -> Accepted | Refused:
     """Commit a command through the leader, on this host or on another.
 
+    ``origin`` is that of an operator's order.
+
     Returns
     -------
     Accepted or Refused
         After ``NO_LEADER`` the command may or may not be committed.
     """
+    message = Propose(group.name, command, origin)
     deadline_ns = now_ns() + int(timeout_s * 1e9)
     while True:
-        reply = await _propose_once(group, command, deadline_ns)
+        reply = await _propose_once(group, message, deadline_ns)
         if reply is not None and reply.code != ResultCode.NO_LEADER:
             return _outcome_of_reply(reply)
         if now_ns() + int(PROPOSE_PAUSE_S * 1e9) >= deadline_ns:
@@ -66,7 +73,10 @@
     future = append_if_leader(group, message.command)
     if future is None:
         return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
+    log_index = last_index(group.replica)
     outcome = await wait_committed(group, future)
+    if message.origin is not None:
+        _log_order(group, message, message.origin, log_index, outcome)
     if isinstance(outcome, Accepted):
         return ProposeReply(0, "", outcome.revision, "")
     return ProposeReply(outcome.code, outcome.detail, 0, "")
@@ -114,9 +124,8 @@
 
 
 async def _propose_once(
-    group: Group, command: Command, deadline_ns: int
+    group: Group, message: Propose, deadline_ns: int
 ) -> ProposeReply | None:
-    message = Propose(group.name, command)
     candidates = [group.leader] if group.leader else list(group.sources)
     for host in candidates:
         remaining_s = (deadline_ns - now_ns()) / 1e9
@@ -138,6 +147,28 @@
     return None
 
 
+def _log_order(
+    group: Group,
+    message: Propose,
+    origin: OrderOrigin,
+    log_index: int,
+    outcome: Accepted | Refused,
+) -> None:
+    """Log what became of an operator's order; its age is by the clocks of two hosts."""
+    log(
+        "order proposed",
+        group=group.name,
+        order=origin.order_id,
+        command=repr(message.command),
+        proposer=origin.host,
+        read_revision=origin.read_revision,
+        age_ms=time_of_day_ms() - origin.taken_at_ms,
+        log_index=log_index,
+        revision=outcome.revision if isinstance(outcome, Accepted) else 0,
+        code=result_code(outcome),
+    )
+
+
 def _outcome_of_reply(reply: ProposeReply) -> Accepted | Refused:
     if reply.code == 0:
         return Accepted(reply.revision)
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -26,6 +26,7 @@
 from .background import log_failure, report_failure, start_task
 from .codec import DecodeError, EncodeError, decode, encode
 from .peer_stream import FrameKind, PeerStream, PeerUnreachable, StreamBroken
+from .protocol_version import PROTOCOL_VERSION, message_for
 
 __all__ = [
     "FrameKind",
@@ -74,6 +75,7 @@
     last_received_id: int = -1
     probe_task: "asyncio.Task[None] | None" = None
     is_dialling_side: bool = False
+    peer_version: int = PROTOCOL_VERSION
 
     async def run(self) -> None:
         """Read frames until the connection ends, then break its streams and calls."""
@@ -124,7 +126,7 @@
         await asyncio.shield(self.probe_task)
 
     async def call(self, message: Any, timeout_s: float) -> Any:
-        """Send a message and return the reply.
+        """Send a message, in the peer's version of it, and return the reply.
 
         Raises
         ------
@@ -136,7 +138,8 @@
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self.replies[call_id] = future
         try:
-            await self.send_frame(call_id, FrameKind.CALL, message)
+            known_message = message_for(message, self.peer_version)
+            await self.send_frame(call_id, FrameKind.CALL, known_message)
             # `asyncio.wait_for` would lose a cancellation that coincides with the
             # reply.
             async with asyncio.timeout(timeout_s):
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_network.py
@@ -12,7 +12,7 @@
 from http import HTTPStatus
 from typing import Any, Literal
 
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.http11 import Request, Response
 
@@ -32,6 +32,7 @@
     PeerUnreachable,
     SentBytesKey,
 )
+from .protocol_version import PROTOCOL_VERSION, VERSION_HEADER, parse_version
 
 # The link for records has messages that hosts of older versions don't know. They close
 # it, which must not break anything else.
@@ -96,6 +97,7 @@
             ip,
             port,
             process_request=self._check_token,
+            process_response=_state_version,
             max_size=FRAME_MAX_BYTES,
             compression=None,
             ping_interval=KEEPALIVE_INTERVAL_S,
@@ -231,6 +233,7 @@
             self.handlers,
             sent_bytes=self.sent_bytes,
             is_dialling_side=True,
+            peer_version=_stated_version(connection),
         )
         self.links[link_key] = link
         self._start(link.run())
@@ -255,6 +258,18 @@
         start_task(coroutine, self.tasks)
 
 
+def _state_version(
+    connection: ServerConnection, request: Request, response: Response
+) -> None:
+    response.headers[VERSION_HEADER] = str(PROTOCOL_VERSION)
+
+
+def _stated_version(connection: ClientConnection) -> int:
+    response = connection.response
+    header = response.headers.get(VERSION_HEADER) if response is not None else None
+    return parse_version(header)
+
+
 def take_sent_bytes(network: PeerNetwork) -> Counter[tuple[str, LinkTrafficClass]]:
     """Return the bytes sent since the last call, by data centre and traffic class."""
     taken: Counter[tuple[str, LinkTrafficClass]] = Counter()
--- a/packages/bergamotferry_host/tests/test_leave_model.py
+++ b/packages/bergamotferry_host/tests/test_leave_model.py
@@ -212,7 +212,7 @@
     async def build(self):
         self.world = World()
 
-    async def commit(self, group, command, timeout_s):
+    async def commit(self, group, command, timeout_s, origin):
         return await self.world.commit(group, command, timeout_s)
 
     def run(self, coroutine):
--- a/packages/bergamotferry_host/tests/test_suspension.py
+++ b/packages/bergamotferry_host/tests/test_suspension.py
@@ -11,7 +11,8 @@
 from bergamotferry.result_codes import ResultCode
 from bergamotferry_host import fleet_control
 from bergamotferry_host.clock import now_ns
-from bergamotferry_host.fleet_control import ControlHost, set_evacuation
+from bergamotferry_host.evacuation_orders import set_evacuation
+from bergamotferry_host.fleet_control import ControlHost
 from bergamotferry_host.fleet_settings import FleetSettings
 from bergamotferry_host.suspension import (
     RESUME_NS,
@@ -64,7 +65,7 @@
     """Guards against an order that takes effect after a newer one on its object."""
     settings = FleetSettings("1.1.1.1", "c", "a", "n", {"a": "n"}, 1, ("1.1.1.1",))
 
-    async def commit(group, command, timeout_s):
+    async def commit(group, command, timeout_s, origin):
         return apply_fleet_command(group.tables, command)
 
     monkeypatch.setattr(fleet_control, "commit", commit)
