Refuse an order that would undo one its host had not read

Cause: a proposal that its host had given up on waited in the link to the leader, was appended when the link healed, and undid what had been acknowledged since.

Change: a proposal names the revision that its host had applied as it took the order. As it appends, the leader refuses it (1111, a 503) if its log, applied or not, holds a later order on the data centre that demands something else; orders that changed nothing count. Any order that was sent after the one given up has a higher revision than that one can name, wherever and however long it waited. An order whose sender has closed its connection by then is not proposed. The suspension check stays for the first hop.

--- a/packages/bergamotferry/src/bergamotferry/fleet_tables.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_tables.py
@@ -61,12 +61,17 @@
     ``configuration_source`` is compressed, see `configuration_text`. ``split_at`` maps
     a range to the revision of its last split, if it was split under its present token.
     ``retired_at`` has, for each key of ``retired``, the revision that recorded it last.
+    ``evacuations_ordered_at`` has the revision of the last order on each data centre,
+    also if it changed nothing. ``first_known_revision`` is the revision after which
+    these are recorded: snapshots of older versions have none.
     """
 
     revision: int = 0
     configuration_version: int = 0
     configuration_source: bytes = b""
     evacuated: set[str] = field(default_factory=set)
+    evacuations_ordered_at: dict[str, int] = field(default_factory=dict)
+    first_known_revision: int | None = None
     retired: dict[str, Retired] = field(default_factory=dict)
     retired_at: dict[str, int] = field(default_factory=dict)
     ranges: dict[str, KeyRange] = field(default_factory=dict)
@@ -75,6 +80,8 @@
 
 def apply_fleet_command(tables: FleetTables, command: Command) -> Accepted | Refused:
     """Apply a committed command to the tables and return its outcome."""
+    if tables.first_known_revision is None:
+        tables.first_known_revision = tables.revision
     tables.revision += 1
     match command:
         case SetConfiguration():
@@ -82,6 +89,7 @@
                 tables.configuration_version = command.version
                 tables.configuration_source = command.source
         case SetEvacuation(data_centre, is_evacuated):
+            tables.evacuations_ordered_at[data_centre] = tables.revision
             if is_evacuated:
                 tables.evacuated.add(data_centre)
             else:
@@ -97,6 +105,17 @@
     return Accepted(tables.revision)
 
 
+def evacuation_ordered_at(tables: FleetTables, data_centre: str) -> int:
+    """Return the revision of the last order to evacuate a data centre or to end that.
+
+    If the tables hold no order on it, it is the revision after which they hold all.
+    """
+    first_known_revision = tables.first_known_revision
+    if first_known_revision is None:
+        first_known_revision = tables.revision
+    return tables.evacuations_ordered_at.get(data_centre, first_known_revision)
+
+
 def find_retired(tables: FleetTables, name: str, born_ms: int) -> Retired | None:
     """Return the record that an incarnation leaves, or None if there is none."""
     return tables.retired.get(_incarnation_key(name, born_ms))
--- a/packages/bergamotferry/src/bergamotferry/result_codes.py
+++ b/packages/bergamotferry/src/bergamotferry/result_codes.py
@@ -36,6 +36,7 @@
     HOST_STOPPING = 1108
     HOST_NOT_READY = 1109
     STATE_TOO_OLD = 1110
+    ORDERED_SINCE = 1111
     QUEUE_FULL = 1201
     DEADLINE_TOO_SHORT = 1202
     DEADLINE_EXPIRED_IN_QUEUE = 1203
@@ -117,6 +118,9 @@
     ResultCode.STATE_TOO_OLD: ResultCodeRow(
         503, True, "The host's state may be too old to decide on the account."
     ),
+    ResultCode.ORDERED_SINCE: ResultCodeRow(
+        503, True, "The object was ordered otherwise since the order was taken."
+    ),
     ResultCode.QUEUE_FULL: ResultCodeRow(503, True, "The upstream's queue is full."),
     ResultCode.DEADLINE_TOO_SHORT: ResultCodeRow(
         503, True, "The expected wait exceeds the deadline."
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
@@ -65,6 +65,12 @@
         single_value_family(
             "followers", "Hosts that follow this one.", "gauge", n_followers
         ),
+        single_value_family(
+            "orders_ordered_since",
+            "Orders refused by this leader: a later one on the object was not known.",
+            "counter",
+            host.group.n_conflicts,
+        ),
         single_value_family(
             "evacuated", "Data centres evacuated.", "gauge", len(tables.evacuated)
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/evacuation_orders.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/evacuation_orders.py
@@ -1,5 +1,11 @@
 """Takes operators' orders to evacuate a data centre, and to end its evacuation.
 
+An order that its sender has given up on must not undo a later one. This host can know
+of that only while the order is in its own connection: if the sender has closed it, or
+if this host was suspended (see `suspension`). From there on the order may wait for any
+time, so it names what this host had read as it took the order, and the leader refuses
+it if it would undo what was ordered since (see `order_conflicts`).
+
 Each order gets a number of its own, so that the lines of the host that took it and of
 the leader that committed or refused it can be put together.
 """
@@ -7,6 +13,7 @@
 from bergamotferry.fleet_commands import SetEvacuation
 from bergamotferry.messages import OrderOrigin
 from bergamotferry.outcomes import Accepted, Refused, result_code
+from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns, time_of_day_ms
 from .fleet_control import ControlHost, commit_and_count
@@ -14,13 +21,29 @@
 
 
 async def set_evacuation(
-    host: ControlHost, data_centre: str, is_evacuated: bool
+    host: ControlHost,
+    data_centre: str,
+    is_evacuated: bool,
+    is_abandoned: bool = False,
 ) -> Accepted | Refused:
-    """Commit the start or the end of the evacuation of a data centre."""
+    """Commit the start or the end of the evacuation of a data centre.
+
+    Returns
+    -------
+    Accepted or Refused
+        Refused if the order is abandoned, or if a later one that this host had not read
+        demands something else; a fresh order is then taken once this host has read it.
+        After ``NO_LEADER`` the order may or may not be committed.
+    """
     taken_ns = now_ns()
     origin = _take_order(host)
-    command = SetEvacuation(data_centre, is_evacuated)
-    outcome = await commit_and_count(host, command, origin)
+    if is_abandoned:
+        outcome: Accepted | Refused = Refused(
+            ResultCode.CALLER_GONE, "the sender of the order has left"
+        )
+    else:
+        command = SetEvacuation(data_centre, is_evacuated)
+        outcome = await commit_and_count(host, command, origin)
     log(
         "evacuation ordered",
         order=origin.order_id,
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -26,6 +26,7 @@
 from bergamotferry.hot_holders.overload import KnownHotHolders
 from bergamotferry.key_load import KeyLoads
 from bergamotferry.messages import Member, Membership, OrderOrigin
+from bergamotferry.order_conflicts import find_order_conflict
 from bergamotferry.outcomes import Accepted, Refused, result_code
 from bergamotferry.replication import Replica
 from bergamotferry.replication.membership import GLOBAL_GROUP
@@ -144,6 +145,7 @@
         is_eligible_member=True,
         # A majority must survive the simultaneous loss of ``n_lost_disks_max`` disks.
         n_voters=2 * settings.bounds.n_lost_disks_max + 1,
+        find_conflict=find_order_conflict,
     )
     recover_group(group, folder)
     return group
--- a/packages/bergamotferry_host/src/bergamotferry_host/group.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -27,6 +27,7 @@
     Membership,
     ReplicationMessage,
 )
+from bergamotferry.order_conflicts import OrderConflict
 from bergamotferry.outcomes import Accepted, Refused
 from bergamotferry.replication import (
     Outgoing,
@@ -65,6 +66,8 @@
 DISK_FULL_RETRY_S = 0.25
 
 ApplyCommand = Callable[[Any, Command], Accepted | Refused]
+# Finds the order that a proposed command would undo, see `find_order_conflict`.
+FindConflict = Callable[[Any, Iterable[Command], Command, int], OrderConflict | None]
 
 
 @dataclass(slots=True)
@@ -74,9 +77,10 @@
     ``sources`` are the hosts to fetch the log from; while no leader is known, calls to
     the leader are sent to them in turn. ``reads_log`` is whether this host fetches the
     log while it is no member. ``waiters`` holds, by log index, the term and the future
-    of each command that waits for its commit. ``is_disk_full`` is set while a write is
-    repeated because the disk has no space, and ``has_failed_disk`` after a write that
-    failed for another reason.
+    of each command that waits for its commit. ``find_conflict`` decides on orders that
+    are proposed late, and ``n_conflicts`` counts those that this host refused.
+    ``is_disk_full`` is set while a write is repeated because the disk has no space, and
+    ``has_failed_disk`` after a write that failed for another reason.
     """
 
     name: str
@@ -100,6 +104,8 @@
     waiters: dict[int, tuple[int, asyncio.Future[Accepted | Refused]]] = field(
         default_factory=dict
     )
+    find_conflict: FindConflict | None = None
+    n_conflicts: int = 0
     is_disk_full: bool = False
     has_failed_disk: bool = False
     is_stopping: bool = False
@@ -186,6 +192,13 @@
     return group.applied_index
 
 
+def unapplied_commands(group: Group) -> Iterator[Command]:
+    """Return the commands in this host's log that are not applied to its tables."""
+    for entry in entries_from(group.replica, group.applied_index + 1):
+        if not isinstance(entry.payload, Membership):
+            yield entry.payload
+
+
 def has_applied_own_term(group: Group) -> bool:
     """Return whether the tables here hold every command acknowledged in earlier terms.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
@@ -1,7 +1,9 @@
 """Commits commands through a group's leader, from any host.
 
 A command may be committed although its proposer received no reply. All commands are
-therefore designed so that proposing one again is harmless.
+therefore designed so that proposing one again is harmless. An operator's order is also
+harmless if it is proposed late: the leader refuses it if it would undo an order that
+its proposer had not read (see `order_conflicts`).
 """
 
 import asyncio
@@ -13,8 +15,8 @@
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns, time_of_day_ms
-from .group import Group
-from .logs import log
+from .group import Group, unapplied_commands
+from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 
 PROPOSE_TIMEOUT_S = 2.0
@@ -70,6 +72,9 @@
 
 async def answer_propose(group: Group, message: Propose) -> ProposeReply:
     """Commit a command that a peer or this host proposes, if this host leads."""
+    refusal = _refuse_if_ordered_since(group, message)
+    if refusal is not None:
+        return refusal
     future = append_if_leader(group, message.command)
     if future is None:
         return ProposeReply(ResultCode.NO_LEADER, "not the leader", 0, group.leader)
@@ -147,6 +152,34 @@
     return None
 
 
+def _refuse_if_ordered_since(group: Group, message: Propose) -> ProposeReply | None:
+    """Refuse an order that would undo one which its proposer had not read.
+
+    Nothing is awaited between this and the append, so that no order comes between.
+    Proposals of hosts of the version before have no origin, and are not refused.
+    """
+    origin = message.origin
+    if origin is None or group.find_conflict is None or not group.is_leader:
+        return None
+    conflict = group.find_conflict(
+        group.tables, unapplied_commands(group), message.command, origin.read_revision
+    )
+    if conflict is None:
+        return None
+    group.n_conflicts += 1
+    log_warning(
+        "order refused, ordered since",
+        **_order_fields(group, message, origin),
+        since_revision=conflict.revision,
+        since_evacuated=conflict.is_evacuated,
+    )
+    detail = (
+        f"revision {conflict.revision} ordered otherwise, "
+        f"revision {origin.read_revision} was read"
+    )
+    return ProposeReply(ResultCode.ORDERED_SINCE, detail, 0, group.leader)
+
+
 def _log_order(
     group: Group,
     message: Propose,
@@ -154,21 +187,29 @@
     log_index: int,
     outcome: Accepted | Refused,
 ) -> None:
-    """Log what became of an operator's order; its age is by the clocks of two hosts."""
     log(
         "order proposed",
-        group=group.name,
-        order=origin.order_id,
-        command=repr(message.command),
-        proposer=origin.host,
-        read_revision=origin.read_revision,
-        age_ms=time_of_day_ms() - origin.taken_at_ms,
+        **_order_fields(group, message, origin),
         log_index=log_index,
         revision=outcome.revision if isinstance(outcome, Accepted) else 0,
         code=result_code(outcome),
     )
 
 
+def _order_fields(
+    group: Group, message: Propose, origin: OrderOrigin
+) -> dict[str, object]:
+    """Return the fields of a line on an order; its age is by two hosts' clocks."""
+    return {
+        "group": group.name,
+        "order": origin.order_id,
+        "command": repr(message.command),
+        "proposer": origin.host,
+        "read_revision": origin.read_revision,
+        "age_ms": time_of_day_ms() - origin.taken_at_ms,
+    }
+
+
 def _outcome_of_reply(reply: ProposeReply) -> Accepted | Refused:
     if reply.code == 0:
         return Accepted(reply.revision)
--- a/packages/bergamotferry_host/tests/test_table_snapshot.py
+++ b/packages/bergamotferry_host/tests/test_table_snapshot.py
@@ -1,7 +1,11 @@
 """Tests that a snapshot restores tables completely and in order."""
 
+from dataclasses import dataclass, field
+
 from bergamotferry.commands import ApplyNote, MakeException, PlaceShards
 from bergamotferry.data_centre_tables import DataCentreTables, apply_data_centre_command
+from bergamotferry.fleet_commands import SetEvacuation
+from bergamotferry.fleet_tables import FleetTables, apply_fleet_command
 from bergamotferry.global_tables import GlobalTables, apply_global_command
 from bergamotferry.outcomes import Accepted
 from bergamotferry.records import Grant, OutcomeRecord, ShardId
@@ -57,6 +61,35 @@
     assert loaded == GlobalTables()
 
 
+@dataclass
+class FormerFleetTables:
+    """The tables of the fleet as the version before has them, without orders."""
+
+    revision: int = 0
+    configuration_version: int = 0
+    configuration_source: bytes = b""
+    evacuated: set = field(default_factory=set)
+    retired: dict = field(default_factory=dict)
+    retired_at: dict = field(default_factory=dict)
+    ranges: dict = field(default_factory=dict)
+    split_at: dict = field(default_factory=dict)
+
+
+def test_versions_with_and_without_recorded_orders_read_each_others_snapshots():
+    """Guards against an upgrade after which disks or snapshots can't be read."""
+    tables = FleetTables()
+    apply_fleet_command(tables, SetEvacuation("a", True))
+    former = FormerFleetTables()
+    load_tables(former, encode_tables(freeze_tables(tables)))
+    assert former == FormerFleetTables(revision=1, evacuated={"a"})
+    loaded = FleetTables()
+    load_tables(loaded, encode_tables(freeze_tables(former)))
+    assert loaded == FleetTables(revision=1, evacuated={"a"})
+    assert restore(tables) == tables
+    # A command in the log has the fields that it had before.
+    assert SetEvacuation._fields == ("data_centre", "is_evacuated")
+
+
 def test_derived_fields_are_not_part_of_a_snapshot():
     tables = GlobalTables()
     tables.accounts_by_token["digest"] = None
