--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/fault_proxy.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/fault_proxy.py
@@ -27,12 +27,16 @@
 
 
 class Pair(NamedTuple):
-    """An ordered pair of hosts: ``source`` dials the proxy instead of ``target``."""
+    """An ordered pair of hosts: ``source`` dials the proxy instead of ``target``.
+
+    The proxy listens at its own IP address if ``listen_ip`` is empty.
+    """
 
     source: str
     target: str
     listen_port: int
     target_address: str
+    listen_ip: str = ""
 
 
 @dataclass(slots=True)
@@ -109,7 +113,8 @@
         ) -> None:
             await self._serve(pair, reader, writer)
 
-        return await asyncio.start_server(serve, self.listen_ip, pair.listen_port)
+        listen_ip = pair.listen_ip or self.listen_ip
+        return await asyncio.start_server(serve, listen_ip, pair.listen_port)
 
     async def _serve(
         self, pair: Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
