Soak: disturb links of control hosts while an operator changes its mind

A proxy between all hosts now cuts, cuts one way, slows or resets the links of a control host, in a plan of its own, so that the plans of seeds that once failed stay as they were. An operator orders through the disturbed host, gives up after 1 s, orders the opposite elsewhere, and then waits: the runs of upstreams must show what was acknowledged last.

--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_platform_soak.py
@@ -9,8 +9,19 @@
 import pytest
 from platform_soak import N_KEYED_SERVED_MIN, N_SERVED_MIN, run_soak
 from platform_soak_check import check_soak
+from platform_soak_evacuations import (
+    N_RUNS_ELSEWHERE_MIN,
+    OBSERVED_S,
+    ZONE_UPSTREAM,
+    shows_evacuation,
+)
 from platform_soak_keys import HeldKeys, KeyedUpstream
-from platform_soak_plan import Fault, draw_plan
+from platform_soak_plan import (
+    HOST_LINK_FAULTS,
+    Fault,
+    draw_host_link_plan,
+    draw_plan,
+)
 from platform_soak_state import CORES, EDGES, KEYED_KINDS, Call, Soak
 from platform_soak_upstream import Run
 
@@ -28,8 +39,11 @@
 
 
 def test_guarantees_hold_through_a_short_seeded_soak(tmp_path):
-    soak = asyncio.run(run_soak(SEED, draw_plan(SEED, DURATION_S), tmp_path))
+    plan = draw_plan(SEED, DURATION_S)
+    host_link_plan = draw_host_link_plan(SEED, DURATION_S)
+    soak = asyncio.run(run_soak(SEED, plan, tmp_path, host_link_plan))
     assert check_soak(soak) == []
+    assert soak.n_evacuations and soak.n_faults_by_kind.keys() & {*HOST_LINK_FAULTS}
     assert sum(call.status == 200 for call in soak.calls) >= N_SERVED_MIN
     assert soak.hard_faults and soak.acknowledged and soak.reads
     keyed = [call for call in soak.calls if call.kind in KEYED_KINDS]
@@ -112,6 +126,7 @@
         ({"status": 404}, "got 404"),
         ({"reads": [(8.0, 2)]}, "version 2 was read"),
         ({"stops": [("e", 1.0, 2.0, -9)]}, "ended with -9"),
+        ({"evacuation_faults": ["POST was undone"]}, "POST was undone"),
         (
             {"status": 0, "stops": [(EDGES[0], 9.0, 12.0, 0)]},
             "as it stopped",
@@ -209,6 +224,28 @@
     assert check_soak(make_soak(**changes)) == []
 
 
+@pytest.mark.parametrize(
+    ("n_there", "n_elsewhere", "is_evacuated", "is_shown"),
+    [
+        (0, N_RUNS_ELSEWHERE_MIN, True, True),
+        (1, N_RUNS_ELSEWHERE_MIN, True, False),
+        # Too few requests ran to tell anything.
+        (0, N_RUNS_ELSEWHERE_MIN - 1, True, False),
+        (1, 0, False, True),
+        (0, N_RUNS_ELSEWHERE_MIN, False, False),
+    ],
+)
+def test_runs_of_the_last_second_show_whether_a_data_centre_is_evacuated(
+    n_there, n_elsewhere, is_evacuated, is_shown
+):
+    now_s = time.monotonic()
+    recent = [Run("0", f"i-{ZONE_UPSTREAM}-1", now_s)] * n_there
+    recent += [Run("0", "i-0-1", now_s)] * n_elsewhere
+    former = [Run("0", f"i-{ZONE_UPSTREAM}-1", now_s - 2 * OBSERVED_S)] * 20
+    soak = make_soak(runs=former + recent)
+    assert shows_evacuation(soak, is_evacuated) is is_shown
+
+
 def test_key_with_two_holders_is_reported_when_one_runs_a_request():
     held = HeldKeys()
     buckets = range(3, 5)
--- a/packages/bergamotferry_testkit/tests/platform_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak.py
@@ -5,6 +5,8 @@
 - hosts are killed, frozen, stopped and started, and control hosts lose their disks;
 - upstreams crash and start again as new incarnations;
 - links to upstreams become slow, go silent in one direction, or are reset;
+- links of control hosts to other hosts are cut, cut one way, slow, or reset, while an
+  operator evacuates a data centre, gives up, moves on and changes its mind;
 - configurations change and grow.
 
 Upstreams answer oddly at times (`platform_soak_oddities`). Some of them are replaced
@@ -27,6 +29,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 
 import aiohttp
@@ -53,6 +56,11 @@
     send_requests,
 )
 from platform_soak_check import check_soak
+from platform_soak_evacuations import (
+    EVACUATED_ZONE,
+    ZONE_UPSTREAM,
+    order_evacuations,
+)
 from platform_soak_faults import run_plan
 from platform_soak_heartbeats import replace_often, send_heartbeats
 from platform_soak_keys import KEYS_PER_BUCKET, KeyedUpstream
@@ -62,7 +70,7 @@
     poll_configuration,
     read_final_configuration,
 )
-from platform_soak_plan import Fault, draw_plan
+from platform_soak_plan import Fault, draw_host_link_plan, draw_plan
 from platform_soak_state import (
     CORES,
     EDGES,
@@ -92,15 +100,19 @@
 N_KEYED_SERVED_MIN = 20
 
 
-async def run_soak(seed: int, plan: list[Fault], tmp_path: Path) -> Soak:
-    """Run the faults of a plan and return what was observed.
+async def run_soak(
+    seed: int, plan: list[Fault], tmp_path: Path, host_link_plan: Sequence[Fault] = ()
+) -> Soak:
+    """Run the faults of two plans side by side and return what was observed.
 
-    The seed decides all other random choices.
+    The seed decides all other random choices. An operator orders evacuations if there
+    are faults of links between hosts.
     """
     fleet = Fleet(tmp_path, CORES, EDGES, LINK_MBPS, BOUNDS)
     rng = random.Random(seed)
     async with aiohttp.ClientSession() as http, asyncio.TaskGroup() as group:
         soak = Soak(fleet, rng, http)
+        fleet.peer_ports = soak.mesh.peer_ports
 
         def record_end(path: str, request_id: str) -> None:
             soak.breaks.append(time.monotonic())
@@ -140,6 +152,9 @@
             for upstream in (*soak.upstreams, *soak.keyed_upstreams):
                 await upstream.start()
                 await upstream.open_link()
+            if host_link_plan:
+                soak.upstreams[ZONE_UPSTREAM].zone = EVACUATED_ZONE
+            await soak.mesh.start()
             await fleet.start_hosts()
             group.create_task(send_heartbeats(soak))
             await apply_configuration(soak, 1)
@@ -172,8 +187,15 @@
                 group.create_task(replace_often(soak, upstream))
             callers.append(group.create_task(send_ending_requests(soak)))
             configuration_poll = group.create_task(poll_configuration(soak))
-            await run_plan(soak, plan)
+            operators = []
+            if host_link_plan:
+                operators.append(group.create_task(order_evacuations(soak)))
+            await asyncio.gather(
+                run_plan(soak, plan), run_plan(soak, list(host_link_plan))
+            )
             await _wait_all_serving(soak)
+            soak.is_ending = True
+            await asyncio.gather(*operators)
             await _wait_enough_observed(soak)
             soak.is_finished = True
             await asyncio.gather(configuration_poll, *callers)
@@ -186,6 +208,7 @@
             await fleet.end_hosts()
             for upstream in (*soak.upstreams, *soak.keyed_upstreams):
                 await upstream.stop()
+            await soak.mesh.stop()
     return soak
 
 
@@ -236,13 +259,15 @@
     options = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="soak-"))
     plan = draw_plan(options.seed, options.seconds)
-    soak = asyncio.run(run_soak(options.seed, plan, folder))
+    host_link_plan = draw_host_link_plan(options.seed, options.seconds)
+    soak = asyncio.run(run_soak(options.seed, plan, folder, host_link_plan))
     statuses = Counter(call.status for call in soak.calls)
     with_keys = Counter(call.status for call in soak.account_calls)
     print(
         f"seed {options.seed}: {dict(statuses)}, {dict(soak.n_faults_by_kind)}, "
         f"with keys: {dict(with_keys)}, odd: {dict(soak.n_odd_by_kind)}, "
         f"{len(soak.acknowledged)} configurations, {len(soak.reads)} reads, "
+        f"{soak.n_evacuations} evacuations, "
         f"{soak.held.n_released_buckets} buckets of {KEYS_PER_BUCKET} keys released, "
         f"logs in {folder}"
     )
--- a/packages/bergamotferry_testkit/tests/platform_soak_check.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_check.py
@@ -36,6 +36,7 @@
         if is_unexpected or (call.status and not 200 <= call.status <= 599):
             broken.append(f"{call.request_id} got {call.status}")
     broken += check_accounts(soak)
+    broken += soak.evacuation_faults
     broken += _check_reads(soak)
     broken += [
         f"{ip} ended with {status} after SIGTERM"
--- a/packages/bergamotferry_testkit/tests/platform_soak_faults.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_faults.py
@@ -8,7 +8,7 @@
 from platform_fleet import METRICS_PORT, send_http_request
 from platform_soak_heartbeats import replace_upstream
 from platform_soak_operator import apply_configuration, read_configuration
-from platform_soak_plan import Fault
+from platform_soak_plan import HOST_LINK_FAULTS, Fault
 from platform_soak_state import (
     APPLY_S,
     CORES,
@@ -26,6 +26,8 @@
 N_FULL_MEMBERSHIP_POLLS = 5
 # The number of routes of a large deployment; the manifest is some 400 KB long.
 N_MANY_ROUTES = 1_500
+# Longer than a caller of a control host waits.
+SLOW_HOST_DELAY_MS = 1_300
 
 
 async def run_plan(soak: Soak, plan: list[Fault]) -> None:
@@ -42,6 +44,8 @@
     if kind in ("kill all cores", "lose disk"):
         # Until all control hosts hold all data again, only one disk may be lost.
         affected = set(CORES)
+    if kind in HOST_LINK_FAULTS:
+        affected = {f"links of {target}"}
     if kind.endswith("link"):
         # A link and its upstream may fail at the same time.
         affected = {f"link {target}"}
@@ -92,6 +96,19 @@
             case "reset link":
                 soak.breaks.append(time.monotonic())
                 soak.proxy.reset(HOSTS, target)
+            case "cut host":
+                await _disturb_host(soak, target, duration_s, is_silent=True)
+            case "cut host one way":
+                await _disturb_host(
+                    soak, target, duration_s, is_both_ways=False, is_silent=True
+                )
+            case "slow host":
+                await _disturb_host(
+                    soak, target, duration_s, delay_ms=SLOW_HOST_DELAY_MS
+                )
+            case "reset host":
+                soak.hard_faults.append((target, time.monotonic()))
+                soak.mesh.reset(target)
             case "configure":
                 await apply_configuration(soak, next(soak.versions))
             case "configure many routes":
@@ -152,6 +169,23 @@
             n_full_polls = n_full_polls + 1 if is_full else 0
 
 
+async def _disturb_host(
+    soak: Soak, core: str, duration_s: float, **rule: object
+) -> None:
+    """Disturb the links of a control host to all other hosts for a while.
+
+    Grants that waited meanwhile may arrive late, as after a thaw.
+    """
+    soak.hard_faults.append((core, time.monotonic()))
+    soak.disturbed_cores.add(core)
+    soak.mesh.disturb(core, **rule)
+    await asyncio.sleep(duration_s)
+    soak.mesh.heal(core)
+    soak.disturbed_cores.discard(core)
+    soak.held.thaws.append(time.monotonic())
+    soak.hard_faults.append((core, time.monotonic()))
+
+
 async def _disturb_link(
     soak: Soak,
     target: str,
--- a/packages/bergamotferry_testkit/tests/platform_soak_heartbeats.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_heartbeats.py
@@ -61,13 +61,14 @@
 
 def _next_heartbeat(upstream: SoakUpstream) -> dict[str, object]:
     upstream.sequence += 1
-    return heartbeat(
+    body = heartbeat(
         upstream.sequence,
         address=upstream.address,
         incarnation=upstream.incarnation,
         service=upstream.service,
         n_slots=upstream.n_slots,
     )
+    return {**body, "zone": upstream.zone}
 
 
 async def _send_heartbeat(soak: Soak, name: str, body: dict[str, object]) -> None:
--- a/packages/bergamotferry_testkit/tests/platform_soak_plan.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_plan.py
@@ -27,6 +27,11 @@
 )
 
 
+HOST_LINK_FAULTS = ("cut host", "cut host one way", "slow host", "reset host")
+HOST_LINK_INTERVAL_S = (0.5, 2.0)
+HOST_LINK_DURATION_S = (0.8, 2.4)
+
+
 class Fault(NamedTuple):
     """One fault: its kind, its target and its duration.
 
@@ -40,6 +45,21 @@
     duration_s: float
 
 
+def draw_host_link_plan(seed: int, seconds: float) -> list[Fault]:
+    """Draw the faults of links between hosts, apart from those of `draw_plan`.
+
+    The plans of seeds that once failed stay as they were.
+    """
+    rng = random.Random(f"host links {seed}")
+    plan: list[Fault] = []
+    while sum(fault.delay_s for fault in plan) < seconds:
+        kind, core = rng.choice(HOST_LINK_FAULTS), rng.choice(CORES)
+        delay_s = rng.uniform(*HOST_LINK_INTERVAL_S)
+        duration_s = rng.uniform(*HOST_LINK_DURATION_S)
+        plan.append(Fault(delay_s, kind, core, duration_s))
+    return plan
+
+
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
     """Draw the faults of a seed; they depend on the seed and the duration only."""
     rng = random.Random(f"plan {seed}")
--- a/packages/bergamotferry_testkit/tests/platform_soak_state.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_state.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 import aiohttp
+from host_mesh import HostMesh
 from platform_fleet import Fleet
 from platform_soak_keys import HeldKeys, KeyedUpstream
 from platform_soak_upstream import NETWORK, PROXY_IP, Run, SoakUpstream
@@ -82,7 +83,10 @@
     killed or frozen, and ``returns`` when a host ran again (host, time). ``blackouts``
     are the spans (start, end) in which no control host ran. ``n_odd_by_kind`` counts
     the odd answers of the upstreams. ``account_calls`` and ``account_runs`` are the
-    requests with API keys, as callers sent and upstreams ran them.
+    requests with API keys, as callers sent and upstreams ran them. ``disturbed_cores``
+    are the control hosts whose links to other hosts ``mesh`` disturbs. With
+    ``is_ending`` the operator of evacuations orders nothing more, and
+    ``evacuation_faults`` has a line for each order that did not hold.
     """
 
     fleet: Fleet
@@ -111,6 +115,11 @@
     blackout_began_s: float = 0.0
     account_calls: list[Any] = field(default_factory=list)
     account_runs: list[Any] = field(default_factory=list)
+    mesh: HostMesh = field(default_factory=lambda: HostMesh([*CORES, *EDGES]))
+    disturbed_cores: set[str] = field(default_factory=set)
+    n_evacuations: int = 0
+    evacuation_faults: list[str] = field(default_factory=list)
+    is_ending: bool = False
 
     def record_down(self, ip: str) -> None:
         """Record that a host was killed, stopped or frozen."""
--- a/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
+++ b/packages/bergamotferry_testkit/tests/platform_soak_upstream.py
@@ -87,6 +87,7 @@
     odd: OddAnswers = field(default_factory=lambda: OddAnswers(random.Random(0)))
     replace_interval_s: float = 0.0
     n_running: int = 0
+    zone: str = "a"
 
     service = "log"
     n_slots = 2
