Take an answer with a control character in its head for no answer

Cause: the library that reads heads takes control characters in values, the one that writes them refuses them, outside the handler of the request, where only the connection can be ended. The check now stands where every session for upstreams reads a head (UpstreamResponse): a safe request goes to another upstream, one that may run once gets a 502.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_framing.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_framing.py
@@ -1,5 +1,8 @@
 """Rules of HTTP framing for relayed answers: status, hop-by-hop headers and length."""
 
+import re
+from collections.abc import Mapping
+
 import aiohttp
 
 # Statuses below are interim ones, and those outside the range are none.
@@ -18,6 +21,7 @@
         "content-length",
     )
 )
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def is_final_status(status: int) -> bool:
@@ -25,6 +29,14 @@
     return FINAL_STATUS_MIN <= status <= FINAL_STATUS_MAX
 
 
+def has_control_character(headers: Mapping[str, str]) -> bool:
+    """Return whether a value of a header has a character that no header may have.
+
+    A tab is allowed. No HTTP library writes the others, so they can't be relayed.
+    """
+    return any(_CONTROL_CHARACTER.search(value) for value in headers.values())
+
+
 def has_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a truncated answer can be distinguished from a complete one.
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_connections.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_connections.py
@@ -1,7 +1,8 @@
-"""Answers with a proper status, over connections that carry each request id only once.
+"""Answers with a proper head, over connections that carry each request id only once.
 
-An answer whose status is none is no answer: every session for upstreams reads heads as
-an `UpstreamResponse`, which raises an error instead.
+An answer whose status is none, or whose head can't be relayed, is no answer: every
+session for upstreams reads heads as an `UpstreamResponse`, which raises an error
+instead.
 
 An upstream may write an answer once more, and only its id tells to which request it
 belongs. On a connection that has carried an id twice, the answer to the first send
@@ -18,7 +19,7 @@
 
 from bergamotferry.fleet_metrics import MetricFamily, single_value_family
 
-from .answer_framing import is_final_status
+from .answer_framing import has_control_character, is_final_status
 
 # Bounds the memory for the ids of one connection.
 N_IDS_MAX = 256
@@ -32,8 +33,12 @@
     """The head of an answer has a status that is none; its request may have run."""
 
 
+class ControlCharacterError(aiohttp.ClientError):
+    """The head of an answer has a control character; its request may have run."""
+
+
 class UpstreamResponse(aiohttp.ClientResponse):
-    """An answer with a final status.
+    """An answer with a final status, and with headers that can be relayed.
 
     It knows its connection also after its body has been read.
     """
@@ -47,11 +52,15 @@
         ------
         NoStatusError
             If its status is not one of an answer.
+        ControlCharacterError
+            If a header has a control character.
         """
         self.carrier = connection.protocol
         response = await super().start(connection)
         if not is_final_status(response.status):
             raise NoStatusError(f"status {response.status:03}")
+        if has_control_character(response.headers):
+            raise ControlCharacterError("a header has a control character")
         return response
 
 
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_answers_in_order.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_answers_in_order.py
@@ -38,6 +38,7 @@
 N_CONNECTIONS_AT_ONCE = 4
 SEED = 1
 READ_TIMEOUT_S = 10
+SPOILED_SHARE = 0.1
 
 
 def answer_plan(request_id: str) -> tuple[float, int]:
@@ -54,13 +55,36 @@
     return (mark * (n_bytes // len(mark) + 1))[:n_bytes]
 
 
-async def answer_by_plan(name: str, request: web.Request) -> web.Response:
+class SpoiledResponse(web.Response):
+    """An answer of which one header has a control character in its value."""
+
+    async def prepare(self, request):
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request.headers['X-Request-Id']}",
+            "X-Response-Seal: s",
+            "X-Note: a\x01b",
+            "Content-Length: 2",
+            "",
+            "ok",
+        ]
+        request.transport.write("\r\n".join(lines).encode())
+
+    async def write_eof(self, data=b""):
+        """Write nothing more."""
+
+
+async def answer_by_plan(
+    name: str, spoiled_share: float, request: web.Request
+) -> web.Response:
     if request.path == "/health":
         return web.Response(headers={"X-Instance-Id": name})
     if request.headers.get("X-Expected-Instance") != name:
         return not_run_answer(request)
     request_id = request.headers["X-Request-Id"]
     await asyncio.sleep(answer_plan(request_id)[0])
+    if random.Random(f"{name} {request_id}").random() < spoiled_share:
+        return SpoiledResponse()
     headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
     return web.Response(body=body_of(request_id), headers=headers)
 
@@ -90,7 +114,7 @@
     return [mistake for number in numbers for mistake in await send_ahead(number)]
 
 
-async def play(tmp_path) -> list[str]:
+async def play(tmp_path, spoiled_share: float = 0.0) -> list[str]:
     """Return what was wrong with the answers on all connections."""
     fleet = Fleet(tmp_path, [CORE], [EDGE], LINK_MBPS)
     async with contextlib.AsyncExitStack() as stack:
@@ -98,7 +122,7 @@
         for name, address in UPSTREAMS.items():
 
             async def on_request(request, name=name):
-                return await answer_by_plan(name, request)
+                return await answer_by_plan(name, spoiled_share, request)
 
             await stack.enter_async_context(serving(address, on_request))
         try:
@@ -128,3 +152,11 @@
 def test_each_request_sent_ahead_gets_its_own_answer_of_any_size(tmp_path):
     """Guards against one caller's request answered with another one's content."""
     assert asyncio.run(play(tmp_path)) == []
+
+
+def test_spoiled_head_of_one_answer_leaves_the_requests_behind_it_alone(tmp_path):
+    """Guards against requests that lose their connection to another one's answer.
+
+    A header that can't be written ended the connection of the caller (review/8, LOST).
+    """
+    assert asyncio.run(play(tmp_path, SPOILED_SHARE)) == []
