Stream no answer over requests that have begun behind it

Cause: a streamed answer that breaks off can only be told by the end of the connection, and requests behind it are begun before their turn without regard to that. Now an answer is streamed only if none behind it has begun, and while it is streamed none begins; otherwise it is held until it is complete, and a broken one becomes a 502.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
@@ -6,8 +6,9 @@
 Once the head is sent, no other answer can follow. If the download breaks off after
 that, the request is not retried. The caller's connection is closed, so that the caller
 does not take a truncated answer for a complete one. Therefore only answers of a known
-length that are large for the link are streamed. All others are held until they are
-complete, and can be replaced if the download breaks off.
+length that are large for the link are streamed, and only while no request behind them
+on the connection has begun; none begins until they are sent. All others are held until
+they are complete, and can be replaced if the download breaks off.
 
 An answer is written only in the turn of its request (`pipelining`). Before its turn it
 is held, and no more of it is received than `HELD_AHEAD_MAX_BYTES`: what a request that
@@ -26,7 +27,7 @@
 
 from .bounded_answer import ANSWER_MAX_BYTES, AnswerTooLargeError
 from .clock import now_ns
-from .pipelining import has_turn, wait_for_turn
+from .pipelining import has_begun_behind, has_turn, wait_for_turn
 
 # Most requests are answered before their turn on 256 connections at once, which then
 # hold 16 MiB.
@@ -66,8 +67,8 @@
 def may_stream(answer: CallerAnswer, status: int, n_bytes: int | None) -> bool:
     """Return whether an answer is streamed before it is complete.
 
-    In the turn of their request, answers that are large for the link are, and those
-    that are too large to hold.
+    In the turn of their request, answers that are large for the link are, unless a
+    request behind them has begun, and those that are too large to hold.
 
     Parameters
     ----------
@@ -81,7 +82,9 @@
     is_success = 200 <= status < 300
     if not is_success or n_bytes is None or not has_turn(answer.request):
         return False
-    return n_bytes > ANSWER_MAX_BYTES or is_large(answer.link, n_bytes)
+    if n_bytes > ANSWER_MAX_BYTES:
+        return True
+    return is_large(answer.link, n_bytes) and not has_begun_behind(answer.request)
 
 
 async def wait_to_receive(answer: CallerAnswer, n_bytes: int | None) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -42,6 +42,7 @@
 from .clock import now_ns
 from .fleet_settings import DirectHeaders
 from .http_address import split_address
+from .pipelining import hold_back_behind
 from .upstream_connections import UniqueIdConnector, UpstreamResponse, close_connection
 
 # The link to another region is shared by all hosts and may be congested briefly.
@@ -314,11 +315,17 @@
 
 
 async def is_streamed(send: DirectSend, status: int, n_bytes: int | None) -> bool:
-    """Return whether an answer is streamed, once its size allows to receive it."""
+    """Return whether an answer is streamed, once its size allows to receive it.
+
+    If it is, no request behind it on the caller's connection begins before it is sent.
+    """
     if send.caller is None:
         return False
     await wait_to_receive(send.caller, n_bytes)
-    return not send.may_be_hedged and may_stream(send.caller, status, n_bytes)
+    if send.may_be_hedged or not may_stream(send.caller, status, n_bytes):
+        return False
+    hold_back_behind(send.caller.request)
+    return True
 
 
 def _is_answer_to(
--- a/packages/bergamotferry_host/src/bergamotferry_host/pipelining.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/pipelining.py
@@ -8,7 +8,8 @@
 
 Only the request whose turn has come may write to the connection: a handler that writes
 by itself awaits `wait_for_turn` first. A request that must not be sent before its turn,
-because it must not be repeated or would hold others up, awaits `hold_until_turn`.
+because it must not be repeated or would hold others up, awaits `hold_until_turn`. One
+whose answer may end the connection calls `hold_back_behind` before it begins to write.
 """
 
 import asyncio
@@ -48,7 +49,7 @@
     """The requests of one connection that wait for their turn, in order.
 
     ``is_current_safe`` is whether a request is in progress that may be handled beside
-    others.
+    others, and does not end the connection if its answer breaks off.
     """
 
     waiting: deque[WaitingRequest] = field(default_factory=deque)
@@ -104,6 +105,13 @@
     return any(other.task is not None and not other.is_held for other in behind)
 
 
+def hold_back_behind(request: web.BaseRequest) -> None:
+    """Start no request behind this one, whose turn it is, before it is answered."""
+    waiting = request.get(_WAITING)
+    if waiting is not None:
+        waiting.pipeline.is_current_safe = False
+
+
 def record_arrivals(pipeline: Pipeline, n_arrived: int, now: int) -> None:
     """Record the arrival of all requests up to a connection's ``n_arrived``-th."""
     for _ in range(n_arrived - pipeline.n_arrived):
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_answers_in_order.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_answers_in_order.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import random
+from typing import NamedTuple
 
 import aiohttp
 from ahead_caller import NoAnswerError, RawAnswer, read_answer, request_head
@@ -38,7 +39,18 @@
 N_CONNECTIONS_AT_ONCE = 4
 SEED = 1
 READ_TIMEOUT_S = 10
-SPOILED_SHARE = 0.1
+TRUNCATED_AFTER_S = 0.2
+
+
+class Faults(NamedTuple):
+    """Shares of the answers that are spoiled or truncated, and the route's attempts."""
+
+    spoiled_share: float = 0.0
+    truncated_share: float = 0.0
+    n_attempts_max: int = 2
+
+
+NO_FAULTS = Faults()
 
 
 def answer_plan(request_id: str) -> tuple[float, int]:
@@ -55,6 +67,28 @@
     return (mark * (n_bytes // len(mark) + 1))[:n_bytes]
 
 
+class TruncatedResponse(web.Response):
+    """A large answer whose upstream breaks off after a part of its body."""
+
+    async def prepare(self, request):
+        request_id = request.headers["X-Request-Id"]
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request_id}",
+            "X-Response-Seal: s",
+            f"Content-Length: {N_LARGE}",
+            "",
+            "",
+        ]
+        request.transport.write("\r\n".join(lines).encode())
+        request.transport.write(b"x" * (N_LARGE // 3))
+        await asyncio.sleep(TRUNCATED_AFTER_S)
+        request.transport.close()
+
+    async def write_eof(self, data=b""):
+        """Write nothing more."""
+
+
 class SpoiledResponse(web.Response):
     """An answer of which one header has a control character in its value."""
 
@@ -75,22 +109,31 @@
 
 
 async def answer_by_plan(
-    name: str, spoiled_share: float, request: web.Request
+    name: str, faults: Faults, runs: set[str], request: web.Request
 ) -> web.Response:
     if request.path == "/health":
         return web.Response(headers={"X-Instance-Id": name})
     if request.headers.get("X-Expected-Instance") != name:
         return not_run_answer(request)
     request_id = request.headers["X-Request-Id"]
+    runs.add(request_id)
     await asyncio.sleep(answer_plan(request_id)[0])
-    if random.Random(f"{name} {request_id}").random() < spoiled_share:
+    dice = random.Random(f"{name} {request_id}").random()
+    if dice < faults.spoiled_share:
         return SpoiledResponse()
+    if dice < faults.truncated_share:
+        runs.discard(request_id)
+        return TruncatedResponse()
     headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
     return web.Response(body=body_of(request_id), headers=headers)
 
 
-async def send_ahead(connection: int) -> list[str]:
-    """Send requests ahead on a connection; return what was wrong with the answers."""
+async def send_ahead(connection: int, faults: Faults, runs: set[str]) -> list[str]:
+    """Send requests ahead on a connection; return what was wrong with the answers.
+
+    If answers are truncated, an answer and its connection may be lost, but none that a
+    sound upstream has begun. ``runs`` are the requests that these have begun.
+    """
     request_ids = [f"c{connection}-{number}" for number in range(N_AHEAD)]
     reader, writer = await asyncio.open_connection(EDGE, FRONT_PORT)
     for request_id in request_ids:
@@ -102,6 +145,9 @@
                 answer = await read_answer(reader)
         except (EOFError, NoAnswerError, TimeoutError) as error:
             wrong.append(f"{request_id}: {type(error).__name__}")
+            if faults.truncated_share:
+                rest = request_ids[request_ids.index(request_id) :]
+                wrong = [f"{lost} ran and was lost" for lost in rest if lost in runs]
             break
         expected = RawAnswer(200, request_id, body_of(request_id))
         if answer.status == 200 and answer != expected:
@@ -110,25 +156,32 @@
     return wrong
 
 
-async def send_on_connections(numbers: range) -> list[str]:
-    return [mistake for number in numbers for mistake in await send_ahead(number)]
+async def send_on_connections(
+    numbers: range, faults: Faults, runs: set[str]
+) -> list[str]:
+    wrong: list[str] = []
+    for number in numbers:
+        wrong += await send_ahead(number, faults, runs)
+    return wrong
 
 
-async def play(tmp_path, spoiled_share: float = 0.0) -> list[str]:
+async def play(tmp_path, faults: Faults = NO_FAULTS) -> list[str]:
     """Return what was wrong with the answers on all connections."""
+    runs: set[str] = set()
     fleet = Fleet(tmp_path, [CORE], [EDGE], LINK_MBPS)
     async with contextlib.AsyncExitStack() as stack:
         http = await stack.enter_async_context(aiohttp.ClientSession())
         for name, address in UPSTREAMS.items():
 
             async def on_request(request, name=name):
-                return await answer_by_plan(name, spoiled_share, request)
+                return await answer_by_plan(name, faults, runs, request)
 
             await stack.enter_async_context(serving(address, on_request))
         try:
             await fleet.start_hosts()
             control = f"http://{CORE}:{CONTROL_PORT}/api"
-            body = manifest(1, route("/safe/", "safe"))
+            spec = {**route("/safe/", "safe"), "max-attempts": faults.n_attempts_max}
+            body = manifest(1, spec)
             await resend_until_200(http, "PUT", f"{control}/config", json=body)
             for name, address in UPSTREAMS.items():
                 ping = heartbeat(1, address=address, n_slots=N_SLOTS)
@@ -139,7 +192,9 @@
             wrong = await asyncio.gather(
                 *(
                     send_on_connections(
-                        range(first, N_CONNECTIONS, N_CONNECTIONS_AT_ONCE)
+                        range(first, N_CONNECTIONS, N_CONNECTIONS_AT_ONCE),
+                        faults,
+                        runs,
                     )
                     for first in range(N_CONNECTIONS_AT_ONCE)
                 )
@@ -159,4 +214,16 @@
 
     A header that can't be written ended the connection of the caller (review/8, LOST).
     """
-    assert asyncio.run(play(tmp_path, SPOILED_SHARE)) == []
+    assert asyncio.run(play(tmp_path, Faults(spoiled_share=0.1))) == []
+
+
+def test_truncated_answer_ends_no_request_that_has_begun_behind_it(tmp_path):
+    """Guards against requests that lose their connection to a streamed answer.
+
+    A large answer was streamed in its turn, and its upstream broke it off, while
+    requests behind it ran at sound upstreams (review/10, LOST). With one attempt, the
+    answer is not held for a hedge.
+    """
+    assert (
+        asyncio.run(play(tmp_path, Faults(truncated_share=0.2, n_attempts_max=1))) == []
+    )
