Bound what an upstream may send before the head of its answer

One cause: the HTTP library parses all interim answers of a read, 256 KiB, without a pause, some 50 ms of the event loop for each connection in each round, and nothing but time bounded them.

Every session for upstreams now uses UpstreamConnector: 4 KiB a read until the head is complete, and at most 32 interim answers, after which the connection is closed and the request is broken at once. The limit also holds on kept connections.

--- a/packages/bergamotferry_host/src/bergamotferry_host/ready_connections.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/ready_connections.py
@@ -17,6 +17,7 @@
 from .background import start_task
 from .clock import now_ns
 from .upstream_connections import UnaskedBytesError
+from .upstream_protocol import UpstreamConnector
 
 # Upstreams close connections that are idle for longer; a call that is sent just then
 # would be lost.
@@ -32,7 +33,7 @@
     opened_ns: int
 
 
-class ReadyConnector(aiohttp.TCPConnector):
+class ReadyConnector(UpstreamConnector):
     """Opens connections ahead; each is closed after one call.
 
     Parameters
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_connections.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_connections.py
@@ -20,6 +20,7 @@
 from bergamotferry.fleet_metrics import MetricFamily, single_value_family
 
 from .answer_framing import has_control_character, is_final_status
+from .upstream_protocol import UpstreamConnector
 
 # Bounds the memory for the ids of one connection.
 N_IDS_MAX = 256
@@ -82,7 +83,7 @@
             response.carrier.close()
 
 
-class UniqueIdConnector(aiohttp.TCPConnector):
+class UniqueIdConnector(UpstreamConnector):
     """Keeps connections, but sends no request id over one of them twice.
 
     ``n_unusable`` counts the kept connections that were closed instead: they had
--- a/packages/bergamotferry_host/src/bergamotferry_host/write_guard.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/write_guard.py
@@ -15,6 +15,7 @@
 from bergamotferry.outcomes import Refused
 
 from .upstream_connections import UpstreamResponse
+from .upstream_protocol import UpstreamConnector
 
 WriteGuard = Callable[[], Refused | None]
 
@@ -36,7 +37,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_check_guard)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=UpstreamConnector(limit=0, force_close=True),
         response_class=UpstreamResponse,
         auto_decompress=False,
         trace_configs=[trace],
