--- a/packages/bergamotferry_host/tests/test_foreign_heartbeats.py
+++ b/packages/bergamotferry_host/tests/test_foreign_heartbeats.py
@@ -56,7 +56,7 @@
 def test_leave_of_an_upstream_binds_also_if_its_service_is_not_named(monkeypatch):
     """Guards against requests to it once a later configuration names its service."""
 
-    async def commit(group, command, timeout_s):
+    async def commit(group, command, timeout_s, origin):
         return apply_fleet_command(group.tables, command)
 
     monkeypatch.setattr(fleet_control, "commit", commit)
--- a/packages/bergamotferry_host/tests/test_upstream_leave.py
+++ b/packages/bergamotferry_host/tests/test_upstream_leave.py
@@ -60,7 +60,7 @@
             raise PeerUnreachable(other)
         return SessionsReply(answer)
 
-    async def commit(self, group, command, timeout_s):
+    async def commit(self, group, command, timeout_s, origin):
         if self.is_leader_lost:
             return Refused(ResultCode.NO_LEADER, "no leader")
         return apply_fleet_command(group.tables, command)
