Part the state of a group from its replica, and a stream from its link

Two import circles, hidden behind TYPE_CHECKING, are gone: group and group_compaction both import group_state, and a stream names what it uses of its link as a protocol (StreamLink). Moves and imports only; no logic is changed.

--- a/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/daemon.py
@@ -34,11 +34,12 @@
 from .edge_connection import EdgeLimits
 from .gauges import run_gauges
 from .grant_history import GrantHistory, observe_grants
-from .group import Group, deliver_message
+from .group import deliver_message
 from .group_commit import answer_propose
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .group_start import start_group
+from .group_state import Group
 from .host_state import HostState
 from .http_address import split_address
 from .http_edge import edge_runner
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -46,9 +46,10 @@
 from .fleet_settings import FleetSettings
 from .fleet_start import DecodeConfiguration
 from .following.host_lists import SentLists
-from .group import Group, has_applied_own_term, wait_applied
+from .group import wait_applied
 from .group_commit import commit
 from .group_start import recover_group
+from .group_state import Group, has_applied_own_term
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 from .peer_network import PeerNetwork
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_commit.py
@@ -15,7 +15,7 @@
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns, time_of_day_ms
-from .group import Group, unapplied_commands
+from .group_state import Group, unapplied_commands
 from .logs import log, log_warning
 from .peer_link import PeerUnreachable
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_compaction.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_compaction.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from bergamotferry.replication import (
     Replica,
@@ -16,12 +15,10 @@
 )
 
 from .background import report_failure
+from .group_state import Group
 from .logs import log
 from .table_snapshot import encode_tables, freeze_tables
 
-if TYPE_CHECKING:
-    from .group import Group
-
 # The log is compacted when its size exceeds LOG_TO_SNAPSHOT_RATIO times the snapshot's,
 # clamped to LOG_MIN_BYTES and LOG_MAX_BYTES, or when it has more than LOG_MAX_ENTRIES
 # applied entries.
@@ -31,7 +28,7 @@
 LOG_TO_SNAPSHOT_RATIO = 4
 
 
-def compact_if_over_limit(group: "Group", replica: Replica) -> None:
+def compact_if_over_limit(group: Group, replica: Replica) -> None:
     """Start to compact a log over its limits, unless a compaction is running."""
     snapshot_bytes = len(replica.snapshot.data) if replica.snapshot else 0
     limit_bytes = min(
@@ -45,7 +42,7 @@
         group.compaction_task.add_done_callback(report_failure)
 
 
-async def _compact(group: "Group", replica: Replica) -> None:
+async def _compact(group: Group, replica: Replica) -> None:
     """Replace the applied entries by a snapshot, which is encoded on a thread."""
     try:
         index = group.applied_index
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -17,8 +17,9 @@
 from bergamotferry.replication.membership import JoinRequest, plan_membership
 
 from .clock import now_ns
-from .group import Group, run_replica
+from .group import run_replica
 from .group_reader import has_leader_contact, run_reader
+from .group_state import Group
 from .logs import log
 from .peer_link import PeerUnreachable
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_reader.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_reader.py
@@ -23,7 +23,8 @@
 )
 
 from .clock import now_ns
-from .group import Group, wait_applied
+from .group import wait_applied
+from .group_state import Group
 from .peer_link import PeerUnreachable
 
 FETCH_WAIT_MS = 1000
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_start.py
@@ -16,7 +16,7 @@
 from .bootstrap import GLOBAL_GROUP, data_centre_group, first_membership
 from .data_folder import DataFolder
 from .disk_log import recover_log
-from .group import ApplyCommand, Group
+from .group_state import ApplyCommand, Group
 from .peer_network import PeerNetwork
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/host_state.py
@@ -20,7 +20,7 @@
 from .clock import now_ns
 from .dispatcher_table import DispatcherTable
 from .grant_history import GrantHistory
-from .group import Group
+from .group_state import Group
 from .metrics import Metrics
 from .peer_network import PeerNetwork
 from .settings import Settings
--- a/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/leader_duties.py
@@ -44,8 +44,8 @@
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .clock import now_ns
 from .decision_log import log_placement
-from .group import Group, has_applied_own_term
 from .group_commit import append_if_leader, wait_committed
+from .group_state import Group, has_applied_own_term
 from .host_state import HostState, LeaderState
 from .logs import log
 from .outcome_transfer import (
--- a/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/outcome_transfer.py
@@ -18,8 +18,8 @@
 
 from .bootstrap import DATA_CENTRE_PREFIX, data_centre_group
 from .clock import now_ns
-from .group import Group
 from .group_commit import commit
+from .group_state import Group
 from .host_state import HostState, LeaderState
 from .logs import log
 from .peer_link import PeerUnreachable
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -15,7 +15,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any, Literal
+from typing import Any
 
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
@@ -25,11 +25,18 @@
 
 from .background import log_failure, report_failure, start_task
 from .codec import DecodeError, EncodeError, decode, encode
-from .peer_stream import FrameKind, PeerStream, PeerUnreachable, StreamBroken
+from .peer_stream import (
+    FrameKind,
+    LinkTrafficClass,
+    PeerStream,
+    PeerUnreachable,
+    StreamBroken,
+)
 from .protocol_version import PROTOCOL_VERSION, message_for
 
 __all__ = [
     "FrameKind",
+    "LinkTrafficClass",
     "PeerHandlers",
     "PeerLink",
     "PeerStream",
@@ -42,7 +49,6 @@
 PROBE_TIMEOUT_S = 1.0
 _OPENINGS = (FrameKind.OPEN, FrameKind.OPEN_ENDED)
 
-LinkTrafficClass = TrafficClass | Literal["control"]
 SentBytesKey = tuple[str, LinkTrafficClass]
 
 CallHandler = Callable[[Any, str], Awaitable[Any]]
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_stream.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_stream.py
@@ -10,15 +10,12 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import TYPE_CHECKING, Any
+from typing import Any, Literal, Protocol
 
 import xxhash
 
 from bergamotferry.records import TrafficClass
 
-if TYPE_CHECKING:
-    from .peer_link import PeerLink
-
 STREAM_CREDIT_BYTES = 256 * 1024
 CREDIT_RETURN_BYTES = STREAM_CREDIT_BYTES // 2
 CHUNK_MAX_BYTES = 64 * 1024
@@ -26,6 +23,9 @@
 _EMPTY_DIGEST = xxhash.xxh3_64_intdigest(b"")
 
 
+LinkTrafficClass = TrafficClass | Literal["control"]
+
+
 class FrameKind(IntEnum):
     """Kinds of frames."""
 
@@ -48,11 +48,30 @@
     """The stream was cancelled, its link broke, or its digest does not match."""
 
 
+class StreamLink(Protocol):
+    """What a stream uses of its link: frames to the peer, and the link's streams."""
+
+    peer: str
+    streams: dict[int, "PeerStream"]
+
+    async def send_frame(
+        self,
+        stream_id: int,
+        kind: FrameKind,
+        payload: Any,
+        traffic_class: LinkTrafficClass = "control",
+    ) -> None:
+        """Send one frame; see `PeerLink.send_frame`."""
+
+    async def probe(self) -> None:
+        """Probe the peer; see `PeerLink.probe`."""
+
+
 @dataclass(slots=True)
 class PeerStream:
     """One side of a stream; heads and data arrive in order in ``inbox``."""
 
-    link: "PeerLink"
+    link: StreamLink
     stream_id: int
     inbox: asyncio.Queue[tuple[FrameKind, Any]] = field(default_factory=asyncio.Queue)
     credit_bytes: int = STREAM_CREDIT_BYTES
--- a/packages/bergamotferry_host/src/bergamotferry_host/planned_stop.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/planned_stop.py
@@ -11,7 +11,8 @@
 from bergamotferry.messages import HostStatus, HostStatusRequest
 
 from .clock import now_ns
-from .group import Group, transfer_leadership
+from .group import transfer_leadership
+from .group_state import Group
 from .host_state import HostState
 from .logs import log
 from .peer_link import PeerUnreachable
--- a/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/readiness.py
@@ -6,7 +6,8 @@
 from bergamotferry.readiness import CatchUpTarget, catch_up_target, is_caught_up
 
 from .bootstrap import GLOBAL_GROUP
-from .group import Group, group_status, has_applied_own_term, wait_applied
+from .group import group_status, wait_applied
+from .group_state import Group, has_applied_own_term
 from .host_state import HostState
 from .logs import log
 from .peer_link import PeerUnreachable
--- a/packages/bergamotferry_host/tests/request_fakes.py
+++ b/packages/bergamotferry_host/tests/request_fakes.py
@@ -34,7 +34,7 @@
 from bergamotferry_host.clock import now_ns
 from bergamotferry_host.dispatcher_table import DispatcherTable, UpstreamWork
 from bergamotferry_host.exchange import RequestBody, UpstreamRequest
-from bergamotferry_host.group import Group
+from bergamotferry_host.group_state import Group
 from bergamotferry_host.metrics import NoMetrics
 from bergamotferry_host.upstream_call import check_owner, open_upstream_client
 
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
@@ -23,10 +23,11 @@
 from bergamotferry.records import HostAddress, ShardId
 from bergamotferry.replication import Replica
 from bergamotferry_host.disk_log import DiskLog
-from bergamotferry_host.group import Group, deliver_message
+from bergamotferry_host.group import deliver_message
 from bergamotferry_host.group_commit import answer_propose
 from bergamotferry_host.group_members import answer_join, run_group
 from bergamotferry_host.group_reader import answer_fetch, answer_fetch_snapshot
+from bergamotferry_host.group_state import Group
 from bergamotferry_host.peer_link import PeerUnreachable
 
 NAMES = ("a", "b", "c")
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_log.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/measure_log.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from bergamotferry_host.group import Group
 from bergamotferry_host.group_commit import commit
+from bergamotferry_host.group_state import Group
 
 from .deployments import DeploymentShape
 from .local_group import LocalGroup, numbered_command
