--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -310,15 +310,21 @@
     after this returns. It is refused if it may have waited while this host was
     suspended (see `suspension`).
     """
-    if has_just_resumed(host.suspension, now_ns()):
-        detail = "this host was suspended and may have read an old order"
-        outcome: Accepted | Refused = Refused(ResultCode.HOST_NOT_READY, detail)
-    else:
+    outcome: Accepted | Refused | None = refuse_if_suspended(host)
+    if outcome is None:
         outcome = await _commit_and_apply(host, command, origin)
     host.command_counts[type(command).__name__, str(result_code(outcome))] += 1
     return outcome
 
 
+def refuse_if_suspended(host: ControlHost) -> Refused | None:
+    """Return a refusal of what is read now, if this host has just been suspended."""
+    if not has_just_resumed(host.suspension, now_ns()):
+        return None
+    detail = "this host was suspended and may have read an old order"
+    return Refused(ResultCode.HOST_NOT_READY, detail)
+
+
 async def _commit_and_apply(
     host: ControlHost, command: Command, origin: OrderOrigin | None
 ) -> Accepted | Refused:
--- a/packages/bergamotferry_host/src/bergamotferry_host/sender_connection.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/sender_connection.py
@@ -6,11 +6,21 @@
 """
 
 import select
+from collections.abc import Callable
 
 from aiohttp import web
 
 
-def has_sender_closed(request: web.Request) -> bool:
+def watch_sender(request: web.Request) -> Callable[[], bool]:
+    """Return a function that tells whether the sender of a request has left."""
+
+    def has_left() -> bool:
+        return _has_closed(request)
+
+    return has_left
+
+
+def _has_closed(request: web.Request) -> bool:
     """Return whether the sender of a request has closed its connection.
 
     The HTTP library answers nothing on a connection of which the sender has closed its
--- a/packages/bergamotferry_host/tests/test_evacuation_orders.py
+++ b/packages/bergamotferry_host/tests/test_evacuation_orders.py
@@ -33,6 +33,15 @@
 OPERATOR_PAUSE_S = 0.1
 
 
+def is_waiting():
+    """Return that the sender of an order has not left."""
+    return False
+
+
+def has_left():
+    return True
+
+
 @dataclass(slots=True)
 class HeldNetwork(LocalNetwork):
     """Network that can hold back a host's proposals, or the replies to them.
@@ -112,7 +121,7 @@
     async def order(self, host, is_evacuated, give_up_s=COMMIT_TIMEOUT_S):
         with self.monkeypatch.context() as patch:
             patch.setattr(fleet_control, "COMMIT_TIMEOUT_S", give_up_s)
-            return await set_evacuation(host, ZONE, is_evacuated)
+            return await set_evacuation(host, ZONE, is_evacuated, is_waiting)
 
     async def acknowledged_order(self, host, is_evacuated):
         """Order as an operator does, and wait until all hosts have read of it."""
@@ -237,7 +246,7 @@
 
     async def scenario(world):
         await world.acknowledged_order(world.other, True)
-        outcome = await set_evacuation(world.leader, ZONE, False, is_abandoned=True)
+        outcome = await set_evacuation(world.leader, ZONE, False, has_left)
         assert outcome.code == ResultCode.CALLER_GONE
         assert world.is_evacuated
 
--- a/packages/bergamotferry_host/tests/test_sender_connection.py
+++ b/packages/bergamotferry_host/tests/test_sender_connection.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from bergamotferry_host.sender_connection import has_sender_closed
+from bergamotferry_host.sender_connection import watch_sender
 from bergamotferry_testkit.local_group import wait_until
 
 REQUEST = b"DELETE /x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -42,7 +42,7 @@
     handled = []
 
     async def on_request(request):
-        handled.append(has_sender_closed(request))
+        handled.append(watch_sender(request)())
         return web.Response()
 
     async def run():
--- a/packages/bergamotferry_host/tests/test_suspension.py
+++ b/packages/bergamotferry_host/tests/test_suspension.py
@@ -55,6 +55,11 @@
     time.sleep(SUSPENDED_MIN_NS / 1e9 + 0.05)
 
 
+async def order(host, is_evacuated):
+    """Order as a sender that waits for its answer does."""
+    return await set_evacuation(host, "a", is_evacuated, lambda: False)
+
+
 def test_host_without_a_watch_refuses_nothing():
     assert not has_just_resumed(SuspensionWatch(), NOW_NS)
 
@@ -75,18 +80,18 @@
         host = ControlHost(settings, None, group, lambda source: [], "p")
         watch_task = asyncio.create_task(run_suspension_watch(host.suspension))
         await asyncio.sleep(2 * TICK_S)
-        assert isinstance(await set_evacuation(host, "a", True), Accepted)
+        assert isinstance(await order(host, True), Accepted)
         # The order is read in the same turn of the event loop in which it goes on.
-        order = asyncio.create_task(set_evacuation(host, "a", False))
+        late_order = asyncio.create_task(order(host, False))
         stop_for_a_while()
-        outcome = await order
+        outcome = await late_order
         assert outcome.code == ResultCode.HOST_NOT_READY
         await asyncio.sleep(TICK_S)
-        outcome = await set_evacuation(host, "a", False)
+        outcome = await order(host, False)
         assert outcome.code == ResultCode.HOST_NOT_READY
         assert host.tables.evacuated == {"a"}
         await asyncio.sleep(RESUME_NS / 1e9)
-        assert isinstance(await set_evacuation(host, "a", False), Accepted)
+        assert isinstance(await order(host, False), Accepted)
         watch_task.cancel()
         assert now_ns() > host.suspension.resumed_ns
 
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_abandoned_orders.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_abandoned_orders.py
@@ -18,8 +18,11 @@
     send_http_request,
 )
 
+from bergamotferry_testkit.fault_proxy import FaultProxy, Pair
+
 NETWORK = claim_network()
 CORES = [f"{NETWORK}.{number}.1" for number in (1, 2, 3)]
+PROXY_IP = f"{NETWORK}.4.1"
 PATH = "/api/evacuations/b"
 # An operator moves on to another host after this time without an answer.
 GIVE_UP_S = 1.0
@@ -126,6 +129,39 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_evacuated", [True, False])
+def test_order_that_waits_in_its_own_connection_undoes_no_later_one(
+    is_evacuated, tmp_path
+):
+    """Guards against an order that reaches its host after it was given up (review/9).
+
+    The operator closes the connection, and both the order and the end of the connection
+    are held on their way.
+    """
+
+    async def run():
+        async with running_cores(tmp_path) as (_, _, operator, leader, followers):
+            proxy = FaultProxy(listen_ip=PROXY_IP)
+            pair = Pair("operator", leader, CONTROL_PORT, f"{leader}:{CONTROL_PORT}")
+            server = await proxy.listen(pair)
+            link = {"sources": ["operator"], "targets": [leader]}
+            try:
+                await operator.order_until_acknowledged(PROXY_IP, is_evacuated)
+                proxy.apply({**link, "is_silent": True})
+                assert await operator.order(PROXY_IP, not is_evacuated) == 0
+                for order in (not is_evacuated, is_evacuated):
+                    await operator.order_until_acknowledged(followers[0], order)
+                proxy.apply({**link, "is_silent": False})
+                await asyncio.sleep(0.5)
+                evacuated = await operator.metrics("evacuated")
+                assert evacuated == [float(is_evacuated)] * 3
+                await operator.order_until_acknowledged(PROXY_IP, not is_evacuated)
+            finally:
+                server.close()
+
+    asyncio.run(run())
+
+
 def test_order_is_acknowledged_through_a_host_that_lags_or_has_just_begun(tmp_path):
     """Guards against proper orders that are refused until their sender gives up."""
 
