Say exactly which later order makes the leader refuse one

The docstring said that the later order was acknowledged or about to be, and left out that it was sent beside the refused one or after it.

--- a/packages/bergamotferry/src/bergamotferry/order_conflicts.py
+++ b/packages/bergamotferry/src/bergamotferry/order_conflicts.py
@@ -4,8 +4,9 @@
 another host. The first order may wait for its leader meanwhile, in a host or in a link,
 and nothing about it tells how long. So a proposal names the revision that its proposer
 had read when it took the order. The leader refuses it if the log holds a later order on
-the same object that demands something else: that one was acknowledged, or is about to
-be, and its sender can't have known what the proposal demands now.
+the same object that demands something else: that one was sent beside the proposed order
+or after it, and is acknowledged or about to be. The sender of a fresh order is told to
+come again, and by then its host has read what it had not.
 
 The leader decides as it appends, which is when the order of the log is decided. What it
 has not applied yet is part of the decision.
