Log why a group has no leader, and how many votes it can spare

A voter without a leader for 3 s logs a warning, then each 10 s: how many votes are needed, the voters, those that granted none, and the voters of a membership that isn't committed. The leader's metric spare_votes is the number of voters heard lately beyond a majority.

--- a/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_metrics.py
@@ -2,6 +2,8 @@
 
 from bergamotferry.fleet_metrics import MetricFamily, count_family, single_value_family
 from bergamotferry.followers import own_followers
+from bergamotferry.replication.membership import ALIVE_MAX_SILENCE_NS
+from bergamotferry.replication.quorum import vote_margin
 
 from .accounts.confirmation import needs_confirmation, reported_age_ms
 from .answer_fetching import AnswerFetching
@@ -59,6 +61,12 @@
         single_value_family(
             "voters", "Of the group.", "gauge", len(replica.membership.voters)
         ),
+        single_value_family(
+            "spare_votes",
+            "Voters heard lately beyond a majority; on the leader only.",
+            "gauge",
+            vote_margin(replica, now_ns(), ALIVE_MAX_SILENCE_NS) if is_leader else 0,
+        ),
         single_value_family(
             "learners", "Of the group.", "gauge", len(replica.membership.learners)
         ),
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -19,6 +19,7 @@
 from .clock import now_ns
 from .group import run_replica
 from .group_reader import has_leader_contact, run_reader
+from .group_standstill import StandstillWatch, member_names, watch_standstill
 from .group_state import Group
 from .logs import log
 from .peer_link import PeerUnreachable
@@ -40,8 +41,10 @@
 async def run_membership(group: Group) -> None:
     """Change the membership while leading; otherwise request to join."""
     next_join_ns = 0
+    standstill = StandstillWatch()
     while True:
         await asyncio.sleep(MEMBERSHIP_TICK_S)
+        watch_standstill(group, standstill)
         _add_voters_to_sources(group)
         if group.is_leader:
             _propose_membership(group)
@@ -124,10 +127,6 @@
 
 def _member_names(membership: Membership) -> dict[str, list[str]]:
     return {
-        "voters": [
-            f"{member.host}/{member.incarnation}" for member in membership.voters
-        ],
-        "learners": [
-            f"{member.host}/{member.incarnation}" for member in membership.learners
-        ],
+        "voters": member_names(membership.voters),
+        "learners": member_names(membership.learners),
     }
