Add a voter's successor before the voter is removed, and bound each removal

Cause: a silent voter was removed before its successor was made a voter. A membership counts once it is appended; the two voters left were both needed for its commit, and one had just lost its disk. The leader believed it alive, having heard it 2 s before at most.

Change: a successor is always added first. `_can_remove` states which losses a removal must survive at any instant between append and commit: the tolerated number of voters lose their disks while the silent ones return, and silent voters don't return. Only a voter whose host has joined with another incarnation is removed at once. A voter without a successor stays one for 30 s of silence: the search below found that a frozen fifth voter may still be needed when another voter has gone unnoticed. Hosts of the global group that aren't voters are kept as learners, two at most, so that a promotion is one commit. Voters are spread over data centres; control hosts of the fleet don't know each other's yet, so there the order of names decides as before.

Evidence: test_membership_losses visits every state that freezes, lost disks and each plan in between reach, and fails if a majority is gone for good.

Changed tests: test_silent_voter_is_replaced_after_its_timeout expected the removal first, which is the fault; it now expects the successor first and, after its commit, the removal. The sixth host of test_group_grows_to_five_voters is a learner now.

--- a/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/bootstrap.py
@@ -4,14 +4,14 @@
 of their names. A data centre's group starts with up to three durable hosts: its own
 first, then those of sibling data centres. Siblings are in the same region, so that no
 home-bound record leaves the region. The leader adds other members later, see
-``bergamotferry.replication.membership``.
+``bergamotferry.replication.voter_choice``.
 """
 
 from collections.abc import Iterable
 
 from bergamotferry.messages import Member, Membership
 from bergamotferry.records import HostAddress
-from bergamotferry.replication.membership import DATA_CENTRE_PREFIX, GLOBAL_GROUP
+from bergamotferry.replication.voter_choice import DATA_CENTRE_PREFIX, GLOBAL_GROUP
 
 from .data_folder import BOOTSTRAP_INCARNATION
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fleet_control.py
@@ -29,7 +29,7 @@
 from bergamotferry.order_conflicts import find_order_conflict
 from bergamotferry.outcomes import Accepted, Refused, result_code
 from bergamotferry.replication import Replica
-from bergamotferry.replication.membership import GLOBAL_GROUP
+from bergamotferry.replication.voter_choice import GLOBAL_GROUP
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.service_load.sums import LoadTable
 from bergamotferry.upstream_sessions import (
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_members.py
@@ -14,7 +14,13 @@
     is_voter,
     propose,
 )
-from bergamotferry.replication.membership import JoinRequest, plan_membership
+from bergamotferry.replication.membership import (
+    HostRequests,
+    JoinRequest,
+    must_leader_yield,
+    plan_membership,
+)
+from bergamotferry.replication.voter_choice import N_SPARES
 
 from .clock import now_ns
 from .group import run_replica
@@ -26,7 +32,7 @@
 
 MEMBERSHIP_TICK_S = 0.1
 JOIN_RETRY_MS = 500
-JOIN_FULL_GROUP_RETRY_MS = 2000
+JOIN_NOT_NEEDED_RETRY_MS = 2000
 JOIN_TIMEOUT_S = 0.5
 
 
@@ -60,24 +66,36 @@
     host = message.member.host
     if group.network.address_of(host) is not None:
         group.join_requests[host] = JoinRequest(message.member, now_ns())
+        group.leave_requests.pop(host, None)
     membership = group.replica.membership
-    is_full = len(membership.voters) >= group.n_voters and not membership.learners
-    retry_ms = JOIN_FULL_GROUP_RETRY_MS if is_full else JOIN_RETRY_MS
+    is_member = message.member in membership.voters + membership.learners
+    is_full = len(membership.voters) >= group.n_voters and (
+        len(membership.learners) >= N_SPARES
+    )
+    retry_ms = JOIN_NOT_NEEDED_RETRY_MS if is_member or is_full else JOIN_RETRY_MS
     return JoinReply(True, group.network.own_name, retry_ms)
 
 
+def host_requests(group: Group) -> HostRequests:
+    """Return what hosts requested of this host, if it leads."""
+    return HostRequests(group.join_requests, group.leave_requests)
+
+
 def _propose_membership(group: Group) -> None:
     replica = group.replica
     if not can_change_membership(replica):
         return
     known_hosts = group.network.addresses.values()
-    membership = plan_membership(
-        replica, group.join_requests, known_hosts, now_ns(), group.n_voters
+    situation = (
+        replica,
+        host_requests(group),
+        known_hosts,
+        now_ns(),
+        group.n_voters,
     )
+    membership = plan_membership(*situation)
     if membership is None:
-        if len(replica.membership.voters) > group.n_voters:
-            # This host is the surplus voter. A leader can't remove itself, so it first
-            # transfers leadership.
+        if must_leader_yield(*situation):
             begin_transfer(replica, now_ns())
         return
     if propose(replica, membership, now_ns()) is not None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_start.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_start.py
@@ -11,7 +11,7 @@
 from bergamotferry.messages import Member, Membership
 from bergamotferry.records import HostAddress
 from bergamotferry.replication import Replica
-from bergamotferry.replication.membership import is_eligible_member
+from bergamotferry.replication.voter_choice import is_eligible_member
 
 from .bootstrap import GLOBAL_GROUP, data_centre_group, first_membership
 from .data_folder import DataFolder
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_state.py
@@ -18,7 +18,8 @@
     leader_lease_until_ns,
     term_at,
 )
-from bergamotferry.replication.membership import N_VOTERS_DEFAULT, JoinRequest
+from bergamotferry.replication.membership import JoinRequest
+from bergamotferry.replication.voter_choice import N_VOTERS_DEFAULT
 
 from .clock import now_ns
 from .disk_log import DiskLog
@@ -38,6 +39,9 @@
     log while it is no member. ``waiters`` holds, by log index, the term and the future
     of each command that waits for its commit. ``find_conflict`` decides on orders that
     are proposed late, and ``n_conflicts`` counts those that this host refused.
+    ``n_voters`` is the smallest number of voters whose majority survives the tolerated
+    loss. ``leave_requests`` holds when each host that is about to stop last asked the
+    leader, this host, to be no voter.
     ``is_disk_full`` is set while a write is repeated because the disk has no space, and
     ``has_failed_disk`` after a write that failed for another reason.
     """
@@ -60,6 +64,7 @@
     applied: asyncio.Condition = field(default_factory=asyncio.Condition)
     leader_hint: str = ""
     join_requests: dict[str, JoinRequest] = field(default_factory=dict)
+    leave_requests: dict[str, int] = field(default_factory=dict)
     waiters: dict[int, tuple[int, asyncio.Future[Accepted | Refused]]] = field(
         default_factory=dict
     )
--- a/packages/bergamotferry_host/src/bergamotferry_host/upstream_notices.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/upstream_notices.py
@@ -14,7 +14,7 @@
 from bergamotferry.commands import Command
 from bergamotferry.fleet_commands import RetireUpstream
 from bergamotferry.messages import Propose, ProposeReply
-from bergamotferry.replication.membership import GLOBAL_GROUP
+from bergamotferry.replication.voter_choice import GLOBAL_GROUP
 from bergamotferry.result_codes import ResultCode
 from bergamotferry.upstream_notice import (
     NO_NOTICE,
