Give the fleet's group two voters more, and replace a voter before it stops

Cause: the group had three voters, gave no vote to a host that started later while the three were heard, and a host that stopped stayed a voter until it had been silent for 5 s. The second end met three voters of which one was gone.

Change: the group has two voters more than the tolerated loss needs as soon as that many hosts are alive (five of five; seven where two disks may be lost). A control host that stops asks the leader to be no voter (LeaveGroup, protocol version 3) and ends once that is committed, after 2 s at most; if too few hosts would stay, it ends at once.

Evidence: the search of membership losses covers a sudden end, a freeze and a lost disk with five hosts, and two leaves at once and a lost disk with six; it fails without the two voters.

The settings of tests name three seeds at most, as the users' do.

--- a/packages/bergamotferry/src/bergamotferry/messages.py
+++ b/packages/bergamotferry/src/bergamotferry/messages.py
@@ -240,6 +240,28 @@
     retry_ms: int
 
 
+class LeaveGroup(NamedTuple):
+    """A request to the leader, of a host that is about to stop, to be no voter."""
+
+    group: str
+    member: Member
+
+
+class LeaveReply(NamedTuple):
+    """The reply to `LeaveGroup`.
+
+    The request was recorded if ``is_leader``; otherwise ``leader`` names the host that
+    probably leads the group. The member is no voter any more, by a committed
+    membership, if ``has_left``. Too few hosts are alive to replace it unless
+    ``is_possible``.
+    """
+
+    is_leader: bool
+    leader: str
+    has_left: bool
+    is_possible: bool
+
+
 class RenewLeases(NamedTuple):
     """A host's renewal of its own lease, and of sessions on behalf of upstreams.
 
--- a/packages/bergamotferry/src/bergamotferry/replication/voter_choice.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/voter_choice.py
@@ -1,5 +1,11 @@
 """Choice of the hosts that should be a group's voters, and of its spare learners.
 
+A machine that is removed after its successor has started counts as no loss. A voter may
+therefore go for good just before the deployment's tolerated loss happens. The global
+group has two voters more than the tolerated loss alone needs, as soon as enough hosts
+with disks are alive. The number is odd: one more voter would enlarge the quorum without
+tolerating a further loss, and an even group has no majority when it is cut in halves.
+
 The global group takes only hosts with disks, and spreads them over data centres. Hosts
 that are not needed as voters are learners, as spares: a learner holds the log, so it
 becomes a voter by one committed entry. The group of a data centre fills its target in
@@ -22,7 +28,7 @@
 DATA_CENTRE_PREFIX = "dc:"
 N_VOTERS_DEFAULT = 3
 N_DURABLE_VOTERS = 2
-N_EXTRA_VOTERS = 0
+N_EXTRA_VOTERS = 2
 N_SPARES = 2
 
 
--- a/packages/bergamotferry/tests/replication/test_membership_losses.py
+++ b/packages/bergamotferry/tests/replication/test_membership_losses.py
@@ -22,11 +22,13 @@
     Replica,
     can_change_membership,
     start_replica,
+    voter_choice,
 )
 from bergamotferry.replication import membership as membership_module
 from bergamotferry.replication.membership import (
     HostRequests,
     JoinRequest,
+    can_replace_leaving,
     plan_membership,
 )
 from bergamotferry.replication.state import Peer
@@ -293,13 +295,19 @@
     return len(seen)
 
 
-# Four hosts: losses overlap with freezes.
-SEARCHES = {"freezes and a lost disk": Limits("abcd", 4, 0, 0)}
+# Four hosts: losses overlap with freezes. Five: a host ends at once and for good after
+# its successor is ready, and a disk is lost at any instant after. Six: two hosts leave
+# as planned, at once, and a disk is lost at any instant.
+SEARCHES = {
+    "freezes and a lost disk": Limits("abcd", 4, 0, 0),
+    "a sudden end, a freeze and a lost disk": Limits("abcde", 1, 1, 0),
+    "two leaves at once and a lost disk": Limits("abcdef", 0, 0, 2),
+}
 
 
 @pytest.mark.parametrize("name", SEARCHES)
 def test_no_loss_within_the_tolerance_stops_the_group_for_good(name):
-    """Guards against review case 12: a core without a majority for good."""
+    """Guards against review cases 11 and 12: a core without a majority for good."""
     assert search(SEARCHES[name]) > 100
 
 
@@ -323,6 +331,19 @@
             "planner",
             remove_silent_voter_first,
         ),
+        # Review case 11.
+        (
+            "a sudden end, a freeze and a lost disk",
+            voter_choice.__name__,
+            "N_EXTRA_VOTERS",
+            10,
+        ),
+        (
+            "a sudden end, a freeze and a lost disk",
+            membership_module.__name__,
+            "ABANDONED_AFTER_NS",
+            membership_module.LOST_AFTER_NS,
+        ),
     ],
 )
 def test_search_finds_a_guard_taken_out(name, owner, guard, without, monkeypatch):
@@ -330,3 +351,18 @@
     monkeypatch.setattr(f"{owner}.{guard}", without)
     with pytest.raises(AssertionError, match="stopped for good"):
         search(SEARCHES[name])
+
+
+@pytest.mark.parametrize(
+    ("hosts", "leaving", "is_possible"),
+    [("abcd", "a", True), ("abc", "a", False), ("abcd", "ab", False)],
+)
+def test_leave_is_possible_while_enough_hosts_stay(hosts, leaving, is_possible):
+    """Guards against stops that wait in vain, and against a group that shrinks."""
+    voters = tuple(Member(host, "0", True) for host in "abc")
+    numbers = tuple((host, 0) for host in hosts)
+    nobody = frozenset()
+    state = State(Membership(voters, ()), numbers, nobody, nobody, frozenset(leaving))
+    replica = make_leader(state, "c", {})
+    arguments = (replica, requests_of(state), seeds_of(state), NOW_NS, 3)
+    assert can_replace_leaving(*arguments) == is_possible
--- a/packages/bergamotferry/tests/replication/test_voter_choice.py
+++ b/packages/bergamotferry/tests/replication/test_voter_choice.py
@@ -5,6 +5,7 @@
 from bergamotferry.records import HostAddress
 from bergamotferry.replication.voter_choice import (
     GLOBAL_GROUP,
+    choose_group_size,
     choose_target,
 )
 
@@ -37,6 +38,28 @@
     assert chosen.spares == ()
 
 
+@pytest.mark.parametrize(
+    ("group", "n_live", "n_voters", "n_chosen"),
+    [
+        (GLOBAL_GROUP, 1, 3, 3),
+        (GLOBAL_GROUP, 3, 3, 3),
+        # Four voters would need three, and have no majority when cut in halves.
+        (GLOBAL_GROUP, 4, 3, 3),
+        (GLOBAL_GROUP, 5, 3, 5),
+        (GLOBAL_GROUP, 16, 3, 5),
+        (GLOBAL_GROUP, 6, 5, 5),
+        (GLOBAL_GROUP, 7, 5, 7),
+        (GLOBAL_GROUP, 16, 5, 7),
+        ("dc:a", 16, 3, 3),
+    ],
+)
+def test_two_voters_more_than_the_tolerated_loss_needs(
+    group, n_live, n_voters, n_chosen
+):
+    """Guards against a group that bears no loss beside a host that left for good."""
+    assert choose_group_size(group, n_live, n_voters) == n_chosen
+
+
 @pytest.mark.parametrize(
     ("live", "current", "voters", "spares"),
     [
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -21,7 +21,13 @@
 )
 from bergamotferry.fleet_metrics import Histogram
 from bergamotferry.hot_holders.overload import HotHolders
-from bergamotferry.messages import FetchLog, FetchSnapshot, JoinGroup, Propose
+from bergamotferry.messages import (
+    FetchLog,
+    FetchSnapshot,
+    JoinGroup,
+    LeaveGroup,
+    Propose,
+)
 from bergamotferry.quota.messages import AskShares
 from bergamotferry.service_load.rows import LoadSums, WorkReport
 
@@ -60,6 +66,7 @@
 )
 from .group import deliver_message, transfer_leadership
 from .group_commit import answer_propose
+from .group_leave import answer_leave, leave_voters
 from .group_members import answer_join, run_group
 from .group_reader import answer_fetch, answer_fetch_snapshot
 from .hot_holders.naming import record_hot_holders, run_hot_holders
@@ -150,7 +157,10 @@
         host.is_stopping = fetching.is_stopping = True
         stop_end_ns = now_ns() + int((settings.bounds.grace_s - STOP_RESERVE_S) * 1e9)
         await transfer_leadership(group)
-        await finish_fetching(fetching, (stop_end_ns - now_ns()) / 1e9)
+        remaining_s = (stop_end_ns - now_ns()) / 1e9
+        await asyncio.gather(
+            leave_voters(group, remaining_s), finish_fetching(fetching, remaining_s)
+        )
         await runner.cleanup()
         if metrics is not None:
             await metrics.cleanup()
@@ -189,6 +199,8 @@
                 return answer_fetch_snapshot(group, message)
             case JoinGroup():
                 return answer_join(group, message)
+            case LeaveGroup():
+                return answer_leave(group, message)
         return None
 
     def on_notice(message: Any, peer: str) -> None:
--- a/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/peer_link.py
@@ -138,13 +138,16 @@
         ------
         PeerUnreachable
             If the connection is closed, or no reply arrived within ``timeout_s``
-            seconds. The peer may have processed the message all the same.
+            seconds. The peer may have processed the message all the same. Also if the
+            peer's version lacks the message; then it was not sent.
         """
+        known_message = message_for(message, self.peer_version)
+        if known_message is None:
+            raise PeerUnreachable(f"{self.peer}: older version")
         call_id = next(self.ids)
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self.replies[call_id] = future
         try:
-            known_message = message_for(message, self.peer_version)
             await self.send_frame(call_id, FrameKind.CALL, known_message)
             # `asyncio.wait_for` would lose a cancellation that coincides with the
             # reply.
--- a/packages/bergamotferry_host/src/bergamotferry_host/protocol_version.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/protocol_version.py
@@ -5,17 +5,19 @@
 link therefore states its version in the handshake, and the side that dialled leaves out
 of its messages what that version lacks. Hosts of version 1 state none.
 
-Version 2 added the origin of a proposal (`Propose.origin`).
+Version 2 added the origin of a proposal (`Propose.origin`), and version 3 the request
+of a stopping host to be no voter (`LeaveGroup`).
 """
 
 from typing import Any
 
-from bergamotferry.messages import Propose
+from bergamotferry.messages import LeaveGroup, Propose
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 VERSION_HEADER = "Bergamotferry-Protocol"
 _FIRST_VERSION = 1
 _ORIGIN_VERSION = 2
+_LEAVE_VERSION = 3
 
 
 def parse_version(header: str | None) -> int:
@@ -26,7 +28,15 @@
 
 
 def message_for(message: Any, version: int) -> Any:
-    """Return a message without the fields that a version of the protocol lacks."""
+    """Return a message without the fields that a version of the protocol lacks.
+
+    Returns
+    -------
+    Any
+        None if the version lacks the message as a whole.
+    """
+    if isinstance(message, LeaveGroup) and version < _LEAVE_VERSION:
+        return None
     if isinstance(message, Propose) and version < _ORIGIN_VERSION:
         return message._replace(origin=None)
     return message
--- a/packages/bergamotferry_host/tests/test_protocol_version.py
+++ b/packages/bergamotferry_host/tests/test_protocol_version.py
@@ -6,7 +6,13 @@
 import pytest
 
 from bergamotferry.fleet_commands import SetEvacuation
-from bergamotferry.messages import OrderOrigin, Propose, ProposeReply
+from bergamotferry.messages import (
+    LeaveGroup,
+    Member,
+    OrderOrigin,
+    Propose,
+    ProposeReply,
+)
 from bergamotferry.records import HostAddress
 from bergamotferry_host import peer_network
 from bergamotferry_host.codec import decode, encode
@@ -40,6 +46,13 @@
     assert decode(encode(message_for(ORDER, PROTOCOL_VERSION))) == ORDER
 
 
+@pytest.mark.parametrize(("version", "is_sent"), [(1, False), (2, False), (3, True)])
+def test_request_to_leave_is_sent_to_no_older_version(version, is_sent):
+    """Guards against a stopping host whose links an older leader closes."""
+    message = LeaveGroup("g", Member("h", "1", True))
+    assert message_for(message, version) == (message if is_sent else None)
+
+
 @pytest.mark.parametrize("is_peer_old", [True, False])
 def test_origin_is_sent_only_to_a_peer_that_states_its_version(
     is_peer_old, monkeypatch
--- a/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
+++ b/packages/bergamotferry_testkit/src/bergamotferry_testkit/local_group.py
@@ -1,4 +1,4 @@
-"""A group of three members in one process, with logs on disk and a network in memory.
+"""A group of three voters in one process, with logs on disk and a network in memory.
 
 It serves tests and measurements of the replicated log alone.
 """
@@ -15,6 +15,7 @@
     FetchLog,
     FetchSnapshot,
     JoinGroup,
+    LeaveGroup,
     Member,
     Membership,
     Propose,
@@ -25,6 +26,7 @@
 from bergamotferry_host.disk_log import DiskLog
 from bergamotferry_host.group import deliver_message
 from bergamotferry_host.group_commit import answer_propose
+from bergamotferry_host.group_leave import answer_leave
 from bergamotferry_host.group_members import answer_join, run_group
 from bergamotferry_host.group_reader import answer_fetch, answer_fetch_snapshot
 from bergamotferry_host.group_state import Group
@@ -51,6 +53,10 @@
     groups: dict[str, Group]
     addresses: dict[str, HostAddress]
 
+    def address_of(self, host: str) -> HostAddress | None:
+        """Return the address of a host, or None if it is unknown."""
+        return self.addresses.get(host)
+
     def notify(self, host: str, message: Any) -> None:
         """Deliver a message in the next iteration of the event loop."""
         group = self.groups.get(host)
@@ -77,28 +83,39 @@
                 return answer_fetch_snapshot(group, message)
             case JoinGroup():
                 return answer_join(group, message)
+            case LeaveGroup():
+                return answer_leave(group, message)
 
 
 @dataclass(slots=True)
 class LocalGroup:
-    """Three members of a group, which run while the context is open."""
+    """Hosts of a group, three of them voters, which run while the context is open."""
 
     groups: dict[str, Group] = field(default_factory=dict)
     tasks: list["asyncio.Task[None]"] = field(default_factory=list)
 
     @classmethod
-    def from_config(cls, folder: Path) -> "LocalGroup":
-        """Return a group whose three members keep their logs in a folder."""
+    def from_config(
+        cls, folder: Path, name: str = GROUP, more_hosts: tuple[str, ...] = ()
+    ) -> "LocalGroup":
+        """Return a group of three voters that keep their logs in a folder.
+
+        ``more_hosts`` are no members at first, and may join.
+        """
         local_group = cls()
-        members = tuple(Member(name, "1", True) for name in NAMES)
-        addresses = {name: HostAddress(name, "x", "r", "", True) for name in NAMES}
+        hosts = (*NAMES, *more_hosts)
+        members = tuple(Member(host, "1", True) for host in hosts)
+        addresses = {host: HostAddress(host, "x", "r", "", True) for host in hosts}
         for member in members:
-            membership = Membership(members, ())
-            replica = Replica(GROUP, member, membership, random.Random(member.host))
+            is_voter = member.host in NAMES
+            voters = members[: len(NAMES)] if is_voter else ()
+            membership = Membership(voters, ())
+            replica = Replica(name, member, membership, random.Random(member.host))
             network: Any = LocalNetwork(member.host, local_group.groups, addresses)
             group = Group(
-                GROUP, CountingTables(), count_command, network, list(NAMES), replica
+                name, CountingTables(), count_command, network, list(NAMES), replica
             )
+            group.is_eligible_member = not is_voter
             group.disk_log = DiskLog.from_path(folder, member.host)
             local_group.groups[member.host] = group
         return local_group
--- a/packages/bergamotferry_testkit/tests/platform_fleet.py
+++ b/packages/bergamotferry_testkit/tests/platform_fleet.py
@@ -51,7 +51,8 @@
         "zones.b=north",
         "zones.c=north",
         f"internal-port-range={peer_port},{peer_port + 15}",
-        "seed-nodes=" + ",".join(f"{core}:{CONTROL_PORT}" for core in cores),
+        # The users' settings name three control hosts at most.
+        "seed-nodes=" + ",".join(f"{core}:{CONTROL_PORT}" for core in cores[:3]),
         f"bootstrap={'true' if is_bootstrap else 'false'}",
         f"limits.max-fds={n_descriptors_max}",
         f"limits.memory-mb={memory_mb}",
