Promote only learners heard within half a second, and let learners leave too

Cause: a larger search (six hosts, a leave, a sudden end, a freeze and a lost disk) found a spare learner that had left as planned and was made the fourth voter within the 2 s in which it still counted as alive; with a disk lost just then, four voters had lost two. Change: a learner must have been heard within 0.5 s to become a voter, and a learner that stops tells the leader as a voter does.

--- a/packages/bergamotferry/src/bergamotferry/replication/membership.py
+++ b/packages/bergamotferry/src/bergamotferry/replication/membership.py
@@ -32,6 +32,9 @@
 JOINER_MAX_AGE_NS = 5_000 * NS_PER_MS
 LEAVER_MAX_AGE_NS = 5_000 * NS_PER_MS
 ALIVE_MAX_SILENCE_NS = 2_000 * NS_PER_MS
+# A learner must have been heard this recently to become a voter: a voter that has just
+# gone would enlarge the quorum for nothing.
+PROMOTED_MAX_SILENCE_NS = 500 * NS_PER_MS
 LOST_AFTER_NS = 5_000 * NS_PER_MS
 # Applies to a voter with a disk whose successor has no disk: the disk outlives the
 # voter's process, so the voter may return with its log.
@@ -227,7 +230,7 @@
         for learner in replica.membership.learners
         if learner in replica.peers
         and replica.peers[learner].acknowledged_ns > replica.elected_ns
-        and silent_ns[learner] < ALIVE_MAX_SILENCE_NS
+        and silent_ns[learner] < PROMOTED_MAX_SILENCE_NS
         and replica.peers[learner].match_index + CAUGHT_UP_MAX_LAG_ENTRIES
         >= replica.commit_index
         and replica.peers[learner].match_index >= replica.memberships[-1][0]
--- a/packages/bergamotferry_host/src/bergamotferry_host/group_leave.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/group_leave.py
@@ -9,7 +9,6 @@
 import asyncio
 
 from bergamotferry.messages import LeaveGroup, LeaveReply
-from bergamotferry.replication import is_voter
 from bergamotferry.replication.membership import can_replace_leaving
 
 from .clock import now_ns
@@ -38,9 +37,12 @@
     bool
         Whether this host is no voter of the group any more.
     """
-    if not is_voter(group.replica):
+    own_member = group.replica.own_member
+    membership = group.replica.membership
+    if own_member not in membership.voters + membership.learners:
         return True
-    message = LeaveGroup(group.name, group.replica.own_member)
+    # A learner asks as well, so that the leader doesn't make it a voter now.
+    message = LeaveGroup(group.name, own_member)
     reason = "no leader answered in time"
     try:
         async with asyncio.timeout(max(0.0, min(timeout_s, LEAVE_TIMEOUT_S))):
