--- a/packages/bergamotferry_testkit/tests/platform_core_soak.py
+++ b/packages/bergamotferry_testkit/tests/platform_core_soak.py
@@ -106,6 +106,7 @@
         core = f"{NETWORK}.{self.n_started}.1"
         self.cores.append(core)
         await self.fleet.start(core)
+        await self.fleet.wait_started(core)
 
     async def end_for_good(self, core: str, is_planned: bool) -> None:
         """End a host that never comes back."""
@@ -118,6 +119,8 @@
         shutil.rmtree(self.fleet.tmp_path / core)
         await asyncio.sleep(down_s)
         await self.fleet.start(core)
+        # On a busy machine the process may take seconds to run; the host is back then.
+        await self.fleet.wait_started(core)
 
     async def freeze(self, core: str, freeze_s: float) -> None:
         self.fleet.send_signal(core, signal.SIGSTOP)
