Run a request under suspicion in one place at a time, by a permit of the leader

Cause: ends count only if the runs knew the ends before. The records take some 60 ms to the other hosts, the caller 2 ms; so eight ends counted as two, and four hosts could end four more at once before the third counted. Trials went on for hours, one more end each, and a suspicion was forgotten after 60 s, so that a caller that came each 70 s began anew.

Change: once one end is known, a run needs a permit (AskRunPermit): one at a time on a host, one among the hosts. Question and reply carry what both know. One trial in all. So after the first end is known everywhere at most three upstreams end: two to the quarantine, one in the trial.

--- a/packages/bergamotferry/src/bergamotferry/fleet_messages.py
+++ b/packages/bergamotferry/src/bergamotferry/fleet_messages.py
@@ -119,6 +119,28 @@
     rows: tuple[CrashRecord, ...]
 
 
+class AskRunPermit(NamedTuple):
+    """A host asks the leader for the right to run a request under suspicion.
+
+    ``row`` is what the host knows of the request. With ``is_end`` the run of an earlier
+    permit is over, and ``has_lost_upstream`` is whether it lost the connection to its
+    upstream. A control host that doesn't lead passes the message on once.
+    """
+
+    host: str
+    row: CrashRecord
+    is_end: bool = False
+    has_lost_upstream: bool = False
+    is_forwarded: bool = False
+
+
+class RunPermitReply(NamedTuple):
+    """Whether the host may run the request, and what the leader knows of it."""
+
+    is_granted: bool
+    row: CrashRecord
+
+
 class AskSessions(NamedTuple):
     """Ask a control host for all its session rows."""
 
--- a/packages/bergamotferry/src/bergamotferry/protection/crash_records.py
+++ b/packages/bergamotferry/src/bergamotferry/protection/crash_records.py
@@ -11,10 +11,14 @@
   end at the same time, each with a run of a busy key, thus count as one end.
 - A run that succeeds clears the request at once, whatever was counted before.
 
-After `N_ENDS_MAX` ends without a success the request is quarantined, and refused. A
-quarantine ends with a trial: once its pause is over, the hosts let single runs through,
-one host after the other. A success clears the request, and a further end doubles the
-pause.
+After `N_ENDS_MAX` ends without a success the request is quarantined, and refused. Once
+a pause is over, a single run is let through as a trial. A success clears the request.
+After `N_TRIALS_MAX` failed trials it is refused until its record is forgotten.
+
+Ends under concurrent runs count as one, so the counts alone don't bound the ends. A
+request under suspicion therefore runs in one place at a time, see `run_permits`. Once
+the first end is known everywhere, a request that ends each upstream ends at most
+``N_ENDS_MAX - 1 + N_TRIALS_MAX`` more, until its record is forgotten.
 
 Hosts exchange records in any order and any number of times. A record is therefore a
 pair that only grows: the generation, which a success increments, and the number of ends
@@ -32,17 +36,20 @@
 # After this many ends, a caller's request is not sent to a further upstream.
 N_ENDS_RETRIED_MAX = 1
 N_RECORDS_MAX = 500
+N_TRIALS_MAX = 1
 PAUSE_FIRST_S = 60
-PAUSE_MAX_S = 960
+# The longest pause that a caller is told. It may come back sooner than a trial.
+PAUSE_TOLD_MAX_S = 960
 # The hosts' first trials are spread over this time, so that the result of one is known
 # before the next host tries.
 TRIAL_SPREAD_S = 60
 # Pause of one host between two trials. The result of the first comes sooner.
 TRIAL_INTERVAL_NS = 10 * NS_PER_S
-# Records of requests that are not quarantined are forgotten after this time.
-SUSPICION_S = 60
-# A quarantined request that has not been seen for this long is forgotten.
-QUARANTINE_RETENTION_S = 2 * PAUSE_MAX_S
+# Records of requests under suspicion or in quarantine are forgotten after this time. A
+# caller that comes back later finds them cleared.
+RETENTION_S = 24 * 3600
+# Records of cleared requests are kept until the success is known everywhere.
+CLEARED_RETENTION_S = 60
 # Longer bodies are told apart by their length and their first part.
 DIGESTED_BODY_MAX_BYTES = 1_048_576
 DIGEST_BYTES = 16
@@ -156,6 +163,14 @@
     return max(0.0, (due_ns - now_ns) / NS_PER_S)
 
 
+def is_trial_due(table: CrashTable, fingerprint: str, now_ns: int) -> bool:
+    """Return whether some host may let a quarantined request through."""
+    entry = table.entries.get(fingerprint)
+    if entry is None or entry.known.n_ends < N_ENDS_MAX:
+        return True
+    return now_ns >= entry.changed_ns + _pause_s(entry.known.n_ends) * NS_PER_S
+
+
 def record_trial(table: CrashTable, fingerprint: str, now_ns: int) -> bool:
     """Record that this host lets a run through; return whether it is a trial."""
     entry = table.entries.get(fingerprint)
@@ -203,17 +218,21 @@
 def rows_after(table: CrashTable, change: int, now_ns: int) -> tuple[CrashRecord, ...]:
     """Return the records that changed after the change with the number ``change``."""
     return tuple(
-        CrashRecord(
-            fingerprint,
-            entry.known.generation,
-            entry.known.n_ends,
-            max(0, (now_ns - entry.changed_ns) // NS_PER_MS),
-        )
+        row_of(table, fingerprint, now_ns)
         for fingerprint, entry in table.entries.items()
         if entry.change > change
     )
 
 
+def row_of(table: CrashTable, fingerprint: str, now_ns: int) -> CrashRecord:
+    """Return the record of a request as hosts exchange it; no ends if there is none."""
+    entry = table.entries.get(fingerprint)
+    if entry is None:
+        return CrashRecord(fingerprint, 0, 0, 0)
+    age_ms = max(0, (now_ns - entry.changed_ns) // NS_PER_MS)
+    return CrashRecord(fingerprint, entry.known.generation, entry.known.n_ends, age_ms)
+
+
 def expire_records(table: CrashTable, now_ns: int) -> None:
     """Forget the records that are too old to matter."""
     for fingerprint, entry in list(table.entries.items()):
@@ -250,8 +269,8 @@
 
 
 def _pause_s(n_ends: int) -> int:
-    doublings = min(n_ends - N_ENDS_MAX, PAUSE_MAX_S.bit_length())
-    return int(min(PAUSE_MAX_S, PAUSE_FIRST_S << doublings))
+    has_trial = n_ends - N_ENDS_MAX < N_TRIALS_MAX
+    return PAUSE_FIRST_S if has_trial else RETENTION_S
 
 
 def _trial_delay_s(fingerprint: str, host_name: str) -> float:
@@ -261,5 +280,4 @@
 
 
 def _retention_s(entry: CrashEntry) -> int:
-    is_quarantined = entry.known.n_ends >= N_ENDS_MAX
-    return QUARANTINE_RETENTION_S if is_quarantined else SUSPICION_S
+    return RETENTION_S if entry.known.n_ends else CLEARED_RETENTION_S
--- a/packages/bergamotferry/tests/protection/test_crash_records.py
+++ b/packages/bergamotferry/tests/protection/test_crash_records.py
@@ -7,12 +7,13 @@
 from hypothesis import strategies as st
 
 from bergamotferry.protection.crash_records import (
+    CLEARED_RETENTION_S,
     N_ENDS_MAX,
     N_RECORDS_MAX,
+    N_TRIALS_MAX,
     NS_PER_S,
     PAUSE_FIRST_S,
-    PAUSE_MAX_S,
-    SUSPICION_S,
+    RETENTION_S,
     TRIAL_SPREAD_S,
     CrashTable,
     KnownEnds,
@@ -97,11 +98,13 @@
     assert quarantine_left_s(table, "a", "h", due) >= 2 * PAUSE_FIRST_S
 
 
-def test_pause_grows_to_a_limit_and_no_further():
+@pytest.mark.parametrize("n_more", [N_TRIALS_MAX, 40])
+def test_no_trial_follows_those_that_failed(n_more):
+    """Guards against trials for hours, each of which ends one more upstream."""
     table = CrashTable()
-    end_in_turn(table, "a", N_ENDS_MAX + 40)
-    left_s = quarantine_left_s(table, "a", "h", NOW)
-    assert PAUSE_MAX_S <= left_s <= PAUSE_MAX_S + TRIAL_SPREAD_S
+    end_in_turn(table, "a", N_ENDS_MAX + n_more)
+    for passed_s in (0, 3_600, RETENTION_S - 1):
+        assert verdict_on(table, "a", "h", NOW + passed_s * NS_PER_S) == "quarantined"
 
 
 def test_hosts_try_a_quarantined_request_one_after_the_other():
@@ -112,12 +115,22 @@
     assert len(set(due_s)) == 8
 
 
-def test_suspicion_is_forgotten_and_quarantine_is_not():
+def test_suspicion_and_quarantine_are_kept_for_a_day_and_successes_for_a_minute():
+    """Guards against a request that ends upstreams and comes again each 70 s.
+
+    With records that were forgotten after 60 s, each visit ended further upstreams.
+    """
     table = CrashTable()
     end_in_turn(table, "a", 1)
     end_in_turn(table, "b", N_ENDS_MAX)
-    expire_records(table, NOW + (SUSPICION_S + 1) * NS_PER_S)
-    assert list(table.entries) == ["b"]
+    end_in_turn(table, "c", 1)
+    record_success(table, "c", NOW)
+    expire_records(table, NOW + (CLEARED_RETENTION_S + 1) * NS_PER_S)
+    assert list(table.entries) == ["a", "b"]
+    expire_records(table, NOW + (RETENTION_S - 1) * NS_PER_S)
+    assert list(table.entries) == ["a", "b"]
+    expire_records(table, NOW + (RETENTION_S + 1) * NS_PER_S)
+    assert not table.entries
 
 
 def test_table_is_bounded_and_keeps_the_requests_with_most_ends():
--- a/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/control_run.py
@@ -10,6 +10,7 @@
 
 from bergamotferry.fleet_messages import (
     AskCurrent,
+    AskRunPermit,
     AskSessions,
     CurrentReply,
     ExchangeCrashes,
@@ -28,6 +29,7 @@
     LeaveGroup,
     Propose,
 )
+from bergamotferry.protection.run_permits import PermitTable
 from bergamotferry.quota.messages import AskShares
 from bergamotferry.service_load.rows import LoadSums, WorkReport
 
@@ -74,6 +76,7 @@
 from .logs import log
 from .metrics_page import measure_loop_delays, process_metric_families, serve_metrics
 from .peer_link import PeerHandlers, PeerStream, StreamHandler
+from .protection.permit_ledger import answer_run_permit
 from .quota.share_ledger import LeaderQuota, answer_shares, run_share_ledger
 from .range_assignment import run_range_assignment
 from .range_balance import run_range_balance
@@ -176,6 +179,7 @@
     quota: LeaderQuota,
 ) -> None:
     group = host.group
+    permits = PermitTable()
 
     async def on_call(message: Any, peer: str) -> Any:
         match message:
@@ -185,6 +189,8 @@
                 return await answer_follow(host, message)
             case ExchangeCrashes():
                 return await answer_exchange(host.crashes, message)
+            case AskRunPermit():
+                return await answer_run_permit(host, permits, message)
             case AskShares():
                 return await answer_shares(host, quota, message)
             case Propose():
--- a/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/crash_exchange.py
@@ -95,7 +95,7 @@
     exchange: CrashExchange, message: ExchangeCrashes
 ) -> CrashChanges:
     """Record a peer's rows, and return what changed here since its position."""
-    _record_rows(exchange, message.rows)
+    record_rows(exchange, message.rows)
     is_same_source = message.source == exchange.process_id
     if is_same_source and message.change >= exchange.table.change:
         change_event = exchange.change_event
@@ -133,7 +133,7 @@
     position.n_sent = n_sent if has_all else 0
     position.source, position.n_received = reply.source, reply.change
     is_unchanged = exchange.table.change == position.n_sent
-    _record_rows(exchange, reply.rows)
+    record_rows(exchange, reply.rows)
     if is_unchanged:
         # What the peer has just sent is not sent back to it.
         position.n_sent = exchange.table.change
@@ -202,7 +202,8 @@
         exchange.in_flight.discard(peer)
 
 
-def _record_rows(exchange: CrashExchange, rows: Iterable[CrashRecord]) -> None:
+def record_rows(exchange: CrashExchange, rows: Iterable[CrashRecord]) -> None:
+    """Record rows of another host, and wake the exchanges if there is news."""
     now = now_ns()
     news = [record_row(exchange.table, row, now) for row in rows]
     if any(news):
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_crashes.py
@@ -11,6 +11,7 @@
 from bergamotferry.outcomes import Refused
 from bergamotferry.protection.crash_records import (
     N_ENDS_RETRIED_MAX,
+    PAUSE_TOLD_MAX_S,
     KnownEnds,
     known_ends,
     quarantine_left_s,
@@ -42,6 +43,9 @@
     wait_for_check,
 )
 
+# Time in which a run elsewhere usually ends.
+PAUSE_TOLD_MIN_S = 0.3
+
 
 def quarantine_refusal(host: DirectHost, request: DirectRequest) -> Refused | None:
     """Return the refusal of a quarantined request, or None if the request may run."""
@@ -58,9 +62,10 @@
 
 
 def quarantine_pause_s(host: DirectHost, request: DirectRequest) -> float:
-    """Return the time in s until this host may let a quarantined request through."""
+    """Return the time in s after which a refused caller may come back."""
     table, name = host.crashes.table, host.settings.name
-    return quarantine_left_s(table, fingerprint_of(request), name, now_ns())
+    left_s = quarantine_left_s(table, fingerprint_of(request), name, now_ns())
+    return min(PAUSE_TOLD_MAX_S, max(PAUSE_TOLD_MIN_S, left_s))
 
 
 def ends_known_of(host: DirectHost, request: DirectRequest) -> KnownEnds:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_host.py
@@ -89,7 +89,8 @@
     ``link`` or hold one. ``link_timer`` is set while the next request waits for the
     start of its turn. ``fetch_pauses_ns`` is, by control host, until when it is not
     asked to fetch answers. ``crashes`` are the records of requests that end upstreams,
-    and ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
+    ``run_locks`` let those under suspicion run one at a time, by fingerprint, and
+    ``end_watch`` the connection losses that may be such ends. ``notice_tasks`` are
     reports to control that an upstream leaves. ``memory`` counts and bounds the bytes
     that are held. ``work_counts`` is the work that arrived since the last
     report. ``service_loads`` are the newest rows of service load, by service and data
@@ -137,6 +138,7 @@
     link_numbers: Iterator[int] = field(default_factory=count)
     fetch_pauses_ns: dict[str, int] = field(default_factory=dict)
     crashes: CrashExchange = field(default_factory=CrashExchange)
+    run_locks: dict[str, asyncio.Lock] = field(default_factory=dict)
     end_watch: EndWatch = field(init=False)
     notice_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     work_counts: WorkCounts = field(default_factory=lambda: WorkCounts(now_ns()))
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -43,6 +43,7 @@
 from .fetch_call import FETCH_REQUEST_BODY_MAX_BYTES, fetch_answer, fetching_host_for
 from .link_turns import has_large_answer, hold_link_turn, remote_wait_left_ms
 from .logs import log_routine
+from .protection.run_permit import hold_run_permit, lacks_run_permit
 from .quota.spending import (
     allow_retry,
     may_write,
@@ -118,11 +119,11 @@
         ):
             shed = Refused(ResultCode.UPSTREAM_SHED, "no repeat is left")
             return refusal_or_unknown(request, shed)
-        reservation = await reserve_upstream(host, http, request)
-        if isinstance(reservation, Refused):
-            return refusal_or_unknown(request, reservation)
-        outcome = await _send_hedged(host, http, request, reservation)
-        await wait_for_end_check(host, request)
+        outcome = await _send_with_permit(host, http, request)
+        if outcome is None:
+            continue
+        if isinstance(outcome, Refused):
+            return refusal_or_unknown(request, outcome)
         if outcome.result == "answered" and not should_retry_answer(request, outcome):
             return outcome
         if not may_retry(request) or has_ended_upstreams(host, request, outcome):
@@ -134,6 +135,29 @@
             return refusal_or_unknown(request, refusal)
 
 
+async def _send_with_permit(
+    host: DirectHost, http: aiohttp.ClientSession, request: DirectRequest
+) -> SendOutcome | Refused | None:
+    """Send a request once; one under suspicion runs in one place at a time.
+
+    Returns None if it came under suspicion before it was sent.
+    """
+    async with hold_run_permit(host, request) as refusal:
+        if refusal is not None:
+            return refusal
+        reservation = await reserve_upstream(host, http, request)
+        if isinstance(reservation, Refused):
+            return reservation
+        if lacks_run_permit(host, request):
+            record_ended(reservation.upstream.load, reservation.due_ns)
+            return None
+        request.is_run_open, request.lost_upstream = True, ""
+        outcome = await _send_hedged(host, http, request, reservation)
+        await wait_for_end_check(host, request)
+        request.is_run_open = bool(request.lost_upstream)
+        return outcome
+
+
 async def _permit_refusal(host: DirectHost, request: DirectRequest) -> Refused | None:
     """Return the refusal of a request that may not be sent for its account's cap."""
     refusal = await allow_retry(
--- /dev/null
+++ b/packages/bergamotferry_host/src/bergamotferry_host/protection/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end upstreams: where they may run."""
--- a/packages/bergamotferry_host/src/bergamotferry_host/protocol_version.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/protocol_version.py
@@ -6,11 +6,13 @@
 of its messages what that version lacks. Hosts of version 1 state none.
 
 Version 2 added the origin of a proposal (`Propose.origin`), and version 3 the request
-of a stopping host to be no voter (`LeaveGroup`).
+of a stopping host to be no voter (`LeaveGroup`) and permits to run a request under
+suspicion (`AskRunPermit`).
 """
 
 from typing import Any
 
+from bergamotferry.fleet_messages import AskRunPermit
 from bergamotferry.messages import LeaveGroup, Propose
 
 PROTOCOL_VERSION = 3
@@ -18,6 +20,7 @@
 _FIRST_VERSION = 1
 _ORIGIN_VERSION = 2
 _LEAVE_VERSION = 3
+_PERMIT_VERSION = 3
 
 
 def parse_version(header: str | None) -> int:
@@ -37,6 +40,8 @@
     """
     if isinstance(message, LeaveGroup) and version < _LEAVE_VERSION:
         return None
+    if isinstance(message, AskRunPermit) and version < _PERMIT_VERSION:
+        return None
     if isinstance(message, Propose) and version < _ORIGIN_VERSION:
         return message._replace(origin=None)
     return message
--- a/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/request_state.py
@@ -38,6 +38,8 @@
     ``excluded`` names the upstreams that the next send must avoid. ``caller`` is the
     connection to the caller, once it is known. ``fingerprint`` identifies the content,
     once it was needed. ``is_trial`` is set for the trial of a quarantined request.
+    With ``has_run_permit`` it may run although it is under suspicion; ``is_run_open``
+    is set while its last run may still have ended its upstream.
     ``lost_upstream`` is the last upstream whose connection broke under the request.
     ``n_sends_by_address`` counts the sends, and ``refused_sends`` are those that their
     upstreams said not to have run. ``work`` is how its work was counted. ``search`` is
@@ -69,6 +71,8 @@
     caller: CallerAnswer | None = None
     fingerprint: str = ""
     is_trial: bool = False
+    has_run_permit: bool = False
+    is_run_open: bool = False
     lost_upstream: str = ""
     n_sends_by_address: Counter[str] = field(default_factory=Counter)
     refused_sends: list[RefusedSend] = field(default_factory=list)
--- a/packages/bergamotferry_host/tests/test_protocol_version.py
+++ b/packages/bergamotferry_host/tests/test_protocol_version.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bergamotferry.fleet_commands import SetEvacuation
+from bergamotferry.fleet_messages import AskRunPermit
 from bergamotferry.messages import (
     LeaveGroup,
     Member,
@@ -13,6 +14,7 @@
     Propose,
     ProposeReply,
 )
+from bergamotferry.protection.crash_records import CrashRecord
 from bergamotferry.records import HostAddress
 from bergamotferry_host import peer_network
 from bergamotferry_host.codec import decode, encode
@@ -46,10 +48,16 @@
     assert decode(encode(message_for(ORDER, PROTOCOL_VERSION))) == ORDER
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        LeaveGroup("g", Member("h", "1", True)),
+        AskRunPermit("h", CrashRecord("f", 0, 1, 0)),
+    ],
+)
 @pytest.mark.parametrize(("version", "is_sent"), [(1, False), (2, False), (3, True)])
-def test_request_to_leave_is_sent_to_no_older_version(version, is_sent):
-    """Guards against a stopping host whose links an older leader closes."""
-    message = LeaveGroup("g", Member("h", "1", True))
+def test_new_message_is_sent_to_no_older_version(message, version, is_sent):
+    """Guards against hosts whose links an older control host closes."""
     assert message_for(message, version) == (message if is_sent else None)
 
 
--- a/packages/bergamotferry_testkit/tests/platform_adapter/test_ending_requests.py
+++ b/packages/bergamotferry_testkit/tests/platform_adapter/test_ending_requests.py
@@ -164,6 +164,44 @@
     assert sum(answer.status == 200 for answer in busy) > 0.9 * len(busy)
 
 
+@pytest.mark.parametrize("is_parallel", [False, True])
+@pytest.mark.parametrize(("kind", "method"), [("safe", "GET"), ("unsafe", "POST")])
+def test_caller_that_repeats_at_each_host_at_once_ends_few_upstreams(
+    tmp_path, kind, method, is_parallel
+):
+    """Guards against review case 14: the next send comes before an end is known.
+
+    The caller sends the request at each host, at once or one after the other, and
+    comes again later than the contact time. A proper request beside it is served.
+    """
+
+    async def scenario():
+        async with running_deployment(tmp_path, kind) as deployment:
+            await deployment.fleet.start(EDGES[3])
+            await deployment.wait_serving(EDGES[3])
+            busy = asyncio.create_task(deployment.repeat("/x/busy", 400, 0.03))
+            for _ in range(4):
+                sends = [deployment.send(edge, ENDING_PATH, method) for edge in EDGES]
+                if is_parallel:
+                    await asyncio.gather(*sends)
+                else:
+                    for send in sends:
+                        await send
+                await asyncio.sleep(CONTACT_S + 0.5)
+            await busy
+            return deployment
+
+    deployment = asyncio.run(scenario())
+    ends_s = deployment.ends_s()
+    assert len(ends_s) >= 3
+    assert n_late_ends(ends_s) <= N_RETRIES_MAX, len(ends_s)
+    last = deployment.answers[ENDING_PATH][-1]
+    assert last.status == 503 and b"1301" in last.body
+    busy = deployment.answers["/x/busy"]
+    assert not [answer for answer in busy if b"1301" in answer.body]
+    assert sum(answer.status == 200 for answer in busy) > 0.9 * len(busy)
+
+
 @pytest.mark.parametrize("restarted", [CORES, [*CORES, *EDGES[:3]]])
 def test_hosts_that_start_later_know_of_the_request(tmp_path, restarted):
     """Guards against a start of hosts that lets the request through again."""
