Ask the leader in one place, and let a content that was cleared need a permit anew

The calls for shares and for run permits had the same two functions, to ask the control host that is followed and to pass a question on to the leader; they stand in leader_calls now. A request whose content was cleared while it waited for a permit counted as having one, also if the content came under suspicion again before it was sent.

--- a/packages/bergamotferry_host/src/bergamotferry_host/protection/permit_ledger.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/protection/permit_ledger.py
@@ -1,7 +1,5 @@
 """Grants permits to run requests under suspicion, on the leader."""
 
-import asyncio
-
 from bergamotferry.fleet_messages import AskRunPermit, RunPermitReply
 from bergamotferry.protection.crash_records import (
     logged_fingerprint,
@@ -12,10 +10,8 @@
 from ..clock import now_ns
 from ..crash_exchange import record_rows
 from ..fleet_control import ControlHost
+from ..leader_calls import forward_to_leader
 from ..logs import log
-from ..peer_link import PeerUnreachable
-
-FORWARD_TIMEOUT_S = 0.3
 
 
 async def answer_run_permit(
@@ -26,7 +22,8 @@
     Returns None if no leader answers.
     """
     if not host.group.is_leader:
-        return await _forward(host, message)
+        reply = await forward_to_leader(host, message)
+        return reply if isinstance(reply, RunPermitReply) else None
     record_rows(host.crashes, [message.row])
     fingerprint, now = message.row.fingerprint, now_ns()
     table, is_granted = host.crashes.table, False
@@ -44,18 +41,3 @@
             to_host=message.host,
         )
     return RunPermitReply(is_granted, known)
-
-
-async def _forward(host: ControlHost, message: AskRunPermit) -> RunPermitReply | None:
-    leader = host.group.leader
-    if message.is_forwarded or not leader or leader == host.settings.name:
-        return None
-    forwarded = message._replace(is_forwarded=True)
-    try:
-        async with asyncio.timeout(FORWARD_TIMEOUT_S):
-            reply = await host.network.call(
-                leader, forwarded, FORWARD_TIMEOUT_S, "records"
-            )
-    except (PeerUnreachable, TimeoutError):
-        return None
-    return reply if isinstance(reply, RunPermitReply) else None
--- a/packages/bergamotferry_host/src/bergamotferry_host/protection/run_permit.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/protection/run_permit.py
@@ -25,12 +25,10 @@
 from ..crash_exchange import record_rows
 from ..direct_crashes import ends_known_of, fingerprint_of, quarantine_refusal
 from ..direct_host import DirectHost
+from ..leader_calls import ask_followed
 from ..logs import log_routine
-from ..peer_link import PeerUnreachable
 from ..request_state import DirectRequest, time_to_answer_ms
 
-# Longer than a reply across regions over a busy link takes.
-ASK_TIMEOUT_S = 0.4
 ASK_PAUSE_S = 0.05
 # The rest of a request's time is left for its run.
 WAIT_SHARE = 0.5
@@ -56,7 +54,9 @@
     is_granted = False
     try:
         refusal, is_granted = await _wait_for_permit(host, request, wait_s)
-        request.has_run_permit = refusal is None
+        # A content that was cleared needs a permit again if it is suspected anew.
+        is_suspected = known_ends(host.crashes.table, fingerprint).n_ends > 0
+        request.has_run_permit = refusal is None and is_suspected
         yield refusal
     finally:
         request.has_run_permit = False
@@ -123,13 +123,5 @@
 
 
 async def _ask(host: DirectHost, message: AskRunPermit) -> RunPermitReply | None:
-    if not host.followed:
-        return None
-    try:
-        async with asyncio.timeout(ASK_TIMEOUT_S):
-            reply = await host.network.call(
-                host.followed, message, ASK_TIMEOUT_S, "records"
-            )
-    except (PeerUnreachable, TimeoutError):
-        return None
+    reply = await ask_followed(host, message)
     return reply if isinstance(reply, RunPermitReply) else None
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/share_ledger.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/share_ledger.py
@@ -20,13 +20,11 @@
 
 from ..clock import now_ns
 from ..fleet_control import ControlHost, is_caught_up_leader
+from ..leader_calls import forward_to_leader
 from ..logs import log
-from ..peer_link import PeerUnreachable
 from .state import quota_rules
 
 WATCH_INTERVAL_S = 0.05
-# Less than the host that asks waits.
-FORWARD_TIMEOUT_S = 0.35
 # The term in force and the one before.
 N_TERMS_KEPT = 2
 
@@ -68,17 +66,7 @@
             return None
         _refresh_caps(host, quota, ledger)
         return answer_question(ledger, quota.caps, message, now)
-    leader = host.group.leader
-    if message.is_forwarded or not leader or leader == host.settings.name:
-        return None
-    forwarded = message._replace(is_forwarded=True)
-    try:
-        async with asyncio.timeout(FORWARD_TIMEOUT_S):
-            reply = await host.network.call(
-                leader, forwarded, FORWARD_TIMEOUT_S, "records"
-            )
-    except (PeerUnreachable, TimeoutError):
-        return None
+    reply = await forward_to_leader(host, message)
     return reply if isinstance(reply, SharesReply) else None
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/quota/share_renewal.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/quota/share_renewal.py
@@ -11,15 +11,13 @@
 
 from ..clock import now_ns
 from ..direct_host import DirectHost
+from ..leader_calls import ask_followed
 from ..logs import log, log_warning
-from ..peer_link import PeerUnreachable
 from .spending import n_waiting, refuse_waiting, serve_waiting
 
 NS_PER_MS = 1_000_000
 # A stock lasts for longer, and a share for several times as long.
 REPORT_INTERVAL_S = 0.5
-# Longer than a reply across regions over a busy link takes.
-ASK_TIMEOUT_S = 0.4
 # Pause after a question without a reply, and while no control host is followed.
 RETRY_PAUSE_S = 0.05
 # Pause while requests wait and the leader has nothing for them yet.
@@ -78,14 +76,8 @@
 
 
 async def _call(host: DirectHost, question: AskShares) -> SharesReply | None:
-    try:
-        async with asyncio.timeout(ASK_TIMEOUT_S):
-            # Hosts of the version before close the link that carries this message.
-            reply = await host.network.call(
-                host.followed, question, ASK_TIMEOUT_S, "records"
-            )
-    except (PeerUnreachable, TimeoutError):
-        return None
+    # Hosts of the version before close the link that carries this message.
+    reply = await ask_followed(host, question)
     return reply if isinstance(reply, SharesReply) else None
 
 
