--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo soak fleet-soak measure test lint types format clean slopes overhead capacity-page
+.PHONY: demo soak fleet-soak core-soak measure test lint types format clean slopes overhead capacity-page
 
 $(READY): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -55,5 +55,8 @@
 	$(BIN)/python packages/bergamotferry_testkit/tests/platform_soak.py \
 	  --seed $(SEED) --seconds $$(( $(MINUTES) * 60 ))
 
+core-soak: $(READY)
+	$(BIN)/python packages/bergamotferry_testkit/tests/platform_core_soak.py --seed $(SEED)
+
 measure: $(READY)
 	$(BIN)/python -m bergamotferry_testkit.measure $(MEASURE_FLAGS)
