Give a run permit back as soon as the answer begins, and call a wait a full queue

Cause, a fault of: a request under suspicion kept its permit until its whole answer was read, so a caller that reads slowly kept the others waiting for half their time, and these were refused with 1301 although nothing was quarantined. Change: the permit ends when the answer's head is sent, since an upstream that answers hasn't ended. A request that waits in vain is refused with 1201 (queue full, not run); 1301 stays for contents in quarantine. Evidence: test_permit_is_given_back_as_soon_as_the_answer_begins fails without the hook (the lock stays held); unit tests of permits, answers and requests green (83).

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
@@ -48,7 +48,8 @@
 
     ``is_stopping`` returns whether the connection is closed after the answer.
     ``response`` is set when the head is sent; ``n_left`` bytes of the body are then
-    left to send. ``holding`` counts the bytes of answers that are held.
+    left to send. ``holding`` counts the bytes of answers that are held. ``on_begin`` is
+    called when the head is sent.
     """
 
     link: AnswerLink
@@ -57,6 +58,7 @@
     holding: Holding = field(default_factory=lambda: Holding(MemoryLedger(), "answer"))
     response: web.StreamResponse | None = None
     n_left: int = 0
+    on_begin: Callable[[], None] = lambda: None
 
     @property
     def has_begun(self) -> bool:
@@ -154,6 +156,7 @@
     if answer.is_stopping():
         response.force_close()
     answer.response, answer.n_left = response, n_bytes
+    answer.on_begin()
     try:
         await response.prepare(answer.request)
     except ConnectionError as error:
--- a/packages/bergamotferry_host/src/bergamotferry_host/protection/run_permit.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/protection/run_permit.py
@@ -49,29 +49,46 @@
         async with asyncio.timeout(wait_s):
             await lock.acquire()
     except TimeoutError:
-        yield _refuse_run_elsewhere()
+        yield _refuse_run_elsewhere(host, fingerprint)
         return
-    is_granted = False
+    is_held, is_granted = True, False
+
+    def release(has_lost_upstream: bool) -> None:
+        nonlocal is_held
+        if is_held:
+            is_held = False
+            _release(host, fingerprint, lock, is_granted, has_lost_upstream)
+
     try:
         refusal, is_granted = await _wait_for_permit(host, request, wait_s)
         # A content that was cleared needs a permit again if it is suspected anew.
         is_suspected = known_ends(host.crashes.table, fingerprint).n_ends > 0
         request.has_run_permit = refusal is None and is_suspected
+        if request.caller is not None:
+            # An upstream that answers hasn't ended, and a caller may read for long.
+            request.caller.on_begin = lambda: release(False)
         yield refusal
     finally:
         request.has_run_permit = False
-        lock.release()
-        if known_ends(host.crashes.table, fingerprint).n_ends == 0:
-            # Whoever still waits for the lock needs no permit any more.
-            host.run_locks.pop(fingerprint, None)
-        if is_granted:
-            message = AskRunPermit(
-                host.settings.name,
-                row_of(host.crashes.table, fingerprint, now_ns()),
-                is_end=True,
-                has_lost_upstream=request.is_run_open,
-            )
-            start_task(_ask(host, message), host.notice_tasks)
+        release(request.is_run_open)
+
+
+def _release(
+    host: DirectHost,
+    fingerprint: str,
+    lock: asyncio.Lock,
+    is_granted: bool,
+    has_lost_upstream: bool,
+) -> None:
+    """Let the next run begin, on this host and on others."""
+    lock.release()
+    if known_ends(host.crashes.table, fingerprint).n_ends == 0:
+        # Whoever still waits for the lock needs no permit any more.
+        host.run_locks.pop(fingerprint, None)
+    if is_granted:
+        row = row_of(host.crashes.table, fingerprint, now_ns())
+        message = AskRunPermit(host.settings.name, row, True, has_lost_upstream)
+        start_task(_ask(host, message), host.notice_tasks)
 
 
 def lacks_run_permit(host: DirectHost, request: DirectRequest) -> bool:
@@ -95,31 +112,38 @@
         row = row_of(table, fingerprint, now_ns())
         reply = await _ask(host, AskRunPermit(host.settings.name, row))
         if reply is None:
-            return _without_leader(request, known.n_ends), False
+            return _without_leader(host, request), False
         record_rows(host.crashes, [reply.row])
         if reply.is_granted:
             return None, True
         if request.is_trial or now_ns() >= end_ns:
-            return _refuse_run_elsewhere(), False
+            return _refuse_run_elsewhere(host, fingerprint), False
         change_event = host.crashes.change_event
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(ASK_PAUSE_S):
                 await change_event.wait()
 
 
-def _without_leader(request: DirectRequest, n_ends: int) -> Refused | None:
+def _without_leader(host: DirectHost, request: DirectRequest) -> Refused | None:
+    n_ends = known_ends(host.crashes.table, request.fingerprint).n_ends
     log_routine(
         "no permit, no leader",
         request_id=request.request_id,
         fingerprint=logged_fingerprint(request.fingerprint),
         n_ends=n_ends,
     )
-    return _refuse_run_elsewhere() if n_ends >= N_ENDS_MAX else None
+    if n_ends < N_ENDS_MAX:
+        return None
+    return _refuse_run_elsewhere(host, request.fingerprint)
 
 
-def _refuse_run_elsewhere() -> Refused:
+def _refuse_run_elsewhere(host: DirectHost, fingerprint: str) -> Refused:
+    """Return the refusal of a run while there is another one of the same content."""
     detail = "upstreams ended under it, and another run is under way"
-    return Refused(ResultCode.REQUEST_QUARANTINED, detail)
+    n_ends = known_ends(host.crashes.table, fingerprint).n_ends
+    is_quarantined = n_ends >= N_ENDS_MAX
+    code = ResultCode.REQUEST_QUARANTINED if is_quarantined else ResultCode.QUEUE_FULL
+    return Refused(code, detail)
 
 
 async def _ask(host: DirectHost, message: AskRunPermit) -> RunPermitReply | None:
