Read a large body in larger parts, so that uploads don't outlast their deadline

An upload of 64 MiB takes over 4,000 turns of the event loop, each with a timer and a task switch; that was most of the processor time of an upload.

Change: a body of stated length is read 128 KiB at a time while 512 KiB or more of it are left. The room that it holds from its start covers what the HTTP library has of it. Chunked bodies, heads and what follows a body are read as before.

Ruled out: the test's own process as the bottleneck (an upstream in a process of its own made the uploads no faster).

--- a/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/edge_connection.py
@@ -32,7 +32,8 @@
 from .edge_errors import internal_error, parser_refusal, raw_refusal
 from .http_answers import refusal_response
 from .logs import log_routine
-from .memory.waiting_bodies import READ_BUFFER_BYTES, count_waiting
+from .memory.read_sizes import limit_reads
+from .memory.waiting_bodies import count_waiting
 from .pipelining import (
     N_AHEAD_MAX,
     N_SIDE_BY_SIDE_MAX,
@@ -106,7 +107,7 @@
         server = self._edge
         self._open_transport = cast(asyncio.Transport, transport)
         server.transports.add(self._open_transport)
-        _limit_reads(transport)
+        limit_reads(transport)
         if server.n_connections < self._limits.n_connections_max:
             super().connection_made(transport)
             return
@@ -301,12 +302,6 @@
             self._loop.call_later(REFUSED_LINGER_S, self.force_close)
 
 
-def _limit_reads(transport: asyncio.BaseTransport) -> None:
-    """Bound what is read at one time, all of which the library parses at once."""
-    if hasattr(transport, "max_size"):
-        transport.max_size = READ_BUFFER_BYTES
-
-
 class EdgeServer(Server):
     """Creates the connections of one edge and enforces their limit."""
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/http_body.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/http_body.py
@@ -9,7 +9,7 @@
 import json
 from typing import Any
 
-from aiohttp import StreamReader, web
+from aiohttp import web
 
 from bergamotferry.memory.ledger import (
     Holding,
@@ -23,6 +23,7 @@
 from bergamotferry.result_codes import ResultCode
 
 from .clock import now_ns
+from .memory.read_sizes import limit_reads
 from .memory.waiting_bodies import READ_BUFFER_BYTES
 
 BODY_GAP_TIMEOUT_S = 5.0
@@ -63,9 +64,7 @@
     try:
         async with asyncio.timeout(total_timeout_s) as timeout:
             begin_sending(holding, lambda: _end_now(timeout), now_ns())
-            return await _read_parts(
-                request.content, n_stated_bytes, max_bytes, holding
-            )
+            return await _read_parts(request, n_stated_bytes, max_bytes, holding)
     except TimeoutError:
         if holding.is_ended:
             return Refused(ResultCode.NO_ROOM_FOR_BODY, "it stalled, memory is short")
@@ -73,11 +72,12 @@
     except web.RequestPayloadError:
         return Refused(ResultCode.BAD_REQUEST, "the body is malformed")
     finally:
+        limit_reads(request.transport)
         end_sending(holding)
 
 
 async def _read_parts(
-    content: StreamReader, n_stated_bytes: int, max_bytes: int, holding: Holding
+    request: web.Request, n_stated_bytes: int, max_bytes: int, holding: Holding
 ) -> bytes | Refused:
     """Read a body in parts, and hold as much room as it may take."""
     # Holds the body once: joining its parts would hold it twice.
@@ -86,8 +86,9 @@
     if not hold(holding, n_stated_bytes + ARRIVING_BYTES, now_ns()):
         return _no_room_refusal()
     while True:
+        limit_reads(request.transport, n_stated_bytes - n_bytes)
         async with asyncio.timeout(BODY_GAP_TIMEOUT_S):
-            part = await content.readany()
+            part = await request.content.readany()
         if not part:
             hold(holding, n_bytes)
             return body.getvalue()
--- a/packages/bergamotferry_host/tests/memory/test_body_holding.py
+++ b/packages/bergamotferry_host/tests/memory/test_body_holding.py
@@ -17,6 +17,7 @@
         self.parts = list(parts)
         self.content_length = content_length
         self.content = self
+        self.transport = None
         self.stalls = stalls
 
     async def readany(self):
