Count an answer until its caller has it, and stream what there is no room for

The ledger gave the bytes of an answer back when the answer went to the HTTP library, which copied it into the buffer of the connection and kept it too until it was read. 60 callers that read 4.5 MB slowly took an entry host of 300 MB over its memory, and filings that had run got no answer.

Change: answers over 64 KiB are written in parts as the connection takes them, and count until they are sent. An answer without room is streamed from there on, so its upstream waits for the caller; of several sends, the one whose answer has begun is the only one that may answer. A fetched answer without room raised an error of the host; it counts as broken now.

--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_sending.py
@@ -1,10 +1,21 @@
-"""Sends complete answers to callers; large ones at the rate of the host's link."""
+"""Sends complete answers to callers; large ones at the rate of the host's link.
+
+A long answer is sent in parts, each once its caller has read those before. Given to the
+HTTP library as a whole, it would be copied into the buffer of the connection, and held
+twice until its caller has read it.
+"""
 
 from aiohttp import web
 
 from bergamotferry.answer_link import is_large
 
-from .answer_streaming import CallerAnswer, begin_answer, end_answer, send_part
+from .answer_streaming import (
+    WRITE_MAX_BYTES,
+    CallerAnswer,
+    begin_answer,
+    end_answer,
+    send_part,
+)
 from .direct_call import SendOutcome
 
 
@@ -16,7 +27,8 @@
     CallerLeftError
         If the caller left before a large answer was sent.
     """
-    if is_large(caller.link, len(outcome.body)):
+    n_bytes = len(outcome.body)
+    if n_bytes > WRITE_MAX_BYTES or is_large(caller.link, n_bytes):
         await begin_answer(caller, outcome.status, outcome.headers, len(outcome.body))
         await send_part(caller, outcome.body)
         return await end_answer(caller)
--- a/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/answer_streaming.py
@@ -8,7 +8,9 @@
 does not take a truncated answer for a complete one. Therefore only answers of a known
 length that are large for the link are streamed, and only while no request behind them
 on the connection has begun; none begins until they are sent. All others are held until
-they are complete, and can be replaced if the download breaks off.
+they are complete, and can be replaced if the download breaks off. Once the host has no
+room to hold one, it is streamed from there on, so that callers that read slowly fill
+the memory of the upstreams' connections and not that of the host.
 
 An answer is written only in the turn of its request (`pipelining`). Before its turn it
 is held, and no more of it is received than `HELD_AHEAD_MAX_BYTES`: what a request that
@@ -18,6 +20,7 @@
 import asyncio
 from collections.abc import AsyncIterable, AsyncIterator, Callable
 from dataclasses import dataclass, field
+from typing import Any, NamedTuple
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -27,11 +30,18 @@
 
 from .bounded_answer import ANSWER_MAX_BYTES, AnswerTooLargeError
 from .clock import now_ns
-from .pipelining import has_begun_behind, has_turn, wait_for_turn
+from .pipelining import (
+    has_begun_behind,
+    has_turn,
+    hold_back_behind,
+    wait_for_turn,
+)
 
 # Most requests are answered before their turn on 256 connections at once, which then
 # hold 16 MiB.
 HELD_AHEAD_MAX_BYTES = 64 * 1024
+# A longer write waits in the buffer of the connection, beside the answer that is held.
+WRITE_MAX_BYTES = 64 * 1024
 
 
 class AnswerBegunError(RuntimeError):
@@ -49,7 +59,8 @@
     ``is_stopping`` returns whether the connection is closed after the answer.
     ``response`` is set when the head is sent; ``n_left`` bytes of the body are then
     left to send. ``holding`` counts the bytes of answers that are held. ``on_begin`` is
-    called when the head is sent.
+    called when the head is sent. ``sender`` is the task that has sent it: if there are
+    several sends, no other one may answer after that.
     """
 
     link: AnswerLink
@@ -59,6 +70,7 @@
     response: web.StreamResponse | None = None
     n_left: int = 0
     on_begin: Callable[[], None] = lambda: None
+    sender: "asyncio.Task[Any] | None" = None
 
     @property
     def has_begun(self) -> bool:
@@ -81,12 +93,18 @@
     n_bytes : int or None
         The length of the body in bytes, None if unknown.
     """
-    is_success = 200 <= status < 300
-    if not is_success or n_bytes is None or not has_turn(answer.request):
+    is_too_large = (n_bytes or 0) > ANSWER_MAX_BYTES
+    if not is_too_large and not is_large(answer.link, n_bytes or 0):
         return False
-    if n_bytes > ANSWER_MAX_BYTES:
-        return True
-    return is_large(answer.link, n_bytes) and not has_begun_behind(answer.request)
+    is_first = is_too_large or not has_begun_behind(answer.request)
+    return is_first and _may_begin(answer, status, n_bytes)
+
+
+def _may_begin(answer: CallerAnswer, status: int, n_bytes: int | None) -> bool:
+    """Return whether an answer may be sent before it is complete."""
+    is_success = 200 <= status < 300
+    is_free = n_bytes is not None and not answer.has_begun
+    return is_success and is_free and has_turn(answer.request)
 
 
 async def wait_to_receive(answer: CallerAnswer, n_bytes: int | None) -> None:
@@ -95,23 +113,67 @@
         await wait_for_turn(answer.request)
 
 
-async def hold_parts(
-    answer: CallerAnswer, parts: AsyncIterable[bytes]
-) -> AsyncIterator[bytes]:
-    """Yield the parts of an answer that is held; wait for its turn if it is large.
+class AnswerHead(NamedTuple):
+    """The head of an answer; ``n_bytes`` is the length of its body, None if unknown."""
+
+    status: int
+    headers: CIMultiDict[str] | None
+    n_bytes: int | None
+
+
+async def hold_or_stream(
+    answer: CallerAnswer,
+    head: AnswerHead,
+    parts: AsyncIterable[bytes],
+    max_bytes: int = ANSWER_MAX_BYTES,
+) -> bytes | None:
+    """Hold an answer until it is complete; stream it once there is no room for it.
+
+    While it is streamed, its upstream is read no faster than its caller reads.
+
+    Returns
+    -------
+    bytes or None
+        The body, or None if the answer was sent.
 
     Raises
     ------
     AnswerTooLargeError
-        If the host has no memory to hold it.
+        If it exceeds ``max_bytes``, or has no room and may not be streamed.
+    CallerLeftError
+        If the caller left while the answer was streamed.
     """
+    received: list[bytes] = []
     n_bytes = 0
-    async for part in parts:
-        if not hold(answer.holding, answer.holding.n_bytes + len(part), now_ns()):
-            raise AnswerTooLargeError("no memory is left to hold the answer")
-        yield part
+    arriving = aiter(parts)
+    async for part in arriving:
+        received.append(part)
         n_bytes += len(part)
+        if n_bytes > max_bytes:
+            raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
+        if not hold(answer.holding, answer.holding.n_bytes + len(part), now_ns()):
+            may_begin = _may_begin(answer, head.status, head.n_bytes)
+            if not may_begin or has_begun_behind(answer.request):
+                raise AnswerTooLargeError("no memory is left to hold the answer")
+            hold_back_behind(answer.request)
+            rest = _join(received, arriving)
+            await stream_answer(
+                answer, head.status, head.headers, head.n_bytes or 0, rest
+            )
+            return None
         await wait_to_receive(answer, n_bytes)
+    return b"".join(received)
+
+
+async def _join(
+    received: list[bytes], arriving: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    """Yield what was received, which is free once it is sent, and what arrives."""
+    received.reverse()
+    while received:
+        yield received.pop()
+    async for part in arriving:
+        yield part
 
 
 async def stream_answer(
@@ -156,6 +218,7 @@
     if answer.is_stopping():
         response.force_close()
     answer.response, answer.n_left = response, n_bytes
+    answer.sender = asyncio.current_task()
     answer.on_begin()
     try:
         await response.prepare(answer.request)
@@ -172,8 +235,9 @@
         If the caller left.
     """
     response = _started_response(answer)
-    for start in range(0, len(part), PART_BYTES):
-        piece = part[start : start + PART_BYTES]
+    piece_bytes = PART_BYTES if answer.link.bytes_per_ms else WRITE_MAX_BYTES
+    for start in range(0, len(part), piece_bytes):
+        piece = part[start : start + piece_bytes]
         try:
             await response.write(piece)
         except ConnectionError as error:
--- a/packages/bergamotferry_host/src/bergamotferry_host/bounded_answer.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/bounded_answer.py
@@ -5,8 +5,6 @@
 is exceeded, since what would follow on it belongs to no answer.
 """
 
-from collections.abc import AsyncIterable
-
 import aiohttp
 
 # Longest answer that is held in memory as a whole; a longer one must be streamed.
@@ -19,23 +17,18 @@
     """The body of an answer exceeds the limit, and its connection was closed."""
 
 
-async def read_whole(
-    response: aiohttp.ClientResponse,
-    max_bytes: int,
-    parts: AsyncIterable[bytes] | None = None,
-) -> bytes:
-    """Read the whole body of an answer, or the ``parts`` of it.
+async def read_whole(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Read the whole body of an answer.
 
     Raises
     ------
     AnswerTooLargeError
         If the body is longer than ``max_bytes``.
     """
-    if response.method != "HEAD" and (response.content_length or 0) > max_bytes:
-        raise _close_too_large(response, max_bytes)
+    check_length(response, max_bytes)
     received: list[bytes] = []
     n_bytes = 0
-    async for part in parts or response.content.iter_any():
+    async for part in response.content.iter_any():
         received.append(part)
         n_bytes += len(part)
         if n_bytes > max_bytes:
@@ -43,6 +36,18 @@
     return b"".join(received)
 
 
+def check_length(response: aiohttp.ClientResponse, max_bytes: int) -> None:
+    """Check the length that the head of an answer states.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        If it exceeds the limit.
+    """
+    if response.method != "HEAD" and (response.content_length or 0) > max_bytes:
+        raise _close_too_large(response, max_bytes)
+
+
 def _close_too_large(
     response: aiohttp.ClientResponse, max_bytes: int
 ) -> AnswerTooLargeError:
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_call.py
@@ -26,9 +26,10 @@
 
 from .answer_framing import HOP_HEADERS, has_length
 from .answer_streaming import (
+    AnswerHead,
     CallerAnswer,
     CallerLeftError,
-    hold_parts,
+    hold_or_stream,
     may_stream,
     stream_answer,
     wait_to_receive,
@@ -37,6 +38,7 @@
     ANSWER_MAX_BYTES,
     SHORT_BODY_MAX_BYTES,
     AnswerTooLargeError,
+    check_length,
     read_whole,
 )
 from .clock import now_ns
@@ -307,10 +309,14 @@
             caller, outcome.status, outcome.headers, outcome.n_bytes, parts
         )
         return outcome
-    if send.caller is not None:
-        parts = hold_parts(send.caller, parts)
-    outcome.body = await read_whole(response, send.answer_max_bytes, parts)
-    outcome.n_bytes = len(outcome.body)
+    if send.caller is None:
+        body: bytes | None = await read_whole(response, send.answer_max_bytes)
+    else:
+        check_length(response, send.answer_max_bytes)
+        head = AnswerHead(outcome.status, outcome.headers, n_bytes)
+        body = await hold_or_stream(send.caller, head, parts, send.answer_max_bytes)
+    outcome.body = body or b""
+    outcome.n_bytes = len(outcome.body) if body is not None else n_bytes or 0
     return outcome
 
 
--- a/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/direct_sending.py
@@ -217,14 +217,14 @@
         max_delay_ms(host.link),
     )
     done, _ = await asyncio.wait({first}, timeout=delay_ms / 1000)
-    if done:
+    if done or _answering_send(request) is not None:
         return None
     second = await reserve_hedge(host, http, request, objective_ms)
     if second is not None or first.done():
         return second
     delay_ms = late_hedge_delay_ms(objective_ms, elapsed_ms(request))
     done, _ = await asyncio.wait({first}, timeout=delay_ms / 1000)
-    if done:
+    if done or _answering_send(request) is not None:
         return None
     within_ms = (request.deadline_ns - request.began_ns) / 1e6
     return await reserve_hedge(host, http, request, within_ms)
@@ -264,16 +264,26 @@
 async def _first_success(
     request: DirectRequest, sends: "set[asyncio.Task[SendOutcome]]"
 ) -> SendOutcome:
-    """Return the first answer that is not a failure, or else the last outcome."""
+    """Return the first answer that is not a failure, or else the last outcome.
+
+    The outcome of a send that has begun to answer is final, whatever it is.
+    """
     pending = set(sends)
     while True:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        outcomes = [send.result() for send in done]
-        for outcome in outcomes:
-            if outcome.result == "answered" and outcome.status < 500:
+        for send in done:
+            outcome = send.result()
+            answering = _answering_send(request)
+            is_success = outcome.result == "answered" and outcome.status < 500
+            if send is answering or (answering is None and is_success):
                 return outcome
         if not pending:
-            return outcomes[-1]
+            return outcome
+
+
+def _answering_send(request: DirectRequest) -> "asyncio.Task[SendOutcome] | None":
+    """Return the send whose answer has begun, after which no other one may follow."""
+    return request.caller.sender if request.caller is not None else None
 
 
 async def _send(
--- a/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
+++ b/packages/bergamotferry_host/src/bergamotferry_host/fetch_call.py
@@ -21,11 +21,18 @@
 )
 
 from .answer_framing import is_final_status
-from .answer_streaming import CallerAnswer, hold_parts, stream_answer
+from .answer_streaming import (
+    AnswerHead,
+    CallerAnswer,
+    hold_or_stream,
+    stream_answer,
+)
+from .bounded_answer import AnswerTooLargeError
 from .clock import now_ns
 from .codec import encodable_text
 from .direct_call import (
     ANSWER_SLACK_S,
+    ANSWER_TOO_LARGE,
     DirectSend,
     SendOutcome,
     SendResult,
@@ -113,6 +120,8 @@
         return SendOutcome(
             "broken", "TimeoutError", is_timeout=True, through=control_host
         )
+    except AnswerTooLargeError:
+        return SendOutcome("broken", ANSWER_TOO_LARGE, through=control_host)
     except (StreamBroken, PeerUnreachable) as error:
         _pause_fetching(host, control_host, str(error), FAILURE_PAUSE_S)
         return SendOutcome("broken", type(error).__name__, through=control_host)
@@ -177,9 +186,11 @@
     if await is_streamed(send, outcome.status, n_bytes):
         caller = cast(CallerAnswer, send.caller)
         await stream_answer(caller, outcome.status, outcome.headers, n_bytes, stream)
+    elif send.caller is None:
+        outcome.body = b"".join([part async for part in stream])
     else:
-        parts = stream if send.caller is None else hold_parts(send.caller, stream)
-        outcome.body = b"".join([part async for part in parts])
+        head = AnswerHead(outcome.status, outcome.headers, n_bytes)
+        outcome.body = await hold_or_stream(send.caller, head, stream) or b""
 
 
 def _handle_refusal(host: DirectHost, control_host: str, head: object) -> None:
--- a/packages/bergamotferry_host/tests/test_direct_hedges.py
+++ b/packages/bergamotferry_host/tests/test_direct_hedges.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 from aiohttp import web
-from direct_harness import route, run_with_harness, served
+from direct_harness import HEADER_NAMES, route, run_with_harness, served
 
 from bergamotferry.answer_link import AnswerLink, InFlightAnswer
 from bergamotferry_host.clock import now_ns
@@ -71,3 +72,47 @@
 
     names = [name for name, _ in run_with_harness(scenario).sends]
     assert names == (["u1"] if is_leaving else ["u1", "u2"])
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_answer_that_has_begun_is_followed_by_none_of_a_hedge(is_broken):
+    """Guards against two answers on one connection, when memory is short."""
+    body = bytes(300_000)
+
+    async def scenario(harness):
+        is_hedged, has_begun = asyncio.Event(), asyncio.Event()
+
+        async def begin_late(request):
+            request_id = request.headers[HEADER_NAMES.request_id]
+            headers = {HEADER_NAMES.request_id: request_id, HEADER_NAMES.seal: "s"}
+            answer = web.StreamResponse(headers=headers)
+            answer.content_length = len(body)
+            await is_hedged.wait()
+            await answer.prepare(request)
+            await answer.write(body[:200_000])
+            await asyncio.sleep(0.1)
+            has_begun.set()
+            await asyncio.sleep(0.2)
+            if is_broken:
+                request.transport.abort()
+            else:
+                await answer.write(body[200_000:])
+            return answer
+
+        async def answer_behind(request):
+            is_hedged.set()
+            await has_begun.wait()
+            return await served(request)
+
+        harness.configure(route(timeout_ms=TIMEOUT_MS, latency_objective_ms=300))
+        await harness.add("u1", begin_late)
+        await harness.add("u2", answer_behind)
+        harness.host.memory.max_bytes = 100_000
+        try:
+            answer, text = await harness.send_request("/safe/1")
+            assert not is_broken
+            assert (answer.status, len(text)) == (200, len(body))
+        except aiohttp.ClientPayloadError:
+            assert is_broken
+
+    assert [name for name, _ in run_with_harness(scenario).sends] == ["u1", "u2"]
